--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -62,7 +62,8 @@
   return line;
 }
 
-EventLog MakeStderrEventLog(std::string process_name, EventSeverity minimum) {
+EventLog MakeStderrEventLog(const std::string& process_name,
+                            EventSeverity minimum) {
   ConfigureOnce(process_name);
   return [minimum](const EventInfo& event, const EventFields& fields) {
     if (event.severity < minimum) {
--- a/src/observe/event_log.h
+++ b/src/observe/event_log.h
@@ -35,7 +35,8 @@
 /// Returns an `EventLog` that writes one line per event to standard error
 /// through easylogging++: time, severity, number, name, fields as name=value.
 /// Events below `minimum` are dropped.
-EventLog MakeStderrEventLog(std::string process_name, EventSeverity minimum);
+EventLog MakeStderrEventLog(const std::string& process_name,
+                            EventSeverity minimum);
 
 /// Returns an `EventLog` that drops everything.
 EventLog MakeNullEventLog();
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace indigolead {
@@ -82,10 +83,15 @@
  private:
   template <typename T>
   struct Entry {
+    Entry(std::string name, std::string help, std::string labels)
+        : name(std::move(name)),
+          help(std::move(help)),
+          labels(std::move(labels)) {}
+
     std::string name;
     std::string help;
     std::string labels;
-    T metric{};
+    T metric;
   };
 
   mutable std::mutex mutex_;
