Give revisions a JSON form and a digest

Cause: a revision lives in the object API and travels between processes of neighbouring versions; one that is read wrongly would be in force everywhere within seconds. Change: spec_fields.h lists every field once; the JSON writer and reader walk over it. Unknown fields are ignored, missing ones default, wrong types and ranges are errors that name the field. A revision carries the nonce of its writer, to settle a write whose answer was lost. Ruled out: protobuf for the stored form, which operators could not read.

--- a/src/core/config/deployment.h
+++ b/src/core/config/deployment.h
@@ -111,6 +111,9 @@
   std::string source_version;  ///< Version-control revision of the edit.
   std::uint64_t digest = 0;    ///< Hash of the specification.
   std::string note;            ///< Cause, such as "rollback to 4".
+  /// Drawn by the writer, so that it recognises its own write after a lost
+  /// answer.
+  std::string nonce;
 
   friend bool operator==(const Revision&, const Revision&) = default;
 };
--- /dev/null
+++ b/tests/core/config/revision_json_test.cc
@@ -0,0 +1,135 @@
+#include "core/config/revision_json.h"
+
+#include <catch2/catch.hpp>
+
+namespace indigolead {
+namespace {
+
+/// Returns a revision in which every field differs from its default.
+Revision FullRevision() {
+  Revision revision;
+  revision.number = 7;
+  revision.author = "ana";
+  revision.accepted_at = 1'700'000'000'000'001;
+  revision.source_version = "4f2c";
+  revision.note = "rollback to 4";
+  revision.nonce = "00112233445566778899aabbccddeeff";
+  DeploymentSpec& spec = revision.spec;
+  spec.name = "tarifa-llm";
+  spec.template_name = "price-rules";
+  spec.kind = DeploymentKind::kService;
+  spec.path_prefix = "/menu";
+  spec.host = "menu.example";
+  spec.models = {{"tarifa", "3", {"bilbao", "oviedo"}}};
+  spec.client_accounts = {{"salon-1",
+                           std::string(64, 'a'),
+                           -2,
+                           3,
+                           1.5,
+                           900.25,
+                           17,
+                           {"tarifa"},
+                           {"bilbao"}}};
+  spec.request = {
+      std::chrono::milliseconds(1500), 0.25, 5, false, {"GET"}, 1234, 56, 78};
+  spec.roles = {1, 2, true, 9.5, std::chrono::seconds(90), 18, 6};
+  spec.targets_check_fencing = false;
+  spec.max_change_share = 0.5;
+  spec.quarantine_kills = 3;
+  spec.quarantine_time = std::chrono::minutes(5);
+  revision.digest = SpecDigest(spec);
+  return revision;
+}
+
+std::string ErrorText(std::string_view json) {
+  const Result<Revision> result = RevisionFromJson(json);
+  return IsOk(result) ? "no error" : ErrorOf(result).detail;
+}
+
+TEST_CASE("A revision keeps its meaning as JSON") {
+  const Revision revision = FullRevision();
+
+  SECTION("what is written reads back as the same revision") {
+    const Result<Revision> read = RevisionFromJson(ToJson(revision));
+    REQUIRE(IsOk(read));
+    CHECK(ValueOf(read) == revision);
+  }
+  SECTION("a default revision reads back too") {
+    const Result<Revision> read = RevisionFromJson(ToJson(Revision{}));
+    REQUIRE(IsOk(read));
+    CHECK(ValueOf(read) == Revision{});
+  }
+  SECTION("fields of a newer version are ignored, absent ones default") {
+    const Result<Revision> read = RevisionFromJson(
+        R"({"number":3,"new":[1],"spec":{"name":"a","newer":{"x":1}}})");
+    REQUIRE(IsOk(read));
+    Revision expected;
+    expected.number = 3;
+    expected.spec.name = "a";
+    CHECK(ValueOf(read) == expected);
+  }
+}
+
+TEST_CASE("A revision that was damaged is refused with the field's name") {
+  struct Case {
+    const char* json;
+    const char* message;
+  };
+  const Case cases[] = {
+      {"{", "expected JSON"},
+      {"[]", ": expected an object"},
+      {R"({"number":-1})", "number: expected an integer from 0"},
+      {R"({"number":1.5})", "number: expected an integer"},
+      {R"({"number":"1"})", "number: expected an integer"},
+      {R"({"digest":"xyz"})", "digest: expected 16 hexadecimal digits"},
+      {R"({"spec":[]})", "spec.: expected an object"},
+      {R"({"spec":{"name":null}})", "spec.name: expected a string"},
+      {R"({"spec":{"kind":"modle"}})", "spec.kind: expected \"model\""},
+      {R"({"spec":{"models":[{"adapters":[1]}]}})",
+       "spec.models[0].adapters[0]: expected a string"},
+      {R"({"spec":{"roles":{"automatic":1}}})",
+       "spec.roles.automatic: expected true or false"},
+      {R"({"spec":{"client_accounts":[{"weight":4294967296}]}})",
+       "spec.client_accounts[0].weight: expected an integer"},
+      {R"({"spec":{"request":{"deadline_us":-5}}})",
+       "spec.request.deadline_us: expected microseconds from 0"},
+      {R"({"spec":{"quarantine_time_us":9223372036854775807}})",
+       "spec.quarantine_time_us: expected microseconds from 0"},
+  };
+  for (const Case& it : cases) {
+    INFO("json: " << it.json);
+    CHECK_THAT(ErrorText(it.json), Catch::Matchers::StartsWith(it.message));
+  }
+}
+
+TEST_CASE("The digest stands for the specification alone") {
+  const Revision revision = FullRevision();
+
+  SECTION("equal specifications have equal digests") {
+    CHECK(SpecDigest(FullRevision().spec) == revision.digest);
+  }
+  SECTION("one changed field changes it") {
+    DeploymentSpec changed = revision.spec;
+    changed.client_accounts[0].max_concurrent += 1;
+    CHECK(SpecDigest(changed) != revision.digest);
+  }
+  SECTION("its text has sixteen digits") {
+    CHECK(DigestText(0xab) == "00000000000000ab");
+  }
+}
+
+// A field that is added to a type but not to spec_fields.h would be lost on
+// its way through the store without a word. The sizes below change with the
+// types; whoever changes one adds the field to spec_fields.h and to
+// FullRevision, then the new size here.
+TEST_CASE("Every field of the configuration types is listed") {
+  CHECK(sizeof(ModelSpec) == 88);
+  CHECK(sizeof(ClientAccountSpec) == 144);
+  CHECK(sizeof(RoleSpec) == 40);
+  CHECK(sizeof(RequestPolicy) == 72);
+  CHECK(sizeof(DeploymentSpec) == 328);
+  CHECK(sizeof(Revision) == 480);
+}
+
+}  // namespace
+}  // namespace indigolead
