Decide the control lease in a core without clocks or calls

Cause: exactly one entry may give orders, and a holder that was paused or cut off must have no effect. Change: Lease takes events with their time and returns reads and writes. The fencing number is the version that won the lease. The holder counts from before it sent its write, a taker from after it saw the last change. A lost answer is settled by the nonce; a repeat keeps the first copy's send time. Ruled out: comparing the clocks of two machines; a number drawn by the holder. Conclusion: unit tests cover taking, renewing, losing, pausing, lost answers.

--- /dev/null
+++ b/src/core/control/lease.cc
@@ -0,0 +1,339 @@
+#include "core/control/lease.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace indigolead {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+Error Malformed(std::string detail) {
+  return Error{ErrorCode::kProtocol, "lease.decode", "store",
+               "expected a lease as JSON, saw: " + std::move(detail)};
+}
+
+// Constructs in place: g++ 12 takes the unused members of a temporary variant
+// for uninitialised reads.
+template <typename T>
+void Append(Lease::Actions* actions, T action) {
+  actions->emplace_back(std::in_place_type<T>, std::move(action));
+}
+
+bool HadNoEffect(ErrorCode code) {
+  return code == ErrorCode::kUnavailable || code == ErrorCode::kOverloaded ||
+         code == ErrorCode::kInvalidInput || code == ErrorCode::kConflict;
+}
+
+}  // namespace
+
+std::string EncodeLease(const LeaseRecord& record) {
+  return Json{
+      {"holder", record.holder},
+      {"incarnation", ToHex(record.incarnation.value)},
+      {"fencing_number", record.fencing_number},
+      {"nonce", ToHex(record.nonce)},
+      {"duration_ms", duration_cast<milliseconds>(record.duration).count()}}
+      .dump();
+}
+
+Result<LeaseRecord> DecodeLease(std::string_view json, std::uint64_t version) {
+  try {
+    const Json parsed = Json::parse(json);
+    const auto incarnation =
+        Id128FromHex(parsed.at("incarnation").get<std::string>());
+    const auto nonce = Id128FromHex(parsed.at("nonce").get<std::string>());
+    if (!incarnation || !nonce) {
+      return Malformed("an id that is not 32 hexadecimal digits");
+    }
+    LeaseRecord record;
+    record.holder = parsed.at("holder").get<std::string>();
+    record.incarnation = Incarnation{*incarnation};
+    record.nonce = *nonce;
+    record.fencing_number = parsed.at("fencing_number").get<FencingNumber>();
+    record.duration = milliseconds(parsed.at("duration_ms").get<long>());
+    if (record.fencing_number == 0) {
+      record.fencing_number = version;
+    }
+    return record;
+  } catch (const Json::exception& e) {
+    return Malformed(e.what());
+  }
+}
+
+std::string_view LeaseLossName(LeaseLoss loss) {
+  switch (loss) {
+    case LeaseLoss::kLapsed:
+      return "lapsed";
+    case LeaseLoss::kPaused:
+      return "paused";
+    case LeaseLoss::kTaken:
+      return "taken";
+    case LeaseLoss::kResigned:
+      return "resigned";
+  }
+  return "lapsed";
+}
+
+Lease::Lease(Options options, IdSource ids, Jitter jitter)
+    : options_(std::move(options)),
+      ids_(std::move(ids)),
+      jitter_(std::move(jitter)) {}
+
+Lease::Actions Lease::Tick(TimePoint now) {
+  Actions actions;
+  NoticePause(now, &actions);
+  NoticeEnd(now, &actions);
+  if (write_ && now - write_->last_sent_at > options_.call_timeout) {
+    write_->effect_unknown = true;
+  }
+  if (read_sent_at_ && now - *read_sent_at_ > options_.call_timeout) {
+    read_sent_at_.reset();
+  }
+  MaybeWrite(now, &actions);
+  // A write of unknown effect is settled by a read before the next one, so
+  // that this process never takes its own lost success for another's lease.
+  const bool settle = write_ && write_->effect_unknown;
+  const bool refresh = !held_ && now >= next_read_;
+  if (settle || suspended_ || !seen_at_ || refresh) {
+    StartRead(now, &actions);
+  }
+  return actions;
+}
+
+Lease::Actions Lease::OnRead(const Result<LeaseView>& answer, TimePoint now) {
+  Actions actions;
+  NoticePause(now, &actions);
+  read_sent_at_.reset();
+  next_read_ = now + Spread(options_.read_interval);
+  if (!IsOk(answer)) {
+    NoticeEnd(now, &actions);
+    return actions;
+  }
+  const LeaseView& view = ValueOf(answer);
+  if (!SettledByNonce(view, now, &actions) && write_ &&
+      write_->effect_unknown) {
+    if (view.version > write_->expected) {
+      // Another write took the expected version: ours can never land now.
+      write_.reset();
+    } else {
+      write_->may_repeat = true;
+    }
+  }
+  Observe(view, now, &actions);
+  NoticeEnd(now, &actions);
+  if (suspended_ && view.version >= seen_.version) {
+    suspended_ = false;
+    next_renewal_ = now;
+  }
+  return actions;
+}
+
+Lease::Actions Lease::OnWritten(const Id128& nonce,
+                                const Result<std::uint64_t>& answer,
+                                TimePoint now) {
+  Actions actions;
+  NoticePause(now, &actions);
+  if (!write_ || write_->record.nonce != nonce) {
+    return actions;
+  }
+  if (IsOk(answer)) {
+    const PendingWrite write = *std::exchange(write_, std::nullopt);
+    Won(write, ValueOf(answer), now, &actions);
+    NoticeEnd(now, &actions);
+    return actions;
+  }
+  const bool first_copy = write_->first_sent_at == write_->last_sent_at;
+  if (first_copy && HadNoEffect(ErrorOf(answer).code)) {
+    write_.reset();
+    next_renewal_ = now + Spread(options_.guard);
+  } else {
+    // An earlier copy, or this one, may have taken effect; also a conflict
+    // may be with an earlier copy. The nonce in the object tells.
+    write_->effect_unknown = true;
+    StartRead(now, &actions);
+  }
+  NoticeEnd(now, &actions);
+  return actions;
+}
+
+Lease::Actions Lease::OnWatched(const LeaseView& view, TimePoint now) {
+  Actions actions;
+  NoticePause(now, &actions);
+  SettledByNonce(view, now, &actions);
+  Observe(view, now, &actions);
+  NoticeEnd(now, &actions);
+  return actions;
+}
+
+Lease::Actions Lease::Resign(TimePoint now) {
+  Actions actions;
+  resigned_ = true;
+  if (held_) {
+    Drop(LeaseLoss::kResigned, &actions);
+  }
+  MaybeWrite(now, &actions);
+  return actions;
+}
+
+std::optional<FencingNumber> Lease::Authority(TimePoint now) const {
+  // A process that slept has a late clock here even if no event told it yet.
+  const bool paused = last_event_ && now - *last_event_ > options_.pause_limit;
+  if (!held_ || suspended_ || paused || now >= held_until_) {
+    return std::nullopt;
+  }
+  return held_;
+}
+
+void Lease::Observe(const LeaseView& view, TimePoint now, Actions* actions) {
+  // A stale read shows an older version; it must not bring back an authority
+  // or restart the wait of a taker.
+  if (seen_at_ && view.version < seen_.version) {
+    return;
+  }
+  if (!seen_at_ || view.version > seen_.version) {
+    changed_at_ = now;
+    take_delay_ = duration_cast<Duration>(options_.take_spread * jitter_());
+  }
+  seen_ = view;
+  seen_at_ = now;
+  const bool ours = view.record && IsOurs(*view.record);
+  if (held_ && !ours) {
+    Drop(LeaseLoss::kTaken, actions);
+  }
+}
+
+void Lease::NoticePause(TimePoint now, Actions* actions) {
+  const bool paused = last_event_ && now - *last_event_ > options_.pause_limit;
+  last_event_ = now;
+  if (!paused) {
+    return;
+  }
+  // While this process slept another may have seen no change for long enough
+  // and taken over; what it knows of the lease is worth nothing until read.
+  read_sent_at_.reset();
+  suspended_ = true;
+  NoticeEnd(now, actions);
+}
+
+void Lease::NoticeEnd(TimePoint now, Actions* actions) {
+  if (held_ && now >= held_until_) {
+    Drop(suspended_ ? LeaseLoss::kPaused : LeaseLoss::kLapsed, actions);
+  }
+}
+
+void Lease::Drop(LeaseLoss reason, Actions* actions) {
+  Append(actions, Lost{*held_, reason});
+  held_.reset();
+}
+
+bool Lease::SettledByNonce(const LeaseView& view, TimePoint now,
+                           Actions* actions) {
+  if (!write_ || !view.record || view.record->nonce != write_->record.nonce) {
+    return false;
+  }
+  const PendingWrite write = *std::exchange(write_, std::nullopt);
+  Won(write, view.version, now, actions);
+  return true;
+}
+
+void Lease::Won(const PendingWrite& write, std::uint64_t version, TimePoint now,
+                Actions* actions) {
+  LeaseRecord record = write.record;
+  if (record.fencing_number == 0) {
+    record.fencing_number = version;
+  }
+  if (!seen_at_ || version > seen_.version) {
+    seen_ = LeaseView{record, version};
+    seen_at_ = now;
+    changed_at_ = now;
+  }
+  const TimePoint until =
+      write.first_sent_at + options_.duration - options_.guard;
+  const bool superseded = version < seen_.version;
+  if (record.holder.empty() || resigned_ || superseded || now >= until) {
+    return;
+  }
+  held_until_ = until;
+  next_renewal_ = write.first_sent_at + Spread(options_.renew_interval);
+  suspended_ = false;
+  if (held_ != record.fencing_number) {
+    held_ = record.fencing_number;
+    Append(actions, Gained{record.fencing_number});
+  }
+}
+
+void Lease::StartRead(TimePoint now, Actions* actions) {
+  if (read_sent_at_) {
+    return;
+  }
+  read_sent_at_ = now;
+  Append(actions, Read{});
+}
+
+void Lease::StartWrite(std::string holder, FencingNumber number, TimePoint now,
+                       Actions* actions) {
+  LeaseRecord record{std::move(holder), options_.incarnation, number, ids_(),
+                     options_.duration};
+  write_ = PendingWrite{record, seen_.version, now, now, false, false};
+  Append(actions, Write{std::move(record), seen_.version});
+}
+
+void Lease::MaybeWrite(TimePoint now, Actions* actions) {
+  if (write_ && write_->effect_unknown && write_->may_repeat) {
+    // Both copies have one condition and one nonce: at most one takes effect.
+    write_->effect_unknown = false;
+    write_->may_repeat = false;
+    write_->last_sent_at = now;
+    Append(actions, Write{write_->record, write_->expected});
+    return;
+  }
+  if (write_ || suspended_ || !seen_at_) {
+    return;
+  }
+  if (held_) {
+    MaybeRenew(now, actions);
+  } else if (!resigned_) {
+    MaybeTake(now, actions);
+  } else if (seen_.record && seen_.record->holder == options_.holder &&
+             seen_.record->incarnation == options_.incarnation &&
+             now >= next_take_) {
+    next_take_ = now + options_.take_interval;
+    StartWrite("", seen_.record->fencing_number, now, actions);
+  }
+}
+
+void Lease::MaybeTake(TimePoint now, Actions* actions) {
+  const bool free = !seen_.record || seen_.record->holder.empty();
+  // An earlier lease of this very process that lapsed is waited for as any
+  // other: its number must have ended before a new one begins.
+  const Duration wait =
+      free ? take_delay_
+           : seen_.record->duration + options_.guard + take_delay_;
+  if (now - changed_at_ >= wait && now >= next_take_) {
+    next_take_ = now + Spread(options_.take_interval);
+    StartWrite(options_.holder, 0, now, actions);
+  }
+}
+
+void Lease::MaybeRenew(TimePoint now, Actions* actions) {
+  if (now >= next_renewal_) {
+    StartWrite(options_.holder, *held_, now, actions);
+  }
+}
+
+Duration Lease::Spread(Duration interval) {
+  const double factor = 0.75 + 0.25 * jitter_();
+  return duration_cast<Duration>(interval * factor);
+}
+
+bool Lease::IsOurs(const LeaseRecord& record) const {
+  return held_ && record.holder == options_.holder &&
+         record.incarnation == options_.incarnation &&
+         record.fencing_number == *held_;
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/tests/core/control/lease_test.cc
@@ -0,0 +1,249 @@
+#include "core/control/lease.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(double s) {
+  return TimePoint{} + milliseconds(static_cast<long>(s * 1000) + 1000000);
+}
+
+Lease MakeLease(const std::string& holder, std::uint64_t seed) {
+  Lease::Options options;
+  options.holder = holder;
+  options.incarnation = Incarnation{{seed, seed}};
+  return Lease(
+      options,
+      [n = seed * 1000]() mutable {
+        return Id128{1, ++n};
+      },
+      [] { return 0.0; });
+}
+
+template <typename T>
+std::optional<T> Find(const Lease::Actions& actions) {
+  for (const auto& action : actions) {
+    if (const T* found = std::get_if<T>(&action)) {
+      return *found;
+    }
+  }
+  return std::nullopt;
+}
+
+LeaseView ViewOf(LeaseRecord record, std::uint64_t version) {
+  if (record.fencing_number == 0) {
+    record.fencing_number = version;
+  }
+  return LeaseView{record, version};
+}
+
+/// Takes the free lease at time 0 under number 7.
+Lease::Write Take(Lease* lease) {
+  lease->Tick(At(0));
+  lease->OnRead(LeaseView{}, At(0));
+  const auto write = Find<Lease::Write>(lease->Tick(At(0)));
+  REQUIRE(write);
+  lease->OnWritten(write->record.nonce, std::uint64_t{7}, At(0.5));
+  return *write;
+}
+
+/// Ticks often enough not to look paused, answering nothing.
+Lease::Actions TickUntil(Lease* lease, double from, double to) {
+  Lease::Actions all;
+  for (double t = from; t <= to; t += 0.25) {
+    for (auto& action : lease->Tick(At(t))) {
+      all.push_back(std::move(action));
+    }
+  }
+  return all;
+}
+
+TEST_CASE("Lease is taken, renewed and lost") {
+  Lease lease = MakeLease("entry-a", 1);
+  const Lease::Write taken = Take(&lease);
+
+  SECTION("the version that won it is the fencing number") {
+    CHECK(taken.expected == 0);
+    CHECK(lease.Authority(At(0.5)) == FencingNumber{7});
+  }
+
+  SECTION("a renewal keeps the number and counts from before it was sent") {
+    const auto renewal = Find<Lease::Write>(TickUntil(&lease, 0.75, 2));
+    REQUIRE(renewal);
+    CHECK(renewal->record.fencing_number == 7);
+    CHECK(renewal->expected == 7);
+    // Sent at 1.5 s (jitter 0), answered at 3 s: lasts until 1.5 + 6 - 0.6.
+    TickUntil(&lease, 2.25, 3);
+    lease.OnWritten(renewal->record.nonce, std::uint64_t{9}, At(3));
+    TickUntil(&lease, 3.25, 6.75);
+    CHECK(lease.Authority(At(6.85)) == FencingNumber{7});
+    CHECK_FALSE(lease.Authority(At(6.95)));
+  }
+
+  SECTION("authority ends by itself when no renewal is answered") {
+    const auto actions = TickUntil(&lease, 0.75, 5.5);
+    REQUIRE(Find<Lease::Lost>(actions));
+    CHECK(Find<Lease::Lost>(actions)->reason == LeaseLoss::kLapsed);
+    CHECK_FALSE(lease.Authority(At(5.5)));
+  }
+
+  SECTION("another holder's record ends it at once") {
+    LeaseRecord other;
+    other.holder = "entry-b";
+    const auto actions = lease.OnWatched(ViewOf(other, 12), At(1));
+    REQUIRE(Find<Lease::Lost>(actions));
+    CHECK(Find<Lease::Lost>(actions)->reason == LeaseLoss::kTaken);
+    CHECK_FALSE(lease.Authority(At(1)));
+  }
+
+  SECTION("a stale read of an earlier lease neither ends nor restores it") {
+    LeaseRecord earlier;
+    earlier.holder = "entry-z";
+    lease.OnRead(ViewOf(earlier, 3), At(1));
+    CHECK(lease.Authority(At(1)) == FencingNumber{7});
+    CHECK(lease.newest().version == 7);
+  }
+
+  SECTION("resigning ends it and frees the object under the same number") {
+    const auto actions = lease.Resign(At(1));
+    CHECK_FALSE(lease.Authority(At(1)));
+    REQUIRE(Find<Lease::Write>(actions));
+    CHECK(Find<Lease::Write>(actions)->record.holder.empty());
+    CHECK(Find<Lease::Write>(actions)->record.fencing_number == 7);
+  }
+}
+
+// The holder sleeps between its decision and its act. It still believes that
+// it holds the lease, because no event told it otherwise. The clock read just
+// before the act shows the gap, so it has no authority until the store has
+// confirmed the lease again.
+TEST_CASE("Lease holder that was paused has no authority") {
+  Lease lease = MakeLease("entry-a", 1);
+  const Lease::Write taken = Take(&lease);
+
+  SECTION("before any event after the pause") {
+    CHECK_FALSE(lease.Authority(At(2.75)));
+  }
+  SECTION("past its end it reads, and finds the other holder") {
+    const auto actions = lease.Tick(At(30));
+    CHECK(Find<Lease::Lost>(actions));
+    CHECK_FALSE(Find<Lease::Write>(actions));
+    CHECK_FALSE(lease.Authority(At(30)));
+  }
+  SECTION("a short pause only suspends it until a read confirms it") {
+    CHECK(Find<Lease::Read>(lease.Tick(At(3))));
+    CHECK_FALSE(lease.Authority(At(3)));
+    LeaseRecord record = taken.record;
+    lease.OnRead(ViewOf(record, 7), At(3.1));
+    CHECK(lease.Authority(At(3.1)) == FencingNumber{7});
+    CHECK_FALSE(lease.Authority(At(5.4)));
+  }
+}
+
+TEST_CASE("Lease of another holder is taken only after its end") {
+  Lease lease = MakeLease("entry-b", 2);
+  LeaseRecord other;
+  other.holder = "entry-a";
+  other.duration = seconds(6);
+  lease.Tick(At(0));
+  lease.OnRead(ViewOf(other, 7), At(1));
+
+  SECTION("counted from after the last change was seen") {
+    CHECK_FALSE(Find<Lease::Write>(TickUntil(&lease, 1.25, 7.5)));
+    const auto write = Find<Lease::Write>(lease.Tick(At(7.6)));
+    REQUIRE(write);
+    CHECK(write->expected == 7);
+    CHECK(write->record.fencing_number == 0);
+  }
+  SECTION("a renewal seen by the watch starts the wait again") {
+    TickUntil(&lease, 1.25, 4);
+    lease.OnWatched(ViewOf(other, 8), At(4));
+    CHECK_FALSE(Find<Lease::Write>(TickUntil(&lease, 4.25, 10.5)));
+    CHECK(Find<Lease::Write>(lease.Tick(At(10.6))));
+  }
+  SECTION("a lost race gives no authority") {
+    TickUntil(&lease, 1.25, 7.5);
+    const auto write = Find<Lease::Write>(lease.Tick(At(7.6)));
+    REQUIRE(write);
+    lease.OnWritten(write->record.nonce,
+                    Error{ErrorCode::kConflict, "store.put", "store", "12"},
+                    At(7.7));
+    CHECK_FALSE(lease.Authority(At(7.7)));
+    LeaseRecord winner;
+    winner.holder = "entry-c";
+    winner.duration = seconds(6);
+    lease.OnRead(ViewOf(winner, 12), At(7.8));
+    CHECK_FALSE(Find<Lease::Write>(TickUntil(&lease, 8, 14)));
+  }
+}
+
+// The store makes the write take effect but its answer is lost. The writer
+// reads back its own nonce, so it neither waits for its own lease to lapse nor
+// believes in a lease that it did not get.
+TEST_CASE("Lease settles a write whose answer was lost") {
+  Lease lease = MakeLease("entry-a", 1);
+  lease.Tick(At(0));
+  lease.OnRead(LeaseView{}, At(0));
+  const auto write = Find<Lease::Write>(lease.Tick(At(0)));
+  REQUIRE(write);
+  const auto reads = lease.OnWritten(
+      write->record.nonce, Error{ErrorCode::kTimeout, "store.put", "store", ""},
+      At(1));
+  REQUIRE(Find<Lease::Read>(reads));
+  CHECK_FALSE(lease.Authority(At(1)));
+
+  SECTION("it took effect: authority counts from the send") {
+    lease.OnRead(ViewOf(write->record, 7), At(2));
+    CHECK(lease.Authority(At(2)) == FencingNumber{7});
+    TickUntil(&lease, 2.25, 5);
+    CHECK_FALSE(lease.Authority(At(5.4)));
+  }
+  SECTION("no effect yet: the same write is repeated, with the same nonce") {
+    lease.OnRead(LeaseView{}, At(2));
+    const auto again = Find<Lease::Write>(lease.Tick(At(2.25)));
+    REQUIRE(again);
+    CHECK(*again == *write);
+    // The first copy may be the one that took effect, so the end still counts
+    // from its send.
+    lease.OnWritten(again->record.nonce, std::uint64_t{7}, At(2.5));
+    CHECK(lease.Authority(At(2.5)) == FencingNumber{7});
+    TickUntil(&lease, 2.75, 5.25);
+    CHECK_FALSE(lease.Authority(At(5.45)));
+  }
+  SECTION("another write landed first: no authority, no repeat") {
+    LeaseRecord other;
+    other.holder = "entry-b";
+    other.duration = seconds(6);
+    lease.OnRead(ViewOf(other, 7), At(2));
+    CHECK_FALSE(lease.Authority(At(2)));
+    CHECK_FALSE(Find<Lease::Write>(TickUntil(&lease, 2.25, 8)));
+  }
+}
+
+TEST_CASE("LeaseRecord as JSON") {
+  const LeaseRecord record{"entry-a", Incarnation{{1, 2}}, 0, Id128{3, 4},
+                           seconds(6)};
+  SECTION("a number of 0 reads as the version of the write") {
+    LeaseRecord expected = record;
+    expected.fencing_number = 41;
+    CHECK(ValueOf(DecodeLease(EncodeLease(record), 41)) == expected);
+  }
+  SECTION("a renewal keeps its number") {
+    LeaseRecord renewed = record;
+    renewed.fencing_number = 41;
+    CHECK(ValueOf(DecodeLease(EncodeLease(renewed), 50)) == renewed);
+  }
+  SECTION("anything else is an error") {
+    CHECK(ErrorOf(DecodeLease("{}", 1)).code == ErrorCode::kProtocol);
+    CHECK(ErrorOf(DecodeLease("x", 1)).code == ErrorCode::kProtocol);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
