Choose each attempt's target by estimated cost

Cause: load reports lag, cache events are late and gappy, and several entries see the same reports. Routing on reports alone herds requests to whatever looked idle when the report was measured.

Change: a router per deployment that corrects the last report by its own sends and ends, scores queued and uncached prefill, decode slots, KV memory, transfer, failure domain, role and slowness in seconds, and draws at random among targets of about the best cost. Suspect targets are probed back.

--- /dev/null
+++ b/src/core/routing/router_choose.cc
@@ -0,0 +1,289 @@
+// The decision of `Router`: collecting, scoring and choosing candidates.
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "core/routing/router.h"
+
+namespace indigolead {
+namespace {
+
+/// Share of a decode step's time that does not depend on the batch: reading
+/// the weights. The rest grows with the number of sequences.
+constexpr double kFixedStepShare = 0.5;
+
+constexpr double kInfinity = std::numeric_limits<double>::infinity();
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  // A day bounds what a broken rate in a report can make of it.
+  const double bounded = std::clamp(seconds, 0.0, 86400.0);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(bounded));
+}
+
+/// Seconds that a decode of `output_tokens` takes on a target.
+struct DecodeTime {
+  double wait_s = 0;  ///< Until a slot is free.
+  double run_s = 0;   ///< At the batch size that it joins.
+  double harm_s = 0;  ///< By which the others in the batch are slowed.
+};
+
+DecodeTime EstimateDecode(const LoadEstimate& load, double output_tokens) {
+  const double full_step_s = load.slots / load.decode_tokens_per_s;
+  const double batch = std::min(load.requests + 1, load.slots);
+  const double filled = batch / load.slots;
+  const double excess = std::max(0.0, load.requests + 1 - load.slots);
+  DecodeTime time;
+  time.wait_s = excess / load.slots * output_tokens * full_step_s;
+  time.run_s = output_tokens * full_step_s *
+               (kFixedStepShare + (1 - kFixedStepShare) * filled);
+  time.harm_s = output_tokens * full_step_s * (1 - kFixedStepShare) * filled;
+  return time;
+}
+
+}  // namespace
+
+std::optional<Router::Wanted> Router::Resolve(const RouteQuery& query) const {
+  Wanted wanted;
+  if (!query.model.empty()) {
+    wanted.model = models_.Find(query.model);
+    if (wanted.model == 0) {
+      return std::nullopt;
+    }
+  }
+  if (!query.adapter.empty()) {
+    wanted.adapter = adapters_.Find(query.adapter);
+    if (wanted.adapter == 0) {
+      return std::nullopt;
+    }
+  }
+  return wanted;
+}
+
+// Scans from two places: one drawn at random, and one that depends on the
+// prompt's first block, so that in a fleet larger than `max_scored` requests
+// that share a prefix keep meeting the targets that cache it.
+void Router::CollectCandidates(const RouteQuery& query, const Wanted& wanted) {
+  suitable_.clear();
+  any_excluded_ = false;
+  const auto n = static_cast<std::uint32_t>(serving_.size());
+  const std::uint32_t limit = options_.max_scored;
+  if (n <= limit) {
+    ScanFrom(0, limit, query, wanted);
+    return;
+  }
+  const std::uint64_t affine =
+      query.prefix_blocks.empty() ? random_() : query.prefix_blocks.front();
+  const std::uint32_t first = ToBelow(affine, n);
+  ScanFrom(first, limit / 2, query, wanted);
+  ScanFrom(ToBelow(random_(), n), limit, query, wanted);
+}
+
+void Router::ScanFrom(std::uint32_t start, std::uint32_t limit,
+                      const RouteQuery& query, const Wanted& wanted) {
+  const auto n = static_cast<std::uint32_t>(serving_.size());
+  for (std::uint32_t it = 0; it < n && suitable_.size() < limit; ++it) {
+    const std::uint32_t place = start + it < n ? start + it : start + it - n;
+    const std::uint32_t index = serving_[place];
+    const TargetState& state = targets_[index];
+    const bool has_model = (state.model_bits & wanted.model) == wanted.model;
+    const bool has_adapter =
+        (state.adapter_bits & wanted.adapter) == wanted.adapter;
+    if (!has_model || !has_adapter) {
+      continue;
+    }
+    const auto& tried = query.excluded;
+    if (std::find(tried.begin(), tried.end(), HandleOf(index)) != tried.end()) {
+      any_excluded_ = true;
+      continue;
+    }
+    suitable_.push_back(index);
+  }
+}
+
+std::optional<std::uint32_t> Router::DueProbe(TimePoint now) const {
+  for (const std::uint32_t it : suitable_) {
+    const TargetState& state = targets_[it];
+    if (state.outlier.suspect && state.outlier.probe_at <= now &&
+        state.load.own_requests() == 0) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
+Router::Candidate Router::Score(std::uint32_t index, const RouteQuery& query,
+                                Part part, TimePoint now) const {
+  const TargetState& state = targets_[index];
+  const LoadEstimate load = state.load.Estimate(now);
+  const CachedPrefix cached = state.hint.Find(query.prefix_blocks, now);
+  Candidate result;
+  result.index = index;
+  result.cached_tokens = static_cast<std::uint64_t>(
+      cached.confidence *
+      static_cast<double>(std::min<std::uint64_t>(
+          cached.blocks * options_.block_tokens, query.prompt_tokens)));
+
+  double prefill_s = 0;
+  double prefill_cost_s = 0;
+  if (part != Part::kDecode) {
+    const double mismatch = state.view.role == EngineRole::kDecode
+                                ? options_.role_mismatch_cost
+                                : 1.0;
+    const double wait_s =
+        load.queued_prefill_tokens / load.prefill_tokens_per_s;
+    const double own_s =
+        mismatch *
+        static_cast<double>(query.prompt_tokens - result.cached_tokens) /
+        load.prefill_tokens_per_s;
+    prefill_s = wait_s + own_s;
+    prefill_cost_s = wait_s + options_.prefill_weight * own_s;
+  }
+  DecodeTime decode;
+  double decode_mismatch = 1.0;
+  if (part != Part::kPrefill) {
+    // A call without tokens still takes a place in the batch.
+    const double output =
+        std::max(1.0, static_cast<double>(query.output_tokens));
+    decode = EstimateDecode(load, output);
+    decode_mismatch = state.view.role == EngineRole::kPrefill
+                          ? options_.role_mismatch_cost
+                          : 1.0;
+  }
+  result.first_token_s = prefill_s + decode.wait_s;
+  result.finish_s = result.first_token_s + decode_mismatch * decode.run_s;
+  result.cost = prefill_cost_s + decode.wait_s +
+                decode_mismatch * (decode.run_s + decode.harm_s);
+  result.cost *= outliers_.Slowness(state.outlier);
+  const double kv_needed =
+      static_cast<double>(options_.kv_bytes_per_token) *
+      static_cast<double>(query.prompt_tokens + query.output_tokens);
+  if (load.kv_capacity_bytes > 0 &&
+      load.kv_used_bytes + kv_needed > load.kv_capacity_bytes) {
+    result.cost += Seconds(options_.kv_full_cost);
+  }
+  if (!state.local) {
+    result.cost += Seconds(options_.domain_cost);
+  }
+  return result;
+}
+
+Router::Candidate Router::ChooseBest(const RouteQuery& query, Part part,
+                                     TimePoint now) {
+  const auto suspects = static_cast<double>(
+      std::count_if(suitable_.begin(), suitable_.end(),
+                    [this](auto it) { return targets_[it].outlier.suspect; }));
+  const bool trust_all = suspects > options_.max_suspect_share *
+                                        static_cast<double>(suitable_.size());
+  scored_.clear();
+  double best = kInfinity;
+  for (const std::uint32_t it : suitable_) {
+    const TargetState& state = targets_[it];
+    const bool wrong_role =
+        (part == Part::kPrefill && state.view.role == EngineRole::kDecode) ||
+        (part == Part::kDecode && state.view.role == EngineRole::kPrefill);
+    if (wrong_role || (state.outlier.suspect && !trust_all)) {
+      continue;
+    }
+    scored_.push_back(Score(it, query, part, now));
+    best = std::min(best, scored_.back().cost);
+  }
+  Candidate chosen;
+  chosen.cost = kInfinity;
+  const double limit = best * (1 + options_.tie_share) + Seconds(options_.tie);
+  std::uint32_t tied = 0;
+  for (const Candidate& it : scored_) {
+    // Each of the tied is kept with the same probability, in one pass.
+    if (it.cost <= limit && ToBelow(random_(), ++tied) == 0) {
+      chosen = it;
+    }
+  }
+  return chosen;
+}
+
+RouteLeg Router::LegOf(const Candidate& candidate, const RouteQuery& query,
+                       Part part) const {
+  RouteLeg leg;
+  leg.target = HandleOf(candidate.index);
+  leg.cached_tokens = part == Part::kDecode ? 0 : candidate.cached_tokens;
+  leg.expected_first_token = FromSeconds(candidate.first_token_s);
+  if (part != Part::kDecode) {
+    leg.work.prefill_tokens = query.prompt_tokens - candidate.cached_tokens;
+  }
+  if (part != Part::kPrefill) {
+    leg.work.output_tokens = query.output_tokens;
+  }
+  leg.work.kv_bytes = options_.kv_bytes_per_token *
+                      (query.prompt_tokens + leg.work.output_tokens);
+  return leg;
+}
+
+RouteDecision Router::WholeDecision(const Candidate& whole,
+                                    const RouteQuery& query, bool probe) const {
+  RouteDecision decision;
+  decision.verdict = RouteVerdict::kChosen;
+  decision.leg = LegOf(whole, query, Part::kWhole);
+  decision.expected_finish = FromSeconds(whole.finish_s);
+  decision.probe = probe;
+  return decision;
+}
+
+std::optional<RouteDecision> Router::ChooseSplit(const RouteQuery& query,
+                                                 const Candidate& whole,
+                                                 TimePoint now) {
+  const Candidate prefill = ChooseBest(query, Part::kPrefill, now);
+  const Candidate decode = ChooseBest(query, Part::kDecode, now);
+  if (prefill.index == UINT32_MAX || decode.index == UINT32_MAX ||
+      prefill.index == decode.index) {
+    return std::nullopt;
+  }
+  const double transfer_s =
+      static_cast<double>(options_.kv_bytes_per_token * query.prompt_tokens) /
+      options_.transfer_bytes_per_s;
+  if (prefill.cost + transfer_s + decode.cost >= whole.cost) {
+    return std::nullopt;
+  }
+  RouteDecision decision;
+  decision.verdict = RouteVerdict::kChosen;
+  decision.prefill = LegOf(prefill, query, Part::kPrefill);
+  decision.leg = LegOf(decode, query, Part::kDecode);
+  decision.expected_finish =
+      FromSeconds(prefill.finish_s + transfer_s + decode.finish_s);
+  return decision;
+}
+
+RouteDecision Router::Choose(const RouteQuery& query, TimePoint now) {
+  RouteDecision none;
+  const std::optional<Wanted> wanted = Resolve(query);
+  if (!wanted || serving_.empty()) {
+    none.verdict =
+        serving_.empty() ? RouteVerdict::kNoTarget : RouteVerdict::kNotLoaded;
+    return none;
+  }
+  CollectCandidates(query, *wanted);
+  if (suitable_.empty()) {
+    none.verdict =
+        any_excluded_ ? RouteVerdict::kExcluded : RouteVerdict::kNotLoaded;
+    return none;
+  }
+  if (query.may_probe) {
+    if (const auto index = DueProbe(now)) {
+      outliers_.OnProbe(&targets_[*index].outlier, now);
+      return WholeDecision(Score(*index, query, Part::kWhole, now), query,
+                           true);
+    }
+  }
+  const Candidate whole = ChooseBest(query, Part::kWhole, now);
+  if (query.may_split) {
+    if (const auto split = ChooseSplit(query, whole, now)) {
+      return *split;
+    }
+  }
+  return WholeDecision(whole, query, false);
+}
+
+}  // namespace indigolead
