Check settings against a table and add the command line

Cause: a misspelt key or an amount without unit must not start a process that behaves otherwise than its operator thinks. Logs go to standard error only: easylogging++ writes to standard output by itself, which belongs to a command's result.

--- /dev/null
+++ b/src/cli/check_command.cc
@@ -0,0 +1,34 @@
+#include "cli/commands.h"
+#include "cli/flags.h"
+#include "cli/settings_file.h"
+
+namespace indigolead::cli {
+namespace {
+
+int CheckSettings(const CommandContext& context) {
+  if (FLAGS_as != "entry" && FLAGS_as != "side") {
+    *context.err << "indigolead check: --as is \"" << FLAGS_as
+                 << "\"; accepted is entry or side\n";
+    return kExitUsage;
+  }
+  const SettingsRole role =
+      FLAGS_as == "entry" ? SettingsRole::kEntry : SettingsRole::kSide;
+  if (!LoadSettings(FLAGS_settings, role, *context.err)) {
+    return kExitUsage;
+  }
+  *context.out << FLAGS_settings << ": good settings of " << FLAGS_as << "\n";
+  return kExitOk;
+}
+
+}  // namespace
+
+int RunCheck(const CommandContext& context) {
+  if (!FLAGS_settings.empty()) {
+    return CheckSettings(context);
+  }
+  *context.err << "indigolead check: give DIR, or --settings FILE --as "
+                  "entry|side\n";
+  return kExitUsage;
+}
+
+}  // namespace indigolead::cli
--- /dev/null
+++ b/src/cli/commands.cc
@@ -0,0 +1,176 @@
+#include "cli/commands.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+#include "cli/flags.h"
+#include "core/config/key_rules.h"
+#include "core/config/settings_table.h"
+
+namespace indigolead::cli {
+namespace {
+
+int RunVersion(const CommandContext& context) {
+  *context.out << "indigolead " << INDIGOLEAD_VERSION << "\n";
+  return kExitOk;
+}
+
+int RunHelp(const CommandContext& context) {
+  if (context.arguments.empty()) {
+    *context.out << HelpText();
+    return kExitOk;
+  }
+  if (context.arguments[0] == "settings") {
+    *context.out << SettingsMarkdown();
+    return kExitOk;
+  }
+  return RunCommandLine({context.arguments[0], "--help"}, *context.out,
+                        *context.err);
+}
+
+std::vector<Command> MakeCommands() {
+  std::vector<Command> commands;
+  commands.push_back(
+      {"entry",
+       "",
+       "Serve callers; run on each thin instance.",
+       "Prints \"listening http=IP:PORT link=IP:PORT\" once ready. SIGTERM or "
+       "SIGINT stops it\nafter the requests in work have ended.",
+       {"settings"},
+       0,
+       0,
+       RunEntry});
+  commands.push_back(
+      {"side",
+       "",
+       "Run beside one target and speak for it.",
+       "Prints \"listening link=IP:PORT\" once ready. SIGTERM or SIGINT stops "
+       "it after the\nattempts in work have ended.",
+       {"settings"},
+       0,
+       0,
+       RunSide});
+  commands.push_back(
+      {"check",
+       "[DIR]",
+       "Check settings or declarations; touches nothing.",
+       "With --settings FILE --as entry|side, checks a settings file. With "
+       "DIR, checks the\ndeclarations in its *.ini files.",
+       {"settings", "as"},
+       0,
+       1,
+       RunCheck});
+  commands.push_back(
+      {"version", "", "Print the version.", "", {}, 0, 0, RunVersion});
+  commands.push_back({"help",
+                      "[COMMAND | settings]",
+                      "Explain a command, or print the settings reference.",
+                      "",
+                      {},
+                      0,
+                      1,
+                      RunHelp});
+  return commands;
+}
+
+const Command* FindCommand(const std::string& name) {
+  const auto& commands = Commands();
+  const auto it =
+      std::find_if(commands.begin(), commands.end(),
+                   [&](const Command& c) { return c.name == name; });
+  return it == commands.end() ? nullptr : &*it;
+}
+
+int RefuseUnknown(const std::string& name, std::ostream& err) {
+  std::vector<std::string> names;
+  for (const Command& it : Commands()) {
+    names.push_back(it.name);
+  }
+  err << "indigolead: \"" << name << "\" is not a command";
+  if (const auto nearest = NearestWord(name, names)) {
+    err << "; did you mean " << *nearest << "?";
+  }
+  err << "\nTry: indigolead help\n";
+  return kExitUsage;
+}
+
+}  // namespace
+
+const std::vector<Command>& Commands() {
+  static const auto* const kCommands = new std::vector<Command>(MakeCommands());
+  return *kCommands;
+}
+
+std::string HelpText() {
+  constexpr std::size_t kNameWidth = 13;
+  std::ostringstream os;
+  os << "Usage: indigolead COMMAND [FLAGS] [ARGUMENTS]\n\nCommands:\n";
+  for (const Command& it : Commands()) {
+    std::string name = it.name;
+    name.resize(std::max(kNameWidth, name.size() + 1), ' ');
+    os << "  " << name << it.summary << "\n";
+  }
+  os << "\nindigolead COMMAND --help explains one. Exit codes: 0 done, 1 not "
+        "done,\n2 wrong arguments or files, 3 conflict with another edit, 4 "
+        "not in force in time.\n";
+  return os.str();
+}
+
+std::string HelpText(const Command& command) {
+  std::ostringstream os;
+  os << "Usage: indigolead " << command.name;
+  os << (command.flags.empty() ? "" : " [FLAGS]");
+  os << (command.arguments.empty() ? "" : " ") << command.arguments << "\n\n"
+     << command.summary << "\n";
+  if (!command.details.empty()) {
+    os << "\n" << command.details << "\n";
+  }
+  if (!command.flags.empty()) {
+    os << "\nFlags:\n";
+  }
+  for (const std::string& it : command.flags) {
+    os << "  " << FlagHelp(it) << "\n";
+  }
+  return os.str();
+}
+
+int RunCommandLine(const std::vector<std::string>& arguments, std::ostream& out,
+                   std::ostream& err) {
+  if (arguments.empty()) {
+    err << HelpText();
+    return kExitUsage;
+  }
+  std::string name = arguments[0];
+  if (name == "--help" || name == "-h") {
+    name = "help";
+  } else if (name == "--version") {
+    name = "version";
+  }
+  const Command* command = FindCommand(name);
+  if (command == nullptr) {
+    return RefuseUnknown(name, err);
+  }
+  auto parsed =
+      ParseFlags({arguments.begin() + 1, arguments.end()}, command->flags);
+  if (parsed.index() == 1) {
+    err << "indigolead " << name << ": " << std::get<1>(parsed) << "\n";
+    return kExitUsage;
+  }
+  std::vector<std::string> others = std::get<0>(std::move(parsed));
+  if (std::find(others.begin(), others.end(), "--help") != others.end()) {
+    out << HelpText(*command);
+    return kExitOk;
+  }
+  if (others.size() < command->min_arguments ||
+      others.size() > command->max_arguments) {
+    err << "indigolead " << name << ": expected arguments "
+        << (command->arguments.empty() ? "none" : command->arguments)
+        << ", seen " << others.size() << "\nTry: indigolead " << name
+        << " --help\n";
+    return kExitUsage;
+  }
+  return command->run({std::move(others), &out, &err});
+}
+
+}  // namespace indigolead::cli
--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,31 @@
+#ifndef INDIGOLEAD_CLI_COMMANDS_H_
+#define INDIGOLEAD_CLI_COMMANDS_H_
+
+#include <string>
+#include <vector>
+
+#include "cli/command.h"
+
+namespace indigolead::cli {
+
+/// Returns every command, in the order in which `help` lists them.
+const std::vector<Command>& Commands();
+
+/// Runs the command that `arguments` begin with and returns the exit code.
+int RunCommandLine(const std::vector<std::string>& arguments, std::ostream& out,
+                   std::ostream& err);
+
+/// Returns the text of `indigolead help`.
+std::string HelpText();
+
+/// Returns the text of `indigolead COMMAND --help`.
+std::string HelpText(const Command& command);
+
+// The commands, by the file that holds them.
+int RunEntry(const CommandContext& context);
+int RunSide(const CommandContext& context);
+int RunCheck(const CommandContext& context);
+
+}  // namespace indigolead::cli
+
+#endif  // INDIGOLEAD_CLI_COMMANDS_H_
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,8 +1,10 @@
-#include <cstdio>
+#include <iostream>
+#include <string>
+#include <vector>
 
-// Placeholder of the skeleton commit: prints the version until the commands
-// are joined to it.
-int main() {
-  std::puts("indigolead " INDIGOLEAD_VERSION);
-  return 0;
+#include "cli/commands.h"
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  return indigolead::cli::RunCommandLine(arguments, std::cout, std::cerr);
 }
--- a/src/core/config/spec_fields.h
+++ b/src/core/config/spec_fields.h
@@ -4,7 +4,7 @@
 // Lists the fields of the configuration types once, for everything that walks
 // over them: the JSON writer, the JSON reader and the comparison of two edits.
 // A field added to a type and forgotten here is caught by a test that counts
-// the bytes of each type.
+// the fields of each type.
 
 #include "core/config/deployment.h"
 
@@ -73,7 +73,6 @@
   visit("targets_check_fencing", spec.targets_check_fencing);
   visit("max_change_share", spec.max_change_share);
   visit("quarantine_kills", spec.quarantine_kills);
-
   visit("quarantine_time", spec.quarantine_time);
 }
 
--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -32,17 +32,32 @@
   out->push_back('"');
 }
 
+/// Writes to standard error alone. easylogging++ knows only standard output
+/// and files, and standard output belongs to a command's result.
+class StderrDispatch : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    const el::LogMessage* message = data->logMessage();
+    // One call writes the whole line, so that lines of threads never mix.
+    std::fputs(message->logger()->logBuilder()->build(message, true).c_str(),
+               stderr);
+  }
+};
+
 void ConfigureOnce(const std::string& process_name) {
   static std::once_flag once;
   std::call_once(once, [&process_name] {
     el::Configurations config;
     config.setToDefault();
     config.setGlobally(el::ConfigurationType::ToFile, "false");
-    config.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    config.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     config.setGlobally(
         el::ConfigurationType::Format,
         "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level " + process_name + " %msg");
     el::Loggers::reconfigureAllLoggers(config);
+    el::Helpers::uninstallLogDispatchCallback<
+        el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<StderrDispatch>("StderrDispatch");
   });
 }
 
--- a/tests/core/config/revision_json_test.cc
+++ b/tests/core/config/revision_json_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "core/config/spec_fields.h"
+#include "tests/support/field_count.h"
+
 namespace indigolead {
 namespace {
 
@@ -118,17 +121,45 @@
   }
 }
 
+/// Counts the fields that a visitor is shown.
+struct FieldCounter {
+  std::size_t* count;
+
+  template <typename T>
+  void operator()(const char*, T&) const {
+    ++*count;
+  }
+};
+
 // A field that is added to a type but not to spec_fields.h would be lost on
-// its way through the store without a word. The sizes below change with the
-// types; whoever changes one adds the field to spec_fields.h and to
-// FullRevision, then the new size here.
+// its way through the store without a word.
 TEST_CASE("Every field of the configuration types is listed") {
-  CHECK(sizeof(ModelSpec) == 88);
-  CHECK(sizeof(ClientAccountSpec) == 144);
-  CHECK(sizeof(RoleSpec) == 40);
-  CHECK(sizeof(RequestPolicy) == 72);
-  CHECK(sizeof(DeploymentSpec) == 328);
-  CHECK(sizeof(Revision) == 480);
+  using testing::FieldCount;
+  std::size_t count = 0;
+  const FieldCounter counter{&count};
+  const Revision revision = FullRevision();
+  const DeploymentSpec& spec = revision.spec;
+
+  SECTION("of models") {
+    internal::VisitModel(spec.models[0], counter);
+    CHECK(count == FieldCount<ModelSpec>());
+  }
+  SECTION("of client accounts") {
+    internal::VisitClientAccount(spec.client_accounts[0], counter);
+    CHECK(count == FieldCount<ClientAccountSpec>());
+  }
+  SECTION("of roles") {
+    internal::VisitRoles(spec.roles, counter);
+    CHECK(count == FieldCount<RoleSpec>());
+  }
+  SECTION("of the request policy") {
+    internal::VisitRequestPolicy(spec.request, counter);
+    CHECK(count == FieldCount<RequestPolicy>());
+  }
+  SECTION("of deployments") {
+    internal::VisitDeployment(spec, counter);
+    CHECK(count == FieldCount<DeploymentSpec>());
+  }
 }
 
 }  // namespace
