Decide a request's attempts in a core without I/O

The request flow takes callers' requests to sides and the answers back: numbered frames, checked end frames, retries within a budget, resume after a new connection, cancel by id, credit, and what may be said of a run.

ResumeAttempt carries the bytes granted so far, since a Credit lost with its connection would stop a stream for good. Mailbox moves its messages: the ring's push of one element copies, which would copy every body.

--- /dev/null
+++ b/src/core/request/header_fields.h
@@ -0,0 +1,25 @@
+#ifndef INDIGOLEAD_CORE_REQUEST_HEADER_FIELDS_H_
+#define INDIGOLEAD_CORE_REQUEST_HEADER_FIELDS_H_
+
+#include <string_view>
+#include <vector>
+
+#include "core/request/request_types.h"
+
+namespace indigolead {
+
+/// Returns true if `a` and `b` differ in the case of ASCII letters only.
+bool EqualsIgnoringCase(std::string_view a, std::string_view b);
+
+/// Returns the value of the first field called `name`, or nothing.
+std::string_view FindHeader(const std::vector<HeaderField>& headers,
+                            std::string_view name);
+
+/// Returns true if the field belongs to one connection and must not be passed
+/// on, in either direction (RFC 9110, section 7.6.1). `connection` is the value
+/// of the message's Connection field, which may name more such fields.
+bool IsHopByHop(std::string_view name, std::string_view connection);
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_CORE_REQUEST_HEADER_FIELDS_H_
--- /dev/null
+++ b/src/core/request/request_flow.cc
@@ -0,0 +1,363 @@
+#include "core/request/request_flow.h"
+
+#include <algorithm>
+#include <string_view>
+
+#include "core/request/header_fields.h"
+
+namespace indigolead {
+namespace {
+
+/// Least time between two resume requests for one attempt.
+constexpr Duration kLeastAskInterval = std::chrono::milliseconds(100);
+
+/// Returns true if the answer's parts matter as they come. Any other answer is
+/// worth more whole than early.
+bool IsEventStream(const std::vector<HeaderField>& headers) {
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const std::string_view type = FindHeader(headers, "content-type");
+  return EqualsIgnoringCase(type.substr(0, kEventStream.size()), kEventStream);
+}
+
+/// Returns true if the engine holds the model, or does not say what it holds.
+bool HoldsModel(const SideInfo& side, const std::string& model) {
+  if (!side.is_engine || side.models.empty() || model.empty()) {
+    return true;
+  }
+  return std::any_of(side.models.begin(), side.models.end(),
+                     [&model](const std::string& it) {
+                       return it.substr(0, it.find('@')) == model;
+                     });
+}
+
+RouteResult LeastOutstanding(const CallerRequest& request,
+                             const std::vector<Candidate>& candidates,
+                             TimePoint /*now*/) {
+  const Candidate* best = nullptr;
+  for (const Candidate& it : candidates) {
+    if (it.tried || !HoldsModel(*it.side, request.model)) {
+      continue;
+    }
+    if (best == nullptr || it.outstanding < best->outstanding) {
+      best = &it;
+    }
+  }
+  if (best == nullptr) {
+    return RouteWait{};
+  }
+  return RouteTo{best->side->instance};
+}
+
+}  // namespace
+
+RequestFlow::RequestFlow(RequestFlowOptions options, RequestFlowHooks hooks,
+                         IdSource ids)
+    : options_(options),
+      hooks_(std::move(hooks)),
+      ids_(std::move(ids)),
+      sides_(options.max_sides) {
+  if (!hooks_.route) {
+    hooks_.route = LeastOutstanding;
+  }
+  if (!hooks_.spend_retry) {
+    hooks_.spend_retry = [this](const CallerRequest& request, TimePoint) {
+      return retry_budget_.Spend(request.deployment);
+    };
+  }
+}
+
+void RequestFlow::OnRequest(CallerRequest request, TimePoint now) {
+  ++counts_.requests;
+  const RequestId id = request.id;
+  if (requests_.size() >= options_.max_requests) {
+    ++counts_.not_run_refusals;
+    actions_.push_back(AnswerRefusal{
+        id,
+        {503, RunState::kNotRun, "entry_overloaded",
+         "This entry holds as many requests as it may. Try again later.",
+         std::chrono::seconds(1)}});
+    return;
+  }
+  Request& it = requests_[id];
+  it.request = std::make_shared<const CallerRequest>(std::move(request));
+  if (hooks_.check_quarantine) {
+    if (auto refusal = hooks_.check_quarantine(*it.request, now)) {
+      Refuse(it, std::move(*refusal), now);
+      return;
+    }
+  }
+  if (it.request->repeatability == Repeatability::kKeyed && hooks_.claim) {
+    GateResult gate = hooks_.claim(*it.request, now);
+    if (auto* refusal = std::get_if<Refusal>(&gate)) {
+      Refuse(it, std::move(*refusal), now);
+      return;
+    }
+    if (std::get<Gate>(gate) == Gate::kWait) {
+      return;
+    }
+    it.claimed = true;
+  }
+  PassAdmission(it, now);
+}
+
+void RequestFlow::OnClaimGranted(const RequestId& id, TimePoint now) {
+  const auto it = requests_.find(id);
+  if (it != requests_.end() && it->second.stage == Stage::kClaim) {
+    it->second.claimed = true;
+    PassAdmission(it->second, now);
+  }
+}
+
+void RequestFlow::OnClaimAnswered(const RequestId& id, WholeAnswer answer,
+                                  TimePoint now) {
+  const auto it = requests_.find(id);
+  if (it != requests_.end() && it->second.stage == Stage::kClaim) {
+    actions_.push_back(AnswerWhole{id, std::move(answer)});
+    Forget(it->second, now);
+  }
+}
+
+void RequestFlow::OnAdmitted(const RequestId& id, TimePoint now) {
+  const auto it = requests_.find(id);
+  if (it != requests_.end() && it->second.stage == Stage::kAdmission) {
+    Route(it->second, now);
+  }
+}
+
+void RequestFlow::OnGateRefused(const RequestId& id, Refusal refusal,
+                                TimePoint now) {
+  const auto it = requests_.find(id);
+  if (it != requests_.end() && it->second.stage != Stage::kRunning) {
+    Refuse(it->second, std::move(refusal), now);
+  }
+}
+
+void RequestFlow::PassAdmission(Request& it, TimePoint now) {
+  it.stage = Stage::kAdmission;
+  if (hooks_.admit) {
+    GateResult gate = hooks_.admit(*it.request, now);
+    if (auto* refusal = std::get_if<Refusal>(&gate)) {
+      Refuse(it, std::move(*refusal), now);
+      return;
+    }
+    if (std::get<Gate>(gate) == Gate::kWait) {
+      return;
+    }
+  }
+  Route(it, now);
+}
+
+void RequestFlow::Route(Request& it, TimePoint now) {
+  it.stage = Stage::kRoute;
+  if (now >= it.request->deadline) {
+    Refuse(it,
+           {504, RunState::kNotRun, "deadline",
+            "The deadline passed before a target could start the request."},
+           now);
+    return;
+  }
+  // An earlier attempt may have shown that the request kills its targets.
+  if (it.forwards > 0 && hooks_.check_quarantine) {
+    if (auto refusal = hooks_.check_quarantine(*it.request, now)) {
+      Refuse(it, std::move(*refusal), now);
+      return;
+    }
+  }
+  RouteResult result = hooks_.route(
+      *it.request, sides_.CandidatesFor(it.request->deployment, it.tried), now);
+  if (auto* refusal = std::get_if<Refusal>(&result)) {
+    Refuse(it, std::move(*refusal), now);
+    return;
+  }
+  if (const auto* to = std::get_if<RouteTo>(&result)) {
+    const SideTable::Side* side = sides_.Find(to->instance);
+    if (side != nullptr && side->link) {
+      Start(it, to->instance, now);
+      return;
+    }
+  }
+  // Every target is gone or tried: wait a moment for one to come up, and give
+  // the tried ones a second chance then.
+  it.tried.clear();
+  if (it.route_until == TimePoint{}) {
+    it.route_until = now + options_.no_target_wait;
+  }
+  if (now >= it.route_until) {
+    Refuse(it,
+           {503, RunState::kNotRun, "no_target",
+            "No target of deployment " + it.request->deployment +
+                " can take the request now.",
+            std::chrono::seconds(1)},
+           now);
+  }
+}
+
+void RequestFlow::Start(Request& it, const std::string& instance,
+                        TimePoint now) {
+  SideTable::Side& side = *sides_.Find(instance);
+  const AttemptId id{ids_()};
+  it.stage = Stage::kRunning;
+  const AttemptRef ref{id, side.info.incarnation, ++last_start_sequence_};
+  it.attempt.emplace(ref, instance, options_.stream_window_bytes, now);
+  it.tried.push_back(instance);
+  it.route_until = {};
+  it.head_taken = false;
+  it.keep_answer = it.request->repeatability == Repeatability::kKeyed;
+  it.answer = {};
+  if (it.forwards++ == 0) {
+    retry_budget_.Earn(it.request->deployment, it.request->retry_budget_share);
+  }
+  ++counts_.forwards;
+  attempts_[id] = it.request->id;
+  side.attempts.insert(id);
+  const Duration left = it.request->deadline - now;
+  actions_.push_back(SendStart{*side.link, id, it.request, left, left,
+                               options_.stream_window_bytes,
+                               ref.start_sequence});
+  if (hooks_.on_sent) {
+    hooks_.on_sent(*it.request, side.info, now);
+  }
+}
+
+RequestFlow::Request* RequestFlow::FindAttempt(SideLink link,
+                                               const AttemptId& id) {
+  const auto found = attempts_.find(id);
+  if (found != attempts_.end()) {
+    Request& it = requests_.at(found->second);
+    const SideTable::Side* side = sides_.Find(it.attempt->instance());
+    if (side != nullptr && side->link == link) {
+      return &it;
+    }
+  }
+  ++counts_.foreign_frames;
+  return nullptr;
+}
+
+bool RequestFlow::AcceptFrame(Request& it, SideLink link,
+                              std::uint64_t sequence, TimePoint now) {
+  switch (it.attempt->Accept(sequence, now)) {
+    case FrameVerdict::kTake:
+      return true;
+    case FrameVerdict::kDuplicate:
+      ++counts_.duplicate_frames;
+      return false;
+    case FrameVerdict::kGap:
+      ++counts_.gap_frames;
+      if (now - it.attempt->asked_at >= kLeastAskInterval) {
+        AskAgain(it, link, now);
+      }
+      return false;
+  }
+  return false;
+}
+
+void RequestFlow::AskAgain(Request& it, SideLink link, TimePoint now) {
+  Attempt& attempt = *it.attempt;
+  attempt.asked_at = now;
+  attempt.unsent_credit = 0;
+  ++counts_.resumes;
+  actions_.push_back(SendResume{link, attempt.ref(), attempt.next_sequence(),
+                                attempt.granted_bytes()});
+}
+
+void RequestFlow::OnHead(SideLink link, const AttemptId& id,
+                         std::uint64_t sequence, int status,
+                         std::vector<HeaderField> headers, TimePoint now) {
+  Request* it = FindAttempt(link, id);
+  if (it == nullptr || !AcceptFrame(*it, link, sequence, now)) {
+    return;
+  }
+  it->head_taken = true;
+  it->held_since = now;
+  it->answer.status = status;
+  it->answer.headers = std::move(headers);
+  if (IsEventStream(it->answer.headers)) {
+    DeliverHead(*it);
+  }
+}
+
+void RequestFlow::OnChunk(SideLink link, const AttemptId& id,
+                          std::uint64_t sequence, std::string data,
+                          TimePoint now) {
+  Request* it = FindAttempt(link, id);
+  if (it != nullptr && AcceptFrame(*it, link, sequence, now)) {
+    it->attempt->AddBody(data);
+    Deliver(*it, std::move(data), now);
+  }
+}
+
+void RequestFlow::Deliver(Request& it, std::string data, TimePoint /*now*/) {
+  if (it.caller_gone) {
+    GrantCredit(it, data.size());
+  }
+  if (!it.head_delivered) {
+    it.answer.body += data;
+    if (it.answer.body.size() > options_.max_held_bytes) {
+      DeliverHead(it);
+    }
+    return;
+  }
+  if (it.keep_answer) {
+    it.keep_answer =
+        it.answer.body.size() + data.size() <= options_.max_stored_answer_bytes;
+    if (it.keep_answer) {
+      it.answer.body += data;
+    } else {
+      it.answer.body = {};
+    }
+  }
+  if (!it.caller_gone) {
+    actions_.push_back(AnswerData{it.request->id, std::move(data)});
+  }
+}
+
+void RequestFlow::DeliverHead(Request& it) {
+  if (it.head_delivered || !it.head_taken) {
+    return;
+  }
+  it.head_delivered = true;
+  if (it.caller_gone) {
+    return;
+  }
+  actions_.push_back(
+      AnswerHead{it.request->id, it.answer.status, it.answer.headers});
+  if (!it.answer.body.empty()) {
+    actions_.push_back(AnswerData{it.request->id, it.answer.body});
+  }
+  if (!it.keep_answer) {
+    it.answer = {};
+  }
+}
+
+void RequestFlow::GrantCredit(Request& it, std::uint64_t bytes) {
+  Attempt& attempt = *it.attempt;
+  attempt.Grant(bytes);
+  attempt.unsent_credit += bytes;
+  const SideTable::Side* side = sides_.Find(attempt.instance());
+  // Credit goes out in quarters of the window: often enough that the side
+  // never waits for it, rarely enough to cost nothing per token.
+  if (attempt.unsent_credit * 4 < options_.stream_window_bytes ||
+      side == nullptr || !side->link) {
+    return;
+  }
+  actions_.push_back(
+      SendCredit{*side->link, attempt.id(), attempt.unsent_credit});
+  attempt.unsent_credit = 0;
+}
+
+void RequestFlow::OnCallerTook(const RequestId& id, std::uint64_t bytes,
+                               TimePoint /*now*/) {
+  const auto it = requests_.find(id);
+  if (it != requests_.end() && it->second.attempt) {
+    GrantCredit(it->second, bytes);
+  }
+}
+
+void RequestFlow::OnCreditNotSent(const AttemptId& id, std::uint64_t bytes) {
+  const auto found = attempts_.find(id);
+  if (found != attempts_.end()) {
+    requests_.at(found->second).attempt->unsent_credit += bytes;
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/request/request_flow_ends.cc
@@ -0,0 +1,393 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/request/header_fields.h"
+#include "core/request/request_flow.h"
+
+namespace indigolead {
+namespace {
+
+/// Absence after which a side without attempts is forgotten.
+constexpr Duration kForgetSideAfter = std::chrono::minutes(5);
+
+SideRefusal Because(std::string code, std::string detail) {
+  SideRefusal why;
+  why.code = std::move(code);
+  why.detail = std::move(detail);
+  return why;
+}
+
+SideRefusal CauseOf(const AttemptEnd& end) {
+  switch (end.outcome) {
+    case AttemptOutcome::kTargetDied:
+      return Because("target_died", "The target ended while it ran this.");
+    case AttemptOutcome::kDeadline:
+      return Because("deadline", "The target did not finish in time.");
+    case AttemptOutcome::kCancelled:
+      return Because("cancelled", "The attempt was cancelled.");
+    case AttemptOutcome::kNotStarted:
+      return Because("target_unreachable", "The target could not be reached.");
+    case AttemptOutcome::kComplete:
+      return Because("corrupt_answer", "The answer's parts do not add up.");
+    case AttemptOutcome::kTargetFailed:
+      break;
+  }
+  return Because("target_failed", "The target broke off its answer.");
+}
+
+bool StatesLength(const std::vector<HeaderField>& headers) {
+  return !FindHeader(headers, "content-length").empty();
+}
+
+}  // namespace
+
+void RequestFlow::OnEnd(SideLink link, const AttemptId& id,
+                        const AttemptEnd& end, TimePoint now) {
+  Request* it = FindAttempt(link, id);
+  if (it == nullptr || !AcceptFrame(*it, link, end.sequence, now)) {
+    return;
+  }
+  if (end.outcome == AttemptOutcome::kComplete && it->head_taken &&
+      it->attempt->Matches(end)) {
+    CompleteAnswer(*it, now);
+    return;
+  }
+  if (end.outcome == AttemptOutcome::kComplete) {
+    ++counts_.corrupt_answers;
+  }
+  if (end.outcome == AttemptOutcome::kTargetDied && hooks_.report_kill) {
+    hooks_.report_kill(*it->request, it->attempt->instance(), now);
+  }
+  // A head proves a start, whatever the end frame claims.
+  const bool not_started =
+      end.outcome == AttemptOutcome::kNotStarted && !it->head_taken;
+  EndAttempt(*it, not_started ? Ending::kNotStarted : Ending::kAmbiguous,
+             end.outcome, CauseOf(end), now);
+}
+
+void RequestFlow::OnRefused(SideLink link, const AttemptId& id,
+                            const SideRefusal& refusal, TimePoint now) {
+  Request* it = FindAttempt(link, id);
+  if (it == nullptr) {
+    return;
+  }
+  if (refusal.code == "leaving") {
+    sides_.FindByLink(link)->info.leaving = true;
+  }
+  const bool started = it->attempt->started();
+  EndAttempt(*it, started ? Ending::kAmbiguous : Ending::kNotStarted,
+             AttemptOutcome::kNotStarted, refusal, now);
+}
+
+void RequestFlow::OnStartNotSent(const AttemptId& id, TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  SideRefusal why = Because("side_busy", "The connection to the side is full.");
+  why.overloaded = true;
+  EndAttempt(requests_.at(found->second), Ending::kNotStarted,
+             AttemptOutcome::kNotStarted, why, now);
+}
+
+void RequestFlow::OnKnowledge(SideLink link, const AttemptId& id,
+                              AttemptKnowledge known, TimePoint now) {
+  // Answers about attempts cancelled meanwhile are expected: not counted.
+  if (attempts_.count(id) == 0) {
+    return;
+  }
+  Request* it = FindAttempt(link, id);
+  if (it == nullptr) {
+    return;
+  }
+  switch (known) {
+    case AttemptKnowledge::kRunning:
+      it->attempt->heard_at = now;
+      return;
+    case AttemptKnowledge::kFinished:
+      // Its frames follow. If the side dropped them, silence decides.
+      return;
+    case AttemptKnowledge::kNotStarted:
+      EndAttempt(
+          *it,
+          it->attempt->started() ? Ending::kAmbiguous : Ending::kNotStarted,
+          AttemptOutcome::kNotStarted,
+          Because("not_started", "The side never got the request."), now);
+      return;
+    case AttemptKnowledge::kLost:
+      EndAttempt(*it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
+                 Because("side_lost", "The side restarted meanwhile."), now);
+      return;
+  }
+}
+
+void RequestFlow::ReleaseAttempt(Request& it, AttemptOutcome outcome,
+                                 bool cancel, TimePoint now) {
+  if (!it.attempt) {
+    return;
+  }
+  const AttemptRef ref = it.attempt->ref();
+  const std::string instance = it.attempt->instance();
+  attempts_.erase(ref.attempt);
+  it.attempt.reset();
+  if (SideTable::Side* side = sides_.Find(instance)) {
+    side->attempts.erase(ref.attempt);
+    if (cancel && side->link) {
+      actions_.push_back(SendCancel{*side->link, ref});
+    } else if (cancel &&
+               side->pending_cancels.size() < options_.max_pending_cancels) {
+      side->pending_cancels.push_back(ref);
+    }
+  }
+  if (hooks_.on_attempt_end) {
+    hooks_.on_attempt_end(*it.request, instance, outcome, now);
+  }
+}
+
+bool RequestFlow::MayRetry(const Request& it, Ending ending, TimePoint now) {
+  if (it.head_delivered || now >= it.request->deadline ||
+      it.forwards >= options_.max_forwards) {
+    return false;
+  }
+  const bool idempotent =
+      it.request->repeatability == Repeatability::kIdempotent;
+  if (ending == Ending::kNotStarted) {
+    return idempotent || !it.may_have_run;
+  }
+  return idempotent && it.starts + 1 < it.request->max_attempts &&
+         hooks_.spend_retry(*it.request, now);
+}
+
+void RequestFlow::EndAttempt(Request& it, Ending ending, AttemptOutcome outcome,
+                             const SideRefusal& why, TimePoint now) {
+  const bool retry = !why.final && MayRetry(it, ending, now);
+  FinishAttempt(it, ending, outcome, why, retry, now);
+}
+
+void RequestFlow::FinishAttempt(Request& it, Ending ending,
+                                AttemptOutcome outcome, const SideRefusal& why,
+                                bool retry, TimePoint now) {
+  // A cancel to a side that has already ended the attempt does nothing; one to
+  // a side that is absent keeps it from running the request later.
+  const bool cancel = why.code == "side_absent" || why.code == "side_silent";
+  ReleaseAttempt(it, outcome, cancel, now);
+  if (ending == Ending::kAmbiguous) {
+    it.may_have_run = true;
+    ++it.starts;
+  }
+  if (retry) {
+    ++counts_.retries;
+    Route(it, now);
+    return;
+  }
+  Refusal refusal;
+  refusal.code = why.code;
+  refusal.message = why.detail;
+  if (ending == Ending::kNotStarted) {
+    refusal.status = 503;
+    refusal.retry_after =
+        std::max<Duration>(why.retry_after, std::chrono::seconds(1));
+  } else {
+    refusal.status = outcome == AttemptOutcome::kDeadline ? 504 : 502;
+  }
+  Refuse(it, std::move(refusal), now);
+}
+
+void RequestFlow::CompleteAnswer(Request& it, TimePoint now) {
+  ReleaseAttempt(it, AttemptOutcome::kComplete, false, now);
+  const bool whole = !it.head_delivered;
+  if (it.claimed) {
+    Settle(it, ClaimSettlement::kFinished,
+           it.keep_answer ? &it.answer : nullptr, now);
+  }
+  if (!it.caller_gone) {
+    if (whole) {
+      actions_.push_back(AnswerWhole{it.request->id, std::move(it.answer)});
+    } else {
+      actions_.push_back(AnswerEnd{it.request->id});
+    }
+  }
+  Forget(it, now);
+}
+
+void RequestFlow::Refuse(Request& it, Refusal refusal, TimePoint now) {
+  // Only what is provable may be said: one earlier attempt that may have run
+  // makes the whole request unknown.
+  if (it.may_have_run || it.head_delivered) {
+    refusal.run = RunState::kUnknown;
+  }
+  if (refusal.run == RunState::kUnknown) {
+    ++counts_.unknown_outcomes;
+  } else if (refusal.run == RunState::kNotRun) {
+    ++counts_.not_run_refusals;
+  }
+  Settle(it,
+         refusal.run == RunState::kNotRun ? ClaimSettlement::kNotRun
+                                          : ClaimSettlement::kUnknown,
+         nullptr, now);
+  if (!it.caller_gone && it.head_delivered) {
+    actions_.push_back(AnswerAbort{it.request->id, std::move(refusal)});
+  } else if (!it.caller_gone) {
+    actions_.push_back(AnswerRefusal{it.request->id, std::move(refusal)});
+  }
+  Forget(it, now);
+}
+
+void RequestFlow::Settle(Request& it, ClaimSettlement settlement,
+                         const WholeAnswer* answer, TimePoint now) {
+  if (it.claimed && hooks_.settle_claim) {
+    hooks_.settle_claim(*it.request, settlement, answer, now);
+  }
+  it.claimed = false;
+}
+
+void RequestFlow::Forget(Request& it, TimePoint now) {
+  if (hooks_.on_done) {
+    hooks_.on_done(*it.request, now);
+  }
+  const RequestId id = it.request->id;
+  requests_.erase(id);
+}
+
+void RequestFlow::OnCallerGone(const RequestId& id, TimePoint now) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) {
+    return;
+  }
+  Request& it = found->second;
+  it.caller_gone = true;
+  if (it.stage == Stage::kRunning &&
+      it.request->repeatability == Repeatability::kKeyed) {
+    // Its caller will ask again with the key: finishing gives that retry a
+    // whole answer, cancelling would leave it "unknown" for good.
+    GrantCredit(it, options_.stream_window_bytes);
+    return;
+  }
+  if (it.attempt) {
+    it.may_have_run = true;
+    ReleaseAttempt(it, AttemptOutcome::kCancelled, true, now);
+  }
+  Settle(it,
+         it.may_have_run ? ClaimSettlement::kUnknown : ClaimSettlement::kNotRun,
+         nullptr, now);
+  Forget(it, now);
+}
+
+void RequestFlow::OnSideUp(SideLink link, SideInfo info, TimePoint now) {
+  const SideTable::UpResult up = sides_.Up(link, std::move(info));
+  if (up.side == nullptr) {
+    return;
+  }
+  LoseAttempts(up.lost, now);
+  for (const AttemptRef& ref : up.side->pending_cancels) {
+    actions_.push_back(SendCancel{link, ref});
+  }
+  up.side->pending_cancels.clear();
+  if (!up.lost.empty()) {
+    return;
+  }
+  for (const AttemptId& id : up.side->attempts) {
+    Request& it = requests_.at(attempts_.at(id));
+    it.attempt->heard_at = now;
+    AskAgain(it, link, now);
+  }
+}
+
+void RequestFlow::LoseAttempts(const std::vector<AttemptId>& ids,
+                               TimePoint now) {
+  for (const AttemptId& id : ids) {
+    const auto found = attempts_.find(id);
+    if (found != attempts_.end()) {
+      EndAttempt(requests_.at(found->second), Ending::kAmbiguous,
+                 AttemptOutcome::kTargetFailed,
+                 Because("side_lost", "The side beside the target restarted."),
+                 now);
+    }
+  }
+}
+
+void RequestFlow::OnSideDown(SideLink link, TimePoint now) {
+  sides_.Down(link, now);
+}
+
+void RequestFlow::OnSideChanged(SideLink link, const SideInfo& info,
+                                TimePoint /*now*/) {
+  if (SideTable::Side* side = sides_.FindByLink(link)) {
+    side->info = info;
+  }
+}
+
+void RequestFlow::OnLeaving(const std::string& instance, bool leaving,
+                            TimePoint /*now*/) {
+  sides_.SetLeaving(instance, leaving);
+}
+
+void RequestFlow::Tick(TimePoint now) {
+  tick_ids_.clear();
+  for (const auto& [id, it] : requests_) {
+    tick_ids_.push_back(id);
+  }
+  for (const RequestId& id : tick_ids_) {
+    const auto found = requests_.find(id);
+    if (found != requests_.end()) {
+      TickRequest(found->second, now);
+    }
+  }
+  sides_.DropAbsent(kForgetSideAfter, now);
+}
+
+void RequestFlow::TickRequest(Request& it, TimePoint now) {
+  if (now >= it.request->deadline) {
+    it.may_have_run = it.may_have_run || it.attempt.has_value();
+    ReleaseAttempt(it, AttemptOutcome::kDeadline, true, now);
+    Refuse(it,
+           {504, RunState::kNotRun, "deadline",
+            "The answer was not whole before the request's deadline."},
+           now);
+    return;
+  }
+  if (it.stage == Stage::kRoute) {
+    Route(it, now);
+    return;
+  }
+  if (it.head_taken && !it.head_delivered &&
+      now - it.held_since >= options_.max_hold &&
+      !StatesLength(it.answer.headers)) {
+    DeliverHead(it);
+  }
+  if (it.attempt) {
+    TickAttempt(it, now);
+  }
+}
+
+void RequestFlow::TickAttempt(Request& it, TimePoint now) {
+  Attempt& attempt = *it.attempt;
+  const SideTable::Side* side = sides_.Find(attempt.instance());
+  if (!side->link) {
+    const Duration absent = now - side->absent_since;
+    // Waiting costs an idempotent request time and sending it elsewhere costs
+    // nothing but work, so it does not wait for the side's return.
+    const bool retry = absent >= options_.absence_grace &&
+                       MayRetry(it, Ending::kAmbiguous, now);
+    if (retry || absent >= options_.resume_timeout) {
+      FinishAttempt(
+          it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
+          Because("side_absent", "The target's side is out of reach."), retry,
+          now);
+    }
+    return;
+  }
+  GrantCredit(it, 0);  // Credit that a full queue refused earlier.
+  if (now - attempt.heard_at < options_.probe_interval) {
+    return;
+  }
+  if (now - attempt.heard_at >= options_.resume_timeout) {
+    EndAttempt(it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
+               Because("side_silent", "The side says nothing of the request."),
+               now);
+  } else if (now - attempt.asked_at >= options_.probe_interval) {
+    AskAgain(it, *side->link, now);
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/request/side_table.cc
@@ -0,0 +1,97 @@
+#include "core/request/side_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace indigolead {
+
+SideTable::UpResult SideTable::Up(SideLink link, SideInfo info) {
+  UpResult result;
+  auto it = sides_.find(info.instance);
+  if (it == sides_.end()) {
+    if (sides_.size() >= max_sides_) {
+      return result;
+    }
+    it = sides_.try_emplace(info.instance).first;
+  }
+  Side& side = it->second;
+  if (side.link) {
+    links_.erase(*side.link);
+  }
+  if (side.info.incarnation != info.incarnation) {
+    result.lost.assign(side.attempts.begin(), side.attempts.end());
+    side.pending_cancels.clear();
+  }
+  side.info = std::move(info);
+  side.link = link;
+  side.told_to_leave = leaving_.count(side.info.instance) > 0;
+  links_[link] = side.info.instance;
+  result.side = &side;
+  return result;
+}
+
+SideTable::Side* SideTable::Down(SideLink link, TimePoint now) {
+  Side* side = FindByLink(link);
+  if (side == nullptr) {
+    return nullptr;
+  }
+  links_.erase(link);
+  side->link.reset();
+  side->absent_since = now;
+  return side;
+}
+
+SideTable::Side* SideTable::FindByLink(SideLink link) {
+  const auto it = links_.find(link);
+  return it == links_.end() ? nullptr : Find(it->second);
+}
+
+SideTable::Side* SideTable::Find(const std::string& instance) {
+  const auto it = sides_.find(instance);
+  return it == sides_.end() ? nullptr : &it->second;
+}
+
+const SideTable::Side* SideTable::Find(const std::string& instance) const {
+  const auto it = sides_.find(instance);
+  return it == sides_.end() ? nullptr : &it->second;
+}
+
+void SideTable::SetLeaving(const std::string& instance, bool leaving) {
+  if (!leaving) {
+    leaving_.erase(instance);
+  } else if (leaving_.size() < max_sides_) {
+    leaving_.insert(instance);
+  }
+  if (Side* side = Find(instance)) {
+    side->told_to_leave = leaving;
+  }
+}
+
+std::vector<Candidate> SideTable::CandidatesFor(
+    const std::string& deployment,
+    const std::vector<std::string>& tried) const {
+  std::vector<Candidate> candidates;
+  for (const auto& [name, side] : sides_) {
+    if (!side.link || side.info.deployment != deployment ||
+        !side.info.target_up || side.info.leaving || side.told_to_leave) {
+      continue;
+    }
+    const bool was_tried =
+        std::find(tried.begin(), tried.end(), name) != tried.end();
+    candidates.push_back({&side.info,
+                          static_cast<std::uint32_t>(side.attempts.size()),
+                          was_tried});
+  }
+  return candidates;
+}
+
+void SideTable::DropAbsent(Duration limit, TimePoint now) {
+  for (auto it = sides_.begin(); it != sides_.end();) {
+    const Side& side = it->second;
+    const bool drop =
+        !side.link && side.attempts.empty() && now - side.absent_since > limit;
+    it = drop ? sides_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/request/side_table.h
@@ -0,0 +1,75 @@
+#ifndef INDIGOLEAD_CORE_REQUEST_SIDE_TABLE_H_
+#define INDIGOLEAD_CORE_REQUEST_SIDE_TABLE_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/base/time.h"
+#include "core/request/request_types.h"
+
+namespace indigolead {
+
+/// Sides known to an entry, connected or absent, and the attempts at each.
+///
+/// A side outlives its connection: an attempt whose connection broke still
+/// belongs to the same run of the side and can be resumed on the next one.
+class SideTable {
+ public:
+  struct Side {
+    SideInfo info;
+    std::optional<SideLink> link;  ///< Absent while not connected.
+    TimePoint absent_since;
+    bool told_to_leave = false;  ///< By the platform or an operator.
+    std::unordered_set<AttemptId> attempts;
+    /// Cancels that wait for the side to come back.
+    std::vector<AttemptRef> pending_cancels;
+  };
+
+  /// What changed when a side said hello.
+  struct UpResult {
+    Side* side = nullptr;  ///< Null if the table is full.
+    /// Attempts at an earlier run of the instance, which are lost.
+    std::vector<AttemptId> lost;
+  };
+
+  explicit SideTable(std::size_t max_sides) : max_sides_(max_sides) {}
+
+  UpResult Up(SideLink link, SideInfo info);
+  /// Marks the side of `link` absent. Returns it, or null if the link is not
+  /// the side's newest.
+  Side* Down(SideLink link, TimePoint now);
+  Side* FindByLink(SideLink link);
+  Side* Find(const std::string& instance);
+  const Side* Find(const std::string& instance) const;
+
+  /// Records whether the platform or an operator sees `instance` leaving.
+  void SetLeaving(const std::string& instance, bool leaving);
+
+  /// Returns the connected, serving targets of `deployment`.
+  std::vector<Candidate> CandidatesFor(
+      const std::string& deployment,
+      const std::vector<std::string>& tried) const;
+
+  /// Drops sides absent for longer than `limit` that hold no attempt.
+  void DropAbsent(Duration limit, TimePoint now);
+
+  std::size_t size() const { return sides_.size(); }
+  const std::map<std::string, Side>& sides() const { return sides_; }
+
+ private:
+  std::size_t max_sides_;
+  std::map<std::string, Side> sides_;
+  std::map<SideLink, std::string> links_;
+  /// Instances told to leave before they said hello; bounded like `sides_`.
+  std::unordered_set<std::string> leaving_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_CORE_REQUEST_SIDE_TABLE_H_
--- a/src/runtime/mailbox.h
+++ b/src/runtime/mailbox.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -63,7 +64,9 @@
   /// Appends `message` and wakes the reader. Returns false, and leaves
   /// `message` as it was, if the ring is full. Only the writer's thread.
   bool Push(T&& message) {
-    if (!ring_.push(std::move(message))) {
+    // The ring's own push of one element copies; its range push moves.
+    auto first = std::make_move_iterator(&message);
+    if (ring_.push(first, first + 1) == first) {
       return false;
     }
     // The exchange pairs with the one in `Drain`: either the reader sees the
