--- a/src/core/control/lease.cc
+++ b/src/core/control/lease.cc
@@ -31,12 +31,13 @@
 }  // namespace
 
 std::string EncodeLease(const LeaseRecord& record) {
-  return Json{
-      {"holder", record.holder},
-      {"incarnation", ToHex(record.incarnation.value)},
-      {"fencing_number", record.fencing_number},
-      {"nonce", ToHex(record.nonce)},
-      {"duration_ms", duration_cast<milliseconds>(record.duration).count()}}
+  const auto duration = duration_cast<milliseconds>(record.duration);
+  return Json{{"holder", record.holder},
+              {"incarnation", ToHex(record.incarnation.value)},
+              {"fencing_number", record.fencing_number},
+              {"nonce", ToHex(record.nonce)},
+              {"duration_ms", duration.count()},
+              {"earlier", record.earlier}}
       .dump();
 }
 
@@ -55,6 +56,10 @@
     record.nonce = *nonce;
     record.fencing_number = parsed.at("fencing_number").get<FencingNumber>();
     record.duration = milliseconds(parsed.at("duration_ms").get<long>());
+    parsed.at("earlier").get_to(record.earlier);
+    if (record.earlier.size() > kMaxEarlierNumbers) {
+      return Malformed("too many earlier numbers");
+    }
     if (record.fencing_number == 0) {
       record.fencing_number = version;
     }
@@ -64,6 +69,22 @@
   }
 }
 
+bool WasInForce(FencingNumber number, std::uint64_t version,
+                const LeaseRecord& newest) {
+  if (number >= newest.fencing_number) {
+    return true;
+  }
+  // A number too old to be listed is not known to have been in force.
+  const auto it =
+      std::find(newest.earlier.begin(), newest.earlier.end(), number);
+  if (it == newest.earlier.end()) {
+    return false;
+  }
+  const auto next = std::next(it);
+  return version <
+         (next == newest.earlier.end() ? newest.fencing_number : *next);
+}
+
 std::string_view LeaseLossName(LeaseLoss loss) {
   switch (loss) {
     case LeaseLoss::kLapsed:
@@ -276,12 +297,26 @@
 
 void Lease::StartWrite(std::string holder, FencingNumber number, TimePoint now,
                        Actions* actions) {
-  LeaseRecord record{std::move(holder), options_.incarnation, number, ids_(),
-                     options_.duration};
+  LeaseRecord record{std::move(holder), options_.incarnation,  number, ids_(),
+                     options_.duration, EarlierNumbers(number)};
   write_ = PendingWrite{record, seen_.version, now, now, false, false};
   Append(actions, Write{std::move(record), seen_.version});
 }
 
+std::vector<FencingNumber> Lease::EarlierNumbers(FencingNumber number) const {
+  if (!seen_.record) {
+    return {};
+  }
+  std::vector<FencingNumber> earlier = seen_.record->earlier;
+  if (number != seen_.record->fencing_number) {
+    earlier.push_back(seen_.record->fencing_number);
+  }
+  if (earlier.size() > kMaxEarlierNumbers) {
+    earlier.erase(earlier.begin());
+  }
+  return earlier;
+}
+
 void Lease::MaybeWrite(TimePoint now, Actions* actions) {
   if (write_ && write_->effect_unknown && write_->may_repeat) {
     // Both copies have one condition and one nonce: at most one takes effect.
--- a/src/core/control/lease.h
+++ b/src/core/control/lease.h
@@ -22,10 +22,27 @@
   FencingNumber fencing_number = 0;
   Id128 nonce;  ///< New with each write; recognises one whose answer was lost.
   Duration duration{};
+  /// Numbers of the last `kMaxEarlierNumbers` holders before, oldest first.
+  /// They tell whether an order was written while its number was in force.
+  std::vector<FencingNumber> earlier;
 
   friend bool operator==(const LeaseRecord&, const LeaseRecord&) = default;
 };
 
+/// Bounds the value of `control/lease`.
+inline constexpr std::size_t kMaxEarlierNumbers = 16;
+
+/// Returns true if something written under `number` at store version `version`
+/// was written before the holder of `number` lost the lease to another, as far
+/// as `newest`, the newest lease known, tells.
+///
+/// A paused holder's write can land after another took the lease, because its
+/// condition names the written object's version and not the lease's. A lease's
+/// number is the store version that won it, so the two can be compared: the
+/// write is void if the next holder's number is below the write's version.
+bool WasInForce(FencingNumber number, std::uint64_t version,
+                const LeaseRecord& newest);
+
 /// Returns `record` as JSON. A fencing number of 0 stands for "the version
 /// that this very write gets": a winner cannot know it beforehand.
 std::string EncodeLease(const LeaseRecord& record);
@@ -160,6 +177,7 @@
   void StartRead(TimePoint now, Actions* actions);
   void StartWrite(std::string holder, FencingNumber number, TimePoint now,
                   Actions* actions);
+  std::vector<FencingNumber> EarlierNumbers(FencingNumber number) const;
   void MaybeWrite(TimePoint now, Actions* actions);
   void MaybeTake(TimePoint now, Actions* actions);
   void MaybeRenew(TimePoint now, Actions* actions);
--- /dev/null
+++ b/src/core/control/status.h
@@ -0,0 +1,128 @@
+#ifndef INDIGOLEAD_CORE_CONTROL_STATUS_H_
+#define INDIGOLEAD_CORE_CONTROL_STATUS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/base/time.h"
+#include "core/control/orders.h"
+
+namespace indigolead {
+
+/// A figure with the time at which it was seen.
+///
+/// An operator must never take an old figure for a present one: once it is no
+/// longer kept up to date it prints as "unknown since", without its value.
+template <typename T>
+struct Aged {
+  std::optional<T> value;
+  TimePoint seen_at;
+  /// Set while nothing keeps the figure up to date.
+  std::optional<TimePoint> unknown_since;
+
+  static Aged Seen(T value, TimePoint at) {
+    return Aged{std::move(value), at, std::nullopt};
+  }
+  friend bool operator==(const Aged&, const Aged&) = default;
+};
+
+/// Load of one target, as its side reported it.
+struct TargetLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint64_t queued_prefill_tokens = 0;
+  std::uint64_t kv_used_bytes = 0;
+  std::uint64_t kv_capacity_bytes = 0;
+
+  friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
+};
+
+/// One target.
+struct TargetStatus {
+  std::string name;
+  std::string deployment;
+  std::string failure_domain;
+  Aged<std::string> health;  ///< up, down, changing
+  Aged<std::string> role;
+  Aged<std::vector<std::string>> models;  ///< name@version
+  std::string desired_role;               ///< Empty: no order.
+  std::string desired_model;              ///< name@version
+  std::uint64_t order_generation = 0;
+  std::string order_phase;
+  std::string order_detail;
+  bool out_of_service = false;
+  Aged<std::uint64_t> revision;
+  Aged<TargetLoad> load;
+  std::string drain_cause;  ///< Empty: not drained.
+
+  friend bool operator==(const TargetStatus&, const TargetStatus&) = default;
+};
+
+/// One entry.
+struct EntryStatus {
+  std::string name;
+  std::string failure_domain;
+  Aged<bool> up;
+  std::map<std::string, std::uint64_t> revisions;
+
+  friend bool operator==(const EntryStatus&, const EntryStatus&) = default;
+};
+
+/// One deployment.
+struct DeploymentStatus {
+  std::string name;
+  std::uint64_t revision = 0;
+  std::string author;
+  std::string source_version;
+  WallMicros accepted_at = 0;
+  bool in_force_everywhere = false;
+  std::vector<std::string> waiting_for;
+  std::map<std::string, TimePoint> unknown_since;
+
+  friend bool operator==(const DeploymentStatus&,
+                         const DeploymentStatus&) = default;
+};
+
+/// One quarantined request, by fingerprint.
+struct QuarantineStatus {
+  std::uint64_t fingerprint = 0;
+  std::string client_account;
+  std::string deployment;
+  std::uint32_t kills = 0;
+  Duration remaining{};
+  std::string reason;
+
+  friend bool operator==(const QuarantineStatus&,
+                         const QuarantineStatus&) = default;
+};
+
+/// Everything that `GET /admin/status` shows, as one entry sees it.
+struct SystemStatus {
+  std::string entry;  ///< Entry that answers.
+  Aged<bool> store_answers;
+  Aged<std::string> lease_holder;
+  FencingNumber fencing_number = 0;
+  bool controller_here = false;
+  std::vector<DeploymentStatus> deployments;
+  std::vector<TargetStatus> targets;
+  std::vector<EntryStatus> entries;
+  std::vector<QuarantineStatus> quarantines;
+
+  friend bool operator==(const SystemStatus&, const SystemStatus&) = default;
+};
+
+/// Returns `status` as JSON. `now` and `wall_now` are read together; ages and
+/// "unknown_since" are computed from them.
+///
+/// An aged figure is `{"value":V,"age_s":N}`, or
+/// `{"unknown_since":WALL_MICROS,"unknown_for_s":N}`, or `null` if it was
+/// never seen.
+std::string EncodeStatus(const SystemStatus& status, TimePoint now,
+                         WallMicros wall_now);
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_CORE_CONTROL_STATUS_H_
--- a/tests/core/control/lease_test.cc
+++ b/tests/core/control/lease_test.cc
@@ -160,6 +160,7 @@
     REQUIRE(write);
     CHECK(write->expected == 7);
     CHECK(write->record.fencing_number == 0);
+    CHECK(write->record.earlier == std::vector<FencingNumber>{7});
   }
   SECTION("a renewal seen by the watch starts the wait again") {
     TickUntil(&lease, 1.25, 4);
@@ -227,8 +228,8 @@
 }
 
 TEST_CASE("LeaseRecord as JSON") {
-  const LeaseRecord record{"entry-a", Incarnation{{1, 2}}, 0, Id128{3, 4},
-                           seconds(6)};
+  const LeaseRecord record{"entry-a",   Incarnation{{1, 2}}, 0,
+                           Id128{3, 4}, seconds(6),          {}};
   SECTION("a number of 0 reads as the version of the write") {
     LeaseRecord expected = record;
     expected.fencing_number = 41;
