Admit by deadline, limits, priority and fair share

Cause: what waits at an engine can be neither reordered nor refused, and a request that runs and comes late costs as much as one in time.

Change: an admission per deployment and entry. Engines get just enough to stay busy; the rest waits in a queue bounded in requests and work, by strict priority with a floor and by weighted fair share in tokens of work. A deadline that cannot be met is refused at once, as is one that becomes hopeless while waiting. A flood gives up places to accounts that hold fewer. Concurrency adapts. Retries are a share of the first attempts.

Ruled out: a fixed share per account, which leaves engines idle when one account is quiet; a limit in requests, which lets long prompts take the engines.

The retry budget test measures an amplification of at most 1.1 with every attempt failing.

Conclusion: the promises are checked by tables and by properties over random offers (bounds, limits, one final answer each, shares within 3%).

--- /dev/null
+++ b/src/core/admission/concurrency_limit.cc
@@ -0,0 +1,26 @@
+#include "core/admission/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace indigolead {
+
+void ConcurrencyLimit::OnEnded(bool overloaded, TimePoint now) {
+  // A limit that does not bind says nothing about what more would do.
+  const bool binding = static_cast<double>(in_flight_) >= 0.9 * limit_;
+  in_flight_ -= in_flight_ > 0 ? 1 : 0;
+  if (!overloaded) {
+    if (binding) {
+      limit_ = std::min(limit_ + 1.0 / limit_, options_.maximum);
+    }
+    return;
+  }
+  const bool due = !decreased_before_ || now < decreased_at_ ||
+                   now - decreased_at_ >= options_.decrease_interval;
+  if (due) {
+    limit_ = std::max(limit_ * options_.decrease, options_.minimum);
+    decreased_before_ = true;
+    decreased_at_ = now;
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/admission/concurrency_limit.h
@@ -0,0 +1,50 @@
+#ifndef INDIGOLEAD_CORE_ADMISSION_CONCURRENCY_LIMIT_H_
+#define INDIGOLEAD_CORE_ADMISSION_CONCURRENCY_LIMIT_H_
+
+#include <cstdint>
+
+#include "core/base/time.h"
+
+namespace indigolead {
+
+/// Limits requests in flight, adapting to what the targets can take.
+///
+/// Additive increase while the limit binds and answers come in time,
+/// multiplicative decrease on signs of overload, at most once per interval:
+/// one overload is seen by every request in flight, and counting each would
+/// close the limit on a single bad moment.
+class ConcurrencyLimit {
+ public:
+  struct Options {
+    double initial = 64;
+    double minimum = 4;
+    double maximum = 8192;
+    double decrease = 0.8;
+    Duration decrease_interval = std::chrono::seconds(1);
+  };
+
+  explicit ConcurrencyLimit(const Options& options)
+      : options_(options), limit_(options.initial) {}
+
+  bool HasRoom() const {
+    return static_cast<double>(in_flight_) < limit_ - 0.5;
+  }
+  void OnStarted() { ++in_flight_; }
+
+  /// Records an end. `overloaded`: refused for overload or past its deadline.
+  void OnEnded(bool overloaded, TimePoint now);
+
+  double limit() const { return limit_; }
+  std::uint32_t in_flight() const { return in_flight_; }
+
+ private:
+  Options options_;
+  double limit_;
+  std::uint32_t in_flight_ = 0;
+  bool decreased_before_ = false;
+  TimePoint decreased_at_{};
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_CORE_ADMISSION_CONCURRENCY_LIMIT_H_
--- /dev/null
+++ b/src/core/admission/fair_queue.cc
@@ -0,0 +1,236 @@
+#include "core/admission/fair_queue.h"
+
+#include <algorithm>
+
+namespace indigolead {
+
+FairQueue::FairQueue(const Options& options)
+    : options_(options),
+      nodes_(options.max_requests),
+      accounts_(options.max_accounts) {
+  active_.reserve(options.max_accounts);
+  classes_.reserve(options.max_accounts + 1);
+  for (std::uint32_t it = options.max_requests; it > 0; --it) {
+    nodes_[it - 1].next = free_;
+    free_ = it - 1;
+  }
+}
+
+FairQueue::PriorityClass& FairQueue::ClassOf(int priority) {
+  auto it = classes_.begin();
+  while (it != classes_.end() && it->priority > priority) {
+    ++it;
+  }
+  if (it == classes_.end() || it->priority != priority) {
+    it = classes_.insert(it, PriorityClass{priority, 0, 0, 0});
+  }
+  return *it;
+}
+
+void FairQueue::SetAccount(std::uint32_t index, int priority,
+                           std::uint32_t weight) {
+  Account& account = accounts_[index];
+  if (account.priority != priority && account.count > 0) {
+    ClassOf(account.priority).count -= account.count;
+    ClassOf(priority).count += account.count;
+  }
+  account.priority = priority;
+  account.weight = std::max<std::uint32_t>(weight, 1);
+  // Classes without accounts go, so that their number stays below that of
+  // the accounts over any number of reconfigurations.
+  std::erase_if(classes_, [this](const PriorityClass& it) {
+    return it.count == 0 && std::none_of(accounts_.begin(), accounts_.end(),
+                                         [&it](const Account& other) {
+                                           return other.priority == it.priority;
+                                         });
+  });
+}
+
+bool FairQueue::HasRoom(double work) const {
+  // A single request larger than the bound may wait alone; it would
+  // otherwise be refused for ever.
+  return size_ < options_.max_requests &&
+         (size_ == 0 || work_ + work <= options_.max_work);
+}
+
+void FairQueue::Push(const QueuedRequest& request) {
+  Account& account = accounts_[request.account];
+  PriorityClass& priority = ClassOf(account.priority);
+  if (account.count == 0) {
+    active_.push_back(request.account);
+    // An account that was idle starts level with the others: it may not save
+    // up idle time and then shut them out.
+    account.virtual_time =
+        std::max(account.virtual_time, priority.virtual_time);
+  }
+  const std::uint32_t place = free_;
+  Node& node = nodes_[place];
+  free_ = node.next;
+  node = Node{request, kNone, account.tail};
+  if (account.tail == kNone) {
+    account.head = place;
+  } else {
+    nodes_[account.tail].next = place;
+  }
+  account.tail = place;
+  account.work += request.work;
+  ++account.count;
+  ++priority.count;
+  ++size_;
+  work_ += request.work;
+}
+
+QueuedRequest FairQueue::Unlink(std::uint32_t place) {
+  Node& node = nodes_[place];
+  const QueuedRequest request = node.request;
+  Account& account = accounts_[request.account];
+  (node.previous == kNone ? account.head : nodes_[node.previous].next) =
+      node.next;
+  (node.next == kNone ? account.tail : nodes_[node.next].previous) =
+      node.previous;
+  node.next = free_;
+  free_ = place;
+  --account.count;
+  --size_;
+  --ClassOf(account.priority).count;
+  account.work = account.count == 0 ? 0 : account.work - request.work;
+  work_ = size_ == 0 ? 0 : work_ - request.work;
+  if (account.count == 0) {
+    const auto it = std::find(active_.begin(), active_.end(), request.account);
+    *it = active_.back();
+    active_.pop_back();
+  }
+  return request;
+}
+
+std::uint32_t FairQueue::NextAccountOf(int priority) const {
+  std::uint32_t best = kNone;
+  for (const std::uint32_t it : active_) {
+    const Account& account = accounts_[it];
+    const bool before =
+        best == kNone || account.virtual_time < accounts_[best].virtual_time ||
+        (account.virtual_time == accounts_[best].virtual_time && it < best);
+    if (account.priority == priority && before) {
+      best = it;
+    }
+  }
+  return best;
+}
+
+std::uint32_t FairQueue::NextAccount() {
+  std::uint32_t first = kNone;
+  for (PriorityClass& it : classes_) {
+    if (it.count == 0) {
+      it.floor_credit = 0;
+      continue;
+    }
+    const std::uint32_t account = NextAccountOf(it.priority);
+    if (first == kNone) {
+      first = account;
+      continue;
+    }
+    const double work = nodes_[accounts_[account].head].request.work;
+    if (it.floor_credit >= work) {
+      it.floor_credit -= work;
+      return account;
+    }
+  }
+  return first;
+}
+
+void FairQueue::PayFloors(const PriorityClass& served, double work) {
+  for (PriorityClass& it : classes_) {
+    if (it.priority < served.priority && it.count > 0) {
+      it.floor_credit += options_.floor_share * work;
+    }
+  }
+}
+
+std::optional<QueuedRequest> FairQueue::Pop() {
+  if (size_ == 0) {
+    return std::nullopt;
+  }
+  const std::uint32_t next = NextAccount();
+  Account& account = accounts_[next];
+  PriorityClass& priority = ClassOf(account.priority);
+  const QueuedRequest request = Unlink(account.head);
+  priority.virtual_time = account.virtual_time;
+  account.virtual_time += request.work / account.weight;
+  PayFloors(priority, request.work);
+  return request;
+}
+
+std::optional<QueuedRequest> FairQueue::MakeRoomFor(std::uint32_t account,
+                                                    double work) {
+  const Account& asking = accounts_[account];
+  std::uint32_t worst = kNone;
+  for (const std::uint32_t it : active_) {
+    const Account& other = accounts_[it];
+    if (worst == kNone || other.priority < accounts_[worst].priority ||
+        (other.priority == accounts_[worst].priority &&
+         other.work / other.weight >
+             accounts_[worst].work / accounts_[worst].weight)) {
+      worst = it;
+    }
+  }
+  if (worst == kNone || worst == account) {
+    return std::nullopt;
+  }
+  const Account& holder = accounts_[worst];
+  const bool outranks = holder.priority < asking.priority;
+  const bool has_less =
+      holder.priority == asking.priority &&
+      (asking.work + work) / asking.weight < holder.work / holder.weight;
+  if (!outranks && !has_less) {
+    return std::nullopt;
+  }
+  return Unlink(holder.tail);
+}
+
+std::optional<QueuedRequest> FairQueue::Remove(const RequestId& id) {
+  for (const std::uint32_t account : active_) {
+    for (std::uint32_t it = accounts_[account].head; it != kNone;
+         it = nodes_[it].next) {
+      if (nodes_[it].request.id == id) {
+        return Unlink(it);
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+void FairQueue::RemoveIf(
+    const std::function<bool(const QueuedRequest&)>& is_hopeless,
+    const std::function<void(const QueuedRequest&)>& removed) {
+  for (const Account& account : accounts_) {
+    std::uint32_t it = account.head;
+    while (it != kNone) {
+      const std::uint32_t next = nodes_[it].next;
+      if (is_hopeless(nodes_[it].request)) {
+        removed(Unlink(it));
+      }
+      it = next;
+    }
+  }
+}
+
+double FairQueue::WorkAhead(std::uint32_t account) const {
+  const Account& asking = accounts_[account];
+  double above = 0;
+  double level = 0;
+  double weights = asking.weight;
+  for (const std::uint32_t it : active_) {
+    const Account& other = accounts_[it];
+    if (other.priority > asking.priority) {
+      above += other.work;
+    } else if (other.priority == asking.priority) {
+      level += other.work;
+      weights += it == account ? 0 : other.weight;
+    }
+  }
+  // With its share, the account works its own queue off first; but it never
+  // waits for more than everything that is there.
+  return above + std::min(level, asking.work * weights / asking.weight);
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/admission/retry_budget.cc
@@ -0,0 +1,33 @@
+#include "core/admission/retry_budget.h"
+
+#include <algorithm>
+
+namespace indigolead {
+
+void RetryBudget::OnFirstAttempt() {
+  ++first_attempts_;
+  level_ = std::min(level_ + options_.share, options_.burst);
+}
+
+bool RetryBudget::TryTake() {
+  // Sums of a share such as 0.1 fall short of a whole by rounding.
+  constexpr double kWhole = 1.0 - 1e-9;
+  if (level_ < kWhole) {
+    return false;
+  }
+  level_ = std::max(0.0, level_ - 1.0);
+  ++retries_;
+  return true;
+}
+
+Duration Backoff::Delay(std::uint32_t retry, std::uint64_t random_bits) const {
+  Duration most = base;
+  for (std::uint32_t it = 0; it < retry && most < cap; ++it) {
+    most *= 2;
+  }
+  most = std::min(most, cap);
+  return std::chrono::duration_cast<Duration>(most *
+                                              ToUnitInterval(random_bits));
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/tests/core/admission/admission_test.cc
@@ -0,0 +1,433 @@
+#include "core/admission/admission.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+#include "core/base/random.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+ClientAccountSpec Account(const std::string& name, int priority = 0,
+                          std::uint32_t weight = 1) {
+  ClientAccountSpec spec;
+  spec.name = name;
+  spec.priority = priority;
+  spec.weight = weight;
+  return spec;
+}
+
+/// Fleet that does 1000 tokens of work a second on `slots` slots.
+FleetLoad Idle(double slots = 4) {
+  FleetLoad fleet;
+  fleet.serving = 1;
+  fleet.slots = slots;
+  fleet.prefill_tokens_per_s = 1000;
+  fleet.decode_tokens_per_s = 1000;
+  return fleet;
+}
+
+FleetLoad Busy() {
+  FleetLoad fleet = Idle();
+  fleet.requests = fleet.slots;
+  return fleet;
+}
+
+/// Admission with accounts, and what it has decided.
+struct Desk {
+  explicit Desk(std::vector<ClientAccountSpec> accounts,
+                AdmissionOptions options = {})
+      : admission(options) {
+    spec.client_accounts = std::move(accounts);
+    admission.Configure(spec);
+    admission.SetFleet(Busy());
+  }
+
+  AdmissionDecision Offer(const std::string& account, std::uint64_t tokens,
+                          Duration deadline = std::chrono::hours(1),
+                          TimePoint now = kStart) {
+    AdmissionRequest request;
+    request.id = RequestId{Id128{0, ++last_id}};
+    request.account = account;
+    request.prompt_tokens = tokens;
+    request.deadline = now + deadline;
+    request.service = milliseconds(100);
+    owners[last_id] = account;
+    return admission.Offer(request, now,
+                           [this](const auto& it) { displaced.push_back(it); });
+  }
+
+  /// Dispatches up to `n` requests one by one, as if each ended at once.
+  std::vector<std::string> Dispatch(int n, TimePoint now = kStart) {
+    std::vector<std::string> order;
+    for (int it = 0; it < n; ++it) {
+      FleetLoad load = Idle();
+      load.slots = 1;
+      admission.Advance(
+          now, [&load] { return load; },
+          [&](const AdmissionDecision& decision) {
+            if (decision.verdict == AdmissionVerdict::kAdmitted) {
+              load.requests = 1;
+              order.push_back(owners[decision.id.value.lo]);
+              admission.OnEnded(decision.ticket, AdmissionEnd::kNeutral, now);
+            } else {
+              refused.push_back(decision);
+            }
+          });
+    }
+    return order;
+  }
+
+  DeploymentSpec spec;
+  Admission admission;
+  std::uint64_t last_id = 0;
+  std::map<std::uint64_t, std::string> owners;
+  std::vector<AdmissionDecision> displaced;
+  std::vector<AdmissionDecision> refused;
+};
+
+TEST_CASE("Admission refuses at once what cannot be done") {
+  Desk desk({Account("salon")});
+
+  SECTION("an account that is not in the deployment, or no longer") {
+    CHECK(desk.Offer("nobody", 1).cause == RefusalCause::kUnknownAccount);
+    desk.admission.Configure(DeploymentSpec{});
+    CHECK(desk.Offer("salon", 1).cause == RefusalCause::kUnknownAccount);
+  }
+  SECTION("a deadline that even an idle fleet would miss: come back never") {
+    desk.admission.SetFleet(Idle());
+    const auto decision = desk.Offer("salon", 1, milliseconds(99));
+    CHECK(decision.cause == RefusalCause::kDeadlineTooShort);
+    CHECK_FALSE(decision.retry_after.has_value());
+    CHECK(desk.Offer("salon", 1, milliseconds(100)).verdict ==
+          AdmissionVerdict::kAdmitted);
+  }
+  SECTION("a deadline behind the queue: come back when it is worked off") {
+    REQUIRE(desk.Offer("salon", 10000).verdict == AdmissionVerdict::kQueued);
+    // 10 s of work ahead, 0.1 s of its own: 7.1 s late for a deadline of 3 s.
+    const auto decision = desk.Offer("salon", 1, seconds(3));
+    CHECK(decision.verdict == AdmissionVerdict::kRefused);
+    CHECK(decision.cause == RefusalCause::kDeadline);
+    REQUIRE(decision.retry_after.has_value());
+    CHECK(*decision.retry_after > milliseconds(7000));
+    CHECK(*decision.retry_after < milliseconds(7200));
+  }
+  SECTION(
+      "a request that became hopeless in the queue is told so at once, "
+      "not at its deadline") {
+    REQUIRE(desk.Offer("salon", 1, seconds(1)).verdict ==
+            AdmissionVerdict::kQueued);
+    const auto advance = [&](TimePoint now) {
+      desk.admission.Advance(
+          now, Busy, [&](const auto& it) { desk.refused.push_back(it); });
+    };
+    advance(kStart + milliseconds(900));
+    CHECK(desk.refused.empty());
+    advance(kStart + milliseconds(911));
+    REQUIRE(desk.refused.size() == 1);
+    CHECK(desk.refused[0].cause == RefusalCause::kDeadline);
+    CHECK(desk.admission.queued() == 0);
+  }
+}
+
+TEST_CASE("Admission holds each account to its limits") {
+  ClientAccountSpec limited = Account("salon");
+  SECTION("concurrency, running and waiting together") {
+    limited.max_concurrent = 2;
+    Desk desk({limited});
+    CHECK(desk.Offer("salon", 1).verdict == AdmissionVerdict::kQueued);
+    CHECK(desk.Offer("salon", 1).verdict == AdmissionVerdict::kQueued);
+    CHECK(desk.Offer("salon", 1).cause == RefusalCause::kConcurrency);
+    CHECK(desk.admission.Cancel(RequestId{Id128{0, 1}}));
+    CHECK_FALSE(desk.admission.Cancel(RequestId{Id128{0, 1}}));
+    CHECK(desk.Offer("salon", 1).verdict == AdmissionVerdict::kQueued);
+  }
+  SECTION("requests per second, with a Retry-After that holds") {
+    limited.requests_per_second = 2;
+    Desk desk({limited});
+    CHECK(desk.Offer("salon", 1).verdict == AdmissionVerdict::kQueued);
+    CHECK(desk.Offer("salon", 1).verdict == AdmissionVerdict::kQueued);
+    const auto refused = desk.Offer("salon", 1);
+    CHECK(refused.cause == RefusalCause::kRequestRate);
+    REQUIRE(refused.retry_after.has_value());
+    CHECK(desk.Offer("salon", 1, seconds(9), kStart + *refused.retry_after)
+              .verdict == AdmissionVerdict::kQueued);
+  }
+  SECTION("tokens per second: a large request runs, and is paid off after") {
+    limited.tokens_per_second = 100;
+    Desk desk({limited});
+    CHECK(desk.Offer("salon", 1000).verdict == AdmissionVerdict::kQueued);
+    const auto refused = desk.Offer("salon", 1);
+    CHECK(refused.cause == RefusalCause::kTokenRate);
+    REQUIRE(refused.retry_after.has_value());
+    CHECK(*refused.retry_after > seconds(8));
+    SECTION("a repeated configuration gives no fresh burst") {
+      desk.admission.Configure(desk.spec);
+      CHECK(desk.Offer("salon", 1).cause == RefusalCause::kTokenRate);
+    }
+    SECTION("a clock that jumps back stops no refill") {
+      desk.Offer("salon", 1, seconds(9), kStart - std::chrono::hours(1));
+      CHECK(desk.Offer("salon", 1, std::chrono::hours(1),
+                       kStart - std::chrono::hours(1) + seconds(10))
+                .verdict == AdmissionVerdict::kQueued);
+    }
+  }
+}
+
+TEST_CASE("Waiting requests go by priority, then by fair share") {
+  SECTION("higher priority first") {
+    Desk desk({Account("menu", 0), Account("alert", 5)});
+    desk.Offer("menu", 10);
+    desk.Offer("menu", 10);
+    desk.Offer("alert", 10);
+    CHECK(desk.Dispatch(3) ==
+          std::vector<std::string>{"alert", "menu", "menu"});
+  }
+  SECTION("a lower priority keeps its floor under a flood from above") {
+    Desk desk({Account("menu", 0), Account("alert", 5)});
+    for (int it = 0; it < 100; ++it) {
+      desk.Offer("menu", 10);
+      desk.Offer("alert", 10);
+    }
+    const auto order = desk.Dispatch(100);
+    // 5% of the work above it, and so about one in twenty-one.
+    const auto n = std::count(order.begin(), order.end(), "menu");
+    CHECK(n >= 4);
+    CHECK(n <= 6);
+  }
+  SECTION("shares count tokens, not requests") {
+    Desk desk({Account("short"), Account("long")});
+    for (int it = 0; it < 110; ++it) {
+      desk.Offer("short", 10);
+      if (it % 10 == 0) {
+        desk.Offer("long", 100);
+      }
+    }
+    const auto order = desk.Dispatch(55);
+    CHECK(std::count(order.begin(), order.end(), "long") == 5);
+  }
+  SECTION("an account that was idle saves up nothing") {
+    Desk desk({Account("a"), Account("b")});
+    for (int it = 0; it < 40; ++it) {
+      desk.Offer("a", 10);
+    }
+    desk.Dispatch(20);
+    for (int it = 0; it < 20; ++it) {
+      desk.Offer("b", 10);
+    }
+    const auto order = desk.Dispatch(10);
+    CHECK(std::count(order.begin(), order.end(), "b") == 5);
+  }
+}
+
+// One account floods the queue until it is full. What the other account sees
+// without a safeguard is "queue full" although it sent a single request: the
+// flood took every place. So its request takes the place of the newest of the
+// flood, whose owner is told at once that it did not run.
+TEST_CASE("A flooding account cannot take every place in the queue") {
+  AdmissionOptions options;
+  options.queue.max_requests = 10;
+  Desk desk({Account("flood"), Account("quiet"), Account("urgent", 5)},
+            options);
+  for (int it = 0; it < 30; ++it) {
+    desk.Offer("flood", 10);
+  }
+  REQUIRE(desk.admission.queued() == 10);
+  CHECK(desk.displaced.empty());
+
+  SECTION("one of equal priority and less work takes a place") {
+    CHECK(desk.Offer("quiet", 10).verdict == AdmissionVerdict::kQueued);
+    REQUIRE(desk.displaced.size() == 1);
+    CHECK(desk.displaced[0].cause == RefusalCause::kDisplaced);
+    CHECK(desk.displaced[0].retry_after.has_value());
+    CHECK(desk.admission.queued() == 10);
+  }
+  SECTION("places are shared evenly in the end") {
+    int queued = 0;
+    for (int it = 0; it < 30; ++it) {
+      queued += desk.Offer("quiet", 10).verdict == AdmissionVerdict::kQueued;
+    }
+    CHECK(queued >= 4);
+    CHECK(queued <= 5);
+  }
+  SECTION("one of higher priority takes places from all below") {
+    for (int it = 0; it < 10; ++it) {
+      CHECK(desk.Offer("urgent", 10).verdict == AdmissionVerdict::kQueued);
+    }
+    CHECK(desk.Offer("flood", 10).cause == RefusalCause::kQueueFull);
+  }
+}
+
+TEST_CASE("Targets get just enough to stay busy") {
+  Desk desk({Account("salon")});
+  for (int it = 0; it < 10; ++it) {
+    desk.Offer("salon", 10);
+  }
+  FleetLoad load = Idle(3);
+  const auto admitted = [&] {
+    int n = 0;
+    desk.admission.Advance(
+        kStart, [&load] { return load; },
+        [&](const AdmissionDecision& it) {
+          ++load.requests;
+          n += it.verdict == AdmissionVerdict::kAdmitted;
+        });
+    return n;
+  };
+  SECTION("as many as there are slots") { CHECK(admitted() == 3); }
+  SECTION("none while prefill piles up") {
+    load.queued_prefill_tokens = 501;
+    CHECK(admitted() == 0);
+  }
+  SECTION("none without any target, and no refusal before it is hopeless") {
+    load = FleetLoad{};
+    CHECK(admitted() == 0);
+    CHECK(desk.admission.queued() == 10);
+  }
+}
+
+TEST_CASE("The concurrency limit follows what the targets can take") {
+  ConcurrencyLimit::Options options;
+  options.initial = 10;
+  ConcurrencyLimit limit(options);
+  const auto run = [&](int n, bool overloaded, TimePoint now) {
+    for (int it = 0; it < n; ++it) {
+      limit.OnStarted();
+    }
+    for (int it = 0; it < n; ++it) {
+      limit.OnEnded(overloaded, now);
+    }
+  };
+  SECTION("it grows only while it binds") {
+    run(5, false, kStart);
+    CHECK(limit.limit() == 10);
+    for (int it = 0; it < 20; ++it) {
+      run(static_cast<int>(limit.limit()), false, kStart);
+    }
+    CHECK(limit.limit() > 10.9);
+  }
+  SECTION("one overload, seen by many, counts once") {
+    run(10, true, kStart);
+    CHECK(limit.limit() == 8);
+    run(10, true, kStart + seconds(1));
+    CHECK(limit.limit() == Approx(6.4));
+  }
+  SECTION("it never closes altogether") {
+    for (int it = 0; it < 100; ++it) {
+      run(1, true, kStart + seconds(it));
+    }
+    CHECK(limit.limit() == options.minimum);
+    CHECK(limit.HasRoom());
+  }
+}
+
+TEST_CASE("Admission keeps its promises for any offers") {
+  const bool held = rc::check(
+      "bounds, limits, and one final answer for each request",
+      [](std::uint64_t seed) {
+        RandomSource random = MakeSeededRandom(seed);
+        AdmissionOptions options;
+        options.queue.max_requests = 8;
+        options.queue.max_work = 400;
+        ClientAccountSpec a = Account("a", 0, 1 + ToBelow(random(), 4));
+        a.max_concurrent = 5;
+        Desk desk({a, Account("b", static_cast<int>(ToBelow(random(), 2)))},
+                  options);
+        std::map<std::uint64_t, int> answers;
+        std::vector<AdmissionTicket> running;
+        std::map<std::uint32_t, std::uint32_t> held_by;
+        TimePoint now = kStart;
+        const auto take = [&](const AdmissionDecision& it) {
+          if (it.verdict != AdmissionVerdict::kQueued) {
+            ++answers[it.id.value.lo];
+          }
+          if (it.verdict == AdmissionVerdict::kAdmitted) {
+            running.push_back(it.ticket);
+            ++held_by[it.ticket.account];
+          }
+        };
+        for (int step = 0; step < 300; ++step) {
+          now += milliseconds(ToBelow(random(), 50));
+          if (ToBelow(random(), 2) == 0) {
+            take(desk.Offer(ToBelow(random(), 2) == 0 ? "a" : "b",
+                            ToBelow(random(), 100),
+                            milliseconds(ToBelow(random(), 2000)), now));
+          } else if (!running.empty()) {
+            desk.admission.OnEnded(running.back(), AdmissionEnd::kInTime, now);
+            --held_by[running.back().account];
+            running.pop_back();
+          }
+          FleetLoad load = Idle();
+          load.requests = static_cast<double>(running.size());
+          desk.admission.Advance(
+              now,
+              [&] {
+                load.requests = static_cast<double>(running.size());
+                return load;
+              },
+              take);
+          RC_ASSERT(desk.admission.queued() <= 8U);
+          RC_ASSERT(running.size() <= 4U);
+          RC_ASSERT(held_by[0] <= 5U);
+        }
+        desk.admission.Advance(
+            now + std::chrono::hours(2), [] { return FleetLoad{}; }, take);
+        for (const auto& it : desk.displaced) {
+          ++answers[it.id.value.lo];
+        }
+        RC_ASSERT(answers.size() == desk.last_id);
+        for (const auto& [id, n] : answers) {
+          RC_ASSERT(n == 1);
+        }
+      });
+  CHECK(held);
+}
+
+TEST_CASE("Shares converge to the weights for any sizes of request") {
+  const bool held = rc::check("weighted fair shares", [](std::uint64_t seed) {
+    RandomSource random = MakeSeededRandom(seed);
+    FairQueue::Options options;
+    options.max_work = 1e9;
+    FairQueue queue(options);
+    const std::uint32_t weights[] = {1, 2, 5};
+    double done[3] = {0, 0, 0};
+    for (std::uint32_t it = 0; it < 3; ++it) {
+      queue.SetAccount(it, 0, weights[it]);
+    }
+    std::uint64_t id = 0;
+    const auto push = [&](std::uint32_t account) {
+      QueuedRequest request;
+      request.id = RequestId{Id128{0, ++id}};
+      request.account = account;
+      request.work = 1 + ToBelow(random(), 1000);
+      queue.Push(request);
+    };
+    for (std::uint32_t it = 0; it < 30; ++it) {
+      push(it % 3);
+    }
+    for (int it = 0; it < 4000; ++it) {
+      const QueuedRequest next = *queue.Pop();
+      done[next.account] += next.work;
+      push(next.account);
+    }
+    const double total = done[0] + done[1] + done[2];
+    for (std::uint32_t it = 0; it < 3; ++it) {
+      const double share = done[it] / total;
+      RC_ASSERT(share > 0.97 * weights[it] / 8);
+      RC_ASSERT(share < 1.03 * weights[it] / 8);
+    }
+  });
+  CHECK(held);
+}
+
+}  // namespace
+}  // namespace indigolead
--- /dev/null
+++ b/tests/core/admission/retry_budget_test.cc
@@ -0,0 +1,52 @@
+#include "core/admission/retry_budget.h"
+
+#include <catch2/catch.hpp>
+
+namespace indigolead {
+namespace {
+
+// A failure domain is lost: every attempt fails, and every caller wants a
+// retry. The budget lets through a tenth of the first attempts, so the targets
+// that are left see at most 1.1 times the traffic.
+TEST_CASE("Retries stay a share of the traffic") {
+  RetryBudget budget({.share = 0.1, .burst = 10});
+  for (int it = 0; it < 10000; ++it) {
+    budget.OnFirstAttempt();
+    for (int wish = 0; wish < 3; ++wish) {
+      budget.TryTake();
+    }
+  }
+  const double amplification =
+      static_cast<double>(budget.first_attempts() + budget.retries()) /
+      static_cast<double>(budget.first_attempts());
+  INFO("expected 1.1 attempts per request, seen " << amplification);
+  CHECK(amplification <= 1.1);
+  CHECK(amplification >= 1.0999);
+}
+
+TEST_CASE("A retry budget starts empty and saves up to its burst") {
+  RetryBudget budget({.share = 0.5, .burst = 2});
+  CHECK_FALSE(budget.TryTake());
+  for (int it = 0; it < 100; ++it) {
+    budget.OnFirstAttempt();
+  }
+  CHECK(budget.TryTake());
+  CHECK(budget.TryTake());
+  CHECK_FALSE(budget.TryTake());
+  budget.SetShare(0);
+  budget.OnFirstAttempt();
+  CHECK_FALSE(budget.TryTake());
+}
+
+TEST_CASE("Backoff grows, is bounded, and spreads from zero") {
+  const Backoff backoff{std::chrono::milliseconds(20),
+                        std::chrono::milliseconds(100)};
+  CHECK(backoff.Delay(0, 0) == Duration{0});
+  CHECK(backoff.Delay(0, UINT64_MAX) <= std::chrono::milliseconds(20));
+  CHECK(backoff.Delay(1, UINT64_MAX) > std::chrono::milliseconds(39));
+  CHECK(backoff.Delay(9, UINT64_MAX) <= std::chrono::milliseconds(100));
+  CHECK(backoff.Delay(UINT32_MAX, UINT64_MAX) > std::chrono::milliseconds(99));
+}
+
+}  // namespace
+}  // namespace indigolead
