Turn declarations into one order per target

Cause: engines must be kept true to their deployment and never hold two orders. Change: Reconciler writes the next differing order of a target only after the last was confirmed or refused; keeps to the share of engines in change and to the weight store's rate; mends drift; retries a failed change and then takes the target out of service; as a new holder reads all orders, then writes each again in the same words under its number. Failed changes count against the share, so a bad revision stops there. Ruled out: a time limit after which a stuck change is ordered differently: the engine may still be working on the first one. Conclusion: unit tests over a small store and obedient, failing, drifting and silent engines.

--- /dev/null
+++ b/tests/core/control/reconciler_test.cc
@@ -0,0 +1,335 @@
+#include "core/control/reconciler.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace indigolead {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+Revision MakeRevision(std::uint64_t number, const std::string& version) {
+  Revision revision;
+  revision.number = number;
+  revision.spec.name = "brief-llm";
+  revision.spec.models = {{"small", version, {}}};
+  revision.spec.max_change_share = 0.25;
+  return revision;
+}
+
+Reconciler::Options MakeOptions() {
+  Reconciler::Options options;
+  options.actor = "entry-a";
+  return options;
+}
+
+Roles KeepStaticRoles(const DeploymentSpec& spec,
+                      const std::vector<TargetObservation>& targets,
+                      TimePoint) {
+  return StaticRoles(spec, targets);
+}
+
+/// One reconciler with a store and engines that obey at once or not at all.
+class World {
+ public:
+  explicit World(int engines)
+      : reconciler_(MakeOptions(), KeepStaticRoles, [this] {
+          return Id128{1, ++ids_};
+        }) {
+    lease_.fencing_number = 10;
+    for (int i = 0; i < engines; ++i) {
+      See("engine-" + std::to_string(i), "1", 0);
+    }
+    reconciler_.OnRevision(MakeRevision(1, "1"));
+  }
+
+  void See(const std::string& name, const std::string& version,
+           std::uint64_t generation,
+           ObservedHealth health = ObservedHealth::kUp) {
+    TargetObservation seen;
+    seen.name = name;
+    seen.deployment = "brief-llm";
+    seen.models = {"small@" + version};
+    seen.health = health;
+    seen.order_generation = generation;
+    reconciler_.OnTarget(seen, now_);
+  }
+
+  /// Ticks once and carries the store actions out. Returns the orders written
+  /// whose generation is new.
+  std::vector<TargetOrder> Tick(Duration step = seconds(3)) {
+    now_ += step;
+    std::vector<TargetOrder> differing;
+    for (auto& action : reconciler_.Tick(lease_.fencing_number, now_)) {
+      Carry(action, &differing);
+    }
+    return differing;
+  }
+
+  void Carry(const Reconciler::Action& action,
+             std::vector<TargetOrder>* differing) {
+    if (std::holds_alternative<Reconciler::ReadOrders>(action)) {
+      std::vector<StoredOrder> all;
+      for (const auto& [name, stored] : store_) {
+        all.push_back(stored);
+      }
+      reconciler_.OnOrders(all, lease_, now_);
+    } else if (const auto* read = std::get_if<Reconciler::ReadOrder>(&action)) {
+      reconciler_.OnOrder(read->target, store_[read->target], lease_, now_);
+    } else if (const auto* w = std::get_if<Reconciler::WriteOrder>(&action)) {
+      Put(*w, differing);
+    }
+  }
+
+  void Put(const Reconciler::WriteOrder& write,
+           std::vector<TargetOrder>* differing) {
+    const std::string& target = write.order.target;
+    StoredOrder& stored = store_[target];
+    Result<std::uint64_t> answer =
+        Error{ErrorCode::kConflict, "store.put", "store", ""};
+    if (stored.version == write.expected) {
+      const bool differs =
+          !stored.order || stored.order->generation != write.order.generation;
+      stored = StoredOrder{write.order, ++version_};
+      answer = version_;
+      if (differs) {
+        differing->push_back(write.order);
+      }
+    }
+    if (lose_answers_) {
+      answer = Error{ErrorCode::kTimeout, "store.put", "store", ""};
+    }
+    reconciler_.OnWritten(target, write.order.nonce, answer, now_);
+  }
+
+  void Report(const TargetOrder& order, OrderPhase phase) {
+    reconciler_.OnReport(
+        {order.target, order.fencing_number, order.generation, phase, "detail"},
+        now_);
+  }
+
+  /// Brings every engine to its order, until nothing is left to do.
+  void Converge() {
+    for (int i = 0; i < 100; ++i) {
+      Tick();
+      for (const auto& [name, stored] : store_) {
+        See(name, stored.order->desired.version, stored.order->generation);
+      }
+    }
+  }
+
+  Reconciler& reconciler() { return reconciler_; }
+  std::map<std::string, StoredOrder>& store() { return store_; }
+  TimePoint now() const { return now_; }
+  void set_lease(LeaseRecord lease) { lease_ = std::move(lease); }
+  void set_lose_answers(bool lose) { lose_answers_ = lose; }
+  std::uint64_t version() const { return version_; }
+
+ private:
+  TimePoint now_{minutes(60)};
+  std::uint64_t ids_ = 0;
+  std::uint64_t version_ = 10;
+  LeaseRecord lease_;
+  bool lose_answers_ = false;
+  std::map<std::string, StoredOrder> store_;
+  Reconciler reconciler_;
+};
+
+TEST_CASE("Reconciler rolls a revision out") {
+  World world(8);
+  world.Converge();
+  REQUIRE(world.store().size() == 8);
+  world.reconciler().OnRevision(MakeRevision(2, "2"));
+
+  SECTION("at most the stated share is in change at once") {
+    std::size_t in_change = 0;
+    for (int i = 0; i < 10; ++i) {
+      in_change += world.Tick().size();
+    }
+    CHECK(in_change == 2);
+  }
+  SECTION("weights are loaded no faster than the limit") {
+    CHECK(world.Tick().size() == 1);
+    CHECK(world.Tick(seconds(1)).empty());
+    CHECK(world.Tick(seconds(1)).size() == 1);
+  }
+  SECTION("it ends with every engine in the new state") {
+    world.Converge();
+    for (const auto& [name, stored] : world.store()) {
+      CHECK(stored.order->desired.version == "2");
+      CHECK(stored.order->generation == 2);
+    }
+  }
+  SECTION("a target in change gets no other order before it answered") {
+    const auto first = world.Tick();
+    REQUIRE(first.size() == 1);
+    world.reconciler().OnRevision(MakeRevision(3, "3"));
+    for (int i = 0; i < 5; ++i) {
+      for (const TargetOrder& order : world.Tick()) {
+        CHECK(order.target != first[0].target);
+      }
+    }
+    world.Report(first[0], OrderPhase::kFailed);
+    const auto next = world.Tick();
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].target == first[0].target);
+    CHECK(next[0].desired.version == "3");
+  }
+  SECTION("a revision that fails everywhere stops at the share") {
+    for (int i = 0; i < 60; ++i) {
+      for (const TargetOrder& order : world.Tick()) {
+        if (order.desired.version == "2") {
+          world.Report(order, order.desired.out_of_service
+                                  ? OrderPhase::kInForce
+                                  : OrderPhase::kFailed);
+        }
+      }
+    }
+    int out = 0;
+    for (const auto& [name, stored] : world.store()) {
+      out += stored.order->desired.out_of_service ? 1 : 0;
+      CHECK((stored.order->desired.version == "1" ||
+             stored.order->desired.out_of_service));
+    }
+    CHECK(out == 2);
+  }
+}
+
+TEST_CASE("Reconciler mends drift") {
+  World world(4);
+  world.Converge();
+
+  SECTION("an engine that differs for long gets its order again") {
+    world.See("engine-1", "0", 1);
+    CHECK(world.Tick().empty());
+    CHECK(world.Tick().empty());
+    const auto orders = world.Tick();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].target == "engine-1");
+    CHECK(orders[0].desired.version == "1");
+    CHECK(orders[0].cause == "drift");
+  }
+  SECTION("a report that lags is not drift") {
+    world.See("engine-1", "0", 1);
+    world.Tick();
+    world.See("engine-1", "1", 1);
+    world.Tick();
+    world.Tick();
+    CHECK(world.Tick().empty());
+  }
+  SECTION("an engine that is down is left to come back") {
+    world.See("engine-1", "0", 0, ObservedHealth::kDown);
+    for (int i = 0; i < 5; ++i) {
+      CHECK(world.Tick().empty());
+    }
+  }
+}
+
+// The lease moves while a change is under way. The new holder reads all orders
+// before it writes any, and writes each again in the same words under its own
+// number, so that nothing is ordered twice and a late write of the holder
+// before fails.
+TEST_CASE("Reconciler takes over") {
+  World world(4);
+  world.Converge();
+  world.reconciler().OnRevision(MakeRevision(2, "2"));
+  const auto changing = world.Tick();
+  REQUIRE(changing.size() == 1);
+  LeaseRecord lease;
+  lease.earlier = {10};
+  lease.fencing_number = world.version() + 1;
+  world.set_lease(lease);
+
+  SECTION("nothing is written before every order was read") {
+    const auto actions =
+        world.reconciler().Tick(lease.fencing_number, world.now());
+    REQUIRE(actions.size() == 1);
+    CHECK(std::holds_alternative<Reconciler::ReadOrders>(actions[0]));
+  }
+  SECTION("a listing from before the lease moved is not enough") {
+    world.reconciler().Tick(lease.fencing_number, world.now());
+    LeaseRecord old;
+    old.fencing_number = 10;
+    world.reconciler().OnOrders(std::vector<StoredOrder>{}, old, world.now());
+    CHECK(world.reconciler()
+              .Tick(lease.fencing_number, world.now() + seconds(1))
+              .size() == 1);
+  }
+  SECTION("every order is sealed in the same words, none differs") {
+    const auto before = world.store();
+    CHECK(world.Tick().empty());
+    CHECK(world.Tick().empty());
+    for (const auto& [name, stored] : world.store()) {
+      CHECK(stored.order->fencing_number == lease.fencing_number);
+      CHECK(stored.order->desired == before.at(name).order->desired);
+      CHECK(stored.order->generation == before.at(name).order->generation);
+    }
+  }
+  SECTION("an order that came after its number ended is written over") {
+    StoredOrder& late = world.store()["engine-3"];
+    late.order->desired.version = "9";
+    late.order->generation = 5;
+    late.version = lease.fencing_number + 1;
+    world.See("engine-3", "1", 1);
+    world.Report(changing[0], OrderPhase::kInForce);
+    world.Converge();
+    CHECK(world.store()["engine-3"].order->generation == 6);
+    CHECK(world.store()["engine-3"].order->desired.version == "2");
+  }
+}
+
+// The store writes the order and the answer is lost. Sending it again in other
+// words would be a second order; so the reconciler reads back its nonce.
+TEST_CASE("Reconciler settles a write whose answer was lost") {
+  World world(4);
+  world.Converge();
+  world.reconciler().OnRevision(MakeRevision(2, "2"));
+  world.set_lose_answers(true);
+  const auto written = world.Tick();
+  REQUIRE(written.size() == 1);
+  for (int i = 0; i < 3; ++i) {
+    for (const TargetOrder& order : world.Tick()) {
+      CHECK(order.target != written[0].target);
+    }
+  }
+  const auto view = world.reconciler().View(written[0].target, world.now());
+  REQUIRE(view);
+  CHECK(view->stored.order == written[0]);
+}
+
+TEST_CASE("Reconciler without authority does nothing") {
+  World world(4);
+  world.Converge();
+  world.reconciler().OnRevision(MakeRevision(2, "2"));
+  CHECK(world.reconciler().Tick(std::nullopt, world.now()).empty());
+}
+
+TEST_CASE("PlaceTargets") {
+  DeploymentSpec spec;
+  spec.models = {{"small", "1", {}}, {"large", "1", {}}};
+  std::vector<TargetObservation> targets(4);
+  for (int i = 0; i < 4; ++i) {
+    targets[i].name = "engine-" + std::to_string(i);
+    targets[i].models = {i < 3 ? "large@1" : "small@1"};
+  }
+  SECTION("shares models out and moves as few engines as possible") {
+    const auto placed = PlaceTargets(spec, targets, {});
+    CHECK(placed.at("engine-0").model == "large");
+    CHECK(placed.at("engine-1").model == "large");
+    CHECK(placed.at("engine-2").model == "small");
+    CHECK(placed.at("engine-3").model == "small");
+  }
+  SECTION("fixed roles stay where they are") {
+    spec.roles.min_prefill = 1;
+    targets[2].role = EngineRole::kPrefill;
+    const Roles roles = StaticRoles(spec, targets);
+    CHECK(roles.at("engine-2") == EngineRole::kPrefill);
+    CHECK(roles.at("engine-0") == EngineRole::kMixed);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
