--- /dev/null
+++ b/src/core/request/attempt_table.cc
@@ -0,0 +1,272 @@
+#include "core/request/attempt_table.h"
+
+namespace indigolead {
+
+AttemptTable::Attempt::Attempt(const AttemptStart& start,
+                               LinkNumber link_number,
+                               const Incarnation& peer_incarnation,
+                               TimePoint now, std::uint64_t* buffered_bytes)
+    : id(start.id),
+      link(link_number),
+      peer(peer_incarnation),
+      start_sequence(start.start_sequence),
+      start_by(now + start.start_within),
+      finish_by(now + start.finish_within),
+      frames(start.initial_credit_bytes, buffered_bytes) {}
+
+AttemptTable::AttemptTable(Options options, Hooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      memory_(options_.memory) {}
+
+void AttemptTable::OnPeer(LinkNumber link, const Incarnation& peer) {
+  memory_.AddPeer(peer);
+  peers_[link] = peer;
+}
+
+void AttemptTable::OnLinkDown(LinkNumber link) {
+  // Attempts go on: the entry resumes them over its next connection.
+  peers_.erase(link);
+}
+
+AttemptTable::Attempt* AttemptTable::Find(const AttemptId& id) {
+  const auto it = attempts_.find(id);
+  return it == attempts_.end() ? nullptr : &it->second;
+}
+
+const Incarnation* AttemptTable::PeerOf(LinkNumber link) const {
+  const auto it = peers_.find(link);
+  return it == peers_.end() ? nullptr : &it->second;
+}
+
+void AttemptTable::OnStart(LinkNumber link, AttemptStart start, TimePoint now) {
+  const Incarnation* peer = PeerOf(link);
+  if (peer == nullptr) {
+    ++counts_.foreign;
+    return;
+  }
+  // A repeated start is never answered by a refusal: the attempt may have run,
+  // and a refusal says that it did not.
+  if (const Attempt* held = Find(start.id)) {
+    ++counts_.foreign;
+    hooks_.send_state(link, {start.id,
+                             held->ended ? AttemptKnowledge::kFinished
+                                         : AttemptKnowledge::kRunning,
+                             held->frames.next_sequence()});
+    return;
+  }
+  auto fate = memory_.Find(*peer, start.id, start.start_sequence);
+  if (fate == AttemptMemory::Fate::kLost && start.start_sequence == 0) {
+    // An entry that does not number its starts does not repeat them either.
+    fate = AttemptMemory::Fate::kNew;
+  }
+  if (fate == AttemptMemory::Fate::kFinished ||
+      fate == AttemptMemory::Fate::kLost) {
+    ++counts_.foreign;
+    hooks_.send_state(
+        link, {start.id,
+               fate == AttemptMemory::Fate::kLost ? AttemptKnowledge::kLost
+                                                  : AttemptKnowledge::kFinished,
+               0});
+    return;
+  }
+  if (fate == AttemptMemory::Fate::kRefused) {
+    Refuse(link, *peer, start.id, start.start_sequence,
+           RefusalReason::kCancelledEarlier, "refused before it came", now);
+    return;
+  }
+  if (const auto reason = ReasonToRefuse(*peer, start);
+      reason != RefusalReason::kUnspecified) {
+    Refuse(link, *peer, start.id, start.start_sequence, reason, "", now);
+    return;
+  }
+  const auto it =
+      attempts_.try_emplace(start.id, start, link, *peer, now, &buffered_bytes_)
+          .first;
+  Attempt* attempt = &it->second;
+  ++running_;
+  deadlines_.emplace(attempt->finish_by, attempt->id);
+  if (start.body_continues) {
+    attempt->gathering = std::make_unique<AttemptStart>(std::move(start));
+    return;
+  }
+  StartCall(attempt, std::move(start.request), now);
+}
+
+RefusalReason AttemptTable::ReasonToRefuse(const Incarnation& peer,
+                                           const AttemptStart& start) {
+  if (leaving_) {
+    return RefusalReason::kLeaving;
+  }
+  if (!options_.deployment.empty() && start.deployment != options_.deployment) {
+    return RefusalReason::kWrongDeployment;
+  }
+  if (start.start_within <= Duration::zero()) {
+    return RefusalReason::kTooLate;
+  }
+  if (running_ >= options_.max_attempts || !memory_.AddPeer(peer) ||
+      buffered_bytes_ >= options_.max_buffer_bytes ||
+      start.request.body.size() > options_.max_body_bytes) {
+    return RefusalReason::kOverloaded;
+  }
+  return hooks_.check ? hooks_.check(start) : RefusalReason::kUnspecified;
+}
+
+void AttemptTable::Refuse(LinkNumber link, const Incarnation& peer,
+                          const AttemptId& id, std::uint64_t start_sequence,
+                          RefusalReason reason, std::string detail,
+                          TimePoint now) {
+  ++counts_.refused;
+  memory_.Refuse(peer, id, start_sequence, now);
+  const bool overloaded = reason == RefusalReason::kOverloaded;
+  hooks_.send_refusal(
+      link,
+      {id, reason, overloaded ? options_.overload_retry_after : Duration{},
+       std::move(detail)});
+}
+
+void AttemptTable::OnBodyChunk(LinkNumber link, const AttemptId& id,
+                               std::uint64_t sequence, std::string_view data,
+                               bool last, TimePoint now) {
+  Attempt* attempt = Find(id);
+  if (attempt == nullptr || !attempt->gathering || attempt->link != link) {
+    ++counts_.foreign;
+    return;
+  }
+  auto& body = attempt->gathering->request.body;
+  // The target sees the request only when its body is whole, so an entry that
+  // dies in between, or a chunk that is lost, leaves nothing half run.
+  if (sequence != attempt->next_body_sequence ||
+      body.size() + data.size() > options_.max_body_bytes) {
+    RefuseHeld(attempt, RefusalReason::kOverloaded, "body lost or too long",
+               now);
+    return;
+  }
+  ++attempt->next_body_sequence;
+  body.append(data);
+  if (last) {
+    const auto gathered = std::move(attempt->gathering);
+    StartCall(attempt, std::move(gathered->request), now);
+  }
+}
+
+void AttemptTable::StartCall(Attempt* attempt, AttemptRequest&& request,
+                             TimePoint now) {
+  if (!hooks_.start_call(attempt->id, std::move(request), attempt->start_by,
+                         attempt->finish_by)) {
+    RefuseHeld(attempt, RefusalReason::kOverloaded, "target queue full", now);
+    return;
+  }
+  attempt->called = true;
+  ++counts_.started;
+}
+
+void AttemptTable::RefuseHeld(Attempt* attempt, RefusalReason reason,
+                              std::string detail, TimePoint now) {
+  const AttemptId id = attempt->id;
+  if (attempt->called) {
+    ++counts_.ended;
+  }
+  Refuse(attempt->link, attempt->peer, id, attempt->start_sequence, reason,
+         std::move(detail), now);
+  --running_;
+  Erase(id);
+}
+
+void AttemptTable::Erase(const AttemptId& id) {
+  const auto it = attempts_.find(id);
+  deadlines_.erase({it->second.finish_by, id});
+  unsent_.erase(id);
+  paused_.erase(id);
+  attempts_.erase(it);
+}
+
+void AttemptTable::OnCredit(const AttemptId& id, std::uint64_t bytes) {
+  Attempt* attempt = Find(id);
+  if (attempt == nullptr) {
+    ++counts_.foreign;
+    return;
+  }
+  attempt->frames.Take(bytes);
+  Send(attempt);
+}
+
+void AttemptTable::OnCancel(LinkNumber link, const AttemptQuery& query,
+                            TimePoint now) {
+  Attempt* attempt = Find(query.id);
+  if (attempt == nullptr) {
+    AnswerQueryOfAbsent(link, query, now);
+    return;
+  }
+  attempt->link = link;
+  attempt->cancelled = true;
+  if (attempt->ended) {
+    attempt->frames.Clear();
+    hooks_.send_state(link, {query.id, AttemptKnowledge::kFinished,
+                             attempt->frames.next_sequence()});
+    return;
+  }
+  if (attempt->called) {
+    // The target's thread says whether a byte was written; until then no
+    // answer would be true.
+    hooks_.cancel_call(query.id);
+    return;
+  }
+  RefuseHeld(attempt, RefusalReason::kCancelledEarlier, "", now);
+  hooks_.send_state(link, {query.id, AttemptKnowledge::kNotStarted, 0});
+}
+
+void AttemptTable::AnswerQueryOfAbsent(LinkNumber link,
+                                       const AttemptQuery& query,
+                                       TimePoint now) {
+  ++counts_.foreign;
+  const Incarnation* peer = PeerOf(link);
+  if (peer == nullptr) {
+    return;
+  }
+  auto fate = memory_.Find(*peer, query.id, query.start_sequence);
+  const bool sent_to_me = query.side == options_.incarnation;
+  if (fate == AttemptMemory::Fate::kNew && !sent_to_me) {
+    fate = AttemptMemory::Fate::kLost;
+  }
+  auto knowledge = AttemptKnowledge::kLost;
+  switch (fate) {
+    case AttemptMemory::Fate::kNew:
+      memory_.Refuse(*peer, query.id, query.start_sequence, now);
+      knowledge = AttemptKnowledge::kNotStarted;
+      break;
+    case AttemptMemory::Fate::kRefused:
+      knowledge = AttemptKnowledge::kNotStarted;
+      break;
+    case AttemptMemory::Fate::kFinished:
+      knowledge = AttemptKnowledge::kFinished;
+      break;
+    case AttemptMemory::Fate::kLost:
+      break;
+  }
+  hooks_.send_state(link, {query.id, knowledge, 0});
+}
+
+void AttemptTable::OnResume(LinkNumber link, const AttemptQuery& query,
+                            std::uint64_t next_sequence,
+                            std::uint64_t granted_bytes, TimePoint now) {
+  Attempt* attempt = Find(query.id);
+  if (attempt == nullptr) {
+    AnswerQueryOfAbsent(link, query, now);
+    return;
+  }
+  ++counts_.resumed;
+  attempt->link = link;
+  const bool held = attempt->frames.Rewind(next_sequence, granted_bytes);
+  const auto knowledge =
+      attempt->ended ? AttemptKnowledge::kFinished : AttemptKnowledge::kRunning;
+  // Any other number than the one asked for says that frames are missing.
+  hooks_.send_state(
+      link, {query.id, knowledge,
+             held ? next_sequence : attempt->frames.next_sequence() + 1});
+  if (held) {
+    Send(attempt);
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/request/attempt_table.h
@@ -0,0 +1,182 @@
+#ifndef INDIGOLEAD_CORE_REQUEST_ATTEMPT_TABLE_H_
+#define INDIGOLEAD_CORE_REQUEST_ATTEMPT_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+#include "core/base/ids.h"
+#include "core/base/time.h"
+#include "core/request/attempt_memory.h"
+#include "core/request/attempt_types.h"
+#include "core/request/frame_buffer.h"
+
+namespace indigolead {
+
+/// Decides about every attempt that reaches the side of one target.
+///
+/// It starts each attempt at most once, numbers the frames of its answer and
+/// keeps them until the caller has taken them, so that a stream outlives the
+/// connection it began on. What it says of an attempt is proven: see
+/// `AttemptMemory`. An attempt handed to the target's thread counts as running
+/// until that thread says that no byte was written; only then is it refused.
+///
+/// Not thread-safe; one thread feeds it. Hooks are called from inside the
+/// events and must not call back into the table.
+class AttemptTable {
+ public:
+  struct Options {
+    Incarnation incarnation;  ///< Of this process.
+    std::string deployment;
+    std::size_t max_attempts = 512;
+    std::uint64_t max_buffer_bytes = 64ULL << 20;
+    std::uint64_t stream_buffer_bytes = 1ULL << 20;
+    std::uint64_t max_body_bytes = 16ULL << 20;
+    Duration finished_retention = std::chrono::seconds(30);
+    std::size_t max_finished = 65536;
+    /// Told to an entry that is refused for lack of room.
+    Duration overload_retry_after = std::chrono::seconds(1);
+    AttemptMemory::Options memory;
+  };
+
+  /// What the table has others do.
+  struct Hooks {
+    /// Sends a frame; returns false if the link takes no more just now.
+    std::function<bool(LinkNumber, const AttemptId&, const AttemptFrame&)>
+        send_frame;
+    std::function<void(LinkNumber, const AttemptRefusal&)> send_refusal;
+    std::function<void(LinkNumber, const AttemptStateReply&)> send_state;
+    /// Hands the request to the target's thread, which must write its first
+    /// byte before the time given or not at all. False: no room, nothing done.
+    std::function<bool(const AttemptId&, AttemptRequest&&, TimePoint start_by,
+                       TimePoint finish_by)>
+        start_call;
+    std::function<void(const AttemptId&)> cancel_call;
+    std::function<void(const AttemptId&, bool pause)> pause_call;
+    /// Returns a reason to refuse the attempt, or `kUnspecified` to take it:
+    /// target down, quarantined, changing.
+    std::function<RefusalReason(const AttemptStart&)> check;
+  };
+
+  /// Counts for metrics and tests.
+  struct Counts {
+    std::uint64_t started = 0;
+    std::uint64_t ended = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t foreign = 0;  ///< Messages about attempts not held.
+    std::uint64_t resumed = 0;
+
+    friend bool operator==(const Counts&, const Counts&) = default;
+  };
+
+  AttemptTable(Options options, Hooks hooks);
+
+  /// @name Events from entries.
+  /// @{
+  void OnPeer(LinkNumber link, const Incarnation& peer);
+  void OnLinkDown(LinkNumber link);
+  void OnStart(LinkNumber link, AttemptStart start, TimePoint now);
+  void OnBodyChunk(LinkNumber link, const AttemptId& id, std::uint64_t sequence,
+                   std::string_view data, bool last, TimePoint now);
+  void OnCredit(const AttemptId& id, std::uint64_t bytes);
+  void OnCancel(LinkNumber link, const AttemptQuery& query, TimePoint now);
+  /// `granted_bytes` is the sum of all credit that the entry gave; 0 if it
+  /// does not say.
+  void OnResume(LinkNumber link, const AttemptQuery& query,
+                std::uint64_t next_sequence, std::uint64_t granted_bytes,
+                TimePoint now);
+  /// @}
+
+  /// @name Events from the target's thread.
+  /// @{
+  void OnCallHead(const AttemptId& id, int status, HeaderList headers);
+  void OnCallBody(const AttemptId& id, std::string&& data);
+  void OnCallEnd(const AttemptId& id, CallOutcome outcome, std::string detail,
+                 TimePoint now);
+  /// @}
+
+  /// Ends what is past its deadline, forgets what is past its retention, and
+  /// sends what a full link refused earlier.
+  void Tick(TimePoint now);
+
+  /// From now on every new attempt is refused; those running finish.
+  void SetLeaving(bool leaving) { leaving_ = leaving; }
+  bool leaving() const { return leaving_; }
+
+  /// Returns the attempts that have not ended.
+  std::size_t running() const { return running_; }
+  /// Returns true if no attempt runs and the end of each was sent.
+  bool Idle() const;
+  std::uint64_t buffered_bytes() const { return buffered_bytes_; }
+  std::size_t held() const { return attempts_.size(); }
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Attempt {
+    AttemptId id;
+    LinkNumber link = 0;
+    Incarnation peer;
+    std::uint64_t start_sequence = 0;
+    TimePoint start_by;
+    TimePoint finish_by;
+    std::unique_ptr<AttemptStart> gathering;  ///< Until its body is whole.
+    std::uint64_t next_body_sequence = 0;
+    FrameBuffer frames;
+    bool cancelled = false;
+    bool past_deadline = false;
+    bool called = false;  ///< Handed to the target's thread.
+    bool ended = false;
+    TimePoint ended_at;
+
+    Attempt(const AttemptStart& start, LinkNumber link_number,
+            const Incarnation& peer_incarnation, TimePoint now,
+            std::uint64_t* buffered_bytes);
+  };
+
+  Attempt* Find(const AttemptId& id);
+  const Incarnation* PeerOf(LinkNumber link) const;
+  RefusalReason ReasonToRefuse(const Incarnation& peer,
+                               const AttemptStart& start);
+  void Refuse(LinkNumber link, const Incarnation& peer, const AttemptId& id,
+              std::uint64_t start_sequence, RefusalReason reason,
+              std::string detail, TimePoint now);
+  void StartCall(Attempt* attempt, AttemptRequest&& request, TimePoint now);
+  void RefuseHeld(Attempt* attempt, RefusalReason reason, std::string detail,
+                  TimePoint now);
+  void AnswerQueryOfAbsent(LinkNumber link, const AttemptQuery& query,
+                           TimePoint now);
+  void End(Attempt* attempt, AttemptOutcome outcome, std::string detail,
+           TimePoint now);
+  void Erase(const AttemptId& id);
+  void Send(Attempt* attempt);
+  void UpdatePause(Attempt* attempt);
+  void ExpireDeadlines(TimePoint now);
+  void ForgetFinished(TimePoint now);
+  void ForgetOldest(TimePoint now);
+
+  Options options_;
+  Hooks hooks_;
+  AttemptMemory memory_;
+  std::uint64_t buffered_bytes_ = 0;  ///< Changed by the attempts' frames.
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::unordered_map<LinkNumber, Incarnation> peers_;
+  std::set<std::pair<TimePoint, AttemptId>> deadlines_;
+  std::deque<AttemptId> finished_;        ///< Oldest first.
+  std::unordered_set<AttemptId> unsent_;  ///< A full link refused a frame.
+  std::unordered_set<AttemptId> paused_;
+  std::size_t running_ = 0;
+  bool leaving_ = false;
+  Counts counts_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_CORE_REQUEST_ATTEMPT_TABLE_H_
--- /dev/null
+++ b/src/core/request/frame_buffer.cc
@@ -0,0 +1,142 @@
+#include "core/request/frame_buffer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace indigolead {
+namespace {
+
+/// What a frame costs beside the bytes of its body.
+constexpr std::uint64_t kFrameOverheadBytes = sizeof(AttemptFrame);
+
+std::uint64_t CostOf(const AttemptFrame& frame) {
+  std::uint64_t cost = kFrameOverheadBytes + frame.data.size();
+  for (const auto& [name, value] : frame.headers) {
+    cost += name.size() + value.size();
+  }
+  return cost;
+}
+
+}  // namespace
+
+FrameBuffer::FrameBuffer(std::uint64_t initial_credit,
+                         std::uint64_t* total_held_bytes)
+    : initial_credit_(initial_credit),
+      total_held_bytes_(total_held_bytes),
+      checksum_(XXH64_createState(), &XXH64_freeState) {
+  XXH64_reset(checksum_.get(), 0);
+}
+
+void FrameBuffer::AppendHead(int status, HeaderList headers) {
+  AttemptFrame frame;
+  frame.kind = AttemptFrame::Kind::kHead;
+  frame.status = status;
+  frame.headers = std::move(headers);
+  Append(std::move(frame));
+}
+
+void FrameBuffer::AppendChunk(std::string&& data) {
+  XXH64_update(checksum_.get(), data.data(), data.size());
+  body_bytes_ += data.size();
+  AttemptFrame frame;
+  frame.kind = AttemptFrame::Kind::kChunk;
+  frame.data = std::move(data);
+  Append(std::move(frame));
+}
+
+void FrameBuffer::AppendEnd(AttemptOutcome outcome, std::string detail) {
+  AttemptFrame frame;
+  frame.kind = AttemptFrame::Kind::kEnd;
+  frame.outcome = outcome;
+  frame.data = std::move(detail);
+  frame.body_bytes = body_bytes_;
+  frame.body_checksum = XXH64_digest(checksum_.get());
+  Append(std::move(frame));
+}
+
+void FrameBuffer::Append(AttemptFrame frame) {
+  frame.sequence = next_sequence();
+  const auto cost = CostOf(frame);
+  held_bytes_ += cost;
+  *total_held_bytes_ += cost;
+  frames_.push_back({std::move(frame), body_bytes_});
+}
+
+void FrameBuffer::Take(std::uint64_t bytes) {
+  // More than was ever sent cannot have been taken: a repeated credit.
+  taken_ = std::min(taken_ + bytes, sent_bytes_);
+  DropTaken();
+}
+
+void FrameBuffer::DropTaken() {
+  while (!frames_.empty() && first_ < next_to_send_) {
+    const Held& it = frames_.front();
+    const bool arrived = it.frame.kind == AttemptFrame::Kind::kHead
+                             ? taken_ > 0
+                             : it.frame.kind == AttemptFrame::Kind::kChunk &&
+                                   taken_ >= it.body_end;
+    if (!arrived) {
+      return;
+    }
+    DropFirst();
+  }
+}
+
+void FrameBuffer::DropFirst() {
+  const auto cost = CostOf(frames_.front().frame);
+  held_bytes_ -= cost;
+  *total_held_bytes_ -= cost;
+  frames_.pop_front();
+  ++first_;
+}
+
+bool FrameBuffer::Rewind(std::uint64_t sequence, std::uint64_t granted) {
+  if (sequence < first_ || sequence > next_sequence()) {
+    return false;
+  }
+  std::uint64_t arrived = body_bytes_;
+  if (sequence < next_sequence()) {
+    const Held& next = frames_[sequence - first_];
+    arrived = next.frame.kind == AttemptFrame::Kind::kChunk
+                  ? next.body_end - next.frame.data.size()
+                  : next.body_end;
+  }
+  const std::uint64_t taken =
+      granted > initial_credit_ ? granted - initial_credit_ : 0;
+  taken_ = std::min(std::max(taken_, granted > 0 ? taken : arrived), arrived);
+  next_to_send_ = sequence;
+  const bool ended =
+      !frames_.empty() && frames_.back().frame.kind == AttemptFrame::Kind::kEnd;
+  end_sent_ = ended && sequence == next_sequence();
+  DropTaken();
+  return true;
+}
+
+bool FrameBuffer::Send(const std::function<bool(const AttemptFrame&)>& send) {
+  const std::uint64_t limit = initial_credit_ + taken_;
+  while (next_to_send_ < next_sequence()) {
+    const Held& it = frames_[next_to_send_ - first_];
+    // A chunk may overshoot the window by its own length, so that a window
+    // smaller than one chunk does not stop the stream for good.
+    const bool is_chunk = it.frame.kind == AttemptFrame::Kind::kChunk;
+    if (is_chunk && it.body_end - it.frame.data.size() >= limit) {
+      return true;
+    }
+    if (!send(it.frame)) {
+      return false;
+    }
+    ++next_to_send_;
+    sent_bytes_ = std::max(sent_bytes_, it.body_end);
+    end_sent_ = end_sent_ || it.frame.kind == AttemptFrame::Kind::kEnd;
+  }
+  return true;
+}
+
+void FrameBuffer::Clear() {
+  next_to_send_ = next_sequence();
+  while (!frames_.empty()) {
+    DropFirst();
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/side/attempt_codec.h
@@ -0,0 +1,33 @@
+#ifndef INDIGOLEAD_SIDE_ATTEMPT_CODEC_H_
+#define INDIGOLEAD_SIDE_ATTEMPT_CODEC_H_
+
+#include <optional>
+
+#include "core/request/attempt_types.h"
+#include "envelope.pb.h"
+#include "side/target_messages.h"
+
+namespace indigolead {
+
+/// @name Messages from entries, as events of the core.
+/// Nothing is returned for a message without a valid attempt id.
+/// @{
+std::optional<AttemptStart> ToAttemptStart(wire::StartAttempt&& message);
+std::optional<AttemptQuery> ToAttemptQuery(const wire::CancelAttempt& message);
+std::optional<AttemptQuery> ToAttemptQuery(const wire::ResumeAttempt& message);
+/// @}
+
+/// @name Actions of the core, as messages to entries.
+/// @{
+void FillFrame(const AttemptId& id, const AttemptFrame& frame,
+               wire::Envelope* message);
+void FillRefusal(const AttemptRefusal& refusal, wire::Envelope* message);
+void FillState(const AttemptStateReply& reply, wire::Envelope* message);
+/// @}
+
+/// Fills `message` with `load` as it is `now`.
+void FillLoad(const TargetLoad& load, TimePoint now, wire::LoadReport* message);
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_SIDE_ATTEMPT_CODEC_H_
--- /dev/null
+++ b/src/side/attempt_service.h
@@ -0,0 +1,103 @@
+#ifndef INDIGOLEAD_SIDE_ATTEMPT_SERVICE_H_
+#define INDIGOLEAD_SIDE_ATTEMPT_SERVICE_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "core/base/time.h"
+#include "core/request/attempt_table.h"
+#include "envelope.pb.h"
+#include "observe/event_log.h"
+#include "observe/metrics.h"
+#include "side/target_messages.h"
+#include "wire/links.h"
+
+namespace indigolead {
+
+/// Joins the attempt table to the links and to the target's thread. Lives on
+/// the dispatch thread.
+class AttemptService {
+ public:
+  struct Options {
+    AttemptTable::Options table;
+    std::size_t max_quarantines = 4096;
+  };
+  struct Hooks {
+    std::function<bool(LinkId, const wire::Envelope&)> send;
+    /// Passes a command to the target's thread; false if its ring is full.
+    std::function<bool(TargetCommand&&)> command;
+    /// Returns true while a change of the target lets no new attempt in.
+    std::function<bool()> closed_for_change;
+    /// Adds what other services know to a load report.
+    std::function<void(wire::LoadReport*)> fill_load;
+  };
+
+  AttemptService(Options options, Hooks hooks, Clock clock, EventLog log,
+                 MetricsRegistry* metrics);
+
+  /// Returns true if the message was for this service.
+  bool HandleMessage(LinkId link, wire::Envelope&& message);
+  void OnLinkUp(LinkId link, const wire::Hello& hello);
+  void OnLinkDown(LinkId link);
+  void Tick(TimePoint now);
+
+  /// Takes an event of the target's thread.
+  void OnTargetEvent(TargetEvent&& event);
+
+  /// Fills the load as it is now.
+  void FillLoadReport(wire::LoadReport* load) const;
+
+  void SetLeaving(bool leaving) { table_.SetLeaving(leaving); }
+  bool Idle() const { return table_.Idle() && commands_.empty(); }
+  std::size_t running() const { return table_.running(); }
+  TargetState target_state() const { return target_state_; }
+  const EngineState& engine() const { return engine_; }
+
+ private:
+  struct Quarantine {
+    TimePoint until;
+  };
+
+  AttemptTable::Hooks MakeTableHooks();
+  RefusalReason Check(const AttemptStart& start) const;
+  bool SendFrame(LinkNumber link, const AttemptId& id,
+                 const AttemptFrame& frame);
+  void Command(TargetCommand command);
+  void FlushCommands();
+  void OnTargetState(const TargetStateEvent& event);
+  void OnQuarantine(const wire::QuarantineNotice& notice);
+  void HandleStart(LinkId link, wire::StartAttempt&& message);
+  void HandleBodyChunk(LinkId link, const wire::BodyChunk& message);
+  void HandleCredit(const wire::Credit& message);
+  void HandleCancel(LinkId link, const wire::CancelAttempt& message);
+  void HandleResume(LinkId link, const wire::ResumeAttempt& message);
+  void Malformed(const char* kind);
+
+  Options options_;
+  Hooks hooks_;
+  Clock clock_;
+  EventLog log_;
+  AttemptTable table_;
+  TargetState target_state_ = TargetState::kUnknown;
+  EngineState engine_;
+  std::optional<TargetLoad> load_;
+  std::unordered_map<std::uint64_t, Quarantine> quarantines_;
+  /// Commands that the ring had no room for; at most two for each attempt.
+  std::deque<TargetCommand> commands_;
+  Gauge& running_gauge_;
+  Gauge& buffered_gauge_;
+  Counter& started_counter_;
+  Counter& refused_counter_;
+  Counter& foreign_counter_;
+  Counter& resumed_counter_;
+  AttemptTable::Counts exported_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_SIDE_ATTEMPT_SERVICE_H_
--- /dev/null
+++ b/src/side/events.h
@@ -0,0 +1,35 @@
+#ifndef INDIGOLEAD_SIDE_EVENTS_H_
+#define INDIGOLEAD_SIDE_EVENTS_H_
+
+#include "observe/event_log.h"
+
+namespace indigolead {
+
+inline constexpr EventInfo kSideStarted{2001, "side-started",
+                                        EventSeverity::kInfo,
+                                        "The side runs and accepts links."};
+inline constexpr EventInfo kSideStopped{
+    2002, "side-stopped", EventSeverity::kInfo,
+    "The side stopped; cut counts attempts that its drain timeout ended."};
+inline constexpr EventInfo kSideLeaving{
+    2003, "side-leaving", EventSeverity::kInfo,
+    "The side refuses new attempts and lets the running ones finish."};
+inline constexpr EventInfo kSideStaying{
+    2004, "side-staying", EventSeverity::kInfo,
+    "The last reason to leave is gone; the side takes attempts again."};
+inline constexpr EventInfo kTargetHealthChanged{
+    2010, "target-health-changed", EventSeverity::kWarning,
+    "The target came up, went down or began or ended a change."};
+inline constexpr EventInfo kTargetRestarted{
+    2011, "target-restarted", EventSeverity::kWarning,
+    "The target's process is another one than before; what ran in it died."};
+inline constexpr EventInfo kTargetCallBroke{
+    2012, "target-call-broke", EventSeverity::kWarning,
+    "A call broke after its first byte was written to the target."};
+inline constexpr EventInfo kSideProtocolError{
+    2020, "side-protocol-error", EventSeverity::kWarning,
+    "A peer sent a message that does not follow the protocol."};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_SIDE_EVENTS_H_
--- /dev/null
+++ b/src/side/side_process.cc
@@ -0,0 +1,340 @@
+#include "side/side_process.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "runtime/clock.h"
+#include "runtime/mailbox.h"
+#include "side/attempt_service.h"
+#include "side/dispatch_service.h"
+#include "side/events.h"
+#include "side/leaving.h"
+#include "side/target_worker.h"
+#include "target/http_target_client.h"
+#include "wire/links.h"
+
+namespace indigolead {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+/// How long a stopping process gives its sockets to flush the last frames.
+constexpr Duration kFlushTime = std::chrono::milliseconds(200);
+constexpr std::size_t kRingCapacity = 4096;
+constexpr std::uint32_t kProtocolVersion = 1;
+constexpr int kExitClean = 0;
+constexpr int kExitCut = 1;
+constexpr int kExitNotStarted = 2;
+
+bool IsEngine(const Settings& settings) {
+  return settings.side.target_kind == "engine";
+}
+
+Links::Options MakeLinkOptions(const Settings& settings) {
+  Links::Options options;
+  options.bind_address = settings.instance.link_address;
+  options.heartbeat_interval = settings.links.heartbeat_interval;
+  options.silence_timeout = settings.links.silence_timeout;
+  options.high_water_mark = static_cast<int>(settings.links.high_water_mark);
+  options.max_message_bytes = settings.links.max_message_bytes;
+  options.max_links = settings.links.max_links;
+  options.public_key_file = settings.links.public_key_file;
+  options.secret_key_file = settings.links.secret_key_file;
+  options.trusted_keys_file = settings.links.trusted_keys_file;
+  return options;
+}
+
+AttemptService::Options MakeAttemptOptions(const Settings& settings,
+                                           const Incarnation& incarnation) {
+  AttemptService::Options options;
+  options.table.incarnation = incarnation;
+  options.table.deployment = settings.side.deployment;
+  options.table.max_attempts = settings.side.max_attempts;
+  options.table.max_buffer_bytes = settings.side.max_buffer_bytes;
+  options.table.stream_buffer_bytes = settings.side.stream_buffer_bytes;
+  options.table.max_body_bytes = settings.links.max_message_bytes;
+  options.table.finished_retention = settings.side.finished_retention;
+  options.table.memory.retention = settings.side.finished_retention;
+  return options;
+}
+
+wire::TargetHealth ToWire(TargetState state) {
+  switch (state) {
+    case TargetState::kUp:
+      return wire::TARGET_UP;
+    case TargetState::kDown:
+      return wire::TARGET_DOWN;
+    case TargetState::kChanging:
+      return wire::TARGET_CHANGING;
+    case TargetState::kUnknown:
+      break;
+  }
+  return wire::TARGET_UNKNOWN;
+}
+
+}  // namespace
+
+class SideProcess::Impl {
+ public:
+  Impl(Settings settings, EventLog log, Hooks hooks)
+      : settings_(std::move(settings)),
+        log_(std::move(log)),
+        hooks_(std::move(hooks)),
+        incarnation_{RandomId()},
+        tick_timer_(dispatch_io_),
+        client_(&target_io_, {.address = settings_.side.target_address}),
+        to_target_(
+            &target_io_, kRingCapacity,
+            [this](TargetCommand&& it) { worker_.Handle(std::move(it)); }),
+        to_dispatch_(&dispatch_io_, kRingCapacity,
+                     [this](TargetEvent&& it) {
+                       attempts_.OnTargetEvent(std::move(it));
+                     }),
+        worker_(
+            &target_io_,
+            {.is_engine = IsEngine(settings_),
+             .poll_interval = settings_.side.load_poll_interval},
+            &client_, BootTimeNow,
+            [this](TargetEvent&& it) {
+              return to_dispatch_.Push(std::move(it));
+            },
+            log_),
+        attempts_(MakeAttemptOptions(settings_, incarnation_),
+                  MakeAttemptHooks(), BootTimeNow, log_, &metrics_),
+        links_(&dispatch_io_, MakeLinkOptions(settings_), MakeLinkHooks(),
+               BootTimeNow, RandomId, log_, &metrics_) {}
+
+  int Run() {
+    const Status started = links_.Start();
+    if (!IsOk(started)) {
+      log_(kSideStopped, {{"error", ToString(ErrorOf(started))}});
+      return kExitNotStarted;
+    }
+    for (const auto& it : settings_.links.seeds) {
+      links_.Connect(it);
+    }
+    log_(kSideStarted, {{"instance", settings_.instance.name},
+                        {"link_address", links_.bound_address()},
+                        {"target", settings_.side.target_address}});
+    if (hooks_.on_ready) {
+      hooks_.on_ready(links_.bound_address());
+    }
+    std::thread target_thread([this] {
+      const auto guard = asio::make_work_guard(target_io_);
+      worker_.Start();
+      target_io_.run();
+    });
+    ArmTick();
+    dispatch_io_.run();
+    asio::post(target_io_, [this] {
+      worker_.Stop();
+      target_io_.stop();
+    });
+    target_thread.join();
+    return exit_status_;
+  }
+
+  void RequestStop() {
+    asio::post(dispatch_io_,
+               [this] { SetSign(LeavingSign::kStop, true, "stop"); });
+  }
+
+ private:
+  AttemptService::Hooks MakeAttemptHooks() {
+    AttemptService::Hooks hooks;
+    hooks.send = [this](LinkId link, const wire::Envelope& message) {
+      return links_.Send(link, message);
+    };
+    hooks.command = [this](TargetCommand&& command) {
+      return to_target_.Push(std::move(command));
+    };
+    return hooks;
+  }
+
+  Links::Hooks MakeLinkHooks() {
+    Links::Hooks hooks;
+    hooks.make_hello = [this] { return MakeHello(); };
+    hooks.fill_heartbeat = [this](wire::Heartbeat* it) { FillHeartbeat(it); };
+    hooks.on_up = [this](LinkId link, const wire::Hello& hello) {
+      up_.insert(link.value);
+      attempts_.OnLinkUp(link, hello);
+      for (const auto& it : services_) {
+        if (it.on_link_up) {
+          it.on_link_up(link, hello);
+        }
+      }
+    };
+    hooks.on_down = [this](LinkId link, const Error&) {
+      up_.erase(link.value);
+      attempts_.OnLinkDown(link);
+      for (const auto& it : services_) {
+        if (it.on_link_down) {
+          it.on_link_down(link);
+        }
+      }
+    };
+    hooks.on_message = [this](LinkId link, wire::Envelope&& message) {
+      OnMessage(link, std::move(message));
+    };
+    return hooks;
+  }
+
+  void OnMessage(LinkId link, wire::Envelope&& message) {
+    if (message.body_case() == wire::Envelope::kDrain) {
+      OnDrainNotice(message.drain());
+      return;
+    }
+    for (const auto& it : services_) {
+      if (it.handle_message && it.handle_message(link, message)) {
+        return;
+      }
+    }
+    attempts_.HandleMessage(link, std::move(message));
+  }
+
+  void OnDrainNotice(const wire::DrainNotice& notice) {
+    if (notice.instance() == settings_.instance.name) {
+      SetSign(LeavingSign::kNotice, notice.drain(), notice.cause());
+    }
+  }
+
+  wire::Hello MakeHello() const {
+    wire::Hello hello;
+    hello.set_protocol(kProtocolVersion);
+    hello.set_kind(wire::PROCESS_SIDE);
+    hello.set_instance(settings_.instance.name);
+    hello.set_incarnation(ToBytes(incarnation_.value));
+    hello.set_failure_domain(settings_.instance.failure_domain);
+    hello.set_region(settings_.instance.region);
+    hello.set_link_address(links_.bound_address());
+    hello.set_leaving(signs_.leaving());
+    FillTarget(hello.mutable_target());
+    return hello;
+  }
+
+  void FillHeartbeat(wire::Heartbeat* heartbeat) const {
+    heartbeat->set_leaving(signs_.leaving());
+    attempts_.FillLoadReport(heartbeat->mutable_load());
+    FillTarget(heartbeat->mutable_target());
+  }
+
+  void FillTarget(wire::TargetInfo* target) const {
+    const EngineState& engine = attempts_.engine();
+    target->set_deployment(settings_.side.deployment);
+    target->set_is_engine(IsEngine(settings_));
+    target->set_role(engine.role);
+    if (!engine.model.empty()) {
+      target->add_models(engine.model + "@" + engine.version);
+    }
+    for (const auto& it : engine.adapters) {
+      target->add_adapters(it);
+    }
+    target->set_health(ToWire(attempts_.target_state()));
+    target->set_order_generation(engine.generation);
+    target->set_fencing_number(engine.fencing_number);
+  }
+
+  void SetSign(LeavingSign sign, bool up, const std::string& cause) {
+    if (up && sign == LeavingSign::kStop && !signs_.stopping()) {
+      stop_by_ = BootTimeNow() + settings_.side.drain_timeout;
+    }
+    if (!signs_.Set(sign, up)) {
+      return;
+    }
+    attempts_.SetLeaving(signs_.leaving());
+    log_(signs_.leaving() ? kSideLeaving : kSideStaying,
+         {{"cause", cause}, {"running", std::to_string(attempts_.running())}});
+    AnnounceLeaving(cause);
+  }
+
+  /// Tells the entries now: a heartbeat is due only after a silence, and until
+  /// it comes they would go on choosing this target.
+  void AnnounceLeaving(const std::string& cause) {
+    wire::Envelope message;
+    auto* drain = message.mutable_drain();
+    drain->set_instance(settings_.instance.name);
+    drain->set_drain(signs_.leaving());
+    drain->set_cause(cause);
+    for (const auto& it : up_) {
+      links_.Send(LinkId{it}, message);
+    }
+  }
+
+  void ArmTick() {
+    tick_timer_.expires_after(kTickInterval);
+    tick_timer_.async_wait([this](const boost::system::error_code& ec) {
+      if (!ec) {
+        Tick();
+      }
+    });
+  }
+
+  void Tick() {
+    const TimePoint now = BootTimeNow();
+    attempts_.Tick(now);
+    for (const auto& it : services_) {
+      if (it.tick) {
+        it.tick(now);
+      }
+    }
+    if (signs_.stopping() && (attempts_.Idle() || now >= stop_by_)) {
+      FinishStop();
+      return;
+    }
+    ArmTick();
+  }
+
+  void FinishStop() {
+    const auto cut = attempts_.running();
+    exit_status_ = cut == 0 ? kExitClean : kExitCut;
+    log_(kSideStopped, {{"cut", std::to_string(cut)}});
+    links_.Stop("stopped");
+    // The last frames may still be in the sockets' queues.
+    tick_timer_.expires_after(kFlushTime);
+    tick_timer_.async_wait([this](const boost::system::error_code&) {
+      to_dispatch_.Close();
+      dispatch_io_.stop();
+    });
+  }
+
+  Settings settings_;
+  EventLog log_;
+  Hooks hooks_;
+  Incarnation incarnation_;
+  MetricsRegistry metrics_;
+  asio::io_context dispatch_io_{1};
+  asio::io_context target_io_{1};
+  asio::steady_timer tick_timer_;
+  HttpTargetClient client_;
+  Mailbox<TargetCommand> to_target_;
+  Mailbox<TargetEvent> to_dispatch_;
+  TargetWorker worker_;
+  AttemptService attempts_;
+  Links links_;
+  std::vector<DispatchService> services_;
+  std::set<std::uint64_t> up_;
+  LeavingSigns signs_;
+  TimePoint stop_by_;
+  int exit_status_ = kExitClean;
+};
+
+SideProcess::SideProcess(Settings settings, EventLog log)
+    : SideProcess(std::move(settings), std::move(log), Hooks{}) {}
+
+SideProcess::SideProcess(Settings settings, EventLog log, Hooks hooks)
+    : impl_(std::make_unique<Impl>(std::move(settings), std::move(log),
+                                   std::move(hooks))) {}
+
+SideProcess::~SideProcess() = default;
+
+int SideProcess::Run() { return impl_->Run(); }
+
+void SideProcess::RequestStop() { impl_->RequestStop(); }
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/side/side_process.h
@@ -0,0 +1,52 @@
+#ifndef INDIGOLEAD_SIDE_SIDE_PROCESS_H_
+#define INDIGOLEAD_SIDE_SIDE_PROCESS_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/config/settings.h"
+#include "observe/event_log.h"
+#include "platform/object_store.h"
+
+namespace indigolead {
+
+/// The process beside one target, and the only one that talks to it.
+///
+/// Two threads: dispatch (links, attempts, orders) and target (HTTP), joined by
+/// bounded rings. It connects to the entries that it is told of by its settings
+/// and by the platform's instance list.
+class SideProcess {
+ public:
+  struct Hooks {
+    /// Chooses the entries to connect to, out of the instance list. Unset: all
+    /// entries in it.
+    std::function<std::vector<std::string>(const InstanceList&)> choose_entries;
+    /// Told once the process accepts connections, with its link address.
+    std::function<void(const std::string&)> on_ready;
+  };
+
+  SideProcess(Settings settings, EventLog log);
+  SideProcess(Settings settings, EventLog log, Hooks hooks);
+  ~SideProcess();
+  SideProcess(const SideProcess&) = delete;
+  SideProcess& operator=(const SideProcess&) = delete;
+
+  /// Runs until `RequestStop` and until the attempts running then have ended,
+  /// or the drain timeout has passed. Returns the exit status: 0 if no attempt
+  /// was cut, 1 if some were, 2 if it could not start.
+  int Run();
+
+  /// Starts a planned stop: no new attempts, running ones finish. Safe from
+  /// any thread; a second call has no effect.
+  void RequestStop();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_SIDE_SIDE_PROCESS_H_
--- /dev/null
+++ b/src/side/target_monitor.cc
@@ -0,0 +1,206 @@
+#include "side/target_monitor.h"
+
+#include <nlohmann/json.hpp>
+
+#include "target/http_target_client.h"
+
+namespace indigolead {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMaxAnswerBytes = 64U << 10;
+constexpr int kServiceUnavailable = 503;
+
+TargetRequest GetRequest(std::string path, Duration deadline) {
+  TargetRequest request;
+  request.method = "GET";
+  request.path = std::move(path);
+  request.deadline = deadline;
+  return request;
+}
+
+Error NotUnderstood(const char* step, const std::string& detail) {
+  return {ErrorCode::kProtocol, step, "", detail};
+}
+
+/// Returns the state in `answer`, or why there is none.
+Result<EngineState> StateIn(const Result<TargetAnswer>& answer) {
+  if (!IsOk(answer)) {
+    return ErrorOf(answer);
+  }
+  return ParseEngineState(ValueOf(answer).body);
+}
+
+}  // namespace
+
+Result<EngineState> ParseEngineState(const std::string& json) {
+  const auto doc = Json::parse(json, nullptr, false);
+  if (!doc.is_object()) {
+    return NotUnderstood("target.state", "expected a JSON object");
+  }
+  try {
+    EngineState state;
+    state.boot_id = doc.value("boot_id", "");
+    state.role = doc.value("role", "");
+    state.model = doc.value("model", "");
+    state.version = doc.value("version", "");
+    state.adapters = doc.value("adapters", std::vector<std::string>{});
+    state.fencing_number = doc.value("fencing_number", std::uint64_t{0});
+    state.generation = doc.value("generation", std::uint64_t{0});
+    state.changing = doc.value("changing", false);
+    state.checks_fencing = doc.value("checks_fencing", true);
+    return state;
+  } catch (const Json::exception& error) {
+    return NotUnderstood("target.state", error.what());
+  }
+}
+
+Result<TargetLoad> ParseTargetLoad(const std::string& json, TimePoint now) {
+  const auto doc = Json::parse(json, nullptr, false);
+  if (!doc.is_object()) {
+    return NotUnderstood("target.load", "expected a JSON object");
+  }
+  try {
+    TargetLoad load;
+    load.measured_at = now - std::chrono::milliseconds(doc.value(
+                                 "measured_ago_ms", std::uint32_t{0}));
+    load.running = doc.value("running", 0U);
+    load.waiting = doc.value("waiting", 0U);
+    load.queued_prefill_tokens =
+        doc.value("queued_prefill_tokens", std::uint64_t{0});
+    load.kv_used_bytes = doc.value("kv_used_bytes", std::uint64_t{0});
+    load.kv_capacity_bytes = doc.value("kv_capacity_bytes", std::uint64_t{0});
+    load.slots = doc.value("slots", 0U);
+    load.prefill_tokens_per_s =
+        doc.value("prefill_tokens_per_s", std::uint64_t{0});
+    load.decode_tokens_per_s =
+        doc.value("decode_tokens_per_s", std::uint64_t{0});
+    return load;
+  } catch (const Json::exception& error) {
+    return NotUnderstood("target.load", error.what());
+  }
+}
+
+TargetMonitor::TargetMonitor(boost::asio::io_context* io, Options options,
+                             TargetClient* client, Clock clock,
+                             std::function<void(TargetEvent)> emit)
+    : io_(io),
+      options_(options),
+      client_(client),
+      clock_(std::move(clock)),
+      emit_(std::move(emit)),
+      timer_(*io_) {}
+
+void TargetMonitor::Start() { Poll(); }
+
+void TargetMonitor::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+  poll_call_.reset();
+  load_call_.reset();
+  probe_call_.reset();
+}
+
+void TargetMonitor::PollSoon() {
+  if (!polling_ && !stopped_) {
+    Poll();
+  }
+}
+
+void TargetMonitor::Poll() {
+  polling_ = true;
+  ArmTimer();
+  if (!options_.is_engine) {
+    PollHealth();
+    return;
+  }
+  poll_call_ =
+      FetchAnswer(client_, GetRequest("/state", options_.deadline),
+                  kMaxAnswerBytes, [this](const Result<TargetAnswer>& answer) {
+                    polling_ = false;
+                    OnStateAnswer(StateIn(answer));
+                  });
+  PollLoad();
+}
+
+void TargetMonitor::ArmTimer() {
+  timer_.expires_after(options_.poll_interval);
+  timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec && !stopped_) {
+      Poll();
+    }
+  });
+}
+
+void TargetMonitor::OnStateAnswer(const Result<EngineState>& answer) {
+  if (!IsOk(answer)) {
+    // A target that answers late may only be busy; one that cannot be reached
+    // is down.
+    if (ErrorOf(answer).code == ErrorCode::kUnavailable) {
+      SetState(TargetState::kDown, engine_);
+    }
+    return;
+  }
+  const EngineState& engine = ValueOf(answer);
+  SetState(engine.changing ? TargetState::kChanging : TargetState::kUp, engine);
+}
+
+void TargetMonitor::SetState(TargetState state, const EngineState& engine) {
+  if (state == state_ && engine == engine_) {
+    return;
+  }
+  state_ = state;
+  engine_ = engine;
+  emit_(TargetStateEvent{state_, engine_});
+}
+
+void TargetMonitor::PollLoad() {
+  load_call_ = FetchAnswer(
+      client_, GetRequest("/load", options_.deadline), kMaxAnswerBytes,
+      [this](const Result<TargetAnswer>& answer) {
+        if (!IsOk(answer)) {
+          return;
+        }
+        const auto load = ParseTargetLoad(ValueOf(answer).body, clock_());
+        if (IsOk(load)) {
+          emit_(TargetLoadEvent{ValueOf(load)});
+        }
+      });
+}
+
+void TargetMonitor::PollHealth() {
+  poll_call_ = FetchAnswer(
+      client_, GetRequest("/health", options_.deadline), kMaxAnswerBytes,
+      [this](const Result<TargetAnswer>& answer) {
+        polling_ = false;
+        if (IsOk(answer)) {
+          const bool up = ValueOf(answer).status != kServiceUnavailable;
+          SetState(up ? TargetState::kUp : TargetState::kDown, engine_);
+        } else if (ErrorOf(answer).code == ErrorCode::kUnavailable) {
+          SetState(TargetState::kDown, engine_);
+        }
+      });
+}
+
+void TargetMonitor::Probe(
+    std::function<void(const Result<EngineState>&)> done) {
+  probes_.push_back(std::move(done));
+  if (probe_call_) {
+    return;
+  }
+  probe_call_ =
+      FetchAnswer(client_, GetRequest("/state", options_.deadline),
+                  kMaxAnswerBytes, [this](const Result<TargetAnswer>& answer) {
+                    const auto call = std::move(probe_call_);
+                    const auto state = StateIn(answer);
+                    OnStateAnswer(state);
+                    const auto probes = std::move(probes_);
+                    probes_.clear();
+                    for (const auto& it : probes) {
+                      it(state);
+                    }
+                  });
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/side/target_monitor.h
@@ -0,0 +1,82 @@
+#ifndef INDIGOLEAD_SIDE_TARGET_MONITOR_H_
+#define INDIGOLEAD_SIDE_TARGET_MONITOR_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/base/result.h"
+#include "core/base/time.h"
+#include "side/target_messages.h"
+#include "target/target_client.h"
+
+namespace indigolead {
+
+/// Watches the health, state and load of one target, on the target's thread.
+///
+/// Engines are asked for `/state` and `/load`, services for `/health`; any
+/// answer of a service but 503 counts as up, as not all have that path.
+class TargetMonitor {
+ public:
+  struct Options {
+    bool is_engine = true;
+    Duration poll_interval = std::chrono::milliseconds(500);
+    Duration deadline = std::chrono::milliseconds(500);
+  };
+
+  /// `emit` gets a `TargetStateEvent` on every change and a `TargetLoadEvent`
+  /// after every reading. `io` and `client` must outlive this object.
+  TargetMonitor(boost::asio::io_context* io, Options options,
+                TargetClient* client, Clock clock,
+                std::function<void(TargetEvent)> emit);
+
+  void Start();
+  void Stop();
+
+  /// Polls at once instead of at the next interval.
+  void PollSoon();
+
+  /// Reads the engine's state now and calls `done` with it, or with
+  /// `kUnavailable` if no connection could be made.
+  void Probe(std::function<void(const Result<EngineState>&)> done);
+
+  /// Returns the state last read.
+  const EngineState& engine() const { return engine_; }
+
+ private:
+  void Poll();
+  void ArmTimer();
+  void OnStateAnswer(const Result<EngineState>& answer);
+  void PollLoad();
+  void PollHealth();
+  void SetState(TargetState state, const EngineState& engine);
+
+  boost::asio::io_context* io_;
+  Options options_;
+  TargetClient* client_;
+  Clock clock_;
+  std::function<void(TargetEvent)> emit_;
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<TargetClient::Call> poll_call_;
+  std::unique_ptr<TargetClient::Call> load_call_;
+  std::unique_ptr<TargetClient::Call> probe_call_;
+  std::vector<std::function<void(const Result<EngineState>&)>> probes_;
+  TargetState state_ = TargetState::kUnknown;
+  EngineState engine_;
+  bool stopped_ = false;
+  bool polling_ = false;
+};
+
+/// Returns the state in the body of a `/state` answer.
+Result<EngineState> ParseEngineState(const std::string& json);
+
+/// Returns the load in the body of a `/load` answer received at `now`.
+Result<TargetLoad> ParseTargetLoad(const std::string& json, TimePoint now);
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_SIDE_TARGET_MONITOR_H_
--- /dev/null
+++ b/src/side/target_worker.cc
@@ -0,0 +1,264 @@
+#include "side/target_worker.h"
+
+#include <boost/asio/post.hpp>
+#include <type_traits>
+
+#include "side/events.h"
+
+namespace indigolead {
+namespace {
+
+constexpr char kRequestIdHeader[] = "X-Request-Id";
+constexpr std::size_t kMaxCleanups = 1024;
+
+HeaderList ToHeaderList(std::vector<HttpHeader> headers) {
+  HeaderList list;
+  list.reserve(headers.size());
+  for (auto& it : headers) {
+    list.emplace_back(std::move(it.name), std::move(it.value));
+  }
+  return list;
+}
+
+}  // namespace
+
+TargetWorker::TargetWorker(boost::asio::io_context* io, Options options,
+                           TargetClient* client, Clock clock,
+                           std::function<bool(TargetEvent&&)> emit,
+                           EventLog log)
+    : io_(io),
+      options_(options),
+      client_(client),
+      clock_(std::move(clock)),
+      emit_(std::move(emit)),
+      log_(std::move(log)),
+      monitor_(
+          io,
+          {options_.is_engine, options_.poll_interval, options_.probe_deadline},
+          client, clock_,
+          [this](TargetEvent event) { Emit(std::move(event)); }),
+      outbox_timer_(*io) {}
+
+TargetWorker::~TargetWorker() = default;
+
+void TargetWorker::Start() { monitor_.Start(); }
+
+void TargetWorker::Stop() {
+  monitor_.Stop();
+  outbox_timer_.cancel();
+  calls_.clear();
+  cleanups_.clear();
+}
+
+void TargetWorker::Handle(TargetCommand&& command) {
+  std::visit(
+      [this](auto&& it) {
+        using T = std::decay_t<decltype(it)>;
+        if constexpr (std::is_same_v<T, StartCallCommand>) {
+          StartCall(std::move(it));
+        } else if constexpr (std::is_same_v<T, CancelCallCommand>) {
+          CancelCall(it.id);
+        } else if constexpr (std::is_same_v<T, PauseCallCommand>) {
+          PauseCall(it);
+        }
+      },
+      std::move(command));
+}
+
+void TargetWorker::StartCall(StartCallCommand command) {
+  const AttemptId id = command.id;
+  const TimePoint start_by = command.start_by;
+  TargetRequest request;
+  request.method = std::move(command.request.method);
+  request.path = std::move(command.request.path);
+  request.body = std::move(command.request.body);
+  request.deadline = command.finish_by - clock_();
+  for (auto& [name, value] : command.request.headers) {
+    request.headers.push_back({std::move(name), std::move(value)});
+  }
+  if (options_.is_engine) {
+    // Streams are resumed and cancelled by this id, so it names the attempt:
+    // a second attempt of one request must not be taken for the first.
+    request.headers.push_back({kRequestIdHeader, ToHex(id.value)});
+  }
+  TargetClient::Hooks hooks;
+  hooks.on_before_write = [this, id, start_by] {
+    return BeforeWrite(id, start_by);
+  };
+  hooks.on_head = [this, id](int status, std::vector<HttpHeader> headers) {
+    Emit(CallHeadEvent{id, status, ToHeaderList(std::move(headers))});
+  };
+  hooks.on_body = [this, id](std::string_view data) {
+    Emit(CallBodyEvent{id, std::string(data)});
+  };
+  hooks.on_end = [this, id](const Status& status) { OnEnd(id, status); };
+  RunningCall& call = calls_[id];
+  call.call = client_->Start(std::move(request), std::move(hooks));
+}
+
+bool TargetWorker::BeforeWrite(const AttemptId& id, TimePoint start_by) {
+  RunningCall& call = calls_.at(id);
+  // The process may have been stopped between the decision and this line.
+  // Its entry has given the attempt up by then, and may have run it elsewhere.
+  if (clock_() >= start_by) {
+    call.too_late = true;
+    return false;
+  }
+  call.written = true;
+  call.boot_id = monitor_.engine().boot_id;
+  return true;
+}
+
+void TargetWorker::OnEnd(const AttemptId& id, const Status& status) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) {
+    return;
+  }
+  if (IsOk(status)) {
+    EndCall(id, CallOutcome::kComplete, "");
+    return;
+  }
+  const Error& error = ErrorOf(status);
+  if (it->second.too_late) {
+    EndCall(id, CallOutcome::kTooLate, error.detail);
+    return;
+  }
+  if (!it->second.written) {
+    monitor_.PollSoon();
+    EndCall(id, CallOutcome::kNotWritten, error.detail);
+    return;
+  }
+  if (error.code == ErrorCode::kTimeout) {
+    StopEngineStream(id);
+    EndCall(id, CallOutcome::kTimeout, error.detail);
+    return;
+  }
+  log_(kTargetCallBroke,
+       {{"attempt", ToHex(id.value)}, {"error", error.detail}});
+  OnBroken({id, it->second.boot_id, error.detail});
+}
+
+void TargetWorker::OnBroken(BrokenCall broken) {
+  if (!options_.is_engine) {
+    // A plain service has no boot id to compare, and a supervisor may have
+    // restarted it within a millisecond; a broken answer counts as a death.
+    EndCall(broken.id, CallOutcome::kTargetDied, std::move(broken.detail));
+    monitor_.PollSoon();
+    return;
+  }
+  broken_.push_back(std::move(broken));
+  if (probing_) {
+    return;
+  }
+  probing_ = true;
+  monitor_.Probe([this](const Result<EngineState>& probe) {
+    probing_ = false;
+    SettleBroken(probe);
+  });
+}
+
+void TargetWorker::SettleBroken(const Result<EngineState>& probe) {
+  const auto broken = std::move(broken_);
+  broken_.clear();
+  for (const auto& it : broken) {
+    bool died = false;
+    if (IsOk(probe)) {
+      died = !it.boot_id.empty() && ValueOf(probe).boot_id != it.boot_id;
+    } else {
+      died = ErrorOf(probe).code == ErrorCode::kUnavailable;
+    }
+    EndCall(it.id, died ? CallOutcome::kTargetDied : CallOutcome::kFailed,
+            it.detail);
+  }
+}
+
+void TargetWorker::EndCall(const AttemptId& id, CallOutcome outcome,
+                           std::string detail) {
+  if (calls_.erase(id) > 0) {
+    Emit(CallEndEvent{id, outcome, std::move(detail)});
+  }
+}
+
+void TargetWorker::CancelCall(const AttemptId& id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) {
+    return;
+  }
+  const bool written = it->second.written;
+  if (written) {
+    StopEngineStream(id);
+  }
+  EndCall(id, written ? CallOutcome::kCancelled : CallOutcome::kStopped, "");
+}
+
+void TargetWorker::StopEngineStream(const AttemptId& id) {
+  if (!options_.is_engine || cleanups_.size() >= kMaxCleanups) {
+    return;
+  }
+  // Engines keep a stream for resumption when its connection closes, so the
+  // slot is freed only by saying so.
+  const auto number = next_cleanup_++;
+  TargetRequest request;
+  request.method = "DELETE";
+  request.path = "/v1/streams/" + ToHex(id.value);
+  request.deadline = options_.probe_deadline;
+  TargetClient::Hooks hooks;
+  hooks.on_head = [](int, const std::vector<HttpHeader>&) {};
+  hooks.on_body = [](std::string_view) {};
+  hooks.on_end = [this, number](const Status&) { cleanups_.erase(number); };
+  cleanups_[number] = client_->Start(std::move(request), std::move(hooks));
+}
+
+void TargetWorker::PauseCall(const PauseCallCommand& command) {
+  const auto it = calls_.find(command.id);
+  if (it == calls_.end()) {
+    return;
+  }
+  it->second.paused_by_caller = command.pause;
+  it->second.call->PauseReading(command.pause || !outbox_.empty());
+}
+
+void TargetWorker::Emit(TargetEvent event) {
+  if (outbox_.empty() && emit_(std::move(event))) {
+    return;
+  }
+  outbox_.push_back(std::move(event));
+  if (outbox_.size() == 1) {
+    for (auto& [id, call] : calls_) {
+      if (call.call) {
+        call.call->PauseReading(true);
+      }
+    }
+    FlushOutbox();
+  }
+}
+
+void TargetWorker::FlushOutbox() {
+  while (!outbox_.empty() && emit_(std::move(outbox_.front()))) {
+    outbox_.pop_front();
+  }
+  if (!outbox_.empty()) {
+    outbox_timer_.expires_after(options_.emit_retry_interval);
+    outbox_timer_.async_wait([this](const boost::system::error_code& ec) {
+      if (!ec) {
+        FlushOutbox();
+      }
+    });
+    return;
+  }
+  // Reading may end calls, so the ids are gathered first.
+  std::vector<AttemptId> ids;
+  for (const auto& [id, call] : calls_) {
+    if (!call.paused_by_caller) {
+      ids.push_back(id);
+    }
+  }
+  for (const auto& id : ids) {
+    const auto it = calls_.find(id);
+    if (it != calls_.end() && it->second.call) {
+      it->second.call->PauseReading(false);
+    }
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/side/target_worker.h
@@ -0,0 +1,102 @@
+#ifndef INDIGOLEAD_SIDE_TARGET_WORKER_H_
+#define INDIGOLEAD_SIDE_TARGET_WORKER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/base/time.h"
+#include "observe/event_log.h"
+#include "side/target_messages.h"
+#include "side/target_monitor.h"
+#include "target/target_client.h"
+
+namespace indigolead {
+
+/// Carries out calls to the target, on the target's thread.
+///
+/// It holds the last check before a request may have run: just before the
+/// first byte it reads the clock again, since the process may have slept
+/// since the attempt was accepted. A call that breaks after that byte ends
+/// only once a probe has told whether the target's process died with it.
+class TargetWorker {
+ public:
+  struct Options {
+    bool is_engine = true;
+    Duration poll_interval = std::chrono::milliseconds(500);
+    Duration probe_deadline = std::chrono::milliseconds(500);
+    Duration emit_retry_interval = std::chrono::milliseconds(1);
+  };
+
+  /// `emit` returns false if the event could not be taken now; it is offered
+  /// again, and the calls' answers are not read meanwhile. `io` and `client`
+  /// must outlive this object.
+  TargetWorker(boost::asio::io_context* io, Options options,
+               TargetClient* client, Clock clock,
+               std::function<bool(TargetEvent&&)> emit, EventLog log);
+  ~TargetWorker();
+
+  /// Starts to watch the target.
+  void Start();
+  /// Drops every call and stops watching.
+  void Stop();
+
+  void Handle(TargetCommand&& command);
+
+  std::size_t calls() const { return calls_.size(); }
+
+ private:
+  struct RunningCall {
+    std::unique_ptr<TargetClient::Call> call;
+    bool written = false;
+    bool too_late = false;
+    bool paused_by_caller = false;
+    std::string boot_id;  ///< Of the process that the request was written to.
+  };
+  struct BrokenCall {
+    AttemptId id;
+    std::string boot_id;
+    std::string detail;
+  };
+
+  void StartCall(StartCallCommand command);
+  void CancelCall(const AttemptId& id);
+  void PauseCall(const PauseCallCommand& command);
+  bool BeforeWrite(const AttemptId& id, TimePoint start_by);
+  void OnEnd(const AttemptId& id, const Status& status);
+  void OnBroken(BrokenCall broken);
+  void SettleBroken(const Result<EngineState>& probe);
+  void EndCall(const AttemptId& id, CallOutcome outcome, std::string detail);
+  void StopEngineStream(const AttemptId& id);
+  void Emit(TargetEvent event);
+  void FlushOutbox();
+
+  boost::asio::io_context* io_;
+  Options options_;
+  TargetClient* client_;
+  Clock clock_;
+  std::function<bool(TargetEvent&&)> emit_;
+  EventLog log_;
+  TargetMonitor monitor_;
+  std::unordered_map<AttemptId, RunningCall> calls_;
+  std::vector<BrokenCall> broken_;
+  bool probing_ = false;
+  /// Events that the ring had no room for. Bounded: while any waits, no call
+  /// reads, so each adds at most what its read under way delivers.
+  std::deque<TargetEvent> outbox_;
+  boost::asio::steady_timer outbox_timer_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<TargetClient::Call>>
+      cleanups_;
+  std::uint64_t next_cleanup_ = 0;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_SIDE_TARGET_WORKER_H_
--- /dev/null
+++ b/src/target/http_target_client.cc
@@ -0,0 +1,452 @@
+#include "target/http_target_client.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+
+namespace indigolead {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+constexpr char kStep[] = "target.call";
+
+/// One connection, with the bytes read beyond the last answer.
+struct Connection {
+  explicit Connection(asio::io_context* io) : stream(*io) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+/// Returns true if an idle connection can still carry a request. A closed one
+/// is readable, and so is one on which the target said something unasked.
+bool IsQuiet(Connection* connection) {
+  char byte = 0;
+  const auto n = recv(connection->stream.socket().native_handle(), &byte, 1,
+                      MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/// Returns true for headers that concern one connection only.
+bool IsHopByHop(http::field field) {
+  switch (field) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+      return true;
+    default:
+      return false;
+  }
+}
+
+std::optional<Tcp::endpoint> ParseEndpoint(const std::string& address) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code ec;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+  const int port = std::atoi(address.c_str() + colon + 1);
+  if (ec || port <= 0 || port > 65535) {
+    return std::nullopt;
+  }
+  return Tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+}
+
+}  // namespace
+
+/// Connections that no call uses, newest last. Shared with the calls, so that
+/// one that ends after its client is gone has where to return to.
+class HttpTargetClient::Pool {
+ public:
+  Pool(asio::io_context* io, Options options)
+      : io_(io),
+        options_(std::move(options)),
+        endpoint_(ParseEndpoint(options_.address)) {}
+
+  std::unique_ptr<Connection> Take() {
+    while (!idle_.empty()) {
+      auto connection = std::move(idle_.back());
+      idle_.pop_back();
+      if (IsQuiet(connection.get())) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  void Give(std::unique_ptr<Connection> connection) {
+    if (connection->buffer.size() > 0) {
+      return;  // The target said more than its answer: the rest is not ours.
+    }
+    if (idle_.size() >= options_.max_idle_connections) {
+      idle_.pop_front();
+    }
+    connection->stream.expires_never();
+    idle_.push_back(std::move(connection));
+  }
+
+  void Clear() { idle_.clear(); }
+
+  asio::io_context* io() const { return io_; }
+  const Options& options() const { return options_; }
+  const std::optional<Tcp::endpoint>& endpoint() const { return endpoint_; }
+
+ private:
+  asio::io_context* io_;
+  Options options_;
+  std::optional<Tcp::endpoint> endpoint_;
+  std::deque<std::unique_ptr<Connection>> idle_;
+};
+
+namespace {
+
+using Parser = http::response_parser<http::buffer_body>;
+
+/// One exchange. Kept alive by its pending operation; the owner's `HttpCall`
+/// only tells it to stop.
+template <typename Pool>
+class Exchange : public std::enable_shared_from_this<Exchange<Pool>> {
+ public:
+  Exchange(std::shared_ptr<Pool> pool, TargetRequest request,
+           TargetClient::Hooks hooks)
+      : pool_(std::move(pool)),
+        hooks_(std::move(hooks)),
+        deadline_(std::chrono::steady_clock::now() + request.deadline),
+        buffer_(pool_->options().read_buffer_bytes, '\0') {
+    FillRequest(std::move(request));
+  }
+
+  void Begin() {
+    if (!pool_->endpoint()) {
+      Finish(ErrorCode::kInvalidInput, "expected IP:port as address");
+      return;
+    }
+    connection_ = pool_->Take();
+    if (connection_) {
+      Write();
+      return;
+    }
+    Connect();
+  }
+
+  /// Drops the exchange; no hook is called afterwards.
+  void Abandon() {
+    stopped_ = true;
+    if (connection_) {
+      connection_->stream.close();
+    }
+  }
+
+  void PauseReading(bool pause) {
+    // The read may end the call, and the end may destroy its owner.
+    const auto self = this->shared_from_this();
+    paused_ = pause;
+    if (!pause && waiting_) {
+      waiting_ = false;
+      ReadBody();
+    }
+  }
+
+ private:
+  void FillRequest(TargetRequest request) {
+    request_.version(11);
+    request_.method_string(request.method);
+    request_.target(request.path);
+    for (const auto& it : request.headers) {
+      const auto field = http::string_to_field(it.name);
+      if (!IsHopByHop(field) && field != http::field::content_length &&
+          field != http::field::expect) {
+        request_.insert(it.name, it.value);
+      }
+    }
+    if (request_.find(http::field::host) == request_.end()) {
+      request_.set(http::field::host, pool_->options().address);
+    }
+    request_.body() = std::move(request.body);
+    request_.prepare_payload();
+  }
+
+  void Connect() {
+    connection_ = std::make_unique<Connection>(pool_->io());
+    auto& stream = connection_->stream;
+    stream.expires_at(std::min(
+        deadline_,
+        std::chrono::steady_clock::now() + pool_->options().connect_timeout));
+    stream.async_connect(
+        *pool_->endpoint(),
+        [self = this->shared_from_this()](const boost::system::error_code& ec) {
+          self->OnConnected(ec);
+        });
+  }
+
+  void OnConnected(const boost::system::error_code& ec) {
+    if (stopped_) {
+      return;
+    }
+    if (ec) {
+      Finish(ErrorCode::kUnavailable, "connect: " + ec.message());
+      return;
+    }
+    boost::system::error_code ignored;
+    connection_->stream.socket().set_option(Tcp::no_delay(true), ignored);
+    Write();
+  }
+
+  void Write() {
+    const auto self = this->shared_from_this();
+    if (hooks_.on_before_write && !hooks_.on_before_write()) {
+      if (!stopped_) {
+        pool_->Give(std::move(connection_));
+        Finish(ErrorCode::kUnavailable, "stopped before the first byte");
+      }
+      return;
+    }
+    if (stopped_) {
+      return;
+    }
+    written_ = true;
+    connection_->stream.expires_at(deadline_);
+    http::async_write(connection_->stream, request_,
+                      [self](const boost::system::error_code& ec, std::size_t) {
+                        self->OnWritten(ec);
+                      });
+  }
+
+  void OnWritten(const boost::system::error_code& ec) {
+    if (stopped_) {
+      return;
+    }
+    // A target may answer and close before it has read the whole request, so
+    // a failed write is no reason not to read the answer.
+    write_failed_ = static_cast<bool>(ec);
+    if (ec == beast::error::timeout) {
+      Finish(ErrorCode::kTimeout, "write: " + ec.message());
+      return;
+    }
+    StartParser();
+    ReadHead();
+  }
+
+  void StartParser() {
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+    parser_->header_limit(
+        static_cast<std::uint32_t>(pool_->options().max_head_bytes));
+    if (request_.method() == http::verb::head) {
+      parser_->skip(true);
+    }
+  }
+
+  void ReadHead() {
+    http::async_read_header(
+        connection_->stream, connection_->buffer, *parser_,
+        [self = this->shared_from_this()](const boost::system::error_code& ec,
+                                          std::size_t) { self->OnHead(ec); });
+  }
+
+  void OnHead(const boost::system::error_code& ec) {
+    if (stopped_) {
+      return;
+    }
+    if (ec) {
+      Broken("head", ec);
+      return;
+    }
+    if (parser_->get().result_int() / 100 == 1) {
+      StartParser();
+      ReadHead();
+      return;
+    }
+    hooks_.on_head(static_cast<int>(parser_->get().result_int()),
+                   ResponseHeaders());
+    if (!stopped_) {
+      ReadBody();
+    }
+  }
+
+  std::vector<HttpHeader> ResponseHeaders() const {
+    std::vector<HttpHeader> headers;
+    for (const auto& it : parser_->get()) {
+      if (!IsHopByHop(it.name())) {
+        headers.push_back(
+            {std::string(it.name_string()), std::string(it.value())});
+      }
+    }
+    return headers;
+  }
+
+  void ReadBody() {
+    if (parser_->is_done()) {
+      Complete();
+      return;
+    }
+    if (paused_) {
+      waiting_ = true;
+      return;
+    }
+    parser_->get().body().data = buffer_.data();
+    parser_->get().body().size = buffer_.size();
+    http::async_read_some(
+        connection_->stream, connection_->buffer, *parser_,
+        [self = this->shared_from_this()](const boost::system::error_code& ec,
+                                          std::size_t) { self->OnBody(ec); });
+  }
+
+  void OnBody(boost::system::error_code ec) {
+    if (stopped_) {
+      return;
+    }
+    if (ec == http::error::need_buffer) {
+      ec = {};
+    }
+    DrainParsed(&ec);
+    const auto n = buffer_.size() - parser_->get().body().size;
+    if (n > 0) {
+      hooks_.on_body(std::string_view(buffer_.data(), n));
+    }
+    if (stopped_) {
+      return;
+    }
+    if (ec) {
+      Broken("body", ec);
+      return;
+    }
+    ReadBody();
+  }
+
+  /// Parses what was already read while the buffer has room: a target that
+  /// streams tokens as small chunks costs one delivery per read, not per chunk.
+  void DrainParsed(boost::system::error_code* ec) {
+    while (!*ec && !parser_->is_done() && connection_->buffer.size() > 0 &&
+           parser_->get().body().size > 0) {
+      boost::system::error_code parse_ec;
+      const auto n = parser_->put(connection_->buffer.data(), parse_ec);
+      connection_->buffer.consume(n);
+      if (parse_ec == http::error::need_more ||
+          parse_ec == http::error::need_buffer) {
+        return;
+      }
+      *ec = parse_ec;
+      if (n == 0) {
+        return;
+      }
+    }
+  }
+
+  void Complete() {
+    if (parser_->keep_alive() && !write_failed_) {
+      pool_->Give(std::move(connection_));
+    }
+    if (hooks_.on_end) {
+      auto done = std::move(hooks_.on_end);
+      done(Unit{});
+    }
+  }
+
+  void Broken(const char* part, const boost::system::error_code& ec) {
+    const auto code = ec == beast::error::timeout ? ErrorCode::kTimeout
+                                                  : ErrorCode::kUnknownEffect;
+    Finish(code, std::string(part) + ": " + ec.message());
+  }
+
+  void Finish(ErrorCode code, std::string detail) {
+    if (connection_ && written_) {
+      connection_->stream.close();
+    }
+    if (hooks_.on_end) {
+      auto done = std::move(hooks_.on_end);
+      done(Error{code, kStep, pool_->options().address, std::move(detail)});
+    }
+  }
+
+  std::shared_ptr<Pool> pool_;
+  TargetClient::Hooks hooks_;
+  std::chrono::steady_clock::time_point deadline_;
+  http::request<http::string_body> request_;
+  std::unique_ptr<Connection> connection_;
+  std::optional<Parser> parser_;
+  std::string buffer_;
+  bool written_ = false;
+  bool write_failed_ = false;
+  bool stopped_ = false;
+  bool paused_ = false;
+  bool waiting_ = false;  ///< The next read waits for the end of a pause.
+};
+
+template <typename Pool>
+class HttpCall : public TargetClient::Call {
+ public:
+  explicit HttpCall(std::shared_ptr<Exchange<Pool>> exchange)
+      : exchange_(std::move(exchange)) {}
+  ~HttpCall() override { exchange_->Abandon(); }
+
+  void PauseReading(bool pause) override { exchange_->PauseReading(pause); }
+
+ private:
+  std::shared_ptr<Exchange<Pool>> exchange_;
+};
+
+}  // namespace
+
+HttpTargetClient::HttpTargetClient(asio::io_context* io, Options options)
+    : pool_(std::make_shared<Pool>(io, std::move(options))) {}
+
+HttpTargetClient::~HttpTargetClient() { pool_->Clear(); }
+
+std::unique_ptr<TargetClient::Call> HttpTargetClient::Start(
+    TargetRequest request, Hooks hooks) {
+  auto exchange = std::make_shared<Exchange<Pool>>(pool_, std::move(request),
+                                                   std::move(hooks));
+  // Posted, so that no hook is called before the caller holds the call.
+  asio::post(*pool_->io(), [weak = std::weak_ptr(exchange)] {
+    if (const auto it = weak.lock()) {
+      it->Begin();
+    }
+  });
+  return std::make_unique<HttpCall<Pool>>(std::move(exchange));
+}
+
+void HttpTargetClient::CloseIdle() { pool_->Clear(); }
+
+std::unique_ptr<TargetClient::Call> FetchAnswer(
+    TargetClient* client, TargetRequest request, std::size_t max_bytes,
+    std::function<void(Result<TargetAnswer>)> done) {
+  auto answer = std::make_shared<TargetAnswer>();
+  auto too_long = std::make_shared<bool>(false);
+  TargetClient::Hooks hooks;
+  hooks.on_head = [answer](int status, std::vector<HttpHeader>) {
+    answer->status = status;
+  };
+  hooks.on_body = [answer, too_long, max_bytes](std::string_view data) {
+    *too_long = *too_long || answer->body.size() + data.size() > max_bytes;
+    if (!*too_long) {
+      answer->body.append(data);
+    }
+  };
+  hooks.on_end = [answer, too_long, done = std::move(done)](Status status) {
+    if (!IsOk(status)) {
+      done(ErrorOf(status));
+    } else if (*too_long) {
+      done(Error{ErrorCode::kProtocol, "target.fetch", "", "answer too long"});
+    } else {
+      done(std::move(*answer));
+    }
+  };
+  return client->Start(std::move(request), std::move(hooks));
+}
+
+}  // namespace indigolead
