Carry envelopes between processes over ZeroMQ

Nothing could talk yet. Links owns one ROUTER socket for the peers that dial in and one DEALER per address dialled, joined to the io_context by ZeroMQ's edge-triggered descriptor, whose events are read again after every send.

Every connection has a fresh routing id with the process's incarnation, so ZeroMQ's own silent reconnect is off: it would carry the id of a lost connection on. A transport monitor tells of a lost connection at once; where the transport says nothing, silence of the application's heartbeats does.

The decisions (heartbeat, silence, backoff, which run of an instance counts) are in core/membership and tested as tables without sockets.

--- /dev/null
+++ b/src/wire/events.h
@@ -0,0 +1,34 @@
+#ifndef INDIGOLEAD_WIRE_EVENTS_H_
+#define INDIGOLEAD_WIRE_EVENTS_H_
+
+#include "observe/event_log.h"
+
+namespace indigolead::events {
+
+inline constexpr EventInfo kLinkUp{5001, "link-up", EventSeverity::kInfo,
+                                   "A peer said hello on a new connection."};
+inline constexpr EventInfo kLinkDown{
+    5002, "link-down", EventSeverity::kInfo,
+    "A connection ended; the reason is given."};
+inline constexpr EventInfo kLinkSilent{
+    5003, "link-silent", EventSeverity::kWarning,
+    "A connection was closed because the peer sent nothing for the silence "
+    "timeout."};
+inline constexpr EventInfo kLinkRefused{
+    5004, "link-refused", EventSeverity::kWarning,
+    "A peer's hello was refused; the reason is given."};
+inline constexpr EventInfo kLinksUnencrypted{
+    5005, "links-unencrypted", EventSeverity::kWarning,
+    "Connections between processes are not encrypted, which is allowed on "
+    "loopback addresses only."};
+inline constexpr EventInfo kLinksListening{
+    5006, "links-listening", EventSeverity::kInfo,
+    "The process accepts connections of its peers at the address given."};
+inline constexpr EventInfo kLinkAddressRefused{
+    5007, "link-address-refused", EventSeverity::kError,
+    "A peer's address was not dialled: it is malformed, or not on loopback "
+    "while encryption is off."};
+
+}  // namespace indigolead::events
+
+#endif  // INDIGOLEAD_WIRE_EVENTS_H_
--- a/src/wire/links.h
+++ b/src/wire/links.h
@@ -49,10 +49,13 @@
     std::string trusted_keys_file;
   };
 
-  /// What the owner of the links reacts to.
+  /// What the owner of the links reacts to. A hook may call any method, but
+  /// must not destroy the links. `on_down` is never called from inside `Send`
+  /// or `Disconnect`, and no hook is called after `Stop`.
   struct Hooks {
     /// Returns the `Hello` to open a connection with: identity, target, and
-    /// the revisions held now.
+    /// the revisions held now. Peers refuse one without an instance name or
+    /// with an incarnation that is not 16 bytes.
     std::function<wire::Hello()> make_hello;
     /// Fills a heartbeat with load and changes; may leave it as it is.
     std::function<void(wire::Heartbeat*)> fill_heartbeat;
@@ -88,7 +91,8 @@
   /// link is gone or its queue is full.
   bool Send(LinkId link, const wire::Envelope& message);
 
-  /// Says goodbye on every link, then closes them.
+  /// Says goodbye on every link, then closes them. Goodbyes not yet written
+  /// hold the destructor for 200 ms at most.
   void Stop(const std::string& reason);
 
  private:
--- /dev/null
+++ b/src/wire/links_sockets.cc
@@ -0,0 +1,330 @@
+// Sockets and dials of `Links`: options, bind, connect, reading, transport.
+#include <boost/asio/ip/address.hpp>
+#include <cstring>
+
+#include "wire/codec.h"
+#include "wire/events.h"
+#include "wire/links_impl.h"
+
+namespace indigolead {
+namespace {
+
+using internal::TransportMonitor;
+using internal::ZmqSocket;
+
+/// Frames read from one socket before other work of the thread gets its turn.
+constexpr int kReadBatch = 256;
+/// Bounds the time in which a socket that was closed still sends a goodbye.
+constexpr int kGoodbyeLingerMs = 200;
+/// Unacknowledged data for this long ends a connection below ZeroMQ, which
+/// would otherwise hold a peer that vanished until the kernel gives up.
+constexpr int kTransportTimeoutMs = 10000;
+constexpr int kHandshakeTimeoutMs = 5000;
+constexpr char kScheme[] = "tcp://";
+
+int ToMilliseconds(Duration duration) {
+  return static_cast<int>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+// Returns true if `address` is "IP:port"; says whether IP is on loopback.
+bool ParseAddress(const std::string& address, bool* is_loopback) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos || colon + 1 == address.size()) {
+    return false;
+  }
+  std::string host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code ec;
+  const auto ip = boost::asio::ip::make_address(host, ec);
+  *is_loopback = !ec && ip.is_loopback();
+  return !ec;
+}
+
+// Discards the frames of a message that has more of them than the protocol.
+bool DiscardRest(ZmqSocket* socket, const zmq::message_t& last) {
+  bool more = last.more();
+  const bool discarded = more;
+  while (more) {
+    zmq::message_t extra;
+    more = socket->Receive(&extra) && extra.more();
+  }
+  return discarded;
+}
+
+}  // namespace
+
+void Links::Impl::SetCommonOptions(zmq::socket_t* socket) const {
+  socket->set(zmq::sockopt::linger, 0);
+  socket->set(zmq::sockopt::immediate, 1);
+  socket->set(zmq::sockopt::sndhwm, options_.high_water_mark);
+  socket->set(zmq::sockopt::rcvhwm, options_.high_water_mark);
+  socket->set(zmq::sockopt::maxmsgsize,
+              static_cast<std::int64_t>(options_.max_message_bytes));
+  socket->set(zmq::sockopt::handshake_ivl, kHandshakeTimeoutMs);
+  socket->set(zmq::sockopt::tcp_keepalive, 1);
+  socket->set(zmq::sockopt::tcp_keepalive_idle, 10);
+  socket->set(zmq::sockopt::tcp_keepalive_intvl, 5);
+  socket->set(zmq::sockopt::tcp_keepalive_cnt, 3);
+  socket->set(zmq::sockopt::tcp_maxrt, kTransportTimeoutMs);
+}
+
+Status Links::Impl::Bind() {
+  bool is_loopback = false;
+  if (!ParseAddress(options_.bind_address, &is_loopback)) {
+    return MakeError(ErrorCode::kInvalidInput, options_.bind_address,
+                     "expected IP:port");
+  }
+  if (!is_loopback && !IsEncrypted()) {
+    return MakeError(ErrorCode::kInvalidInput, options_.bind_address,
+                     "an address outside loopback needs key files; set "
+                     "public_key_file, secret_key_file, trusted_keys_file");
+  }
+  router_ =
+      std::make_shared<ZmqSocket>(io_, &context_, zmq::socket_type::router);
+  SetCommonOptions(&router_->raw());
+  router_->raw().set(zmq::sockopt::router_mandatory, 1);
+  router_transport_ = std::make_unique<TransportMonitor>(
+      io_, &context_, &router_->raw(),
+      [this](TransportEvent event, std::uint32_t descriptor) {
+        OnRouterTransport(event, descriptor);
+      });
+  try {
+    router_->raw().bind(kScheme + options_.bind_address);
+  } catch (const zmq::error_t& error) {
+    return MakeError(ErrorCode::kInvalidInput, options_.bind_address,
+                     error.what());
+  }
+  bound_address_ = router_->raw()
+                       .get(zmq::sockopt::last_endpoint)
+                       .substr(std::strlen(kScheme));
+  router_->Start([this] { return DrainRouter(); });
+  log_(events::kLinksListening, {{"address", bound_address_}});
+  return Unit{};
+}
+
+bool Links::Impl::DrainRouter() {
+  const std::shared_ptr<ZmqSocket> socket = router_;
+  zmq::message_t identity;
+  zmq::message_t frame;
+  for (int n = 0; n < kReadBatch; ++n) {
+    if (socket->is_closed() || !socket->Receive(&identity)) {
+      return false;
+    }
+    if (!identity.more() || !socket->Receive(&frame)) {
+      metrics_.dropped_unparseable.Add();
+      continue;
+    }
+    if (DiscardRest(socket.get(), frame)) {
+      metrics_.dropped_unparseable.Add();
+      continue;
+    }
+    OnRouterFrame(identity.to_string(), frame);
+  }
+  return true;
+}
+
+bool Links::Impl::DrainDealer(const std::string& address) {
+  const auto it = dials_.find(address);
+  if (it == dials_.end() || it->second->socket == nullptr) {
+    return false;
+  }
+  // A hook may disconnect the address; the socket is then closed, and only
+  // while it is open may `dial` be touched.
+  Dial* dial = it->second.get();
+  const std::shared_ptr<ZmqSocket> socket = dial->socket;
+  SendOpeningHello(dial);
+  zmq::message_t frame;
+  for (int n = 0; n < kReadBatch; ++n) {
+    if (socket->is_closed() || !socket->Receive(&frame)) {
+      return false;
+    }
+    if (DiscardRest(socket.get(), frame)) {
+      metrics_.dropped_unparseable.Add();
+      continue;
+    }
+    OnDealerFrame(dial, frame);
+  }
+  return true;
+}
+
+void Links::Impl::OnRouterTransport(TransportEvent event,
+                                    std::uint32_t descriptor) {
+  if (event == TransportEvent::kRefused) {
+    metrics_.refused.Add();
+    log_(events::kLinkRefused, {{"reason", "handshake"}});
+    return;
+  }
+  if (event != TransportEvent::kLost) {
+    return;
+  }
+  // The descriptor may already serve a newer connection, so this is a hint
+  // only: a heartbeat to each link on it finds out, now and at the next tick,
+  // since the socket may not yet know what its transport knows.
+  std::vector<std::uint64_t> probed;
+  const auto [first, last] = link_of_descriptor_.equal_range(descriptor);
+  for (auto it = first; it != last; ++it) {
+    probed.push_back(it->second);
+  }
+  for (const std::uint64_t id : probed) {
+    if (const auto it = links_.find(id); it != links_.end()) {
+      it->second.probe = true;
+      SendHeartbeat(id);
+    }
+  }
+}
+
+void Links::Impl::OnDealerTransport(const std::string& address,
+                                    TransportEvent event) {
+  if (event == TransportEvent::kConnected) {
+    DrainDealer(address);
+    return;
+  }
+  // Frames that came before the end are delivered first.
+  while (DrainDealer(address)) {
+  }
+  const auto it = dials_.find(address);
+  if (it == dials_.end()) {
+    return;
+  }
+  if (event == TransportEvent::kRefused) {
+    metrics_.refused.Add();
+    log_(events::kLinkRefused, {{"peer", address}, {"reason", "handshake"}});
+  }
+  LoseDial(it->second.get(), MakeError(ErrorCode::kUnavailable, address,
+                                       "the connection was lost"));
+}
+
+std::string Links::Impl::NewRoutingId() {
+  // A fresh id for each connection keeps a restarted process, and a later
+  // connection of this one, from getting what was meant for the earlier. The
+  // first byte must not be zero, which ZeroMQ keeps for itself.
+  return "i" + hooks_.make_hello().incarnation() + ToBytes(ids_());
+}
+
+void Links::Impl::Connect(const std::string& address) {
+  if (stopped_ || dials_.count(address) > 0) {
+    return;
+  }
+  bool is_loopback = false;
+  if (!ParseAddress(address, &is_loopback) ||
+      (!is_loopback && !IsEncrypted()) || dials_.size() >= options_.max_links) {
+    metrics_.refused.Add();
+    log_(events::kLinkAddressRefused, {{"peer", address}});
+    return;
+  }
+  auto dial = std::make_unique<Dial>(address,
+                                     DialMonitor(timing_, ids_().lo, clock_()));
+  OpenDial(dial.get());
+  dials_[address] = std::move(dial);
+}
+
+void Links::Impl::Disconnect(const std::string& address) {
+  const auto it = dials_.find(address);
+  if (it == dials_.end()) {
+    return;
+  }
+  Dial* dial = it->second.get();
+  if (const auto link = links_.find(dial->link); link != links_.end()) {
+    wire::Envelope goodbye;
+    goodbye.mutable_goodbye()->set_reason("disconnected");
+    SendOn(&link->second, goodbye);
+    DropLater(dial->link);
+  }
+  if (dial->socket != nullptr) {
+    dial->socket->raw().set(zmq::sockopt::linger, kGoodbyeLingerMs);
+  }
+  CloseDial(dial);
+  dials_.erase(it);
+}
+
+void Links::Impl::OpenDial(Dial* dial) {
+  dial->socket =
+      std::make_shared<ZmqSocket>(io_, &context_, zmq::socket_type::dealer);
+  zmq::socket_t& raw = dial->socket->raw();
+  SetCommonOptions(&raw);
+  raw.set(zmq::sockopt::routing_id, NewRoutingId());
+  // A silent reconnect would carry the routing id of the lost connection on,
+  // so each connection gets a socket of its own instead.
+  raw.set(zmq::sockopt::reconnect_ivl, -1);
+  raw.set(zmq::sockopt::connect_timeout, ToMilliseconds(timing_.dial_timeout));
+  const std::string address = dial->address;
+  dial->transport = std::make_unique<TransportMonitor>(
+      io_, &context_, &raw, [this, address](TransportEvent event, auto) {
+        OnDealerTransport(address, event);
+      });
+  dial->monitor.OnOpened(clock_());
+  try {
+    raw.connect(kScheme + address);
+  } catch (const zmq::error_t& error) {
+    LoseDial(dial, MakeError(ErrorCode::kUnavailable, address, error.what()));
+    return;
+  }
+  dial->socket->Start([this, address] { return DrainDealer(address); });
+}
+
+void Links::Impl::CloseDial(Dial* dial) {
+  dial->transport.reset();
+  if (dial->socket != nullptr) {
+    dial->socket->Close();
+    dial->socket.reset();
+  }
+  dial->hello_sent = false;
+  dial->link = 0;
+}
+
+void Links::Impl::LoseDial(Dial* dial, const Error& error) {
+  if (dial->link != 0) {
+    DropLink(dial->link, error);
+    return;
+  }
+  CloseDial(dial);
+  dial->monitor.OnLost(clock_());
+}
+
+void Links::Impl::SendOpeningHello(Dial* dial) {
+  if (dial->hello_sent || dial->socket == nullptr ||
+      !dial->socket->IsWritable()) {
+    return;
+  }
+  wire::Envelope hello;
+  *hello.mutable_hello() = hooks_.make_hello();
+  zmq::message_t frame;
+  if (internal::EncodeEnvelope(hello, options_.max_message_bytes, &frame)) {
+    dial->hello_sent =
+        dial->socket->Send(std::move(frame), false) == SendResult::kSent;
+  }
+}
+
+void Links::Impl::Stop(const std::string& reason) {
+  if (stopped_) {
+    return;
+  }
+  stopped_ = true;
+  timer_.cancel();
+  wire::Envelope goodbye;
+  goodbye.mutable_goodbye()->set_reason(reason);
+  for (auto& [id, link] : links_) {
+    SendOn(&link, goodbye);
+  }
+  for (auto& [address, dial] : dials_) {
+    if (dial->socket != nullptr) {
+      dial->socket->raw().set(zmq::sockopt::linger, kGoodbyeLingerMs);
+    }
+    CloseDial(dial.get());
+  }
+  dials_.clear();
+  links_.clear();
+  link_of_identity_.clear();
+  link_of_descriptor_.clear();
+  metrics_.up.Set(0);
+  router_transport_.reset();
+  if (router_ != nullptr) {
+    router_->raw().set(zmq::sockopt::linger, kGoodbyeLingerMs);
+    router_->Close();
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/wire/zmq_socket.cc
@@ -0,0 +1,97 @@
+#include "wire/zmq_socket.h"
+
+#include <boost/asio/post.hpp>
+
+namespace indigolead::internal {
+
+ZmqSocket::ZmqSocket(boost::asio::io_context* io, zmq::context_t* context,
+                     zmq::socket_type type)
+    : io_(io), socket_(*context, type), descriptor_(*io) {}
+
+ZmqSocket::~ZmqSocket() { Close(); }
+
+void ZmqSocket::Start(OnReady on_ready) {
+  on_ready_ = std::move(on_ready);
+  descriptor_.assign(socket_.get(zmq::sockopt::fd));
+  CheckSoon();
+}
+
+void ZmqSocket::CheckSoon() {
+  if (closed_ || posted_) {
+    return;
+  }
+  posted_ = true;
+  boost::asio::post(*io_, [self = weak_from_this()] {
+    if (const auto socket = self.lock()) {
+      socket->posted_ = false;
+      socket->Pass();
+    }
+  });
+}
+
+void ZmqSocket::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  // The descriptor belongs to ZeroMQ, which closes it with the socket.
+  if (descriptor_.is_open()) {
+    descriptor_.release();
+  }
+  socket_.close();
+}
+
+bool ZmqSocket::Receive(zmq::message_t* message) {
+  return !closed_ &&
+         socket_.recv(*message, zmq::recv_flags::dontwait).has_value();
+}
+
+SendResult ZmqSocket::Send(zmq::message_t&& frame, bool more) {
+  if (closed_) {
+    return SendResult::kGone;
+  }
+  const int flags = ZMQ_DONTWAIT | (more ? ZMQ_SNDMORE : 0);
+  if (zmq_msg_send(frame.handle(), socket_.handle(), flags) >= 0) {
+    return SendResult::kSent;
+  }
+  return zmq_errno() == EAGAIN ? SendResult::kFull : SendResult::kGone;
+}
+
+bool ZmqSocket::IsWritable() {
+  return !closed_ && (socket_.get(zmq::sockopt::events) & ZMQ_POLLOUT) != 0;
+}
+
+void ZmqSocket::Arm() {
+  if (armed_) {
+    return;
+  }
+  armed_ = true;
+  descriptor_.async_wait(
+      boost::asio::posix::stream_descriptor::wait_read,
+      [self = weak_from_this()](const boost::system::error_code& ec) {
+        const auto socket = self.lock();
+        if (socket != nullptr) {
+          socket->armed_ = false;
+        }
+        if (socket != nullptr && !ec) {
+          socket->Pass();
+        }
+      });
+}
+
+void ZmqSocket::Pass() {
+  if (closed_) {
+    return;
+  }
+  const bool more = on_ready_();
+  if (closed_) {
+    return;
+  }
+  if (more || (socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+    CheckSoon();
+    return;
+  }
+  Arm();
+}
+
+}  // namespace indigolead::internal
--- /dev/null
+++ b/tests/core/membership/link_monitor_test.cc
@@ -0,0 +1,121 @@
+#include "core/membership/link_monitor.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace indigolead {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint kStart = TimePoint(1000s);
+
+TEST_CASE("LinkMonitor tells when a heartbeat or an end is due") {
+  const LinkTiming timing;  // 500 ms, 1500 ms.
+  struct Row {
+    std::string name;
+    Duration sent;       // Last message sent, after the start.
+    Duration heartbeat;  // Last heartbeat sent.
+    Duration received;   // Last message received.
+    Duration now;
+    LinkAction expected;
+  };
+  const std::vector<Row> rows = {
+      {"fresh", 0s, 0s, 0s, 499ms, LinkAction::kNone},
+      {"idle", 0s, 0s, 400ms, 500ms, LinkAction::kSendHeartbeat},
+      {"busy", 900ms, 0s, 900ms, 1s, LinkAction::kNone},
+      {"busy for long", 1999ms, 0s, 1999ms, 2s, LinkAction::kSendHeartbeat},
+      {"we send, the peer does not", 1499ms, 1499ms, 0s, 1500ms,
+       LinkAction::kCloseSilent},
+      {"just not silent", 1499ms, 1400ms, 0s, 1499ms, LinkAction::kNone},
+      {"clock went back", 1s, 1s, 1s, 200ms, LinkAction::kNone},
+  };
+  for (const Row& row : rows) {
+    DYNAMIC_SECTION(row.name) {
+      LinkMonitor monitor(timing, kStart);
+      monitor.OnHeartbeatSent(kStart + row.heartbeat);
+      monitor.OnSent(kStart + row.sent);
+      monitor.OnReceived(kStart + row.received);
+      CHECK(monitor.Poll(kStart + row.now) == row.expected);
+    }
+  }
+}
+
+// This process is stopped for 5 s and woken. Its peers' messages wait unread
+// in the sockets, so by its own clock every peer looks silent. Closing all
+// links at once would break every stream for nothing.
+TEST_CASE("A paused process gives its peers one interval before it judges") {
+  LinkMonitor monitor(LinkTiming{}, kStart);
+  PauseDetector pause(500ms);
+  CHECK_FALSE(pause.Observe(kStart + 100ms));
+  CHECK_FALSE(pause.Observe(kStart + 200ms));
+  REQUIRE(pause.Observe(kStart + 5200ms));
+  monitor.OnOwnPause(kStart + 5200ms);
+
+  SECTION("a peer that was alive all along keeps its link") {
+    CHECK(monitor.Poll(kStart + 5200ms) == LinkAction::kSendHeartbeat);
+    monitor.OnReceived(kStart + 5300ms);
+    CHECK(monitor.Poll(kStart + 6s) != LinkAction::kCloseSilent);
+  }
+  SECTION("a peer that is really gone is dropped after the interval") {
+    CHECK(monitor.Poll(kStart + 5700ms) == LinkAction::kCloseSilent);
+  }
+}
+
+TEST_CASE("DialMonitor opens, gives up and opens again") {
+  const LinkTiming timing;
+  DialMonitor dial(timing, 7, kStart);
+  CHECK(dial.Poll(kStart) == DialAction::kOpen);
+  dial.OnOpened(kStart);
+
+  SECTION("a peer that says nothing is given up after the dial timeout") {
+    CHECK(dial.Poll(kStart + 1499ms) == DialAction::kNone);
+    CHECK(dial.Poll(kStart + 1500ms) == DialAction::kGiveUp);
+    dial.OnLost(kStart + 1500ms);
+    CHECK(dial.is_waiting());
+    CHECK(dial.Poll(kStart + 1500ms + timing.backoff_min) == DialAction::kOpen);
+  }
+  SECTION("a peer that accepts and drops is dialled ever more slowly") {
+    TimePoint now = kStart;
+    for (int n = 0; n < 10; ++n) {
+      dial.OnUp(now);
+      dial.OnLost(now);
+    }
+    CHECK(dial.Poll(now + timing.backoff_max / 2 - 1ns) == DialAction::kNone);
+    CHECK(dial.Poll(now + timing.backoff_max) == DialAction::kOpen);
+  }
+  SECTION("a link that lasted starts the waits again from the minimum") {
+    for (int n = 0; n < 10; ++n) {
+      dial.OnLost(kStart);
+    }
+    dial.OnUp(kStart);
+    dial.OnLost(kStart + 10s);
+    CHECK(dial.Poll(kStart + 10s + timing.backoff_min) == DialAction::kOpen);
+  }
+  SECTION("a refusal waits longest") {
+    dial.OnRefused(kStart);
+    CHECK(dial.Poll(kStart + timing.backoff_max / 2 - 1ns) ==
+          DialAction::kNone);
+  }
+}
+
+TEST_CASE("Waits to reconnect differ between processes") {
+  // 1,000 sides of an entry that restarted must not come back in one moment.
+  std::vector<int> buckets(10, 0);
+  for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+    ReconnectBackoff backoff(1s, 1s, seed);
+    const auto wait = backoff.Next();
+    REQUIRE(wait >= 500ms);
+    REQUIRE(wait <= 1s);
+    ++buckets[static_cast<std::size_t>(
+        std::min<Duration::rep>(9, (wait - 500ms) / 50ms))];
+  }
+  for (const int n : buckets) {
+    CHECK(n > 50);
+    CHECK(n < 200);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
