Close links without destroying what is on its way

A loaded run of the tests lost a goodbye: a TCP socket that is closed with unread input answers with a reset, which destroys the last frames sent. At a planned stop that could be the end of a caller's answer. The end that leaves now keeps reading until the peer has answered its goodbye, for 500 ms at most, in the event loop or, once that has ended, in the destructor. A longer linger was ruled out: it keeps the writing end open, but does not read.

--- /dev/null
+++ b/src/wire/links_farewell.cc
@@ -0,0 +1,152 @@
+// Ends of `Links`: goodbyes, and closing sockets without losing what is still
+// on its way.
+//
+// A TCP socket closed with unread input answers with a reset, which can destroy
+// the last frames that this process sent: a caller would lose the end of its
+// answer to a planned stop. So both ends say goodbye, and the one that leaves
+// keeps reading until it has the peer's.
+#include <vector>
+
+#include "wire/codec.h"
+#include "wire/links_impl.h"
+
+namespace indigolead {
+namespace {
+
+using internal::ZmqSocket;
+
+/// Longest wait for the peer's goodbye; a peer that hangs costs no more.
+constexpr Duration kFarewellTimeout = std::chrono::milliseconds(500);
+/// Time in which a closed socket still sends the goodbye that it answers with.
+constexpr int kGoodbyeLingerMs = 200;
+constexpr auto kPollInterval = std::chrono::milliseconds(10);
+
+bool IsGoodbye(const zmq::message_t& frame) {
+  wire::Envelope message;
+  return internal::DecodeEnvelope(frame.data(), frame.size(), &message) &&
+         message.has_goodbye();
+}
+
+}  // namespace
+
+void Links::Impl::Stop(const std::string& reason) {
+  if (stopped_) {
+    return;
+  }
+  stopped_ = true;
+  wire::Envelope goodbye;
+  goodbye.mutable_goodbye()->set_reason(reason);
+  for (auto& [id, link] : links_) {
+    if (!link.identity.empty() && SendOn(&link, goodbye) == SendResult::kSent) {
+      parting_identities_.insert(link.identity);
+    }
+  }
+  for (auto& [address, dial] : dials_) {
+    PartWithDial(dial.get(), reason);
+  }
+  dials_.clear();
+  links_.clear();
+  link_of_identity_.clear();
+  link_of_descriptor_.clear();
+  metrics_.up.Set(0);
+  router_until_ = clock_() + kFarewellTimeout;
+  if (parting_identities_.empty()) {
+    CloseRouter();
+  }
+}
+
+void Links::Impl::PartWithDial(Dial* dial, const std::string& reason) {
+  const auto link = links_.find(dial->link);
+  wire::Envelope goodbye;
+  goodbye.mutable_goodbye()->set_reason(reason);
+  if (link != links_.end() &&
+      SendOn(&link->second, goodbye) == SendResult::kSent) {
+    ZmqSocket* const socket = dial->socket.get();
+    parting_[socket] = {std::move(dial->socket), clock_() + kFarewellTimeout};
+  }
+  CloseDial(dial);
+}
+
+void Links::Impl::AnswerGoodbye(Link* link) {
+  wire::Envelope goodbye;
+  goodbye.mutable_goodbye()->set_reason("goodbye received");
+  SendOn(link, goodbye);
+  const auto dial = dials_.find(link->address);
+  if (dial != dials_.end() && dial->second->socket != nullptr) {
+    dial->second->socket->raw().set(zmq::sockopt::linger, kGoodbyeLingerMs);
+  }
+}
+
+bool Links::Impl::DrainParting(ZmqSocket* socket) {
+  const auto it = parting_.find(socket);
+  if (it == parting_.end()) {
+    return false;
+  }
+  zmq::message_t frame;
+  while (socket->Receive(&frame)) {
+    if (IsGoodbye(frame)) {
+      // The caller holds the socket while its own pass runs.
+      socket->Close();
+      parting_.erase(it);
+      return false;
+    }
+  }
+  return false;
+}
+
+void Links::Impl::OnPartingFrame(const std::string& identity,
+                                 const zmq::message_t& frame) {
+  if (IsGoodbye(frame)) {
+    parting_identities_.erase(identity);
+  }
+  if (parting_identities_.empty()) {
+    CloseRouter();
+  }
+}
+
+void Links::Impl::CloseRouter() {
+  parting_identities_.clear();
+  router_transport_.reset();
+  if (router_ != nullptr) {
+    router_->Close();
+  }
+}
+
+void Links::Impl::ExpireParting(TimePoint now) {
+  std::erase_if(parting_, [now](auto& entry) {
+    const bool expired = now >= entry.second.until;
+    if (expired) {
+      entry.second.socket->Close();
+    }
+    return expired;
+  });
+  if (stopped_ && now >= router_until_) {
+    CloseRouter();
+  }
+}
+
+void Links::Impl::AwaitFarewells() {
+  // The owner may have stopped its event loop already, so the sockets are
+  // polled here, within the same bound.
+  for (auto left = kFarewellTimeout; IsParting() && left > Duration::zero();
+       left -= kPollInterval) {
+    std::vector<zmq::pollitem_t> items;
+    std::vector<ZmqSocket*> sockets;
+    for (auto& [socket, parting] : parting_) {
+      items.push_back({socket->raw().handle(), 0, ZMQ_POLLIN, 0});
+      sockets.push_back(socket);
+    }
+    if (!parting_identities_.empty()) {
+      items.push_back({router_->raw().handle(), 0, ZMQ_POLLIN, 0});
+    }
+    zmq::poll(items, kPollInterval);
+    for (ZmqSocket* const socket : sockets) {
+      DrainParting(socket);
+    }
+    while (!parting_identities_.empty() && DrainRouter()) {
+    }
+    ExpireParting(clock_());
+  }
+}
+
+}  // namespace indigolead
--- a/src/wire/links_impl.cc
+++ b/src/wire/links_impl.cc
@@ -11,9 +11,9 @@
 constexpr int kTicksPerHeartbeat = 5;
 constexpr Duration kBackoffMin = std::chrono::milliseconds(50);
 constexpr Duration kBackoffMax = std::chrono::seconds(1);
-/// ZeroMQ sockets per dialled address (the DEALER and the two ends of its
-/// monitor), and those of the ROUTER.
-constexpr int kSocketsPerDial = 3;
+/// ZeroMQ sockets per dialled address (the DEALER, the two ends of its monitor
+/// and a predecessor that is parting), and those of the ROUTER.
+constexpr int kSocketsPerDial = 4;
 constexpr int kOtherSockets = 16;
 constexpr int kMaxSockets = 65535;
 
@@ -52,6 +52,10 @@
 }
 
 Links::Impl::~Impl() {
+  if (stopped_) {
+    AwaitFarewells();
+  }
+  parting_.clear();
   for (auto& [address, dial] : dials_) {
     CloseDial(dial.get());
   }
@@ -81,7 +85,7 @@
           options_.heartbeat_interval / kTicksPerHeartbeat));
   timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](
                         const boost::system::error_code& ec) {
-    if (!ec && !alive.expired() && !stopped_) {
+    if (!ec && !alive.expired()) {
       Tick();
     }
   });
@@ -89,14 +93,19 @@
 
 void Links::Impl::Tick() {
   const TimePoint now = clock_();
+  ExpireParting(now);
+  if (stopped_) {
+    if (IsParting()) {
+      ArmTimer();
+    }
+    return;
+  }
   const bool paused = pause_detector_.Observe(now);
   PollLinks(now, paused);
   if (!stopped_) {
     PollDials(now);
   }
-  if (!stopped_) {
-    ArmTimer();
-  }
+  ArmTimer();
 }
 
 void Links::Impl::PollLinks(TimePoint now, bool paused) {
--- a/src/wire/links_impl.h
+++ b/src/wire/links_impl.h
@@ -75,7 +75,7 @@
   void SetCommonOptions(zmq::socket_t* socket) const;
   Status Bind();
   bool DrainRouter();
-  bool DrainDealer(const std::string& address);
+  bool DrainDealer(const std::string& address, internal::ZmqSocket* read);
   void OnRouterTransport(TransportEvent event, std::uint32_t descriptor);
   void OnDealerTransport(const std::string& address, TransportEvent event);
   std::string NewRoutingId();
@@ -83,6 +83,7 @@
   // Dials.
   void OpenDial(Dial* dial);
   void CloseDial(Dial* dial);
+  void PartWithDial(Dial* dial, const std::string& reason);
   void LoseDial(Dial* dial, const Error& error);
   void SendOpeningHello(Dial* dial);
 
@@ -111,6 +112,17 @@
   void DropLater(std::uint64_t id);
   void DropGone();
 
+  // Farewells: sockets that said goodbye and wait for the peer's.
+  void AnswerGoodbye(Link* link);
+  bool DrainParting(internal::ZmqSocket* socket);
+  void OnPartingFrame(const std::string& identity, const zmq::message_t& frame);
+  void CloseRouter();
+  void ExpireParting(TimePoint now);
+  void AwaitFarewells();
+  bool IsParting() const {
+    return !parting_.empty() || !parting_identities_.empty();
+  }
+
   // Time.
   void ArmTimer();
   void Tick();
@@ -145,6 +157,16 @@
   std::unordered_multimap<std::uint32_t, std::uint64_t> link_of_descriptor_;
   std::set<std::uint64_t> gone_;  ///< Links to drop in a posted pass.
   bool drop_posted_ = false;
+
+  /// A socket that is kept open until the peer has answered the goodbye, so
+  /// that closing it resets nothing that is still on its way.
+  struct Parting {
+    std::shared_ptr<internal::ZmqSocket> socket;
+    TimePoint until;
+  };
+  std::unordered_map<internal::ZmqSocket*, Parting> parting_;
+  std::set<std::string> parting_identities_;  ///< Of the ROUTER, once stopped.
+  TimePoint router_until_;
   std::uint64_t next_link_ = 1;
   /// Expires with this object, so that posted work finds it gone.
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/wire/links_messages.cc
+++ b/src/wire/links_messages.cc
@@ -196,8 +196,11 @@
   Link& link = it->second;
   link.monitor.OnReceived(clock_());
   if (message.has_goodbye()) {
-    DropLink(id, MakeError(ErrorCode::kUnavailable, link.instance,
-                           "goodbye: " + message.goodbye().reason()));
+    const Error error = MakeError(ErrorCode::kUnavailable, link.instance,
+                                  "goodbye: " + message.goodbye().reason());
+    // The peer waits for the answer before it closes.
+    AnswerGoodbye(&link);
+    DropLink(id, error);
     return;
   }
   if (message.has_hello()) {
--- a/src/wire/links_sockets.cc
+++ b/src/wire/links_sockets.cc
@@ -14,8 +14,6 @@
 
 /// Frames read from one socket before other work of the thread gets its turn.
 constexpr int kReadBatch = 256;
-/// Bounds the time in which a socket that was closed still sends a goodbye.
-constexpr int kGoodbyeLingerMs = 200;
 /// Unacknowledged data for this long ends a connection below ZeroMQ, which
 /// would otherwise hold a peer that vanished until the kernel gives up.
 constexpr int kTransportTimeoutMs = 10000;
@@ -121,25 +119,30 @@
       metrics_.dropped_unparseable.Add();
       continue;
     }
-    OnRouterFrame(identity.to_string(), frame);
+    if (stopped_) {
+      OnPartingFrame(identity.to_string(), frame);
+    } else {
+      OnRouterFrame(identity.to_string(), frame);
+    }
   }
   return true;
 }
 
-bool Links::Impl::DrainDealer(const std::string& address) {
+bool Links::Impl::DrainDealer(const std::string& address, ZmqSocket* read) {
   const auto it = dials_.find(address);
-  if (it == dials_.end() || it->second->socket == nullptr) {
-    return false;
+  if (it == dials_.end() || it->second->socket.get() != read) {
+    return DrainParting(read);
   }
-  // A hook may disconnect the address; the socket is then closed, and only
-  // while it is open may `dial` be touched.
+  // A hook may disconnect the address; the socket is then closed or parting,
+  // and `dial` must not be touched any more.
   Dial* dial = it->second.get();
   const std::shared_ptr<ZmqSocket> socket = dial->socket;
   SendOpeningHello(dial);
   zmq::message_t frame;
   for (int n = 0; n < kReadBatch; ++n) {
-    if (socket->is_closed() || !socket->Receive(&frame)) {
-      return false;
+    if (socket->is_closed() || parting_.count(read) > 0 ||
+        !socket->Receive(&frame)) {
+      return parting_.count(read) > 0;
     }
     if (DiscardRest(socket.get(), frame)) {
       metrics_.dropped_unparseable.Add();
@@ -178,15 +181,20 @@
 
 void Links::Impl::OnDealerTransport(const std::string& address,
                                     TransportEvent event) {
+  auto it = dials_.find(address);
+  if (it == dials_.end() || it->second->socket == nullptr) {
+    return;
+  }
+  const std::shared_ptr<ZmqSocket> socket = it->second->socket;
   if (event == TransportEvent::kConnected) {
-    DrainDealer(address);
+    DrainDealer(address, socket.get());
     return;
   }
   // Frames that came before the end are delivered first.
-  while (DrainDealer(address)) {
+  while (DrainDealer(address, socket.get())) {
   }
-  const auto it = dials_.find(address);
-  if (it == dials_.end()) {
+  it = dials_.find(address);
+  if (it == dials_.end() || it->second->socket != socket) {
     return;
   }
   if (event == TransportEvent::kRefused) {
@@ -226,17 +234,10 @@
   if (it == dials_.end()) {
     return;
   }
-  Dial* dial = it->second.get();
-  if (const auto link = links_.find(dial->link); link != links_.end()) {
-    wire::Envelope goodbye;
-    goodbye.mutable_goodbye()->set_reason("disconnected");
-    SendOn(&link->second, goodbye);
-    DropLater(dial->link);
+  if (it->second->link != 0) {
+    DropLater(it->second->link);
   }
-  if (dial->socket != nullptr) {
-    dial->socket->raw().set(zmq::sockopt::linger, kGoodbyeLingerMs);
-  }
-  CloseDial(dial);
+  PartWithDial(it->second.get(), "disconnected");
   dials_.erase(it);
 }
 
@@ -262,7 +263,9 @@
     LoseDial(dial, MakeError(ErrorCode::kUnavailable, address, error.what()));
     return;
   }
-  dial->socket->Start([this, address] { return DrainDealer(address); });
+  dial->socket->Start([this, address, read = dial->socket.get()] {
+    return DrainDealer(address, read);
+  });
 }
 
 void Links::Impl::CloseDial(Dial* dial) {
@@ -298,33 +301,4 @@
   }
 }
 
-void Links::Impl::Stop(const std::string& reason) {
-  if (stopped_) {
-    return;
-  }
-  stopped_ = true;
-  timer_.cancel();
-  wire::Envelope goodbye;
-  goodbye.mutable_goodbye()->set_reason(reason);
-  for (auto& [id, link] : links_) {
-    SendOn(&link, goodbye);
-  }
-  for (auto& [address, dial] : dials_) {
-    if (dial->socket != nullptr) {
-      dial->socket->raw().set(zmq::sockopt::linger, kGoodbyeLingerMs);
-    }
-    CloseDial(dial.get());
-  }
-  dials_.clear();
-  links_.clear();
-  link_of_identity_.clear();
-  link_of_descriptor_.clear();
-  metrics_.up.Set(0);
-  router_transport_.reset();
-  if (router_ != nullptr) {
-    router_->raw().set(zmq::sockopt::linger, kGoodbyeLingerMs);
-    router_->Close();
-  }
-}
-
 }  // namespace indigolead
