Run a keyed request at most once, in the core

Cause: a caller's retry can come in through any entry, and the home of its key, the entry that ran it and the store may each fail in between.

--- /dev/null
+++ b/src/core/claims/claim_home.h
@@ -0,0 +1,153 @@
+#ifndef INDIGOLEAD_CORE_CLAIMS_CLAIM_HOME_H_
+#define INDIGOLEAD_CORE_CLAIMS_CLAIM_HOME_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "core/claims/claim_journal.h"
+#include "core/claims/claim_table.h"
+#include "core/claims/journal_absorber.h"
+#include "core/claims/slot_map.h"
+
+namespace indigolead {
+
+/// Sends a verdict to the entry that asked.
+struct SendDecision {
+  Incarnation entry;
+  RequestId request;
+  ClaimDecision decision;
+
+  friend bool operator==(const SendDecision&, const SendDecision&) = default;
+};
+
+/// Tells an entry that its report need not be repeated.
+struct SendEndAck {
+  Incarnation entry;
+  RequestId request;
+
+  friend bool operator==(const SendEndAck&, const SendEndAck&) = default;
+};
+
+using HomeAction = std::variant<WriteSegment, ReadJournal, DeleteSegment,
+                                AskWitnesses, SendDecision, SendEndAck>;
+
+/// Home of some slots of the key space: the one process that decides whether a
+/// keyed request runs.
+///
+/// It joins the memory (`ClaimTable`), what makes it outlive the process
+/// (`ClaimJournal`) and what it takes over from earlier homes
+/// (`JournalAbsorber`). Every method adds to the actions that `TakeActions`
+/// returns; `Tick` must be called every few tens of milliseconds.
+class ClaimHome {
+ public:
+  struct Options {
+    ClaimTable::Options table;
+    ClaimJournal::Options journal;
+    JournalAbsorber::Options absorber;
+    /// Larger answers are lost with this process: already-run, not replayed.
+    std::size_t max_journaled_answer_bytes = 16U << 10;
+    std::size_t max_waiters = 20000;
+    std::size_t max_ended_requests = 8192;
+  };
+
+  /// `ids` names the journals; `home` is this instance's name.
+  ClaimHome(Options options, std::string home, IdSource ids);
+
+  void OnSlotMap(const SlotMap& map, TimePoint now);
+  void OnAsk(const ClaimAsk& ask, TimePoint now);
+  void OnEndReport(const ClaimEndReport& report, TimePoint now);
+  void OnEntryUp(const Incarnation& entry);
+  void OnEntryDown(const Incarnation& entry, TimePoint now);
+  void OnWritten(const JournalRef& ref, const Result<std::uint64_t>& version,
+                 TimePoint now);
+  void OnRead(const JournalRef& ref,
+              const Result<std::vector<StoredSegment>>& segments,
+              TimePoint now);
+  void OnWitness(const WitnessReply& reply, TimePoint now);
+  void Tick(TimePoint now);
+
+  std::vector<HomeAction> TakeActions();
+
+  /// Returns the journal to be named as owner in a slot map.
+  const JournalRef& ref() const { return journal_->ref(); }
+  /// Returns the newest epoch whose slots were taken over entirely.
+  std::uint64_t absorbed_epoch() const { return absorbed_epoch_; }
+  std::uint64_t epoch() const { return map_.epoch; }
+  bool degraded() const { return journal_->degraded(); }
+  std::size_t claims() const { return table_.size(); }
+  std::uint64_t journal_writes() const {
+    return earlier_writes_ + journal_->writes();
+  }
+  /// Returns the number of slots that this process decides on now.
+  std::size_t ready_slots() const;
+  /// Returns the number of slots answered with "unknown" for unseen keys.
+  std::size_t incomplete_slots() const;
+
+ private:
+  struct Slot {
+    std::vector<JournalRef> sources;
+    std::set<JournalRef> absorbed;
+    std::uint64_t ready_at = 0;  ///< Journal position; usable once durable.
+    bool noted = true;           ///< Its gaps are written down.
+    /// Sources with gaps whose writer may still run.
+    std::set<JournalRef> gaps_of;
+    /// End of the time in which an unseen key is answered with "unknown".
+    std::optional<TimePoint> unknown_until;
+
+    bool incomplete() const { return !gaps_of.empty() || unknown_until; }
+  };
+  struct Waiter {
+    ClaimAsk ask;
+    TimePoint give_up;
+  };
+
+  bool Ready(const Slot& slot) const;
+  Slot* FindSlot(std::uint32_t slot);
+  void Decide(const ClaimAsk& ask, ClaimDecision decision);
+  void AskTable(const ClaimAsk& ask, TimePoint now);
+  void GiveUp(std::uint64_t position, TimePoint now);
+  void RememberEnded(const RequestId& request);
+  void TakeOver(TimePoint now);
+  void TakeOverSlot(std::uint32_t number, Slot* slot,
+                    const JournalAbsorber& absorber, TimePoint now);
+  void NoteGaps();
+  void EndWindows(TimePoint now);
+  void Flush();
+  void Reopen(TimePoint now);
+  void Advance(TimePoint now);
+  void Push(std::vector<JournalAction> actions);
+
+  Options options_;
+  std::string home_;
+  IdSource ids_;
+  ClaimTable table_;
+  std::unique_ptr<ClaimJournal> journal_;
+  SlotMap map_;
+  std::map<std::uint32_t, Slot> slots_;
+  std::map<JournalRef, JournalAbsorber> absorbers_;
+  /// Claims by journal position, waiting for their record to be released.
+  std::map<std::uint64_t, Waiter> waiters_;
+  std::unordered_map<RequestId, std::uint64_t> waiting_;
+  std::map<std::uint64_t, SendEndAck> acks_;
+  /// Requests that have reported their end, newest last. A question of one of
+  /// them that was overtaken by its report must not claim the key again: its
+  /// entry has forgotten it, and nobody would ever end that claim.
+  std::deque<RequestId> ended_order_;
+  std::unordered_set<RequestId> ended_;
+  std::set<Incarnation> entries_;
+  std::uint64_t absorbed_epoch_ = 0;
+  std::uint64_t earlier_writes_ = 0;
+  std::vector<HomeAction> out_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_CORE_CLAIMS_CLAIM_HOME_H_
--- /dev/null
+++ b/src/core/claims/claim_journal.cc
@@ -0,0 +1,302 @@
+#include "core/claims/claim_journal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace indigolead {
+namespace {
+
+constexpr std::size_t kRecordOverheadBytes = 64;
+
+std::size_t SizeOf(const ClaimRecord& record) {
+  return kRecordOverheadBytes + (record.answer ? record.answer->size() : 0);
+}
+
+std::size_t SizeOf(const std::vector<ClaimRecord>& records) {
+  std::size_t n = 0;
+  for (const ClaimRecord& it : records) {
+    n += SizeOf(it);
+  }
+  return n;
+}
+
+bool Contains(const std::vector<Incarnation>& all, const Incarnation& one) {
+  return std::find(all.begin(), all.end(), one) != all.end();
+}
+
+}  // namespace
+
+ClaimJournal::ClaimJournal(Options options, JournalRef ref)
+    : options_(options), ref_(std::move(ref)) {
+  open_.ref = ref_;
+}
+
+std::uint64_t ClaimJournal::Append(ClaimRecord record) {
+  pending_.push_back(std::move(record));
+  ++appended_;
+  Release();
+  return appended_;
+}
+
+void ClaimJournal::SetCandidates(std::vector<Incarnation> candidates) {
+  std::sort(candidates.begin(), candidates.end());
+  candidates_ = std::move(candidates);
+}
+
+void ClaimJournal::SetIncompleteSlots(std::vector<std::uint32_t> slots) {
+  if (slots != incomplete_slots_) {
+    incomplete_slots_ = std::move(slots);
+    notes_changed_ = true;
+  }
+}
+
+std::vector<JournalAction> ClaimJournal::Advance(TimePoint now) {
+  std::vector<JournalAction> out;
+  if (fenced_) {
+    return out;
+  }
+  if (pending_.empty()) {
+    waiting_since_.reset();
+  } else if (!waiting_since_) {
+    waiting_since_ = now;
+  }
+  AdvanceStore(now, &out);
+  AdvanceWitnesses(now, &out);
+  // One segment always stays: a successor that found an empty chain would seal
+  // it at number 0, and this home's next segment would not notice.
+  while (!closed_.empty() && (open_version_ != 0 || closed_.size() > 1) &&
+         now - closed_.front().at >= options_.retention) {
+    out.push_back(
+        DeleteSegment{ref_, closed_.front().number, closed_.front().version});
+    closed_.pop_front();
+  }
+  return out;
+}
+
+void ClaimJournal::AdvanceStore(TimePoint now,
+                                std::vector<JournalAction>* out) {
+  if (now < next_store_call_) {
+    return;
+  }
+  if (phase_ == Phase::kUnsettled) {
+    phase_ = Phase::kReading;
+    out->push_back(ReadJournal{ref_});
+    return;
+  }
+  if (phase_ != Phase::kIdle || !WantsWrite()) {
+    return;
+  }
+  attempt_ = MakeAttempt();
+  // From here on the store may hold this generation, so a grant without a
+  // commit needs its witnesses' agreement too: a recovery write whose answer
+  // is lost could otherwise pass for complete while grants go on beside it.
+  possible_[attempt_.generation] = attempt_.witnesses;
+  phase_ = Phase::kWriting;
+  next_store_call_ = now + options_.write_interval;
+  ++writes_;
+  out->push_back(WriteSegment{attempt_, open_version_});
+}
+
+void ClaimJournal::AdvanceWitnesses(TimePoint now,
+                                    std::vector<JournalAction>* out) {
+  const bool stuck =
+      waiting_since_ && now - *waiting_since_ >= options_.degrade_after;
+  if (!opened_ || !stuck || Degraded() || now < next_witness_call_) {
+    return;
+  }
+  next_witness_call_ = now + options_.retry_interval;
+  for (const auto& [generation, witnesses] : possible_) {
+    if (!witnesses.empty()) {
+      asked_.insert(generation);
+      out->push_back(
+          AskWitnesses{ref_, generation, WitnessMark::kDegraded, witnesses});
+    }
+  }
+}
+
+bool ClaimJournal::Degraded() const {
+  if (!opened_ || fenced_ || possible_.empty()) {
+    return false;
+  }
+  for (const auto& [generation, witnesses] : possible_) {
+    const auto it = agreed_.find(generation);
+    if (witnesses.empty() || it == agreed_.end()) {
+      return false;
+    }
+    for (const Incarnation& witness : witnesses) {
+      if (it->second.count(witness) == 0) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+bool ClaimJournal::Asked() const {
+  return std::any_of(possible_.begin(), possible_.end(),
+                     [this](auto& it) { return asked_.count(it.first) > 0; });
+}
+
+bool ClaimJournal::WantsWrite() const {
+  return !opened_ || !pending_.empty() || notes_changed_ || Asked() ||
+         WantsNewWitnesses();
+}
+
+bool ClaimJournal::WantsNewWitnesses() const {
+  if (possible_.empty()) {
+    return true;
+  }
+  const std::vector<Incarnation>& held = possible_.rbegin()->second;
+  const std::size_t wanted =
+      std::min(options_.witness_count, candidates_.size());
+  const bool one_gone = std::any_of(
+      held.begin(), held.end(),
+      [this](const Incarnation& it) { return !Contains(candidates_, it); });
+  return wanted > 0 && (one_gone || held.size() < wanted);
+}
+
+std::vector<Incarnation> ClaimJournal::PickWitnesses() const {
+  std::vector<Incarnation> picked;
+  if (candidates_.empty()) {
+    return picked;
+  }
+  // The journal's own id spreads the homes' witnesses over the entries.
+  const std::size_t n = candidates_.size();
+  const std::size_t first = ref_.journal.value.lo % n;
+  for (std::size_t it = 0; it < std::min(n, options_.witness_count); ++it) {
+    picked.push_back(candidates_[(first + it) % n]);
+  }
+  return picked;
+}
+
+JournalSegment ClaimJournal::MakeAttempt() const {
+  JournalSegment segment = open_;
+  std::size_t bytes = SizeOf(segment.records);
+  std::size_t taken = 0;
+  while (taken < pending_.size() &&
+         segment.records.size() < options_.max_segment_records &&
+         bytes < options_.max_segment_bytes) {
+    bytes += SizeOf(pending_[taken]);
+    segment.records.push_back(pending_[taken]);
+    ++taken;
+  }
+  segment.closed = segment.records.size() >= options_.max_segment_records ||
+                   bytes >= options_.max_segment_bytes;
+  segment.incomplete_slots = incomplete_slots_;
+  // Only a write that leaves nothing out may start a generation: it says that
+  // the journal is complete.
+  if (taken < pending_.size()) {
+    return segment;
+  }
+  if (possible_.empty()) {
+    segment.witnesses = PickWitnesses();
+  } else if (Asked() || WantsNewWitnesses()) {
+    segment.generation = possible_.rbegin()->first + 1;
+    segment.witnesses = PickWitnesses();
+  } else {
+    segment.generation = possible_.rbegin()->first;
+    segment.witnesses = possible_.rbegin()->second;
+  }
+  return segment;
+}
+
+void ClaimJournal::OnWritten(const Result<std::uint64_t>& version,
+                             TimePoint now) {
+  if (phase_ != Phase::kWriting) {
+    return;
+  }
+  if (IsOk(version)) {
+    Commit(attempt_, ValueOf(version), now);
+    return;
+  }
+  // A conflict, too, may be our own earlier write whose answer was lost.
+  phase_ = Phase::kUnsettled;
+  if (ErrorOf(version).code != ErrorCode::kConflict) {
+    next_store_call_ = now + options_.retry_interval;
+  }
+}
+
+void ClaimJournal::OnRead(const Result<std::vector<StoredSegment>>& segments,
+                          TimePoint now) {
+  if (phase_ != Phase::kReading) {
+    return;
+  }
+  if (!IsOk(segments)) {
+    phase_ = Phase::kUnsettled;
+    next_store_call_ = now + options_.retry_interval;
+    return;
+  }
+  phase_ = Phase::kIdle;
+  const StoredSegment* newest = nullptr;
+  for (const StoredSegment& it : ValueOf(segments)) {
+    fenced_ = fenced_ || it.segment.sealed;
+    if (!newest || it.segment.number > newest->segment.number) {
+      newest = &it;
+    }
+  }
+  // Only this process writes unsealed segments of this journal, so a newer
+  // version of the open one is a write of ours that took effect unseen.
+  if (!fenced_ && newest && newest->segment.number == open_.number &&
+      newest->version != open_version_) {
+    Commit(newest->segment, newest->version, now);
+  }
+}
+
+void ClaimJournal::Commit(const JournalSegment& written, std::uint64_t version,
+                          TimePoint now) {
+  phase_ = Phase::kIdle;
+  const std::size_t added = written.records.size() - open_.records.size();
+  pending_.erase(pending_.begin(),
+                 pending_.begin() + static_cast<std::ptrdiff_t>(added));
+  durable_ += added;
+  opened_ = true;
+  notes_changed_ = written.incomplete_slots != incomplete_slots_;
+  open_ = written;
+  open_version_ = version;
+  // Writes that are still under way expected the version before this one.
+  possible_.clear();
+  possible_[written.generation] = written.witnesses;
+  std::erase_if(agreed_,
+                [&](const auto& it) { return it.first < written.generation; });
+  std::erase_if(asked_, [&](auto it) { return it < written.generation; });
+  if (written.closed) {
+    closed_.push_back({written.number, version, now});
+    open_.records.clear();
+    open_.closed = false;
+    ++open_.number;
+    open_version_ = 0;
+  }
+  waiting_since_.reset();
+  if (!pending_.empty()) {
+    waiting_since_ = now;
+  }
+  Release();
+}
+
+void ClaimJournal::OnWitness(const WitnessReply& reply) {
+  if (reply.ref == ref_ && reply.mark == WitnessMark::kDegraded) {
+    agreed_[reply.generation].insert(reply.witness);
+    Release();
+  }
+}
+
+void ClaimJournal::Release() {
+  if (fenced_) {
+    return;
+  }
+  released_ = std::max(released_, Degraded() ? appended_ : durable_);
+}
+
+WitnessReply WitnessTable::Mark(const JournalRef& ref, std::uint64_t generation,
+                                WitnessMark mark) {
+  const Place place{ref, generation};
+  auto it = marks_.find(place);
+  if (it == marks_.end() && marks_.size() < max_marks_ &&
+      mark != WitnessMark::kNone) {
+    it = marks_.emplace(place, mark).first;
+  }
+  return {ref, generation, it == marks_.end() ? WitnessMark::kNone : it->second,
+          self_};
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/claims/claim_table.cc
@@ -0,0 +1,198 @@
+#include "core/claims/claim_table.h"
+
+#include <utility>
+
+namespace indigolead {
+namespace {
+
+constexpr std::size_t kMaxLostEntries = 4096;
+
+}  // namespace
+
+ClaimTable::Asked ClaimTable::Ask(const ClaimAsk& ask, TimePoint now) {
+  const auto it = claims_.find(ask.key);
+  if (it != claims_.end()) {
+    return {DecisionOn(it->second, ask, now), false};
+  }
+  if (claims_.size() >= options_.max_claims) {
+    Tick(now);
+  }
+  if (claims_.size() >= options_.max_claims) {
+    return {{ClaimVerdict::kOverloaded, {}, std::chrono::seconds(1)}, false};
+  }
+  Set(
+      ClaimRecord{
+          ask.key, ask.body_digest, ask.request, ClaimState::kRunning, {}},
+      ask.entry, now);
+  return {{ClaimVerdict::kGranted, {}, {}}, true};
+}
+
+ClaimDecision ClaimTable::DecisionOn(const Claim& claim, const ClaimAsk& ask,
+                                     TimePoint now) const {
+  const ClaimRecord& record = claim.record;
+  if (record.body_digest != ask.body_digest) {
+    return {ClaimVerdict::kBodyDiffers, {}, {}};
+  }
+  switch (record.state) {
+    case ClaimState::kFinished:
+      return {
+          record.answer ? ClaimVerdict::kFinished : ClaimVerdict::kAlreadyRun,
+          record.answer,
+          {}};
+    case ClaimState::kUnknown:
+    case ClaimState::kNotRun:
+      return {ClaimVerdict::kUnknown, {}, {}};
+    case ClaimState::kRunning:
+      break;
+  }
+  // A run of the same process only: a request id of a grant that was absorbed
+  // from a journal may have been used up, and its answer lost.
+  if (record.request == ask.request && claim.entry == ask.entry) {
+    return {ClaimVerdict::kGranted, {}, {}};
+  }
+  if (OwnerIsLost(claim, now)) {
+    return {ClaimVerdict::kUnknown, {}, {}};
+  }
+  return {ClaimVerdict::kRunning, {}, options_.retry_after};
+}
+
+bool ClaimTable::OwnerIsLost(const Claim& claim, TimePoint now) const {
+  if (!claim.entry) {
+    return now - claim.since >= options_.owner_grace;
+  }
+  const auto it = lost_.find(*claim.entry);
+  return it != lost_.end() && now - it->second >= options_.owner_grace;
+}
+
+std::optional<ClaimRecord> ClaimTable::End(const ClaimEndReport& report,
+                                           TimePoint now) {
+  if (report.end == ClaimState::kRunning) {
+    return std::nullopt;
+  }
+  ClaimRecord record{report.key, report.body_digest, report.request, report.end,
+                     report.answer};
+  const auto it = claims_.find(report.key);
+  if (it == claims_.end()) {
+    // The claim was lost with an earlier home; what its entry knows fills the
+    // gap. A key that is free stays free.
+    if (report.end == ClaimState::kNotRun ||
+        claims_.size() >= options_.max_claims) {
+      return std::nullopt;
+    }
+    Set(record, report.entry, now);
+    return record;
+  }
+  if (it->second.record.request != report.request ||
+      it->second.record.state != ClaimState::kRunning) {
+    return std::nullopt;
+  }
+  record.body_digest = it->second.record.body_digest;
+  if (report.end == ClaimState::kNotRun) {
+    Erase(report.key);
+  } else {
+    Set(record, report.entry, now);
+  }
+  return record;
+}
+
+void ClaimTable::Absorb(const ClaimRecord& record, TimePoint now) {
+  const auto it = claims_.find(record.key);
+  if (record.state == ClaimState::kNotRun) {
+    if (it != claims_.end() && it->second.record.request == record.request) {
+      Erase(record.key);
+    }
+    return;
+  }
+  Set(record, std::nullopt, now);
+}
+
+void ClaimTable::OwnerLost(const Incarnation& entry, TimePoint now) {
+  if (lost_.size() >= kMaxLostEntries) {
+    // Forgetting a lost entry would leave its claims running for ever, so
+    // the oldest are forgotten only when they are past any request's life.
+    std::erase_if(lost_, [&](const auto& it) {
+      return now - it.second >= options_.retention;
+    });
+  }
+  lost_.try_emplace(entry, now);
+}
+
+void ClaimTable::OwnerBack(const Incarnation& entry) { lost_.erase(entry); }
+
+void ClaimTable::Tick(TimePoint now) {
+  while (!by_age_.empty() && now - by_age_.front().at >= options_.retention) {
+    const Dated oldest = by_age_.front();
+    by_age_.pop_front();
+    const auto it = claims_.find(oldest.key);
+    if (it == claims_.end() || it->second.since != oldest.at) {
+      continue;
+    }
+    if (it->second.record.state == ClaimState::kRunning &&
+        !OwnerIsLost(it->second, now)) {
+      it->second.since = now;
+      by_age_.push_back({oldest.key, now});
+    } else {
+      Erase(oldest.key);
+    }
+  }
+}
+
+std::vector<ClaimRecord> ClaimTable::Snapshot() const {
+  std::vector<ClaimRecord> records;
+  records.reserve(claims_.size());
+  for (const auto& [key, claim] : claims_) {
+    records.push_back(claim.record);
+  }
+  return records;
+}
+
+void ClaimTable::Set(const ClaimRecord& record,
+                     const std::optional<Incarnation>& entry, TimePoint now) {
+  Claim& claim = claims_[record.key];
+  DropAnswer(&claim);
+  claim.record = record;
+  claim.entry = entry;
+  claim.since = now;
+  by_age_.push_back({record.key, now});
+  if (record.answer) {
+    answer_bytes_ += record.answer->size();
+    answers_.push_back(record.key);
+    BoundAnswers();
+  }
+}
+
+void ClaimTable::Erase(const ClaimKey& key) {
+  const auto it = claims_.find(key);
+  if (it == claims_.end()) {
+    return;
+  }
+  DropAnswer(&it->second);
+  claims_.erase(it);
+}
+
+void ClaimTable::DropAnswer(Claim* claim) {
+  if (claim->record.answer) {
+    answer_bytes_ -= claim->record.answer->size();
+    claim->record.answer.reset();
+  }
+}
+
+void ClaimTable::BoundAnswers() {
+  while (answer_bytes_ > options_.max_answer_bytes && !answers_.empty()) {
+    const auto it = claims_.find(answers_.front());
+    answers_.pop_front();
+    if (it != claims_.end()) {
+      DropAnswer(&it->second);
+    }
+  }
+  // Keys whose answer is gone already only take room in the queue.
+  while (!answers_.empty() && answers_.size() > claims_.size()) {
+    const auto it = claims_.find(answers_.front());
+    if (it != claims_.end() && it->second.record.answer) {
+      break;
+    }
+    answers_.pop_front();
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/claims/journal_absorber.cc
@@ -0,0 +1,130 @@
+#include "core/claims/journal_absorber.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace indigolead {
+
+std::vector<JournalAction> JournalAbsorber::Advance(TimePoint now) {
+  if (now < next_call_) {
+    return {};
+  }
+  switch (phase_) {
+    case Phase::kToRead:
+      phase_ = Phase::kReading;
+      return {ReadJournal{source_}};
+    case Phase::kToSeal:
+      phase_ = Phase::kSealing;
+      return {seal_};
+    case Phase::kAsking: {
+      if (!asking_since_) {
+        asking_since_ = now;
+      }
+      // An empty list of witnesses could never agree to anything.
+      if (last_.witnesses.empty()) {
+        complete_ = true;
+      }
+      if (complete_ || refused_.size() == last_.witnesses.size() ||
+          now - *asking_since_ >= options_.witness_timeout) {
+        phase_ = Phase::kDone;
+        return {};
+      }
+      next_call_ = now + options_.retry_interval;
+      return {AskWitnesses{source_, last_.generation, WitnessMark::kSealed,
+                           last_.witnesses}};
+    }
+    case Phase::kReading:
+    case Phase::kSealing:
+    case Phase::kDone:
+      break;
+  }
+  return {};
+}
+
+void JournalAbsorber::OnWritten(const Result<std::uint64_t>& version,
+                                TimePoint now) {
+  if (phase_ != Phase::kSealing) {
+    return;
+  }
+  // Whatever the answer says, the next reading shows whether the seal is on.
+  phase_ = Phase::kToRead;
+  if (!IsOk(version) && ErrorOf(version).code != ErrorCode::kConflict) {
+    next_call_ = now + options_.retry_interval;
+  }
+}
+
+void JournalAbsorber::OnRead(const Result<std::vector<StoredSegment>>& segments,
+                             TimePoint now) {
+  if (phase_ != Phase::kReading) {
+    return;
+  }
+  if (!IsOk(segments)) {
+    phase_ = Phase::kToRead;
+    next_call_ = now + options_.retry_interval;
+    return;
+  }
+  std::vector<StoredSegment> stored = ValueOf(segments);
+  std::sort(stored.begin(), stored.end(), [](const auto& a, const auto& b) {
+    return a.segment.number < b.segment.number;
+  });
+  if (stored.empty() || !stored.back().segment.sealed) {
+    MakeSeal(stored);
+    phase_ = Phase::kToSeal;
+    return;
+  }
+  KeepLastStates(stored);
+  last_ = stored.back().segment;
+  last_.records.clear();
+  phase_ = Phase::kAsking;
+}
+
+void JournalAbsorber::KeepLastStates(const std::vector<StoredSegment>& stored) {
+  std::unordered_map<ClaimKey, std::size_t> place;
+  records_.clear();
+  for (const StoredSegment& it : stored) {
+    for (const ClaimRecord& record : it.segment.records) {
+      const auto [found, is_new] =
+          place.try_emplace(record.key, records_.size());
+      if (is_new) {
+        records_.push_back(record);
+      } else {
+        records_[found->second] = record;
+      }
+    }
+  }
+}
+
+void JournalAbsorber::MakeSeal(const std::vector<StoredSegment>& stored) {
+  seal_ = WriteSegment{};
+  seal_.segment.ref = source_;
+  if (!stored.empty()) {
+    const StoredSegment& last = stored.back();
+    seal_.segment = last.segment;
+    seal_.expected = last.version;
+    if (last.segment.closed) {
+      // Its home would write the next number, so that is the one to take.
+      seal_.segment.records.clear();
+      seal_.segment.closed = false;
+      ++seal_.segment.number;
+      seal_.expected = 0;
+    }
+  }
+  seal_.segment.sealed = true;
+}
+
+void JournalAbsorber::OnWitness(const WitnessReply& reply) {
+  if (phase_ != Phase::kAsking || reply.ref != source_ ||
+      reply.generation != last_.generation) {
+    return;
+  }
+  if (reply.mark == WitnessMark::kSealed) {
+    complete_ = true;
+    next_call_ = TimePoint{};
+  } else if (reply.mark == WitnessMark::kDegraded) {
+    refused_.insert(reply.witness);
+    next_call_ = TimePoint{};
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/claims/slot_map.cc
@@ -0,0 +1,170 @@
+#include "core/claims/slot_map.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace indigolead {
+namespace {
+
+using LoadByHome = std::map<JournalRef, std::size_t>;
+
+const HomeState* FindName(const std::vector<HomeState>& homes,
+                          const std::string& name) {
+  const auto it = std::find_if(
+      homes.begin(), homes.end(),
+      [&](const HomeState& home) { return home.ref.home == name; });
+  return it == homes.end() ? nullptr : &*it;
+}
+
+LoadByHome CountSlots(const std::vector<JournalRef>& homes,
+                      const SlotMap& map) {
+  LoadByHome load;
+  for (const JournalRef& it : homes) {
+    load[it] = 0;
+  }
+  for (const SlotAssignment& it : map.slots) {
+    const auto found = load.find(it.owner);
+    if (found != load.end()) {
+      ++found->second;
+    }
+  }
+  return load;
+}
+
+LoadByHome::iterator LeastLoaded(LoadByHome* load) {
+  return std::min_element(
+      load->begin(), load->end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+}
+
+void Move(const JournalRef& to, std::uint64_t epoch, SlotAssignment* slot) {
+  if (slot->owner.home.empty()) {
+    slot->sources.clear();
+  } else {
+    slot->sources.push_back(slot->owner);
+  }
+  slot->owner = to;
+  slot->since_epoch = epoch;
+}
+
+}  // namespace
+
+std::optional<SlotMap> SlotPlanner::Plan(const std::optional<SlotMap>& current,
+                                         const Input& input) const {
+  SlotMap next = current.value_or(SlotMap{});
+  next.slots.resize(options_.slot_count);
+  ++next.epoch;
+  next.fencing_number = input.fencing_number;
+  const std::vector<JournalRef> homes = PickHomes(next, input);
+  LoadByHome load = CountSlots(homes, next);
+  for (SlotAssignment& slot : next.slots) {
+    const HomeState* owner = FindName(input.homes, slot.owner.home);
+    if (owner && owner->ref == slot.owner &&
+        owner->absorbed_epoch >= slot.since_epoch) {
+      slot.sources.clear();
+    }
+    const bool replaced = owner && owner->ref != slot.owner;
+    const bool removed = input.removed.count(slot.owner.home) > 0;
+    if (replaced || (removed && !owner)) {
+      next.gone.insert(slot.owner);
+    }
+    for (const JournalRef& it : slot.sources) {
+      const HomeState* source = FindName(input.homes, it.home);
+      if ((source && source->ref != it) || input.removed.count(it.home) > 0) {
+        next.gone.insert(it);
+      }
+    }
+    const bool keep = !slot.owner.home.empty() && !replaced && !removed &&
+                      input.lost.count(slot.owner.home) == 0 &&
+                      !(owner && owner->leaving);
+    if (keep || load.empty() || slot.sources.size() >= options_.max_sources) {
+      continue;
+    }
+    const auto same_name = std::find_if(
+        load.begin(), load.end(),
+        [&](const auto& it) { return it.first.home == slot.owner.home; });
+    const auto to =
+        same_name != load.end() && replaced ? same_name : LeastLoaded(&load);
+    ++to->second;
+    Move(to->first, next.epoch, &slot);
+  }
+  Rebalance(homes, &next);
+  std::set<JournalRef> named;
+  for (const SlotAssignment& it : next.slots) {
+    named.insert(it.sources.begin(), it.sources.end());
+  }
+  std::erase_if(next.gone, [&](const auto& it) { return !named.count(it); });
+  if (current && next.slots == current->slots && next.gone == current->gone) {
+    return std::nullopt;
+  }
+  if (!current && load.empty()) {
+    return std::nullopt;
+  }
+  return next;
+}
+
+std::vector<JournalRef> SlotPlanner::PickHomes(const SlotMap& map,
+                                               const Input& input) const {
+  // Owners stay homes; the rest are taken domain by domain in turn, so that
+  // the loss of one domain takes as few slots as possible with it.
+  std::set<std::string> owners;
+  for (const SlotAssignment& it : map.slots) {
+    owners.insert(it.owner.home);
+  }
+  std::vector<JournalRef> picked;
+  std::map<std::string, std::vector<JournalRef>> by_domain;
+  for (const HomeState& it : input.homes) {
+    if (it.leaving || input.removed.count(it.ref.home) > 0) {
+      continue;
+    }
+    if (owners.count(it.ref.home) > 0) {
+      picked.push_back(it.ref);
+    } else {
+      by_domain[it.failure_domain].push_back(it.ref);
+    }
+  }
+  for (std::size_t turn = 0; picked.size() < options_.max_homes; ++turn) {
+    bool any = false;
+    for (const auto& [domain, refs] : by_domain) {
+      if (turn < refs.size() && picked.size() < options_.max_homes) {
+        picked.push_back(refs[turn]);
+        any = true;
+      }
+    }
+    if (!any) {
+      break;
+    }
+  }
+  return picked;
+}
+
+void SlotPlanner::Rebalance(const std::vector<JournalRef>& homes,
+                            SlotMap* map) const {
+  // A move seals the giver's whole journal, so a map in which some move is
+  // not finished yet is left alone.
+  const bool settled =
+      std::all_of(map->slots.begin(), map->slots.end(),
+                  [](const SlotAssignment& it) { return it.sources.empty(); });
+  LoadByHome load = CountSlots(homes, *map);
+  if (!settled || load.size() < 2) {
+    return;
+  }
+  const double mean =
+      static_cast<double>(map->slots.size()) / static_cast<double>(load.size());
+  const bool worth_it =
+      std::any_of(load.begin(), load.end(), [&](const auto& it) {
+        return static_cast<double>(it.second) > mean * options_.imbalance;
+      });
+  for (SlotAssignment& slot : map->slots) {
+    const auto from = load.find(slot.owner);
+    const auto to = LeastLoaded(&load);
+    if (worth_it && from != load.end() && from->second > to->second + 1) {
+      --from->second;
+      ++to->second;
+      Move(to->first, map->epoch, &slot);
+    }
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/tests/core/claims/claim_table_test.cc
@@ -0,0 +1,123 @@
+#include "core/claims/claim_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace indigolead {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(10)};
+const Incarnation kEntryA{{1, 1}};
+const Incarnation kEntryB{{1, 2}};
+
+ClaimAsk MakeAsk(std::uint64_t request, std::uint64_t key,
+                 const Incarnation& entry = kEntryA, std::uint64_t digest = 7) {
+  return {RequestId{{0, request}},
+          ClaimKey{{0, key}},
+          digest,
+          0,
+          entry,
+          seconds(1)};
+}
+
+ClaimEndReport MakeEnd(const ClaimAsk& ask, ClaimState end,
+                       const std::string& body = "") {
+  ClaimEndReport report{ask.request, ask.key, ask.slot, ask.body_digest,
+                        end,         {},      ask.entry};
+  if (end == ClaimState::kFinished) {
+    report.answer = ClaimAnswer{200, {}, body};
+  }
+  return report;
+}
+
+TEST_CASE("A key is granted to one request") {
+  ClaimTable table({});
+  const ClaimAsk first = MakeAsk(1, 5);
+  const ClaimAsk retry = MakeAsk(2, 5, kEntryB);
+  REQUIRE(table.Ask(first, kStart).claimed);
+
+  SECTION("the same request asking again gets its grant again") {
+    const auto again = table.Ask(first, kStart);
+    CHECK(again.decision.verdict == ClaimVerdict::kGranted);
+    CHECK_FALSE(again.claimed);
+  }
+  SECTION("the caller's retry waits while it runs") {
+    CHECK(table.Ask(retry, kStart).decision.verdict == ClaimVerdict::kRunning);
+  }
+  SECTION("the retry gets the same answer once it has finished") {
+    table.End(MakeEnd(first, ClaimState::kFinished, "menu"), kStart);
+    const auto asked = table.Ask(retry, kStart);
+    CHECK(asked.decision.verdict == ClaimVerdict::kFinished);
+    CHECK(asked.decision.answer->body == "menu");
+  }
+  SECTION("another body under the key is refused in every state") {
+    const ClaimAsk other = MakeAsk(3, 5, kEntryB, 8);
+    CHECK(table.Ask(other, kStart).decision.verdict ==
+          ClaimVerdict::kBodyDiffers);
+    table.End(MakeEnd(first, ClaimState::kFinished, "menu"), kStart);
+    CHECK(table.Ask(other, kStart).decision.verdict ==
+          ClaimVerdict::kBodyDiffers);
+  }
+  SECTION("a run that provably did not start frees the key") {
+    table.End(MakeEnd(first, ClaimState::kNotRun), kStart);
+    CHECK(table.Ask(retry, kStart).claimed);
+    // A late repeat of the first report must not free the second claim.
+    CHECK_FALSE(table.End(MakeEnd(first, ClaimState::kNotRun), kStart));
+    CHECK(table.Ask(MakeAsk(3, 5), kStart).decision.verdict ==
+          ClaimVerdict::kRunning);
+  }
+  SECTION("an entry out of reach leaves the key unknown until it is back") {
+    table.OwnerLost(kEntryA, kStart);
+    CHECK(table.Ask(retry, kStart).decision.verdict == ClaimVerdict::kRunning);
+    CHECK(table.Ask(retry, kStart + seconds(2)).decision.verdict ==
+          ClaimVerdict::kUnknown);
+    table.OwnerBack(kEntryA);
+    table.End(MakeEnd(first, ClaimState::kFinished, "late"), kStart);
+    CHECK(table.Ask(retry, kStart).decision.answer->body == "late");
+  }
+}
+
+TEST_CASE("What a table holds is bounded") {
+  ClaimTable::Options options;
+  options.max_claims = 2;
+  options.max_answer_bytes = 100;
+  ClaimTable table(options);
+  table.Ask(MakeAsk(1, 1), kStart);
+  table.Ask(MakeAsk(2, 2), kStart);
+
+  SECTION("a claim beyond the bound is refused with the key free") {
+    CHECK(table.Ask(MakeAsk(3, 3), kStart).decision.verdict ==
+          ClaimVerdict::kOverloaded);
+  }
+  SECTION("the oldest answer goes first and leaves already-run behind") {
+    const std::string long_body(80, 'x');
+    table.End(MakeEnd(MakeAsk(1, 1), ClaimState::kFinished, long_body), kStart);
+    table.End(MakeEnd(MakeAsk(2, 2), ClaimState::kFinished, long_body), kStart);
+    CHECK(table.answer_bytes() <= 100);
+    CHECK(table.Ask(MakeAsk(4, 1), kStart).decision.verdict ==
+          ClaimVerdict::kAlreadyRun);
+    CHECK(table.Ask(MakeAsk(5, 2), kStart).decision.verdict ==
+          ClaimVerdict::kFinished);
+  }
+  SECTION("a key is forgotten only after its retention") {
+    table.End(MakeEnd(MakeAsk(1, 1), ClaimState::kFinished, ""), kStart);
+    table.Tick(kStart + minutes(59));
+    CHECK(table.Holds(ClaimKey{{0, 1}}));
+    table.Tick(kStart + minutes(60));
+    CHECK_FALSE(table.Holds(ClaimKey{{0, 1}}));
+    // The other one still runs at an entry that is in reach.
+    CHECK(table.Holds(ClaimKey{{0, 2}}));
+  }
+}
+
+TEST_CASE("Keys of different accounts never meet") {
+  CHECK(MakeClaimKey("a", "d", "k") == MakeClaimKey("a", "d", "k"));
+  CHECK(MakeClaimKey("ab", "d", "k") != MakeClaimKey("a", "bd", "k"));
+  CHECK(MakeClaimKey("a", "d", "k1") != MakeClaimKey("a", "d", "k"));
+  CHECK(MakeBodyDigest("POST", "/x", "b") != MakeBodyDigest("PUT", "/x", "b"));
+}
+
+}  // namespace
+}  // namespace indigolead
