Read declarations: templates, deployments and client accounts

Cause: operators edit templates and parameters in version control; a bad edit must name file, line, key and remedy, and change nothing. Change: INI sections for templates, deployments and client accounts; ${NAME} stands for a parameter. A wrong value that came from a parameter is reported where the parameter was given. Deployments are checked against themselves and each other, compared field by field, and written back as declarations. Ruled out: inheritance between templates and conditions, which would make what is in force hard to read; keys of the template overridden by a deployment, which would let it drift from its template.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "cli/flags.h"
+#include "core/config/declaration_keys.h"
 #include "core/config/key_rules.h"
 #include "core/config/settings_table.h"
 
@@ -25,6 +26,10 @@
     *context.out << SettingsMarkdown();
     return kExitOk;
   }
+  if (context.arguments[0] == "declarations") {
+    *context.out << DeclarationsMarkdown();
+    return kExitOk;
+  }
   return RunCommandLine({context.arguments[0], "--help"}, *context.out,
                         *context.err);
 }
@@ -64,8 +69,8 @@
   commands.push_back(
       {"version", "", "Print the version.", "", {}, 0, 0, RunVersion});
   commands.push_back({"help",
-                      "[COMMAND | settings]",
-                      "Explain a command, or print the settings reference.",
+                      "[COMMAND | settings | declarations]",
+                      "Explain a command, or print a reference page.",
                       "",
                       {},
                       0,
--- /dev/null
+++ b/src/core/base/text_table.h
@@ -0,0 +1,27 @@
+#ifndef INDIGOLEAD_CORE_BASE_TEXT_TABLE_H_
+#define INDIGOLEAD_CORE_BASE_TEXT_TABLE_H_
+
+#include <string>
+#include <vector>
+
+namespace indigolead {
+
+/// Lays rows of text out in aligned columns, for terminals.
+class TextTable {
+ public:
+  explicit TextTable(std::vector<std::string> header);
+
+  /// Appends a row, which must have as many cells as the header.
+  void AddRow(std::vector<std::string> cells);
+
+  /// Returns the header and the rows, one line each, two spaces between
+  /// columns and none at the ends of lines.
+  std::string ToText() const;
+
+ private:
+  std::vector<std::vector<std::string>> rows_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_CORE_BASE_TEXT_TABLE_H_
--- /dev/null
+++ b/src/core/config/deployment_builder.h
@@ -0,0 +1,60 @@
+#ifndef INDIGOLEAD_CORE_CONFIG_DEPLOYMENT_BUILDER_H_
+#define INDIGOLEAD_CORE_CONFIG_DEPLOYMENT_BUILDER_H_
+
+#include <string>
+#include <vector>
+
+#include "core/config/declaration_index.h"
+#include "core/config/declaration_keys.h"
+#include "core/config/template_expansion.h"
+
+namespace indigolead::internal {
+
+/// Builds one deployment from its sections and its template's.
+///
+/// A wrong value that came from a parameter is reported where the parameter
+/// was given, since that is the line to mend.
+class DeploymentBuilder {
+ public:
+  DeploymentBuilder(const DeclarationIndex& index,
+                    std::vector<ConfigProblem>* problems)
+      : index_(index), problems_(problems) {}
+
+  /// Returns the deployment `name`, which the index holds. It is whole only
+  /// if no problem was appended.
+  DeploymentSpec Build(const std::string& name);
+
+ private:
+  const TemplateSections* FindTemplate(const PlacedSection& deployment);
+  Parameters ReadParameters(const PlacedSection& declared_in,
+                            const PlacedSection& given_in,
+                            const std::vector<std::string>& own_keys);
+  void BuildModels(const TemplateSections& sections,
+                   const Parameters& parameters, DeploymentSpec* spec);
+  void BuildClientAccounts(const TemplateSections& sections,
+                           const Parameters& parameters, DeploymentSpec* spec);
+  ClientAccountSpec BuildClientAccount(const TemplateSections& sections,
+                                       const Parameters& parameters,
+                                       const std::string& name,
+                                       const PlacedSection& placed);
+  template <typename Owner>
+  void Assign(const std::vector<KeyRow<Owner>>& rows,
+              const PlacedSection& placed, const Parameters& parameters,
+              Owner* owner);
+  void AssignValue(const ValueRule& rule, const PlacedValue& value,
+                   const Parameters& parameters, const FieldPointer& field);
+  template <typename Owner>
+  void CheckRequired(const std::vector<KeyRow<Owner>>& rows,
+                     const std::vector<const PlacedSection*>& sources,
+                     const PlacedSection& blamed);
+  void Problem(const PlacedValue& value, std::string detail);
+  void Problem(const PlacedSection& placed, const std::string& key,
+               std::string detail);
+
+  const DeclarationIndex& index_;
+  std::vector<ConfigProblem>* problems_;
+};
+
+}  // namespace indigolead::internal
+
+#endif  // INDIGOLEAD_CORE_CONFIG_DEPLOYMENT_BUILDER_H_
--- a/src/core/config/key_rules.cc
+++ b/src/core/config/key_rules.cc
@@ -110,6 +110,10 @@
     return true;
   }
   bool operator()(std::vector<std::string>* field) const {
+    if (text_ == kEmptyListText) {
+      field->clear();
+      return true;
+    }
     if (!AcceptsText(rule_, text_)) {
       return false;
     }
@@ -186,11 +190,11 @@
       return "an IP number and port, such as 127.0.0.1:8080";
     case ValueKind::kAddressList:
       return "IP numbers with ports between commas, such as 10.0.0.1:7000, "
-             "10.0.0.2:7000";
+             "10.0.0.2:7000, or none";
     case ValueKind::kModelNameList:
-      return "names of letters, digits and - _ . : / between commas";
+      return "names of letters, digits and - _ . : / between commas, or none";
     case ValueKind::kMethodList:
-      return "HTTP methods between commas, such as GET, HEAD";
+      return "HTTP methods between commas, such as GET, HEAD, or none";
     case ValueKind::kUrlPrefix:
       return "a path such as /menu, without a slash at its end";
     case ValueKind::kHost:
@@ -233,7 +237,7 @@
 
   std::string operator()(const std::string* field) const { return *field; }
   std::string operator()(const std::vector<std::string>* field) const {
-    return JoinList(*field);
+    return field->empty() ? std::string(kEmptyListText) : JoinList(*field);
   }
   std::string operator()(const DeploymentKind* field) const {
     return std::string(DeploymentKindName(*field));
--- a/src/core/config/key_rules.h
+++ b/src/core/config/key_rules.h
@@ -69,14 +69,17 @@
 /// 500ms or 5s, from 1ms to 1m".
 std::string AcceptedText(const ValueRule& rule);
 
+/// Word that empties a list.
+inline constexpr std::string_view kEmptyListText = "none";
+
 /// Sets `field` from `text`. Returns what is wrong if `rule` refuses it; the
 /// field is then left as it was.
 std::optional<std::string> AssignField(const ValueRule& rule,
                                        const std::string& text,
                                        const FieldPointer& field);
 
-/// Returns the text that sets `field` to its present value; empty for empty
-/// text and lists.
+/// Returns the text that sets `field` to its present value; nothing for empty
+/// text, `kEmptyListText` for an empty list.
 std::string FormatField(const ValueRule& rule, const FieldPointer& field);
 
 /// Returns the known word nearest to `word` if a slip of the hand explains
