--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -61,14 +61,15 @@
   }
   if (!hooks_.spend_retry) {
     hooks_.spend_retry = [this](const CallerRequest& request, TimePoint) {
-      return BudgetOf(request).TryTake();
+      return retry_budget_.Spend(request.deployment);
     };
   }
 }
 
-void RequestFlow::OnRequest(CallerRequest request, TimePoint now) {
+void RequestFlow::OnRequest(std::shared_ptr<const CallerRequest> request,
+                            TimePoint now) {
   ++counts_.requests;
-  const RequestId id = request.id;
+  const RequestId id = request->id;
   if (requests_.size() >= options_.max_requests) {
     ++counts_.not_run_refusals;
     actions_.push_back(AnswerRefusal{
@@ -79,7 +80,7 @@
     return;
   }
   Request& it = requests_[id];
-  it.request = std::make_shared<const CallerRequest>(std::move(request));
+  it.request = std::move(request);
   if (hooks_.check_quarantine) {
     if (auto refusal = hooks_.check_quarantine(*it.request, now)) {
       Refuse(it, std::move(*refusal), now);
@@ -205,7 +206,7 @@
   it.keep_answer = it.request->repeatability == Repeatability::kKeyed;
   it.answer = {};
   if (it.forwards++ == 0) {
-    BudgetOf(*it.request).OnFirstAttempt();
+    retry_budget_.Earn(it.request->deployment, it.request->retry_budget_share);
   }
   ++counts_.forwards;
   attempts_[id] = it.request->id;
@@ -215,7 +216,7 @@
                                options_.stream_window_bytes,
                                ref.start_sequence});
   if (hooks_.on_sent) {
-    hooks_.on_sent(*it.request, side.info, now);
+    hooks_.on_sent(*it.request, id, side.info, now);
   }
 }
 
@@ -267,6 +268,9 @@
   if (it == nullptr || !AcceptFrame(*it, link, sequence, now)) {
     return;
   }
+  if (hooks_.on_first_frame) {
+    hooks_.on_first_frame(id, now);
+  }
   it->head_taken = true;
   it->held_since = now;
   it->answer.status = status;
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -11,11 +11,11 @@
 #include <utility>
 #include <vector>
 
-#include "core/admission/retry_budget.h"
 #include "core/base/ids.h"
 #include "core/base/time.h"
 #include "core/request/attempt.h"
 #include "core/request/request_types.h"
+#include "core/request/retry_budget.h"
 #include "core/request/side_table.h"
 
 namespace indigolead {
@@ -86,10 +86,14 @@
   /// run already. Default: the deployment's retry budget.
   std::function<bool(const CallerRequest&, TimePoint)> spend_retry;
   /// An attempt was sent to a target.
-  std::function<void(const CallerRequest&, const SideInfo&, TimePoint)> on_sent;
+  std::function<void(const CallerRequest&, const AttemptId&, const SideInfo&,
+                     TimePoint)>
+      on_sent;
+  /// The first frame of an attempt came.
+  std::function<void(const AttemptId&, TimePoint)> on_first_frame;
   /// An attempt at a target is over.
-  std::function<void(const CallerRequest&, const std::string& instance,
-                     AttemptOutcome, TimePoint)>
+  std::function<void(const CallerRequest&, const AttemptId&,
+                     const std::string& instance, AttemptOutcome, TimePoint)>
       on_attempt_end;
   /// A target died while it ran the request.
   std::function<void(const CallerRequest&, const std::string& instance,
@@ -132,7 +136,7 @@
   RequestFlow(RequestFlowOptions options, RequestFlowHooks hooks, IdSource ids);
 
   /// Takes a request. A full table refuses it.
-  void OnRequest(CallerRequest request, TimePoint now);
+  void OnRequest(std::shared_ptr<const CallerRequest> request, TimePoint now);
   /// The caller has disconnected.
   void OnCallerGone(const RequestId& id, TimePoint now);
   /// The caller has taken `bytes` of its answer.
@@ -152,6 +156,8 @@
   void OnSideChanged(SideLink link, const SideInfo& info, TimePoint now);
   /// The platform or an operator says that an instance leaves, or stays.
   void OnLeaving(const std::string& instance, bool leaving, TimePoint now);
+  /// These instances, and no others, are drained by operators.
+  void OnDrains(const std::vector<std::string>& instances, TimePoint now);
 
   void OnRefused(SideLink link, const AttemptId& id, const SideRefusal& refusal,
                  TimePoint now);
@@ -168,6 +174,11 @@
   void OnStartNotSent(const AttemptId& id, TimePoint now);
   /// Credit could not be queued; it is sent again later.
   void OnCreditNotSent(const AttemptId& id, std::uint64_t bytes);
+  /// A cancel could not be queued; it is sent again later.
+  void OnCancelNotSent(SideLink link, const AttemptRef& ref);
+
+  /// Returns what the connected side of `link` says of itself, or null.
+  const SideInfo* FindSide(SideLink link) const;
 
   /// Acts on what time alone decides. Call every 20 to 100 ms.
   void Tick(TimePoint now);
@@ -222,7 +233,6 @@
                   const SideRefusal& why, TimePoint now);
   void FinishAttempt(Request& it, Ending ending, AttemptOutcome outcome,
                      const SideRefusal& why, bool retry, TimePoint now);
-  RetryBudget& BudgetOf(const CallerRequest& request);
   bool MayRetry(const Request& it, Ending ending, TimePoint now);
   void CompleteAnswer(Request& it, TimePoint now);
   void Refuse(Request& it, Refusal refusal, TimePoint now);
@@ -232,6 +242,7 @@
   void LoseAttempts(const std::vector<AttemptId>& ids, TimePoint now);
   void TickRequest(Request& it, TimePoint now);
   void TickAttempt(Request& it, TimePoint now);
+  void SendPendingCancels(SideTable::Side& side);
 
   RequestFlowOptions options_;
   RequestFlowHooks hooks_;
@@ -239,8 +250,7 @@
   Requests requests_;
   std::unordered_map<AttemptId, RequestId> attempts_;
   SideTable sides_;
-  /// One for each deployment, whose number the catalogue bounds.
-  std::unordered_map<std::string, RetryBudget> retry_budgets_;
+  RetryBudget retry_budget_;
   std::vector<RequestAction> actions_;
   std::vector<RequestId> tick_ids_;
   RequestFlowCounts counts_;
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -10,11 +10,6 @@
 /// Absence after which a side without attempts is forgotten.
 constexpr Duration kForgetSideAfter = std::chrono::minutes(5);
 
-/// Retries that a deployment may spend before its traffic has earned any, and
-/// most that it saves up.
-constexpr double kFirstRetries = 20;
-constexpr double kMostRetries = 100;
-
 SideRefusal Because(std::string code, std::string detail) {
   SideRefusal why;
   why.code = std::move(code);
@@ -145,20 +140,10 @@
     }
   }
   if (hooks_.on_attempt_end) {
-    hooks_.on_attempt_end(*it.request, instance, outcome, now);
+    hooks_.on_attempt_end(*it.request, ref.attempt, instance, outcome, now);
   }
 }
 
-RetryBudget& RequestFlow::BudgetOf(const CallerRequest& request) {
-  RetryBudget::Options options;
-  options.initial = kFirstRetries;
-  options.burst = kMostRetries;
-  RetryBudget& budget =
-      retry_budgets_.try_emplace(request.deployment, options).first->second;
-  budget.SetShare(request.retry_budget_share);
-  return budget;
-}
-
 bool RequestFlow::MayRetry(const Request& it, Ending ending, TimePoint now) {
   if (it.head_delivered || now >= it.request->deadline ||
       it.forwards >= options_.max_forwards) {
@@ -294,10 +279,7 @@
     return;
   }
   LoseAttempts(up.lost, now);
-  for (const AttemptRef& ref : up.side->pending_cancels) {
-    actions_.push_back(SendCancel{link, ref});
-  }
-  up.side->pending_cancels.clear();
+  SendPendingCancels(*up.side);
   if (!up.lost.empty()) {
     return;
   }
@@ -308,6 +290,21 @@
   }
 }
 
+void RequestFlow::SendPendingCancels(SideTable::Side& side) {
+  for (const AttemptRef& ref : side.pending_cancels) {
+    actions_.push_back(SendCancel{*side.link, ref});
+  }
+  side.pending_cancels.clear();
+}
+
+void RequestFlow::OnCancelNotSent(SideLink link, const AttemptRef& ref) {
+  SideTable::Side* side = sides_.FindByLink(link);
+  if (side != nullptr &&
+      side->pending_cancels.size() < options_.max_pending_cancels) {
+    side->pending_cancels.push_back(ref);
+  }
+}
+
 void RequestFlow::LoseAttempts(const std::vector<AttemptId>& ids,
                                TimePoint now) {
   for (const AttemptId& id : ids) {
@@ -337,7 +334,22 @@
   sides_.SetLeaving(instance, leaving);
 }
 
+void RequestFlow::OnDrains(const std::vector<std::string>& instances,
+                           TimePoint /*now*/) {
+  sides_.SetDrains(instances);
+}
+
+const SideInfo* RequestFlow::FindSide(SideLink link) const {
+  const SideTable::Side* side = sides_.FindByLink(link);
+  return side == nullptr ? nullptr : &side->info;
+}
+
 void RequestFlow::Tick(TimePoint now) {
+  for (auto& [name, side] : sides_.sides()) {
+    if (side.link) {
+      SendPendingCancels(side);
+    }
+  }
   tick_ids_.clear();
   for (const auto& [id, it] : requests_) {
     tick_ids_.push_back(id);
--- a/src/core/request/side_table.cc
+++ b/src/core/request/side_table.cc
@@ -25,6 +25,7 @@
   side.info = std::move(info);
   side.link = link;
   side.told_to_leave = leaving_.count(side.info.instance) > 0;
+  side.drained = drains_.count(side.info.instance) > 0;
   links_[link] = side.info.instance;
   result.side = &side;
   return result;
@@ -46,6 +47,11 @@
   return it == links_.end() ? nullptr : Find(it->second);
 }
 
+const SideTable::Side* SideTable::FindByLink(SideLink link) const {
+  const auto it = links_.find(link);
+  return it == links_.end() ? nullptr : Find(it->second);
+}
+
 SideTable::Side* SideTable::Find(const std::string& instance) {
   const auto it = sides_.find(instance);
   return it == sides_.end() ? nullptr : &it->second;
@@ -67,13 +73,23 @@
   }
 }
 
+void SideTable::SetDrains(const std::vector<std::string>& instances) {
+  const std::size_t n = std::min(instances.size(), max_sides_);
+  drains_ = {instances.begin(),
+             instances.begin() + static_cast<std::ptrdiff_t>(n)};
+  for (auto& [name, side] : sides_) {
+    side.drained = drains_.count(name) > 0;
+  }
+}
+
 std::vector<Candidate> SideTable::CandidatesFor(
     const std::string& deployment,
     const std::vector<std::string>& tried) const {
   std::vector<Candidate> candidates;
   for (const auto& [name, side] : sides_) {
     if (!side.link || side.info.deployment != deployment ||
-        !side.info.target_up || side.info.leaving || side.told_to_leave) {
+        !side.info.target_up || side.info.leaving || side.told_to_leave ||
+        side.drained) {
       continue;
     }
     const bool was_tried =
--- a/src/core/request/side_table.h
+++ b/src/core/request/side_table.h
@@ -25,7 +25,8 @@
     SideInfo info;
     std::optional<SideLink> link;  ///< Absent while not connected.
     TimePoint absent_since;
-    bool told_to_leave = false;  ///< By the platform or an operator.
+    bool told_to_leave = false;  ///< By the platform.
+    bool drained = false;        ///< By an operator.
     std::unordered_set<AttemptId> attempts;
     /// Cancels that wait for the side to come back.
     std::vector<AttemptRef> pending_cancels;
@@ -45,11 +46,14 @@
   /// the side's newest.
   Side* Down(SideLink link, TimePoint now);
   Side* FindByLink(SideLink link);
+  const Side* FindByLink(SideLink link) const;
   Side* Find(const std::string& instance);
   const Side* Find(const std::string& instance) const;
 
-  /// Records whether the platform or an operator sees `instance` leaving.
+  /// Records whether the platform sees `instance` leaving.
   void SetLeaving(const std::string& instance, bool leaving);
+  /// Records the instances that operators drain, all of them.
+  void SetDrains(const std::vector<std::string>& instances);
 
   /// Returns the connected, serving targets of `deployment`.
   std::vector<Candidate> CandidatesFor(
@@ -61,6 +65,7 @@
 
   std::size_t size() const { return sides_.size(); }
   const std::map<std::string, Side>& sides() const { return sides_; }
+  std::map<std::string, Side>& sides() { return sides_; }
 
  private:
   std::size_t max_sides_;
@@ -68,6 +73,7 @@
   std::map<SideLink, std::string> links_;
   /// Instances told to leave before they said hello; bounded like `sides_`.
   std::unordered_set<std::string> leaving_;
+  std::unordered_set<std::string> drains_;
 };
 
 }  // namespace indigolead
--- /dev/null
+++ b/src/entry/attempt_messages.h
@@ -0,0 +1,36 @@
+#ifndef INDIGOLEAD_ENTRY_ATTEMPT_MESSAGES_H_
+#define INDIGOLEAD_ENTRY_ATTEMPT_MESSAGES_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "attempt.pb.h"
+#include "core/request/request_types.h"
+#include "membership.pb.h"
+
+namespace indigolead {
+
+// Translates between the request flow's types and the messages on the links.
+
+void FillStart(const SendStart& start, wire::StartAttempt* message);
+void FillCancel(const SendCancel& cancel, wire::CancelAttempt* message);
+void FillResume(const SendResume& resume, wire::ResumeAttempt* message);
+
+/// Returns the side that said `hello`, or nothing if it lacks an incarnation.
+std::optional<SideInfo> SideInfoFrom(const wire::Hello& hello);
+
+/// Takes over what a heartbeat says of the target.
+void UpdateSideInfo(const wire::Heartbeat& heartbeat, SideInfo* info);
+
+SideRefusal SideRefusalFrom(const wire::AttemptRefused& message);
+AttemptEnd AttemptEndFrom(const wire::ResponseEnd& message);
+std::optional<AttemptKnowledge> KnowledgeFrom(wire::AttemptKnowledge known);
+
+/// Moves the fields out of `headers`.
+std::vector<HeaderField> HeadersFrom(
+    google::protobuf::RepeatedPtrField<wire::Header>* headers);
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_ATTEMPT_MESSAGES_H_
--- /dev/null
+++ b/src/entry/callers_server.cc
@@ -0,0 +1,252 @@
+#include "entry/callers_server.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+#include <vector>
+
+#include "entry/events.h"
+#include "runtime/address.h"
+
+namespace indigolead {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kSweepInterval{100};
+constexpr Duration kFullEventInterval = std::chrono::seconds(10);
+
+WholeAnswer TextAnswer(int status, std::string body) {
+  return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
+}
+
+}  // namespace
+
+CallersServer::CallersServer(asio::io_context* io,
+                             const EntrySettings* settings, Hooks hooks,
+                             Clock clock, IdSource ids, EventLog log,
+                             MetricsRegistry* metrics)
+    : io_(io),
+      settings_(settings),
+      hooks_(std::move(hooks)),
+      clock_(clock),
+      log_(std::move(log)),
+      metrics_(metrics),
+      requests_(metrics->AddCounter("indigolead_entry_requests_total",
+                                    "Requests taken from callers")),
+      connections_refused_(metrics->AddCounter(
+          "indigolead_entry_connections_refused_total",
+          "Connections refused because every one is taken")),
+      connections_(metrics->AddCounter("indigolead_entry_connections_total",
+                                       "Connections accepted")),
+      open_connections_(metrics->AddGauge("indigolead_entry_open_connections",
+                                          "Callers' connections open now")),
+      open_requests_(metrics->AddGauge("indigolead_entry_open_requests",
+                                       "Requests in flight for callers now")),
+      acceptor_(*io),
+      sweep_timer_(*io),
+      catalogue_(
+          std::make_shared<Catalogue>(std::map<std::string, Revision>{})) {
+  host_.settings = settings_;
+  host_.clock = std::move(clock);
+  host_.ids = std::move(ids);
+  host_.catalogue = [this] { return catalogue_; };
+  host_.draining = [this] { return draining_; };
+  host_.local = [this](std::string_view path) { return AnswerLocal(path); };
+  host_.submit = [this](std::shared_ptr<const CallerRequest> request,
+                        Session* session) {
+    const RequestId id = request->id;
+    if (by_request_.size() >= settings_->max_requests ||
+        !hooks_.submit(std::move(request))) {
+      return false;
+    }
+    requests_.Add();
+    Register(id, session);
+    return true;
+  };
+  host_.took = [this](const RequestId& id, std::uint64_t bytes) {
+    hooks_.took({id, bytes});
+  };
+  host_.finished = [this](const RequestId& id, bool gone) {
+    OnFinished(id, gone);
+  };
+  host_.closed = [this](Session* session) {
+    sessions_.erase(session);
+    open_connections_.Set(static_cast<std::int64_t>(sessions_.size()));
+  };
+}
+
+Status CallersServer::Start() {
+  const auto endpoint = ParseEndpoint(settings_->http_address);
+  if (!IsOk(endpoint)) {
+    return ErrorOf(endpoint);
+  }
+  boost::system::error_code ec;
+  acceptor_.open(ValueOf(endpoint).protocol(), ec);
+  if (!ec) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+    acceptor_.bind(ValueOf(endpoint), ec);
+  }
+  if (!ec) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return Error{ErrorCode::kInvalidInput, "entry.listen",
+                 settings_->http_address, ec.message()};
+  }
+  Accept();
+  Sweep();
+  return Unit{};
+}
+
+std::string CallersServer::bound_address() const {
+  boost::system::error_code ec;
+  return ToText(acceptor_.local_endpoint(ec));
+}
+
+void CallersServer::Accept() {
+  acceptor_.async_accept(
+      [this](const boost::system::error_code& ec, tcp::socket socket) {
+        if (ec == asio::error::operation_aborted || !acceptor_.is_open()) {
+          return;
+        }
+        // Other failures, such as running out of descriptors, pass; the sweep
+        // starts accepting again, so that a full table does not spin here.
+        if (!ec) {
+          OnAccepted(std::move(socket));
+          Accept();
+        } else {
+          accept_stalled_ = true;
+        }
+      });
+}
+
+void CallersServer::OnAccepted(tcp::socket socket) {
+  boost::system::error_code ec;
+  socket.set_option(tcp::no_delay(true), ec);
+  if (sessions_.size() >= settings_->max_connections) {
+    RefuseConnection(std::move(socket));
+    return;
+  }
+  connections_.Add();
+  auto session = std::make_shared<Session>(std::move(socket), &host_);
+  sessions_.emplace(session.get(), session);
+  open_connections_.Set(static_cast<std::int64_t>(sessions_.size()));
+  session->Start();
+}
+
+void CallersServer::RefuseConnection(tcp::socket socket) {
+  static constexpr std::string_view kAnswer =
+      "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+      "Indigolead-Run: not-run\r\nRetry-After: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  connections_refused_.Add();
+  const TimePoint now = clock_();
+  if (now - last_full_event_ >= kFullEventInterval) {
+    last_full_event_ = now;
+    log_(kConnectionsFull,
+         {{"limit", std::to_string(settings_->max_connections)}});
+  }
+  // One try without waiting: a fresh socket has room for it, and nothing may
+  // be spent on a connection that is not kept.
+  boost::system::error_code ec;
+  socket.non_blocking(true, ec);
+  socket.write_some(asio::buffer(kAnswer.data(), kAnswer.size()), ec);
+  socket.shutdown(tcp::socket::shutdown_send, ec);
+}
+
+void CallersServer::Sweep() {
+  if (stopped_) {
+    return;
+  }
+  const TimePoint now = clock_();
+  std::vector<std::shared_ptr<Session>> sessions;
+  sessions.reserve(sessions_.size());
+  for (const auto& [key, session] : sessions_) {
+    sessions.push_back(session);
+  }
+  for (const auto& it : sessions) {
+    it->CheckDeadline(now);
+    if (draining_) {
+      it->CloseIfIdle();
+    }
+  }
+  if (accept_stalled_ && acceptor_.is_open()) {
+    accept_stalled_ = false;
+    Accept();
+  }
+  if (hooks_.on_sweep) {
+    hooks_.on_sweep();
+  }
+  sweep_timer_.expires_after(kSweepInterval);
+  sweep_timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec) {
+      Sweep();
+    }
+  });
+}
+
+std::optional<WholeAnswer> CallersServer::AnswerLocal(std::string_view path) {
+  if (path == "/healthz") {
+    return TextAnswer(200, "ok\n");
+  }
+  if (path == "/readyz") {
+    const bool ready = !draining_ && hooks_.ready();
+    return ready ? TextAnswer(200, "ready\n") : TextAnswer(503, "not ready\n");
+  }
+  if (path == "/metrics") {
+    return WholeAnswer{200,
+                       {{"Content-Type", "text/plain; version=0.0.4"}},
+                       metrics_->ToPrometheusText()};
+  }
+  return hooks_.local ? hooks_.local(path) : std::nullopt;
+}
+
+void CallersServer::Register(const RequestId& id, Session* session) {
+  by_request_[id] = session;
+  open_requests_.Set(static_cast<std::int64_t>(by_request_.size()));
+}
+
+void CallersServer::OnFinished(const RequestId& id, bool gone) {
+  by_request_.erase(id);
+  open_requests_.Set(static_cast<std::int64_t>(by_request_.size()));
+  if (gone) {
+    hooks_.gone({id});
+  }
+}
+
+void CallersServer::OnMessage(ToCallers&& message) {
+  std::visit(
+      [this](auto&& it) {
+        using T = std::decay_t<decltype(it)>;
+        if constexpr (std::is_same_v<T, CatalogueChanged>) {
+          catalogue_ = std::move(it.catalogue);
+        } else if constexpr (!std::is_same_v<T, std::monostate>) {
+          const auto found = by_request_.find(it.request);
+          if (found != by_request_.end()) {
+            found->second->OnAnswer(std::move(it));
+          }
+        }
+      },
+      std::move(message));
+}
+
+void CallersServer::StartDrain() {
+  draining_ = true;
+  boost::system::error_code ec;
+  acceptor_.close(ec);
+}
+
+void CallersServer::Stop() {
+  stopped_ = true;
+  boost::system::error_code ec;
+  acceptor_.close(ec);
+  sweep_timer_.cancel();
+  const auto sessions = sessions_;
+  for (const auto& [key, session] : sessions) {
+    session->Close();
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/entry/callers_server.h
@@ -0,0 +1,102 @@
+#ifndef INDIGOLEAD_ENTRY_CALLERS_SERVER_H_
+#define INDIGOLEAD_ENTRY_CALLERS_SERVER_H_
+
+#include <utility>
+// Asio of Boost 1.74 needs <utility> before it.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/base/result.h"
+#include "core/config/settings.h"
+#include "entry/messages.h"
+#include "entry/session.h"
+#include "observe/event_log.h"
+#include "observe/metrics.h"
+
+namespace indigolead {
+
+/// Accepts callers' connections and carries requests and answers between them
+/// and the dispatch thread.
+///
+/// Runs on the thread of the io_context given; every method is called there.
+class CallersServer {
+ public:
+  struct Hooks {
+    /// Takes a request; false if there is no room.
+    std::function<bool(std::shared_ptr<const CallerRequest>)> submit;
+    std::function<void(CallerGone)> gone;
+    std::function<void(CallerTook)> took;
+    /// Returns true once requests can be served.
+    std::function<bool()> ready;
+    /// Answers further paths of the entry itself, such as "/status".
+    std::function<std::optional<WholeAnswer>(std::string_view path)> local;
+    /// Called every sweep, for what waits to be sent to other threads.
+    std::function<void()> on_sweep;
+  };
+
+  /// `io`, `metrics` and `settings` must outlive this object.
+  CallersServer(boost::asio::io_context* io, const EntrySettings* settings,
+                Hooks hooks, Clock clock, IdSource ids, EventLog log,
+                MetricsRegistry* metrics);
+  CallersServer(const CallersServer&) = delete;
+  CallersServer& operator=(const CallersServer&) = delete;
+
+  /// Binds the address of the settings and accepts.
+  Status Start();
+
+  /// Returns the address bound, "IP:port", once started.
+  std::string bound_address() const;
+
+  /// Takes one message from the dispatch thread.
+  void OnMessage(ToCallers&& message);
+
+  /// Stops accepting, answers "not ready", and closes connections as they
+  /// become idle.
+  void StartDrain();
+
+  /// Returns true if no connection is left.
+  bool drained() const { return sessions_.empty(); }
+
+  /// Closes every connection and stops the timers.
+  void Stop();
+
+ private:
+  void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
+  void RefuseConnection(boost::asio::ip::tcp::socket socket);
+  void Sweep();
+  std::optional<WholeAnswer> AnswerLocal(std::string_view path);
+  void Register(const RequestId& id, Session* session);
+  void OnFinished(const RequestId& id, bool gone);
+
+  boost::asio::io_context* io_;
+  const EntrySettings* settings_;
+  Hooks hooks_;
+  Clock clock_;
+  EventLog log_;
+  MetricsRegistry* metrics_;
+  Counter& requests_;
+  Counter& connections_refused_;
+  Counter& connections_;
+  Gauge& open_connections_;
+  Gauge& open_requests_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer sweep_timer_;
+  SessionHost host_;
+  std::shared_ptr<const Catalogue> catalogue_;
+  bool draining_ = false;
+  bool stopped_ = false;
+  bool accept_stalled_ = false;
+  TimePoint last_full_event_;
+  std::unordered_map<Session*, std::shared_ptr<Session>> sessions_;
+  std::unordered_map<RequestId, Session*> by_request_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_CALLERS_SERVER_H_
--- /dev/null
+++ b/src/entry/dispatcher.cc
@@ -0,0 +1,377 @@
+#include "entry/dispatcher.h"
+
+#include <unordered_set>
+
+#include "core/config/revision_json.h"
+#include "entry/attempt_messages.h"
+#include "entry/events.h"
+
+namespace indigolead {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{20};
+constexpr std::uint32_t kProtocolVersion = 1;
+
+SideLink SideLinkOf(LinkId link) { return SideLink{link.value}; }
+LinkId LinkIdOf(SideLink link) { return LinkId{link.value}; }
+
+std::optional<AttemptId> ReadAttemptId(const std::string& bytes) {
+  const auto id = Id128FromBytes(bytes);
+  return id ? std::optional(AttemptId{*id}) : std::nullopt;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(boost::asio::io_context* io, Options options,
+                       Hooks hooks, Clock clock, IdSource ids, EventLog log,
+                       MetricsRegistry* metrics)
+    : io_(io),
+      options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      clock_(std::move(clock)),
+      log_(std::move(log)),
+      links_(io, options_.links, LinkHooks(), clock_, ids, log_, metrics),
+      flow_(options_.flow, hooks_.flow, ids),
+      book_(options_.revisions),
+      tick_timer_(*io),
+      forwards_(metrics->AddCounter("indigolead_entry_forwards_total",
+                                    "Attempts sent to sides")),
+      retries_(metrics->AddCounter("indigolead_entry_retries_total",
+                                   "Attempts after a failed one")),
+      resumes_(metrics->AddCounter("indigolead_entry_resumes_total",
+                                   "Requests for frames to be sent again")),
+      foreign_frames_(
+          metrics->AddCounter("indigolead_entry_foreign_frames_total",
+                              "Frames dropped: of an attempt not held")),
+      duplicate_frames_(
+          metrics->AddCounter("indigolead_entry_duplicate_frames_total",
+                              "Frames dropped: seen before")),
+      gap_frames_(metrics->AddCounter("indigolead_entry_gap_frames_total",
+                                      "Frames dropped: an earlier is missing")),
+      corrupt_answers_(
+          metrics->AddCounter("indigolead_entry_corrupt_answers_total",
+                              "Answers whose end frame did not agree")),
+      unknown_outcomes_(
+          metrics->AddCounter("indigolead_entry_unknown_outcomes_total",
+                              "Requests that ended with run state unknown")),
+      not_run_refusals_(
+          metrics->AddCounter("indigolead_entry_not_run_refusals_total",
+                              "Requests refused as not run")),
+      sides_(metrics->AddGauge("indigolead_entry_sides",
+                               "Sides known, connected or absent")) {}
+
+Links::Hooks Dispatcher::LinkHooks() {
+  Links::Hooks hooks;
+  hooks.make_hello = [this] { return MakeHello(); };
+  hooks.fill_heartbeat = [this](wire::Heartbeat* heartbeat) {
+    heartbeat->set_leaving(leaving_);
+  };
+  hooks.on_up = [this](LinkId link, const wire::Hello& hello) {
+    OnLinkUp(link, hello);
+  };
+  hooks.on_down = [this](LinkId link, const Error& error) {
+    OnLinkDown(link, error);
+  };
+  hooks.on_message = [this](LinkId link, wire::Envelope&& message) {
+    OnEnvelope(link, std::move(message));
+  };
+  return hooks;
+}
+
+void Dispatcher::AddService(EntryService service) {
+  services_.push_back(std::move(service));
+}
+
+Status Dispatcher::Start() {
+  Status status = links_.Start();
+  if (IsOk(status)) {
+    Tick();
+  }
+  return status;
+}
+
+wire::Hello Dispatcher::MakeHello() const {
+  wire::Hello hello;
+  hello.set_protocol(kProtocolVersion);
+  hello.set_kind(wire::PROCESS_ENTRY);
+  hello.set_instance(options_.instance.name);
+  hello.set_incarnation(ToBytes(options_.incarnation.value));
+  hello.set_failure_domain(options_.instance.failure_domain);
+  hello.set_region(options_.instance.region);
+  hello.set_link_address(links_.bound_address());
+  hello.set_leaving(leaving_);
+  for (const auto& [deployment, number] : book_.Known()) {
+    wire::KnownRevision* known = hello.add_revisions();
+    known->set_deployment(deployment);
+    known->set_number(number);
+  }
+  return hello;
+}
+
+void Dispatcher::OnLinkUp(LinkId link, const wire::Hello& hello) {
+  if (hello.kind() == wire::PROCESS_SIDE) {
+    if (auto info = SideInfoFrom(hello)) {
+      log_(kSideUp, {{"side", info->instance},
+                     {"deployment", info->deployment},
+                     {"incarnation", ToHex(info->incarnation.value)}});
+      flow_.OnSideUp(SideLinkOf(link), std::move(*info), clock_());
+    }
+  }
+  for (const EntryService& it : services_) {
+    if (it.on_link_up) {
+      it.on_link_up(link, hello);
+    }
+  }
+  Flush();
+}
+
+void Dispatcher::OnLinkDown(LinkId link, const Error& error) {
+  log_(kSideDown, {{"peer", error.peer}, {"cause", error.detail}});
+  flow_.OnSideDown(SideLinkOf(link), clock_());
+  for (const EntryService& it : services_) {
+    if (it.on_link_down) {
+      it.on_link_down(link);
+    }
+  }
+  Flush();
+}
+
+void Dispatcher::OnHeartbeat(LinkId link, const wire::Heartbeat& heartbeat) {
+  if (const SideInfo* known = flow_.FindSide(SideLinkOf(link))) {
+    SideInfo info = *known;
+    UpdateSideInfo(heartbeat, &info);
+    flow_.OnSideChanged(SideLinkOf(link), info, clock_());
+  }
+}
+
+void Dispatcher::OnEnvelope(LinkId link, wire::Envelope&& message) {
+  for (const EntryService& it : services_) {
+    if (it.handle_message && it.handle_message(link, message)) {
+      Flush();
+      return;
+    }
+  }
+  const TimePoint now = clock_();
+  const SideLink side = SideLinkOf(link);
+  switch (message.body_case()) {
+    case wire::Envelope::kChunk: {
+      wire::ResponseChunk& chunk = *message.mutable_chunk();
+      if (const auto id = ReadAttemptId(chunk.attempt_id())) {
+        flow_.OnChunk(side, *id, chunk.sequence(),
+                      std::move(*chunk.mutable_data()), now);
+      }
+      break;
+    }
+    case wire::Envelope::kHead: {
+      wire::ResponseHead& head = *message.mutable_head();
+      if (const auto id = ReadAttemptId(head.attempt_id())) {
+        flow_.OnHead(side, *id, head.sequence(),
+                     static_cast<int>(head.status()),
+                     HeadersFrom(head.mutable_headers()), now);
+      }
+      break;
+    }
+    case wire::Envelope::kEnd:
+      if (const auto id = ReadAttemptId(message.end().attempt_id())) {
+        flow_.OnEnd(side, *id, AttemptEndFrom(message.end()), now);
+      }
+      break;
+    case wire::Envelope::kRefused:
+      if (const auto id = ReadAttemptId(message.refused().attempt_id())) {
+        flow_.OnRefused(side, *id, SideRefusalFrom(message.refused()), now);
+      }
+      break;
+    case wire::Envelope::kAttemptState: {
+      const wire::AttemptState& state = message.attempt_state();
+      const auto id = ReadAttemptId(state.attempt_id());
+      const auto known = KnowledgeFrom(state.knowledge());
+      if (id && known) {
+        flow_.OnKnowledge(side, *id, *known, now);
+      }
+      break;
+    }
+    case wire::Envelope::kHeartbeat:
+      OnHeartbeat(link, message.heartbeat());
+      break;
+    default:
+      break;
+  }
+  Flush();
+}
+
+void Dispatcher::OnMessage(ToDispatch&& message) {
+  const TimePoint now = clock_();
+  if (auto* request =
+          std::get_if<std::shared_ptr<const CallerRequest>>(&message)) {
+    flow_.OnRequest(std::move(*request), now);
+  } else if (const auto* gone = std::get_if<CallerGone>(&message)) {
+    flow_.OnCallerGone(gone->request, now);
+  } else if (const auto* took = std::get_if<CallerTook>(&message)) {
+    flow_.OnCallerTook(took->request, took->bytes, now);
+  }
+  Flush();
+}
+
+void Dispatcher::OnMessage(PlatformEvent&& event) {
+  if (auto* seen = std::get_if<RevisionSeen>(&event)) {
+    OfferRevision(std::move(seen->record));
+  } else if (const auto* instances = std::get_if<InstancesSeen>(&event)) {
+    OnInstances(instances->list);
+  } else if (const auto* drains = std::get_if<DrainsSeen>(&event)) {
+    flow_.OnDrains(drains->instances, clock_());
+  }
+  Flush();
+}
+
+void Dispatcher::OnInstances(const InstanceList& list) {
+  const TimePoint now = clock_();
+  for (const InstanceRecord& it : list.instances) {
+    if (it.kind == "target") {
+      flow_.OnLeaving(it.name, it.state == InstanceState::kLeaving, now);
+    }
+  }
+}
+
+RevisionOutcome Dispatcher::OfferRevision(RevisionRecord record) {
+  const auto parsed = RevisionFromJson(record.value);
+  if (!IsOk(parsed)) {
+    log_(kRevisionInvalid, {{"deployment", record.deployment},
+                            {"cause", ToString(ErrorOf(parsed))}});
+    return RevisionOutcome::kMismatch;
+  }
+  const Revision& revision = ValueOf(parsed);
+  record.deployment = revision.spec.name;
+  record.number = revision.number;
+  record.digest = revision.digest;
+  const RevisionOutcome outcome = book_.Offer(std::move(record));
+  if (outcome == RevisionOutcome::kNewer) {
+    log_(kRevisionInForce, {{"deployment", revision.spec.name},
+                            {"revision", std::to_string(revision.number)}});
+    RebuildCatalogue();
+  }
+  return outcome;
+}
+
+void Dispatcher::RebuildCatalogue() {
+  std::map<std::string, Revision> revisions;
+  for (const auto& [deployment, number] : book_.Known()) {
+    const auto parsed = RevisionFromJson(book_.Find(deployment)->value);
+    if (IsOk(parsed)) {
+      revisions.emplace(deployment, ValueOf(parsed));
+    }
+  }
+  hooks_.to_callers(CatalogueChanged{
+      std::make_shared<const Catalogue>(std::move(revisions))});
+}
+
+void Dispatcher::Flush() {
+  // Carrying out an action can lead to further ones: a start that finds a full
+  // queue is routed elsewhere.
+  for (;;) {
+    actions_.clear();
+    flow_.TakeActions(&actions_);
+    if (actions_.empty()) {
+      return;
+    }
+    for (RequestAction& it : actions_) {
+      Act(it);
+    }
+  }
+}
+
+void Dispatcher::Act(RequestAction& action) {
+  std::visit(
+      [this](auto& it) {
+        using T = std::decay_t<decltype(it)>;
+        constexpr bool kToSide =
+            std::is_same_v<T, SendStart> || std::is_same_v<T, SendCredit> ||
+            std::is_same_v<T, SendCancel> || std::is_same_v<T, SendResume>;
+        if constexpr (kToSide) {
+          Send(it);
+        } else {
+          hooks_.to_callers(ToCallers(std::move(it)));
+        }
+      },
+      action);
+}
+
+void Dispatcher::Send(const SendStart& action) {
+  FillStart(action, outgoing_.mutable_start());
+  const bool sent = links_.Send(LinkIdOf(action.link), outgoing_);
+  outgoing_.Clear();
+  if (!sent) {
+    flow_.OnStartNotSent(action.attempt, clock_());
+  }
+}
+
+void Dispatcher::Send(const SendCredit& action) {
+  wire::Credit& credit = *outgoing_.mutable_credit();
+  credit.set_attempt_id(ToBytes(action.attempt.value));
+  credit.set_bytes(action.bytes);
+  if (!links_.Send(LinkIdOf(action.link), outgoing_)) {
+    flow_.OnCreditNotSent(action.attempt, action.bytes);
+  }
+  outgoing_.Clear();
+}
+
+void Dispatcher::Send(const SendCancel& action) {
+  FillCancel(action, outgoing_.mutable_cancel());
+  if (!links_.Send(LinkIdOf(action.link), outgoing_)) {
+    flow_.OnCancelNotSent(action.link, action.ref);
+  }
+  outgoing_.Clear();
+}
+
+void Dispatcher::Send(const SendResume& action) {
+  FillResume(action, outgoing_.mutable_resume());
+  // One that is not sent is asked again after the probe interval.
+  links_.Send(LinkIdOf(action.link), outgoing_);
+  outgoing_.Clear();
+}
+
+void Dispatcher::Tick() {
+  if (stopped_) {
+    return;
+  }
+  const TimePoint now = clock_();
+  flow_.Tick(now);
+  for (const EntryService& it : services_) {
+    if (it.tick) {
+      it.tick(now);
+    }
+  }
+  Flush();
+  CountFrames();
+  if (hooks_.on_tick) {
+    hooks_.on_tick();
+  }
+  tick_timer_.expires_after(kTickInterval);
+  tick_timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec) {
+      Tick();
+    }
+  });
+}
+
+void Dispatcher::CountFrames() {
+  const RequestFlowCounts& now = flow_.counts();
+  forwards_.Add(now.forwards - counted_.forwards);
+  retries_.Add(now.retries - counted_.retries);
+  resumes_.Add(now.resumes - counted_.resumes);
+  foreign_frames_.Add(now.foreign_frames - counted_.foreign_frames);
+  duplicate_frames_.Add(now.duplicate_frames - counted_.duplicate_frames);
+  gap_frames_.Add(now.gap_frames - counted_.gap_frames);
+  corrupt_answers_.Add(now.corrupt_answers - counted_.corrupt_answers);
+  unknown_outcomes_.Add(now.unknown_outcomes - counted_.unknown_outcomes);
+  not_run_refusals_.Add(now.not_run_refusals - counted_.not_run_refusals);
+  counted_ = now;
+  sides_.Set(static_cast<std::int64_t>(flow_.sides().size()));
+}
+
+void Dispatcher::Stop(const std::string& reason) {
+  stopped_ = true;
+  tick_timer_.cancel();
+  links_.Stop(reason);
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/entry/entry_process.cc
@@ -0,0 +1,276 @@
+#include "entry/entry_process.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <system_error>
+#include <thread>
+
+#include "entry/callers_server.h"
+#include "entry/dispatcher.h"
+#include "entry/events.h"
+#include "entry/platform_duty.h"
+#include "runtime/clock.h"
+#include "runtime/outbox.h"
+
+namespace indigolead {
+namespace {
+
+constexpr std::size_t kRingPlaces = 16384;
+constexpr std::size_t kPlatformRingPlaces = 1024;
+constexpr std::chrono::milliseconds kDrainPoll{20};
+
+/// One duty's thread and the io_context that it runs.
+class DutyThread {
+ public:
+  DutyThread() : work_(boost::asio::make_work_guard(io_)) {}
+  ~DutyThread() { Join(); }
+
+  boost::asio::io_context* io() { return &io_; }
+  void Start() {
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  void Join() {
+    work_.reset();
+    io_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+  /// Runs `task` on the thread and waits for it.
+  void Call(const std::function<void()>& task) {
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool done = false;
+    boost::asio::post(io_, [&] {
+      task();
+      const std::lock_guard<std::mutex> lock(mutex);
+      done = true;
+      changed.notify_one();
+    });
+    std::unique_lock<std::mutex> lock(mutex);
+    changed.wait(lock, [&] { return done; });
+  }
+
+ private:
+  boost::asio::io_context io_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  std::thread thread_;
+};
+
+Links::Options LinkOptions(const Settings& settings) {
+  Links::Options options;
+  options.bind_address = settings.instance.link_address;
+  options.heartbeat_interval = settings.links.heartbeat_interval;
+  options.silence_timeout = settings.links.silence_timeout;
+  options.high_water_mark = static_cast<int>(settings.links.high_water_mark);
+  options.max_message_bytes = settings.links.max_message_bytes;
+  options.max_links = settings.links.max_links;
+  options.public_key_file = settings.links.public_key_file;
+  options.secret_key_file = settings.links.secret_key_file;
+  options.trusted_keys_file = settings.links.trusted_keys_file;
+  return options;
+}
+
+Dispatcher::Options DispatcherOptions(const Settings& settings) {
+  Dispatcher::Options options;
+  options.instance = settings.instance;
+  options.incarnation = Incarnation{RandomId()};
+  options.links = LinkOptions(settings);
+  options.flow.max_requests = settings.entry.max_requests;
+  options.flow.max_sides = settings.links.max_links;
+  options.flow.stream_window_bytes = settings.entry.stream_window_bytes;
+  options.flow.max_held_bytes = std::min<std::uint64_t>(
+      options.flow.max_held_bytes, settings.entry.stream_window_bytes / 2);
+  options.flow.resume_timeout = settings.entry.resume_timeout;
+  return options;
+}
+
+}  // namespace
+
+class EntryProcess::Impl {
+ public:
+  Impl(Settings settings, EventLog log)
+      : settings_(std::move(settings)),
+        log_(std::move(log)),
+        stop_fd_(eventfd(0, EFD_CLOEXEC)),
+        to_callers_(
+            callers_thread_.io(), kRingPlaces,
+            [this](ToCallers&& it) { callers_.OnMessage(std::move(it)); }),
+        to_dispatch_(
+            dispatch_thread_.io(), kRingPlaces,
+            [this](ToDispatch&& it) { dispatcher_.OnMessage(std::move(it)); }),
+        from_platform_(dispatch_thread_.io(), kPlatformRingPlaces,
+                       [this](PlatformEvent&& it) {
+                         dispatcher_.OnMessage(std::move(it));
+                       }),
+        callers_outbox_(&to_callers_),
+        dispatch_outbox_(&to_dispatch_),
+        platform_outbox_(&from_platform_),
+        dispatcher_(dispatch_thread_.io(), DispatcherOptions(settings_),
+                    DispatcherHooks(), BootTimeNow, RandomId, log_, &metrics_),
+        callers_(callers_thread_.io(), &settings_.entry, CallersHooks(),
+                 BootTimeNow, RandomId, log_, &metrics_) {
+    if (stop_fd_ < 0) {
+      throw std::system_error(errno, std::generic_category(), "eventfd");
+    }
+  }
+
+  ~Impl() {
+    Shutdown();
+    close(stop_fd_);
+  }
+
+  Status Start() {
+    if (started_) {
+      return Unit{};
+    }
+    // Nothing else runs yet, so the duties may be set up on this thread.
+    if (Status status = dispatcher_.Start(); !IsOk(status)) {
+      return status;
+    }
+    if (Status status = callers_.Start(); !IsOk(status)) {
+      return status;
+    }
+    http_address_ = callers_.bound_address();
+    link_address_ = dispatcher_.bound_address();
+    started_ = true;
+    dispatch_thread_.Start();
+    callers_thread_.Start();
+    platform_thread_.Start();
+    log_(kEntryStarted, {{"http", http_address_}, {"links", link_address_}});
+    return Unit{};
+  }
+
+  Status Run() {
+    if (Status status = Start(); !IsOk(status)) {
+      return status;
+    }
+    std::uint64_t count = 0;
+    while (read(stop_fd_, &count, sizeof(count)) < 0 && errno == EINTR) {
+    }
+    DrainCallers();
+    Shutdown();
+    log_(kEntryStopped, {});
+    return Unit{};
+  }
+
+  void RequestStop() {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto n = write(stop_fd_, &one, sizeof(one));
+  }
+
+  void OfferRevision(RevisionRecord record) {
+    dispatch_thread_.Call(
+        [&] { dispatcher_.OfferRevision(std::move(record)); });
+  }
+
+  const std::string& http_address() const { return http_address_; }
+  const std::string& link_address() const { return link_address_; }
+
+ private:
+  Dispatcher::Hooks DispatcherHooks() {
+    Dispatcher::Hooks hooks;
+    hooks.to_callers = [this](ToCallers&& it) {
+      if (std::holds_alternative<CatalogueChanged>(it)) {
+        configured_.store(true, std::memory_order_relaxed);
+      }
+      callers_outbox_.Push(std::move(it));
+    };
+    hooks.on_tick = [this] {
+      callers_outbox_.Flush();
+      open_requests_.store(dispatcher_.flow().open_requests(),
+                           std::memory_order_relaxed);
+    };
+    return hooks;
+  }
+
+  CallersServer::Hooks CallersHooks() {
+    CallersServer::Hooks hooks;
+    hooks.submit = [this](std::shared_ptr<const CallerRequest> request) {
+      if (dispatch_outbox_.waiting() > 0) {
+        return false;
+      }
+      return to_dispatch_.Push(ToDispatch(std::move(request)));
+    };
+    hooks.gone = [this](CallerGone gone) { dispatch_outbox_.Push(gone); };
+    hooks.took = [this](CallerTook took) { dispatch_outbox_.Push(took); };
+    hooks.ready = [this] {
+      return configured_.load(std::memory_order_relaxed);
+    };
+    hooks.on_sweep = [this] { dispatch_outbox_.Flush(); };
+    return hooks;
+  }
+
+  /// Lets open requests and streams end, within `drain_timeout`.
+  void DrainCallers() {
+    log_(kEntryStopping, {});
+    callers_thread_.Call([this] { callers_.StartDrain(); });
+    dispatch_thread_.Call([this] { dispatcher_.SetLeaving(); });
+    const TimePoint limit = BootTimeNow() + settings_.entry.drain_timeout;
+    while (BootTimeNow() < limit) {
+      bool drained = false;
+      callers_thread_.Call([&] { drained = callers_.drained(); });
+      if (drained && open_requests_.load(std::memory_order_relaxed) == 0) {
+        return;
+      }
+      std::this_thread::sleep_for(kDrainPoll);
+    }
+    log_(kDrainTimedOut,
+         {{"open_requests", std::to_string(open_requests_.load())}});
+  }
+
+  void Shutdown() {
+    if (!started_) {
+      return;
+    }
+    started_ = false;
+    platform_thread_.Join();
+    callers_thread_.Call([this] { callers_.Stop(); });
+    dispatch_thread_.Call([this] { dispatcher_.Stop("planned stop"); });
+    callers_thread_.Join();
+    dispatch_thread_.Join();
+  }
+
+  Settings settings_;
+  EventLog log_;
+  int stop_fd_;
+  MetricsRegistry metrics_;
+  std::atomic<bool> configured_{false};
+  std::atomic<std::size_t> open_requests_{0};
+  bool started_ = false;
+  std::string http_address_;
+  std::string link_address_;
+  DutyThread callers_thread_;
+  DutyThread dispatch_thread_;
+  DutyThread platform_thread_;
+  Mailbox<ToCallers> to_callers_;
+  Mailbox<ToDispatch> to_dispatch_;
+  Mailbox<PlatformEvent> from_platform_;
+  Outbox<ToCallers> callers_outbox_;
+  Outbox<ToDispatch> dispatch_outbox_;
+  Outbox<PlatformEvent> platform_outbox_;
+  Dispatcher dispatcher_;
+  CallersServer callers_;
+};
+
+EntryProcess::EntryProcess(Settings settings, EventLog log)
+    : impl_(std::make_unique<Impl>(std::move(settings), std::move(log))) {}
+EntryProcess::~EntryProcess() = default;
+
+Status EntryProcess::Start() { return impl_->Start(); }
+Status EntryProcess::Run() { return impl_->Run(); }
+void EntryProcess::RequestStop() { impl_->RequestStop(); }
+std::string EntryProcess::http_address() const { return impl_->http_address(); }
+std::string EntryProcess::link_address() const { return impl_->link_address(); }
+void EntryProcess::OfferRevision(RevisionRecord record) {
+  impl_->OfferRevision(std::move(record));
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/entry/http_answer.cc
@@ -0,0 +1,114 @@
+#include "entry/http_answer.h"
+
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "core/request/header_fields.h"
+
+namespace indigolead {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+template <typename Buffers>
+void AppendBuffers(const Buffers& buffers, std::string* out) {
+  for (const asio::const_buffer it : beast::buffers_range_ref(buffers)) {
+    out->append(static_cast<const char*>(it.data()), it.size());
+  }
+}
+
+std::string_view ErrorType(int status) {
+  switch (status) {
+    case 401:
+      return "authentication_error";
+    case 403:
+      return "permission_error";
+    case 404:
+      return "not_found_error";
+    case 429:
+      return "rate_limit_error";
+    default:
+      return status < 500 ? "invalid_request_error" : "server_error";
+  }
+}
+
+}  // namespace
+
+void AppendHead(int status, const std::vector<HeaderField>& headers,
+                const std::string& request_id, const AnswerFraming& framing,
+                std::string* out) {
+  http::response<http::empty_body> response;
+  response.version(framing.version);
+  response.result(static_cast<unsigned>(status));
+  const std::string_view connection = FindHeader(headers, "connection");
+  for (const HeaderField& it : headers) {
+    const bool own_length =
+        EqualsIgnoringCase(it.name, "content-length") && !framing.to_head;
+    if (!own_length && !IsHopByHop(it.name, connection) &&
+        !EqualsIgnoringCase(it.name, "x-request-id")) {
+      response.insert(it.name, it.value);
+    }
+  }
+  response.set("X-Request-Id", request_id);
+  response.keep_alive(framing.keep_alive);
+  if (framing.chunked) {
+    response.chunked(true);
+  } else if (framing.content_length) {
+    response.content_length(*framing.content_length);
+  }
+  http::response_serializer<http::empty_body> serializer(response);
+  serializer.split(true);
+  beast::error_code ec;
+  while (!serializer.is_header_done() && !ec) {
+    serializer.next(ec, [&](beast::error_code&, const auto& buffers) {
+      AppendBuffers(buffers, out);
+      serializer.consume(beast::buffer_bytes(buffers));
+    });
+  }
+}
+
+void AppendChunk(std::string_view data, std::string* out) {
+  if (!data.empty()) {
+    AppendBuffers(http::make_chunk(asio::buffer(data.data(), data.size())),
+                  out);
+  }
+}
+
+void AppendLastChunk(std::string* out) {
+  AppendBuffers(http::make_chunk_last(), out);
+}
+
+std::string ErrorJson(const Refusal& refusal, const std::string& request_id) {
+  nlohmann::json error;
+  error["message"] = refusal.message;
+  error["type"] = ErrorType(refusal.status);
+  error["code"] = refusal.code;
+  error["run"] = RunStateName(refusal.run);
+  error["request_id"] = request_id;
+  const nlohmann::json body = {{"error", error}};
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::vector<HeaderField> RefusalHeaders(const Refusal& refusal) {
+  std::vector<HeaderField> headers = {
+      {"Content-Type", "application/json"},
+      {"Indigolead-Run", std::string(RunStateName(refusal.run))}};
+  if (refusal.retry_after > Duration{0}) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(refusal.retry_after).count();
+    headers.push_back({"Retry-After", std::to_string(seconds)});
+  }
+  if (refusal.status == 401) {
+    headers.push_back({"WWW-Authenticate", "Bearer"});
+  }
+  return headers;
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/entry/http_answer.h
@@ -0,0 +1,43 @@
+#ifndef INDIGOLEAD_ENTRY_HTTP_ANSWER_H_
+#define INDIGOLEAD_ENTRY_HTTP_ANSWER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/request/request_types.h"
+
+namespace indigolead {
+
+/// How the body of one answer is delimited on its connection.
+struct AnswerFraming {
+  unsigned version = 11;  ///< 10 or 11.
+  bool keep_alive = true;
+  bool chunked = false;
+  /// Stated length; unset if chunked or ended by closing the connection.
+  std::optional<std::uint64_t> content_length;
+  /// The answer to HEAD: keeps the target's own Content-Length.
+  bool to_head = false;
+};
+
+/// Appends a response head to `out`: the target's fields without those of its
+/// own connection, plus `X-Request-Id`.
+void AppendHead(int status, const std::vector<HeaderField>& headers,
+                const std::string& request_id, const AnswerFraming& framing,
+                std::string* out);
+
+/// Appends one chunk, or the end of a chunked body.
+void AppendChunk(std::string_view data, std::string* out);
+void AppendLastChunk(std::string* out);
+
+/// Returns the OpenAI-style error object for `refusal`.
+std::string ErrorJson(const Refusal& refusal, const std::string& request_id);
+
+/// Returns the fields that go with a refusal: `Indigolead-Run`, `Retry-After`.
+std::vector<HeaderField> RefusalHeaders(const Refusal& refusal);
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_HTTP_ANSWER_H_
--- /dev/null
+++ b/src/entry/session.cc
@@ -0,0 +1,265 @@
+#include "entry/session.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "core/request/header_fields.h"
+
+namespace indigolead {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Longest wait for the caller's own close after the last answer.
+constexpr Duration kDrainTime = std::chrono::seconds(1);
+/// Buffers above this size are given back after use.
+constexpr std::size_t kKeptCapacity = 4096;
+
+bool HasNoBody(int status) {
+  return status == 204 || status == 304 || (status >= 100 && status < 200);
+}
+
+void Release(std::string* text) {
+  text->clear();
+  if (text->capacity() > kKeptCapacity) {
+    text->shrink_to_fit();
+  }
+}
+
+}  // namespace
+
+Session::Session(asio::ip::tcp::socket socket, const SessionHost* host)
+    : socket_(std::move(socket)),
+      host_(host),
+      buffer_(host->settings->max_header_bytes + kKeptCapacity) {}
+
+void Session::Start() {
+  SetDeadline(host_->settings->header_timeout);
+  ReadRequest();
+}
+
+void Session::SetDeadline(Duration limit) {
+  deadline_ = host_->clock() + limit;
+}
+
+void Session::CheckDeadline(TimePoint now) {
+  if (now >= deadline_ && state_ != State::kClosed) {
+    Close();
+  }
+}
+
+void Session::CloseIfIdle() {
+  if (state_ == State::kIdle) {
+    Close();
+  }
+}
+
+void Session::Close() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  state_ = State::kClosed;
+  boost::system::error_code ec;
+  socket_.close(ec);
+  if (forwarded_) {
+    forwarded_ = false;
+    host_->finished(request_, /*gone=*/true);
+  }
+  host_->closed(this);
+}
+
+AnswerFraming Session::FramingFor(int status,
+                                  std::optional<std::uint64_t> length) {
+  AnswerFraming framing;
+  framing.version = version_;
+  framing.to_head = to_head_;
+  const bool bodiless = HasNoBody(status) || to_head_;
+  if (!bodiless && !length && version_ == 10) {
+    keep_alive_ = false;  // Only closing can end this body.
+  }
+  chunked_ = !bodiless && !length && version_ == 11;
+  framing.chunked = chunked_;
+  if (!bodiless) {
+    framing.content_length = length;
+  }
+  keep_alive_ = keep_alive_ && !host_->draining();
+  framing.keep_alive = keep_alive_;
+  return framing;
+}
+
+void Session::Respond(int status, const std::vector<HeaderField>& headers,
+                      std::string_view body) {
+  state_ = State::kAnswering;
+  AppendHead(status, headers, request_text_, FramingFor(status, body.size()),
+             &out_);
+  if (!to_head_ && !HasNoBody(status)) {
+    out_ += body;
+  }
+  answer_ended_ = true;
+  ScheduleWrite();
+}
+
+void Session::RespondRefusal(const Refusal& refusal) {
+  Respond(refusal.status, RefusalHeaders(refusal),
+          ErrorJson(refusal, request_text_) + "\n");
+}
+
+void Session::OnAnswer(AnswerHead&& head) {
+  AppendHead(head.status, head.headers, request_text_,
+             FramingFor(head.status, std::nullopt), &out_);
+  event_stream_ = FindHeader(head.headers, "content-type")
+                      .substr(0, kEventStreamType.size()) == kEventStreamType;
+  last_bytes_ = "\n\n";
+  ScheduleWrite();
+}
+
+void Session::OnAnswer(AnswerData&& data) {
+  body_in_out_ += data.data.size();
+  if (!to_head_) {
+    chunked_ ? AppendChunk(data.data, &out_) : void(out_ += data.data);
+  }
+  if (event_stream_) {
+    last_bytes_ += data.data.substr(data.data.size() -
+                                    std::min<std::size_t>(data.data.size(), 2));
+    last_bytes_.erase(0, last_bytes_.size() - 2);
+  }
+  ScheduleWrite();
+}
+
+void Session::OnAnswer(AnswerEnd&&) {
+  if (chunked_) {
+    AppendLastChunk(&out_);
+  }
+  answer_ended_ = true;
+  ScheduleWrite();
+}
+
+void Session::OnAnswer(AnswerWhole&& whole) {
+  Respond(whole.answer.status, whole.answer.headers, whole.answer.body);
+}
+
+void Session::OnAnswer(AnswerRefusal&& refusal) {
+  RespondRefusal(refusal.refusal);
+}
+
+void Session::OnAnswer(AnswerAbort&& abort) {
+  keep_alive_ = false;
+  if (!event_stream_) {
+    // A reset cannot be mistaken for the end of the body, which a plain close
+    // is to a caller that speaks HTTP/1.0.
+    boost::system::error_code ec;
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+    Close();
+    return;
+  }
+  std::string event = last_bytes_ == "\n\n" ? "" : "\n\n";
+  event +=
+      "event: error\ndata: " + ErrorJson(abort.refusal, request_text_) + "\n\n";
+  chunked_ ? AppendChunk(event, &out_) : void(out_ += event);
+  // No last chunk: even a reader that ignores the event sees a broken body.
+  answer_ended_ = true;
+  ScheduleWrite();
+}
+
+void Session::ScheduleWrite() {
+  if (write_scheduled_ || write_active_) {
+    return;
+  }
+  // Everything that arrives in this pass goes out in one write.
+  write_scheduled_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->write_scheduled_ = false;
+    self->WriteSome();
+  });
+}
+
+void Session::WriteSome() {
+  if (state_ == State::kClosed || write_active_) {
+    return;
+  }
+  if (written_ == writing_.size()) {
+    Release(&writing_);
+    written_ = 0;
+    if (out_.empty()) {
+      return;
+    }
+    std::swap(out_, writing_);
+    body_in_writing_ = std::exchange(body_in_out_, 0);
+  }
+  write_active_ = true;
+  SetDeadline(host_->settings->write_timeout);
+  socket_.async_write_some(
+      asio::buffer(writing_.data() + written_, writing_.size() - written_),
+      [self = shared_from_this()](const boost::system::error_code& ec,
+                                  std::size_t n) { self->OnWritten(ec, n); });
+}
+
+void Session::OnWritten(const boost::system::error_code& ec, std::size_t n) {
+  write_active_ = false;
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (ec) {
+    Close();
+    return;
+  }
+  written_ += n;
+  if (written_ == writing_.size() && body_in_writing_ > 0) {
+    const std::uint64_t taken = std::exchange(body_in_writing_, 0);
+    if (forwarded_ && !answer_ended_) {
+      host_->took(request_, taken);
+    }
+  }
+  if (written_ < writing_.size() || !out_.empty()) {
+    WriteSome();
+    return;
+  }
+  if (state_ == State::kAnswering && answer_ended_) {
+    FinishAnswer();
+  } else if (state_ == State::kAnswering) {
+    deadline_ = TimePoint::max();  // The target's turn, not the caller's.
+  }
+}
+
+void Session::FinishAnswer() {
+  Release(&writing_);
+  written_ = 0;
+  event_stream_ = false;
+  if (forwarded_) {
+    forwarded_ = false;
+    host_->finished(request_, /*gone=*/false);
+  }
+  if (keep_alive_ && !host_->draining()) {
+    SetDeadline(host_->settings->idle_timeout);
+    ReadRequest();
+    return;
+  }
+  Drain();
+}
+
+void Session::Drain() {
+  // Closing with unread input would send a reset that can destroy the answer
+  // on its way, so the caller's close is waited for, within a bound.
+  state_ = State::kClosing;
+  boost::system::error_code ec;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  SetDeadline(kDrainTime);
+  DiscardInput();
+}
+
+void Session::DiscardInput() {
+  buffer_.clear();
+  socket_.async_read_some(
+      buffer_.prepare(kKeptCapacity),
+      [self = shared_from_this()](const boost::system::error_code& ec,
+                                  std::size_t) {
+        if (ec) {
+          self->Close();
+        } else if (self->state_ == State::kClosing) {
+          self->DiscardInput();
+        }
+      });
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/entry/session.h
@@ -0,0 +1,138 @@
+#ifndef INDIGOLEAD_ENTRY_SESSION_H_
+#define INDIGOLEAD_ENTRY_SESSION_H_
+
+#include <utility>
+// Asio of Boost 1.74 needs <utility> before it.
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/config/settings.h"
+#include "core/request/catalogue.h"
+#include "core/request/request_reader.h"
+#include "core/request/request_types.h"
+#include "entry/http_answer.h"
+
+namespace indigolead {
+
+/// Media type of server-sent events.
+inline constexpr std::string_view kEventStreamType = "text/event-stream";
+
+class Session;
+
+/// What a session needs from the server that owns it.
+struct SessionHost {
+  const EntrySettings* settings = nullptr;
+  Clock clock;
+  IdSource ids;
+  std::function<std::shared_ptr<const Catalogue>()> catalogue;
+  std::function<bool()> draining;
+  /// Answers a path that the entry serves itself, such as "/healthz".
+  std::function<std::optional<WholeAnswer>(std::string_view path)> local;
+  /// Takes a request; false if there is no room, with `request` as it was.
+  std::function<bool(std::shared_ptr<const CallerRequest>, Session*)> submit;
+  std::function<void(const RequestId&, std::uint64_t bytes)> took;
+  /// The request's answer is written, or with `gone` its caller has left.
+  std::function<void(const RequestId&, bool gone)> finished;
+  std::function<void(Session*)> closed;
+};
+
+/// One caller's connection: reads requests one after another, hands them on
+/// and writes their answers.
+///
+/// Every wait has a deadline, kept as one time point that the server's sweep
+/// compares: a caller that says nothing, sends its head byte by byte or stops
+/// reading holds a connection for a bounded time only. What waits to be written
+/// is bounded by the stream's credit window, because credit is returned only
+/// for bytes that the socket took.
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(boost::asio::ip::tcp::socket socket, const SessionHost* host);
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void Start();
+
+  /// Parts of the answer to the request in flight.
+  void OnAnswer(AnswerHead&& head);
+  void OnAnswer(AnswerData&& data);
+  void OnAnswer(AnswerEnd&& end);
+  void OnAnswer(AnswerWhole&& whole);
+  void OnAnswer(AnswerRefusal&& refusal);
+  void OnAnswer(AnswerAbort&& abort);
+
+  /// Closes the connection if its deadline has passed.
+  void CheckDeadline(TimePoint now);
+
+  /// Closes the connection now if no request is in flight on it.
+  void CloseIfIdle();
+  void Close();
+
+ private:
+  using Body = boost::beast::http::string_body;
+  using Parser = boost::beast::http::request_parser<Body>;
+
+  enum class State { kIdle, kReading, kAnswering, kClosing, kClosed };
+
+  void ReadRequest();
+  void ReadSome();
+  void OnRead(const boost::system::error_code& ec);
+  void OnReadFailed(const boost::system::error_code& ec);
+  bool CheckHead();
+  void Handle();
+  void Forward(CallerRequest request);
+  void AnswerModels(const std::vector<AccountGrant>& grants);
+  void WatchForDisconnect();
+  bool PeerHasClosed();
+
+  AnswerFraming FramingFor(int status, std::optional<std::uint64_t> length);
+  void Respond(int status, const std::vector<HeaderField>& headers,
+               std::string_view body);
+  void RespondRefusal(const Refusal& refusal);
+  void ScheduleWrite();
+  void WriteSome();
+  void OnWritten(const boost::system::error_code& ec, std::size_t n);
+  void FinishAnswer();
+  void Drain();
+  void DiscardInput();
+  void SetDeadline(Duration limit);
+
+  boost::asio::ip::tcp::socket socket_;
+  const SessionHost* host_;
+  State state_ = State::kIdle;
+  TimePoint deadline_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  bool head_checked_ = false;
+
+  RequestId request_;
+  std::string request_text_;  ///< The id as told to the caller.
+  bool forwarded_ = false;    ///< The request is with the dispatch thread.
+  bool keep_alive_ = true;
+  bool to_head_ = false;
+  unsigned version_ = 11;
+  bool chunked_ = false;
+  bool event_stream_ = false;
+  bool answer_ended_ = false;
+  std::string last_bytes_;  ///< Ending of the event stream written so far.
+
+  std::string out_;      ///< Waits to be written.
+  std::string writing_;  ///< Being written, from `written_` on.
+  std::size_t written_ = 0;
+  std::uint64_t body_in_out_ = 0;
+  std::uint64_t body_in_writing_ = 0;
+  bool write_scheduled_ = false;
+  bool write_active_ = false;
+  bool watch_active_ = false;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_SESSION_H_
--- /dev/null
+++ b/src/entry/session_read.cc
@@ -0,0 +1,220 @@
+#include <sys/socket.h>
+
+#include <boost/beast/http/read.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "core/request/header_fields.h"
+#include "entry/session.h"
+
+namespace indigolead {
+namespace {
+
+namespace http = boost::beast::http;
+
+std::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::vector<HeaderField> CopyHeaders(const http::fields& fields) {
+  std::vector<HeaderField> headers;
+  for (const auto& it : fields) {
+    headers.push_back({std::string(ToView(it.name_string())),
+                       std::string(ToView(it.value()))});
+  }
+  return headers;
+}
+
+}  // namespace
+
+void Session::ReadRequest() {
+  state_ = State::kIdle;
+  parser_.emplace();
+  parser_->header_limit(
+      static_cast<std::uint32_t>(host_->settings->max_header_bytes));
+  parser_->body_limit(host_->settings->max_body_bytes);
+  parser_->eager(true);
+  head_checked_ = false;
+  if (buffer_.size() > 0) {
+    SetDeadline(host_->settings->header_timeout);
+    state_ = State::kReading;
+  }
+  ReadSome();
+}
+
+void Session::ReadSome() {
+  http::async_read_some(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const boost::system::error_code& ec,
+                                  std::size_t) { self->OnRead(ec); });
+}
+
+void Session::OnRead(const boost::system::error_code& ec) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (ec) {
+    OnReadFailed(ec);
+    return;
+  }
+  if (state_ == State::kIdle) {
+    // From the first byte on the whole head has one deadline, so a caller that
+    // sends it byte by byte gains nothing.
+    state_ = State::kReading;
+    SetDeadline(host_->settings->header_timeout);
+  }
+  if (parser_->is_header_done() && !head_checked_) {
+    head_checked_ = true;
+    SetDeadline(host_->settings->idle_timeout);
+    if (!CheckHead()) {
+      return;
+    }
+  }
+  if (parser_->is_done()) {
+    Handle();
+  } else {
+    ReadSome();
+  }
+}
+
+void Session::OnReadFailed(const boost::system::error_code& ec) {
+  Refusal refusal;
+  if (ec == http::error::body_limit) {
+    refusal = {413, RunState::kNotRun, "body_too_large",
+               "The body is larger than this entry's limit."};
+  } else if (ec == http::error::header_limit ||
+             ec == http::error::buffer_overflow) {
+    refusal = {431, RunState::kNotRun, "header_too_large",
+               "The request head is larger than this entry's limit."};
+  } else if (ec.category() ==
+                 http::make_error_code(http::error::bad_method).category() &&
+             ec != http::error::end_of_stream &&
+             ec != http::error::partial_message) {
+    refusal = {400, RunState::kNotRun, "bad_request",
+               "The request is not HTTP/1.1: " + ec.message() + "."};
+  } else {
+    Close();
+    return;
+  }
+  request_ = RequestId{host_->ids()};
+  request_text_ = ToHex(request_.value);
+  version_ = 11;
+  to_head_ = false;
+  keep_alive_ = false;
+  RespondRefusal(refusal);
+}
+
+bool Session::CheckHead() {
+  const auto& head = parser_->get();
+  request_ = RequestId{host_->ids()};
+  request_text_ = ToHex(request_.value);
+  version_ = head.version() >= 11 ? 11 : 10;
+  to_head_ = head.method() == http::verb::head;
+  keep_alive_ = head.keep_alive() && !host_->draining();
+  if (parser_->is_done()) {
+    return true;
+  }
+  // A body still to come is read only for a known key: a stranger must not
+  // fill memory.
+  const std::vector<HeaderField> headers = CopyHeaders(head);
+  const auto catalogue = host_->catalogue();
+  if (catalogue->FindGrants(HashKey(FindApiKey(headers))).empty()) {
+    keep_alive_ = false;
+    RespondRefusal(UnknownKeyRefusal());
+    return false;
+  }
+  if (EqualsIgnoringCase(FindHeader(headers, "expect"), "100-continue")) {
+    out_ += "HTTP/1.1 100 Continue\r\n\r\n";
+    ScheduleWrite();
+  }
+  return true;
+}
+
+void Session::Handle() {
+  auto message = parser_->release();
+  parser_.reset();
+  IncomingRequest incoming;
+  incoming.method = std::string(ToView(message.method_string()));
+  incoming.target = std::string(ToView(message.target()));
+  const std::string_view path =
+      std::string_view(incoming.target).substr(0, incoming.target.find('?'));
+  if (auto answer = host_->local(path)) {
+    Respond(answer->status, answer->headers, answer->body);
+    return;
+  }
+  incoming.headers = CopyHeaders(message);
+  incoming.body = std::move(message.body());
+  const auto catalogue = host_->catalogue();
+  const auto grants =
+      catalogue->FindGrants(HashKey(FindApiKey(incoming.headers)));
+  if (grants.empty()) {
+    RespondRefusal(UnknownKeyRefusal());
+  } else if (path == "/v1/models") {
+    AnswerModels(grants);
+  } else {
+    auto read = indigolead::ReadRequest(std::move(incoming), *catalogue, grants,
+                                        request_, host_->clock());
+    if (auto* refusal = std::get_if<Refusal>(&read)) {
+      RespondRefusal(*refusal);
+      return;
+    }
+    Forward(std::get<CallerRequest>(std::move(read)));
+  }
+}
+
+void Session::Forward(CallerRequest request) {
+  state_ = State::kAnswering;
+  answer_ended_ = false;
+  // From here on the request's own deadline bounds the wait, not the
+  // connection's.
+  deadline_ = TimePoint::max();
+  if (!host_->submit(std::make_shared<const CallerRequest>(std::move(request)),
+                     this)) {
+    RespondRefusal({503, RunState::kNotRun, "entry_overloaded",
+                    "This entry holds as many requests as it may.",
+                    std::chrono::seconds(1)});
+    return;
+  }
+  forwarded_ = true;
+  WatchForDisconnect();
+}
+
+void Session::AnswerModels(const std::vector<AccountGrant>& grants) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const std::string& name : host_->catalogue()->ModelsFor(grants)) {
+    list.push_back(
+        {{"id", name}, {"object", "model"}, {"owned_by", "indigolead"}});
+  }
+  const nlohmann::json body = {{"object", "list"}, {"data", list}};
+  Respond(200, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+void Session::WatchForDisconnect() {
+  if (watch_active_) {
+    return;
+  }
+  watch_active_ = true;
+  socket_.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& ec) {
+        self->watch_active_ = false;
+        if (!ec && self->state_ == State::kAnswering && self->PeerHasClosed()) {
+          self->Close();
+        }
+      });
+}
+
+bool Session::PeerHasClosed() {
+  char byte = 0;
+  const auto n =
+      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool would_block = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (would_block) {
+    WatchForDisconnect();
+  }
+  // Bytes of a next request stop the watch: the request in flight is answered
+  // before they are read, and a write then finds out whether the caller left.
+  return n <= 0 && !would_block;
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/tests/shell/callers_server_test.cc
@@ -0,0 +1,278 @@
+#include "entry/callers_server.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/support/callers_fixture.h"
+#include "tests/support/raw_client.h"
+
+namespace indigolead {
+namespace {
+
+using Catch::Matchers::Contains;
+using Catch::Matchers::EndsWith;
+using Catch::Matchers::StartsWith;
+
+std::string Post(const std::string& path, const std::string& body,
+                 const std::string& headers = "") {
+  return "POST " + path + " HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " +
+         kExampleKey + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string kCompletion = R"({"model":"tarifa","prompt":"gel"})";
+
+TEST_CASE("A caller's request reaches the dispatch thread") {
+  CallersFixture entry;
+  RawClient client(entry.address());
+  client.Write(Post("/v1/completions", kCompletion,
+                    "Idempotency-Key: k1\r\nConnection: x-private\r\n"
+                    "X-Private: 1\r\nX-Salon: 7\r\n"));
+  const auto request = entry.Request(0);
+
+  SECTION("with its account, deployment and model") {
+    CHECK(request->client_account == "salon-bilbao");
+    CHECK(request->deployment == "tarifa-llm");
+    CHECK(request->model == "tarifa");
+    CHECK(request->repeatability == Repeatability::kKeyed);
+    CHECK(request->idempotency_key == "k1");
+    CHECK(request->body == kCompletion);
+  }
+
+  SECTION("without the key and without the connection's own fields") {
+    for (const HeaderField& it : request->headers) {
+      INFO(it.name);
+      CHECK(it.name != "Authorization");
+      CHECK(it.name != "X-Private");
+      CHECK(it.name != "Connection");
+    }
+  }
+
+  SECTION("and a whole answer comes back, then the next on one connection") {
+    entry.Answer(AnswerWhole{request->id, {200, {}, "22"}});
+    const std::string& first = client.ReadUntil("\r\n\r\n22");
+    CHECK_THAT(first, StartsWith("HTTP/1.1 200"));
+    CHECK_THAT(first, Contains("X-Request-Id: " + ToHex(request->id.value)));
+    CHECK_THAT(first, Contains("Content-Length: 2"));
+    client.Clear();
+    client.Write(Post("/v1/completions", kCompletion));
+    entry.Answer(AnswerWhole{entry.Request(1)->id, {200, {}, "23"}});
+    CHECK_THAT(client.ReadUntil("\r\n\r\n23"), EndsWith("23"));
+  }
+
+  SECTION("and a refusal says what is known about the run") {
+    entry.Answer(AnswerRefusal{request->id,
+                               {503, RunState::kNotRun, "no_target", "None.",
+                                std::chrono::milliseconds(1500)}});
+    const std::string& answer = client.ReadUntil("}\n");
+    CHECK_THAT(answer, StartsWith("HTTP/1.1 503"));
+    CHECK_THAT(answer, Contains("Indigolead-Run: not-run"));
+    CHECK_THAT(answer, Contains("Retry-After: 2"));
+    CHECK_THAT(answer, Contains(R"("code":"no_target")"));
+  }
+
+  SECTION("and a caller that closes is reported gone") {
+    client.Close();
+    CHECK(entry.WaitGone(request->id));
+  }
+}
+
+TEST_CASE("An event stream is passed on as it comes") {
+  CallersFixture entry;
+  RawClient client(entry.address());
+  client.Write(Post("/v1/completions", R"({"model":"tarifa","stream":true})"));
+  const auto request = entry.Request(0);
+  CHECK(request->streamed);
+  entry.Answer(
+      AnswerHead{request->id, 200, {{"Content-Type", "text/event-stream"}}});
+  entry.Answer(AnswerData{request->id, "data: 1\n\n"});
+  client.ReadUntil("data: 1\n\n");
+  CHECK(entry.WaitTook(9) == 9);
+
+  SECTION("and ends with the last chunk") {
+    entry.Answer(AnswerEnd{request->id});
+    CHECK_THAT(client.ReadUntil("0\r\n\r\n"), EndsWith("0\r\n\r\n"));
+  }
+
+  SECTION("and one that breaks ends with an error event and no last chunk") {
+    entry.Answer(AnswerAbort{
+        request->id, {502, RunState::kUnknown, "target_died", "Died."}});
+    const std::string& answer = client.ReadToEnd();
+    CHECK(client.closed());
+    CHECK_THAT(answer, Contains("event: error\ndata: {"));
+    CHECK_THAT(answer, Contains(R"("run":"unknown")"));
+    CHECK_THAT(answer, !Contains("[DONE]"));
+    CHECK_THAT(answer, !EndsWith("0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("Any other answer that breaks is not ended at all") {
+  CallersFixture entry;
+  RawClient client(entry.address());
+  client.Write(Post("/menu/today", "x"));
+  const auto request = entry.Request(0);
+  CHECK(request->deployment == "salon-app");
+  CHECK(request->repeatability == Repeatability::kOnce);
+  entry.Answer(AnswerHead{request->id, 200, {}});
+  entry.Answer(AnswerData{request->id, "half"});
+  client.ReadUntil("half");
+  entry.Answer(AnswerAbort{request->id, {}});
+  CHECK_THAT(client.ReadToEnd(), !EndsWith("0\r\n\r\n"));
+  CHECK(client.closed());
+}
+
+TEST_CASE("What cannot be served is refused before any target sees it") {
+  EntrySettings settings;
+  settings.max_body_bytes = 1000;
+  settings.max_header_bytes = 2000;
+  CallersFixture entry(settings);
+  RawClient client(entry.address());
+
+  SECTION("without a key") {
+    client.Write("GET /menu HTTP/1.1\r\nHost: entry\r\n\r\n");
+    const std::string& answer = client.ReadUntil("}\n");
+    CHECK_THAT(answer, StartsWith("HTTP/1.1 401"));
+    CHECK_THAT(answer, Contains("Indigolead-Run: not-run"));
+  }
+
+  SECTION("without a key, before the body is even read") {
+    client.Write(
+        "POST /menu HTTP/1.1\r\nHost: entry\r\nContent-Length: 900\r\n\r\n");
+    CHECK_THAT(client.ReadToEnd(), StartsWith("HTTP/1.1 401"));
+  }
+
+  SECTION("with an unknown model") {
+    client.Write(Post("/v1/completions", R"({"model":"other"})"));
+    CHECK_THAT(client.ReadUntil("}\n"), StartsWith("HTTP/1.1 404"));
+  }
+
+  SECTION("with a body that is not JSON") {
+    client.Write(Post("/v1/completions", "gel?"));
+    CHECK_THAT(client.ReadUntil("}\n"), StartsWith("HTTP/1.1 400"));
+  }
+
+  SECTION("with a body over the limit") {
+    client.Write(Post("/v1/completions", std::string(1001, 'x')));
+    CHECK_THAT(client.ReadToEnd(), StartsWith("HTTP/1.1 413"));
+  }
+
+  SECTION("with a chunked body over the limit") {
+    client.Write(std::string("POST /menu HTTP/1.1\r\nHost: entry\r\n") +
+                 "X-Api-Key: " + kExampleKey +
+                 "\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+                 std::string(1001, 'x') + "\r\n0\r\n\r\n");
+    CHECK_THAT(client.ReadToEnd(), StartsWith("HTTP/1.1 413"));
+  }
+
+  SECTION("with a head over the limit") {
+    client.Write("GET /menu HTTP/1.1\r\nX-Long: " + std::string(4000, 'x') +
+                 "\r\n\r\n");
+    CHECK_THAT(client.ReadToEnd(), StartsWith("HTTP/1.1 431"));
+  }
+
+  SECTION("with something that is not HTTP") {
+    client.Write("\x16\x03\x01 nonsense\r\n\r\n");
+    CHECK_THAT(client.ReadToEnd(), StartsWith("HTTP/1.1 400"));
+  }
+  CHECK(entry.request_count() == 0);
+}
+
+TEST_CASE("A caller that holds a connection and does nothing is dropped") {
+  EntrySettings settings;
+  settings.header_timeout = std::chrono::milliseconds(300);
+  settings.idle_timeout = std::chrono::milliseconds(600);
+  CallersFixture entry(settings);
+  RawClient client(entry.address());
+
+  SECTION("if it says nothing") {}
+  SECTION("if its head never ends") {
+    client.Write("GET /menu HTTP/1.1\r\nHost: e");
+  }
+  SECTION("if its body never ends") {
+    client.Write(std::string("POST /menu HTTP/1.1\r\nHost: e\r\nX-Api-Key: ") +
+                 kExampleKey + "\r\nContent-Length: 9\r\n\r\nx");
+  }
+  client.ReadToEnd();
+  CHECK(client.closed());
+  CHECK(entry.request_count() == 0);
+}
+
+TEST_CASE("A caller that does not read is dropped after the write timeout") {
+  EntrySettings settings;
+  settings.write_timeout = std::chrono::milliseconds(300);
+  CallersFixture entry(settings);
+  RawClient client(entry.address());
+  client.Write(Post("/menu/big", ""));
+  const auto request = entry.Request(0);
+  entry.Answer(AnswerHead{request->id, 200, {}});
+  // More than both sockets' buffers hold, so that the write must stall.
+  entry.Answer(AnswerData{request->id, std::string(64U << 20, 'x')});
+  CHECK(entry.WaitGone(request->id));
+  CHECK(entry.took() == 0);
+}
+
+TEST_CASE("Connections over the limit are refused as not run") {
+  EntrySettings settings;
+  settings.max_connections = 1;
+  CallersFixture entry(settings);
+  RawClient first(entry.address());
+  first.Write("GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n");
+  first.ReadUntil("ok");
+  RawClient second(entry.address());
+  const std::string& answer = second.ReadToEnd();
+  CHECK_THAT(answer, StartsWith("HTTP/1.1 503"));
+  CHECK_THAT(answer, Contains("Indigolead-Run: not-run"));
+}
+
+TEST_CASE("A planned stop cuts no answer") {
+  CallersFixture entry;
+  RawClient idle(entry.address());
+  idle.Write("GET /readyz HTTP/1.1\r\nHost: e\r\n\r\n");
+  CHECK_THAT(idle.ReadUntil("ready"), StartsWith("HTTP/1.1 200"));
+  RawClient busy(entry.address());
+  busy.Write(Post("/menu/today", ""));
+  const auto request = entry.Request(0);
+
+  entry.Run([](CallersServer& server) { server.StartDrain(); });
+  idle.Clear();
+  idle.ReadToEnd();
+  CHECK(idle.closed());
+  CHECK_THROWS(RawClient(entry.address()));
+
+  entry.Answer(AnswerWhole{request->id, {200, {}, "whole"}});
+  const std::string& answer = busy.ReadToEnd();
+  CHECK_THAT(answer, Contains("Connection: close"));
+  CHECK_THAT(answer, EndsWith("whole"));
+  busy.Close();
+  bool drained = false;
+  for (int i = 0; i < 100 && !drained; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    entry.Run([&](CallersServer& server) { drained = server.drained(); });
+  }
+  CHECK(drained);
+}
+
+TEST_CASE("The entry lists the models open to a key") {
+  CallersFixture entry;
+  RawClient client(entry.address());
+  client.Write(std::string("GET /v1/models HTTP/1.1\r\nHost: e\r\n") +
+               "X-Api-Key: " + kExampleKey + "\r\n\r\n");
+  const std::string& answer = client.ReadUntil("]");
+  CHECK_THAT(answer, Contains(R"("id":"tarifa")"));
+  CHECK_THAT(answer, Contains(R"("id":"tarifa-oviedo")"));
+}
+
+TEST_CASE("HEAD gets the target's length and no body") {
+  CallersFixture entry;
+  RawClient client(entry.address());
+  client.Write(std::string("HEAD /menu/a HTTP/1.1\r\nHost: e\r\nX-Api-Key: ") +
+               kExampleKey + "\r\n\r\n");
+  entry.Answer(AnswerWhole{entry.Request(0)->id,
+                           {200, {{"Content-Length", "1234"}}, ""}});
+  const std::string& answer = client.ReadUntil("\r\n\r\n");
+  CHECK_THAT(answer, Contains("Content-Length: 1234"));
+  CHECK_THAT(answer, EndsWith("\r\n\r\n"));
+}
+
+}  // namespace
+}  // namespace indigolead
--- a/tests/support/flow_driver.cc
+++ b/tests/support/flow_driver.cc
@@ -91,7 +91,8 @@
   request.streamed = streamed;
   request.deadline = now_ + std::chrono::seconds(60);
   const RequestId id = request.id;
-  flow_.OnRequest(std::move(request), now_);
+  flow_.OnRequest(std::make_shared<const CallerRequest>(std::move(request)),
+                  now_);
   Collect();
   return id;
 }
--- /dev/null
+++ b/tests/support/raw_client.h
@@ -0,0 +1,49 @@
+#ifndef INDIGOLEAD_TESTS_SUPPORT_RAW_CLIENT_H_
+#define INDIGOLEAD_TESTS_SUPPORT_RAW_CLIENT_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace indigolead {
+
+/// One TCP connection on which a test writes bytes as it likes. Reads wait for
+/// at most ten seconds.
+class RawClient {
+ public:
+  /// Connects to "IP:port"; aborts the test if that fails.
+  explicit RawClient(const std::string& address);
+  ~RawClient();
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  /// Returns false if the peer has closed.
+  bool Write(std::string_view data);
+
+  /// Returns all that came once it contains `text`; what came until then if
+  /// the peer closed or time ran out.
+  const std::string& ReadUntil(std::string_view text);
+
+  /// Returns all that came until the peer closed the connection.
+  const std::string& ReadToEnd();
+
+  /// Returns true if the peer closed in `ReadUntil` or `ReadToEnd`.
+  bool closed() const { return closed_; }
+
+  /// Forgets what came.
+  void Clear() { seen_.clear(); }
+
+  /// Closes this end.
+  void Close();
+
+ private:
+  bool ReadSome();
+
+  int fd_ = -1;
+  bool closed_ = false;
+  std::string seen_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_TESTS_SUPPORT_RAW_CLIENT_H_
