Pass revisions and orders on between processes

Cause: entries hear of revisions and orders from the store, sides from entries, and neither an old revision nor an order written after its number had ended may reach a side. Change: RevisionExchange offers what a peer lacks, both ways, and repeats it until it is reported as applied. Ruled out: sending orders straight from the holder to the sides: a message that waits in a socket while the holder sleeps has no version to judge it by.

--- a/src/core/control/reconciler.cc
+++ b/src/core/control/reconciler.cc
@@ -80,6 +80,9 @@
 Reconciler::Actions Reconciler::Tick(std::optional<FencingNumber> authority,
                                      TimePoint now) {
   Actions actions;
+  for (AuditRecord& record : std::exchange(accepted_, {})) {
+    actions.emplace_back(std::move(record));
+  }
   if (!authority) {
     number_.reset();
     return actions;
@@ -127,7 +130,8 @@
   Pass pass{revision, limit - std::min(limit, in_change), now, actions};
   for (const auto& [target, state] : desired) {
     Slot& slot = slots_.at(target);
-    if (!slot.write && CountWrites() < options_.max_writes_in_flight) {
+    if (!slot.write && now >= slot.next_write &&
+        CountWrites() < options_.max_writes_in_flight) {
       Step(target, state, &slot, &pass);
     }
   }
@@ -266,13 +270,16 @@
   }
   order.nonce = ids_();
   slot->drift_since.reset();
+  PendingWrite write;
+  write.expected = slot->stored.version;
+  write.sent_at = pass->now;
   if (differs) {
-    pass->actions->emplace_back(Describe(*slot, order));
+    write.record = Describe(*slot, order);
   }
-  pass->actions->emplace_back(std::in_place_type<WriteOrder>, order,
-                              slot->stored.version);
-  slot->write = PendingWrite{
-      std::move(order), slot->stored.version, pass->now, false, false, false};
+  write.order = std::move(order);
+  pass->actions->emplace_back(std::in_place_type<WriteOrder>, write.order,
+                              write.expected);
+  slot->write = std::move(write);
 }
 
 TargetOrder Reconciler::Following(const Slot& slot, const DesiredState& desired,
--- a/src/core/control/reconciler.h
+++ b/src/core/control/reconciler.h
@@ -52,6 +52,8 @@
     /// A change under way for longer is shown as stuck.
     Duration stuck_after = std::chrono::minutes(5);
     Duration call_timeout = std::chrono::seconds(5);
+    /// Pause before a target's next write after one that had no effect.
+    Duration write_backoff = std::chrono::seconds(1);
   };
 
   /// Read every order with the newest lease; answer with `OnOrders`.
@@ -122,6 +124,8 @@
     bool settle = false;  ///< Its effect is unknown: read, then decide.
     bool read_sent = false;
     bool may_repeat = false;
+    /// Goes to the audit trail once the write is known to have taken effect.
+    std::optional<AuditRecord> record;
   };
   struct Slot {
     std::optional<TargetObservation> seen;
@@ -133,6 +137,7 @@
     TimePoint phase_at;
     std::optional<TimePoint> drift_since;
     std::optional<PendingWrite> write;
+    TimePoint next_write;  ///< Not before this, after a write that failed.
     bool loads_weights = false;
     bool drained = false;
   };
@@ -162,6 +167,7 @@
 
   void SettleWrites(TimePoint now, Actions* actions);
   void Settle(Slot* slot, const StoredOrder& stored);
+  void Accept(Slot* slot);
   void Store(Slot* slot, const StoredOrder& stored, const LeaseRecord& lease,
              TimePoint now);
   Slot* FindOrAdd(const std::string& target);
@@ -184,6 +190,8 @@
   bool orders_read_ = false;
   std::optional<TimePoint> list_sent_at_;
   std::optional<TimePoint> last_weight_load_;
+  /// Changes accepted since the last tick; at most one for each write.
+  std::vector<AuditRecord> accepted_;
 };
 
 }  // namespace indigolead
--- a/src/core/control/reconciler_state.cc
+++ b/src/core/control/reconciler_state.cc
@@ -63,7 +63,7 @@
     LeaseRecord own;
     own.fencing_number = slot.write->order.fencing_number;
     const StoredOrder stored{slot.write->order, ValueOf(answer)};
-    slot.write.reset();
+    Accept(&slot);
     Store(&slot, stored, own, now);
     return;
   }
@@ -71,6 +71,7 @@
   const bool unsent = code == ErrorCode::kStaleAuthority ||
                       code == ErrorCode::kOverloaded ||
                       code == ErrorCode::kUnavailable;
+  slot.next_write = now + options_.write_backoff;
   if (unsent && !slot.write->settle) {
     slot.write.reset();
   } else {
@@ -111,13 +112,22 @@
   }
   const bool ours =
       stored.order && stored.order->nonce == slot->write->order.nonce;
-  if (ours || stored.version > slot->write->expected) {
+  if (ours) {
+    Accept(slot);
+  } else if (stored.version > slot->write->expected) {
     slot->write.reset();
   } else if (slot->write->settle) {
     slot->write->may_repeat = true;
   }
 }
 
+void Reconciler::Accept(Slot* slot) {
+  if (slot->write->record) {
+    accepted_.push_back(*slot->write->record);
+  }
+  slot->write.reset();
+}
+
 void Reconciler::Store(Slot* slot, const StoredOrder& stored,
                        const LeaseRecord& lease, TimePoint now) {
   if (stored.version < slot->stored.version) {
--- /dev/null
+++ b/src/entry/control_events.h
@@ -0,0 +1,32 @@
+#ifndef INDIGOLEAD_ENTRY_CONTROL_EVENTS_H_
+#define INDIGOLEAD_ENTRY_CONTROL_EVENTS_H_
+
+#include "observe/event_log.h"
+
+namespace indigolead {
+
+inline constexpr EventInfo kLeaseGained{
+    4101, "lease-gained", EventSeverity::kInfo,
+    "This entry holds the control lease and acts as the controller."};
+inline constexpr EventInfo kLeaseLost{
+    4102, "lease-lost", EventSeverity::kWarning,
+    "This entry no longer holds the control lease; it gives no orders."};
+inline constexpr EventInfo kOrderForwarded{
+    4103, "order-forwarded", EventSeverity::kInfo,
+    "An order was sent on to the side of its target."};
+inline constexpr EventInfo kOrderWithheld{
+    4104, "order-withheld", EventSeverity::kWarning,
+    "An order was decided but not written: the authority had ended by then."};
+inline constexpr EventInfo kControlObjectUnreadable{
+    4105, "control-object-unreadable", EventSeverity::kError,
+    "The lease or an order in the store could not be read."};
+inline constexpr EventInfo kChangeRecorded{
+    4106, "change-recorded", EventSeverity::kInfo,
+    "A change was made; the same record goes to the audit trail."};
+inline constexpr EventInfo kAuditDropped{
+    4107, "audit-dropped", EventSeverity::kWarning,
+    "Too many audit records wait for the store; one is in the log only."};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_CONTROL_EVENTS_H_
--- /dev/null
+++ b/src/wire/revision_exchange.cc
@@ -0,0 +1,190 @@
+#include "wire/revision_exchange.h"
+
+#include <utility>
+
+#include "core/config/revision_json.h"
+#include "wire/control_events.h"
+
+namespace indigolead {
+namespace {
+
+Incarnation IncarnationOf(const std::string& bytes) {
+  return Incarnation{Id128FromBytes(bytes).value_or(Id128{})};
+}
+
+}  // namespace
+
+RevisionExchange::RevisionExchange(Options options, Hooks hooks, EventLog log)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      log_(std::move(log)),
+      book_(options_.book) {}
+
+bool RevisionExchange::HandleMessage(LinkId link, const wire::Envelope& message,
+                                     TimePoint now) {
+  const auto it = peers_.find(link);
+  if (it == peers_.end()) {
+    return false;
+  }
+  Peer& peer = it->second;
+  switch (message.body_case()) {
+    case wire::Envelope::kRevision:
+      Take(message.revision().value(), peer.instance, now);
+      return true;
+    case wire::Envelope::kRevisionRequest:
+      peer.last_offer = TimePoint{};
+      OfferMissing(link, &peer, now);
+      return true;
+    case wire::Envelope::kRevisionApplied:
+      book_.OnApplied(message.revision_applied().instance(),
+                      IncarnationOf(message.revision_applied().incarnation()),
+                      message.revision_applied().deployment(),
+                      message.revision_applied().number());
+      return true;
+    case wire::Envelope::kHeartbeat:
+      NoteKnown(peer, message.heartbeat().revisions());
+      return false;
+    default:
+      return false;
+  }
+}
+
+void RevisionExchange::OnLinkUp(LinkId link, const wire::Hello& hello,
+                                TimePoint now) {
+  if (hello.kind() == wire::PROCESS_OPERATOR) {
+    return;
+  }
+  Peer peer{hello.instance(), IncarnationOf(hello.incarnation()),
+            hello.target().deployment(), hello.kind() == wire::PROCESS_ENTRY,
+            TimePoint{}};
+  if (!book_.OnPeerUp({peer.instance, peer.incarnation, peer.deployment},
+                      now)) {
+    log_(kRevisionPeerDropped, {{"peer", peer.instance}});
+    return;
+  }
+  NoteKnown(peer, hello.revisions());
+  Peer& added = peers_.insert_or_assign(link, std::move(peer)).first->second;
+  OfferMissing(link, &added, now);
+}
+
+void RevisionExchange::OnLinkDown(LinkId link, TimePoint now) {
+  const auto it = peers_.find(link);
+  if (it == peers_.end()) {
+    return;
+  }
+  const Peer gone = std::move(it->second);
+  peers_.erase(it);
+  // The peer may have come back on another link already.
+  for (const auto& [other, peer] : peers_) {
+    if (peer.instance == gone.instance &&
+        peer.incarnation == gone.incarnation) {
+      return;
+    }
+  }
+  book_.OnPeerDown(gone.instance, gone.incarnation, now);
+}
+
+void RevisionExchange::Tick(TimePoint now) {
+  book_.Tick(now);
+  for (auto& [link, peer] : peers_) {
+    OfferMissing(link, &peer, now);
+  }
+}
+
+RevisionOutcome RevisionExchange::OfferFromStore(const std::string& json,
+                                                 TimePoint now) {
+  return Take(json, "store", now);
+}
+
+void RevisionExchange::FillKnown(
+    google::protobuf::RepeatedPtrField<wire::KnownRevision>* known) const {
+  for (const auto& [deployment, number] : book_.Known()) {
+    wire::KnownRevision* revision = known->Add();
+    revision->set_deployment(deployment);
+    revision->set_number(number);
+  }
+}
+
+RevisionOutcome RevisionExchange::Take(const std::string& json,
+                                       const std::string& source,
+                                       TimePoint now) {
+  const Result<Revision> parsed = RevisionFromJson(json);
+  if (!IsOk(parsed)) {
+    log_(kRevisionUnreadable,
+         {{"source", source}, {"error", ToString(ErrorOf(parsed))}});
+    return RevisionOutcome::kOlder;
+  }
+  const Revision& revision = ValueOf(parsed);
+  const std::string& deployment = revision.spec.name;
+  if (!options_.deployment.empty() && deployment != options_.deployment) {
+    return RevisionOutcome::kOlder;
+  }
+  const RevisionOutcome outcome =
+      book_.Offer({deployment, revision.number, revision.digest, json});
+  const EventFields fields = {{"deployment", deployment},
+                              {"number", std::to_string(revision.number)},
+                              {"source", source}};
+  if (outcome == RevisionOutcome::kMismatch) {
+    log_(kRevisionMismatch, fields);
+  } else if (outcome == RevisionOutcome::kNoRoom) {
+    log_(kRevisionNoRoom, fields);
+  } else if (outcome == RevisionOutcome::kNewer) {
+    log_(kRevisionInForce, fields);
+    hooks_.apply(revision);
+    Report(deployment, revision.number);
+    for (auto& [link, peer] : peers_) {
+      if (!peer.is_entry) {
+        peer.last_offer = TimePoint{};
+        OfferMissing(link, &peer, now);
+      }
+    }
+  }
+  return outcome;
+}
+
+void RevisionExchange::Report(const std::string& deployment,
+                              std::uint64_t number) {
+  wire::Envelope message;
+  wire::RevisionApplied* applied = message.mutable_revision_applied();
+  applied->set_instance(options_.instance);
+  applied->set_incarnation(ToBytes(options_.incarnation.value));
+  applied->set_deployment(deployment);
+  applied->set_number(number);
+  for (const auto& [link, peer] : peers_) {
+    if (peer.is_entry) {
+      hooks_.send(link, message);
+    }
+  }
+}
+
+void RevisionExchange::OfferMissing(LinkId link, Peer* peer, TimePoint now) {
+  // The offer may be lost, or its report; so it is repeated, at a slow pace,
+  // until the peer says that it has the revision.
+  if (peer->last_offer != TimePoint{} &&
+      now - peer->last_offer < options_.offer_interval) {
+    return;
+  }
+  const auto missing =
+      book_.NewerThan(book_.AppliedBy(peer->instance), peer->deployment);
+  for (const RevisionRecord& record : missing) {
+    wire::Envelope message;
+    wire::RevisionOffer* offer = message.mutable_revision();
+    offer->set_deployment(record.deployment);
+    offer->set_number(record.number);
+    offer->set_value(record.value);
+    offer->set_digest(record.digest);
+    hooks_.send(link, message);
+    peer->last_offer = now;
+  }
+}
+
+void RevisionExchange::NoteKnown(
+    const Peer& peer,
+    const google::protobuf::RepeatedPtrField<wire::KnownRevision>& known) {
+  for (const wire::KnownRevision& revision : known) {
+    book_.OnApplied(peer.instance, peer.incarnation, revision.deployment(),
+                    revision.number());
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/tests/wire/revision_exchange_test.cc
@@ -0,0 +1,152 @@
+#include "wire/revision_exchange.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/config/revision_json.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::seconds;
+
+std::string Json(std::uint64_t number) {
+  Revision revision;
+  revision.number = number;
+  revision.spec.name = "brief-llm";
+  revision.spec.path_prefix = "/" + std::to_string(number);
+  revision.digest = SpecDigest(revision.spec);
+  return ToJson(revision);
+}
+
+/// Processes joined by links that deliver at once, unless they are cut.
+struct Net {
+  struct Node {
+    std::unique_ptr<RevisionExchange> exchange;
+    std::vector<std::uint64_t> applied;
+    wire::Hello hello;
+  };
+  std::map<std::string, Node> nodes;
+  TimePoint now{seconds(100)};
+  bool lose = false;
+
+  void Add(const std::string& name, bool is_entry) {
+    Node& node = nodes[name];
+    const Incarnation run{{nodes.size(), 1}};
+    node.hello.set_instance(name);
+    node.hello.set_kind(is_entry ? wire::PROCESS_ENTRY : wire::PROCESS_SIDE);
+    node.hello.set_incarnation(ToBytes(run.value));
+    RevisionExchange::Options options;
+    options.instance = name;
+    options.incarnation = run;
+    if (!is_entry) {
+      options.deployment = "brief-llm";
+      node.hello.mutable_target()->set_deployment("brief-llm");
+    }
+    node.applied.clear();
+    node.exchange = std::make_unique<RevisionExchange>(
+        options,
+        RevisionExchange::Hooks{
+            [this, name](LinkId link, const wire::Envelope& message) {
+              return Send(name, link, message);
+            },
+            [this, name](const Revision& revision) {
+              nodes[name].applied.push_back(revision.number);
+            }},
+        MakeNullEventLog());
+  }
+
+  // The link from a node to another is numbered by the other's place.
+  LinkId LinkTo(const std::string& name) {
+    return LinkId{static_cast<std::uint64_t>(
+        std::distance(nodes.begin(), nodes.find(name)))};
+  }
+  bool Send(const std::string& from, LinkId link, const wire::Envelope& m) {
+    auto to = std::next(nodes.begin(), static_cast<long>(link.value));
+    if (!lose) {
+      to->second.exchange->HandleMessage(LinkTo(from), m, now);
+    }
+    return true;
+  }
+  void Join(const std::string& a, const std::string& b) {
+    for (const auto& name : {a, b}) {
+      nodes[name].hello.clear_revisions();
+      nodes[name].exchange->FillKnown(nodes[name].hello.mutable_revisions());
+    }
+    nodes[a].exchange->OnLinkUp(LinkTo(b), nodes[b].hello, now);
+    nodes[b].exchange->OnLinkUp(LinkTo(a), nodes[a].hello, now);
+    Tick();
+  }
+  void Tick() {
+    now += seconds(2);
+    for (auto& [name, node] : nodes) {
+      node.exchange->Tick(now);
+    }
+  }
+};
+
+TEST_CASE("RevisionExchange brings a revision to every process") {
+  Net net;
+  net.Add("entry-a", true);
+  net.Add("entry-b", true);
+  net.Add("side-1", false);
+  net.Join("entry-a", "side-1");
+  net.Join("entry-a", "entry-b");
+  const auto& book = net.nodes["entry-a"].exchange->book();
+
+  SECTION("from the store to an entry to its side, and the report back") {
+    net.nodes["entry-a"].exchange->OfferFromStore(Json(1), net.now);
+    CHECK(net.nodes["side-1"].applied == std::vector<std::uint64_t>{1});
+    net.Tick();
+    CHECK(book.InForceOf("brief-llm").everywhere());
+  }
+  SECTION("names who is missing, and repeats an offer that was lost") {
+    net.lose = true;
+    net.nodes["entry-a"].exchange->OfferFromStore(Json(1), net.now);
+    CHECK(book.InForceOf("brief-llm").waiting_for ==
+          std::vector<std::string>{"entry-b", "side-1"});
+    net.lose = false;
+    net.Tick();
+    CHECK(book.InForceOf("brief-llm").everywhere());
+  }
+  SECTION("a stale read of the store takes nothing back") {
+    net.nodes["entry-a"].exchange->OfferFromStore(Json(2), net.now);
+    net.nodes["entry-a"].exchange->OfferFromStore(Json(1), net.now);
+    CHECK(net.nodes["side-1"].applied == std::vector<std::uint64_t>{2});
+  }
+  SECTION("a value that cannot be read changes nothing") {
+    net.nodes["entry-a"].exchange->OfferFromStore(Json(1), net.now);
+    net.nodes["entry-a"].exchange->OfferFromStore("{", net.now);
+    CHECK(book.Find("brief-llm")->number == 1);
+  }
+}
+
+// The store is down. An entry starts, knowing nothing, and connects to a side
+// that got a revision before the outage from another entry. It takes the
+// newest from the side, serves with it, and later gives it to others.
+TEST_CASE("RevisionExchange without the store") {
+  Net net;
+  net.Add("entry-a", true);
+  net.Add("entry-b", true);
+  net.Add("side-1", false);
+  net.Join("entry-a", "side-1");
+  net.nodes["entry-a"].exchange->OfferFromStore(Json(3), net.now);
+
+  SECTION("a process that starts gets the newest from a peer") {
+    net.Join("entry-b", "side-1");
+    CHECK(net.nodes["entry-b"].applied == std::vector<std::uint64_t>{3});
+  }
+  SECTION("a peer that was cut off brings nothing old back") {
+    net.nodes["entry-b"].exchange->OfferFromStore(Json(2), net.now);
+    net.Join("entry-b", "side-1");
+    CHECK(net.nodes["side-1"].applied == std::vector<std::uint64_t>{3});
+    CHECK(net.nodes["entry-b"].applied == std::vector<std::uint64_t>{2, 3});
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
