--- /dev/null
+++ b/src/platform/listed_instances.h
@@ -0,0 +1,30 @@
+#ifndef INDIGOLEAD_PLATFORM_LISTED_INSTANCES_H_
+#define INDIGOLEAD_PLATFORM_LISTED_INSTANCES_H_
+
+#include <vector>
+
+#include "core/membership/connection_plan.h"
+#include "platform/object_store.h"
+
+namespace indigolead {
+
+/// Returns the platform's list in the form that membership takes. Lines of a
+/// kind that this system does not know are left out.
+inline std::vector<ListedInstance> ToListedInstances(const InstanceList& list) {
+  std::vector<ListedInstance> listed;
+  for (const InstanceRecord& record : list.instances) {
+    if (record.kind != "entry" && record.kind != "target") {
+      continue;
+    }
+    listed.push_back(
+        {record.name,
+         record.kind == "entry" ? MemberKind::kEntry : MemberKind::kSide,
+         record.failure_domain, record.region, record.link_address,
+         record.state == InstanceState::kLeaving});
+  }
+  return listed;
+}
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_PLATFORM_LISTED_INSTANCES_H_
