Test the target's client byte by byte, and fix its body limit

Cause: with Boost 1.74 a body limit of none refuses every body with a stated length, so no answer came through. The contract tests against a scripted server found it. Change: the greatest limit instead of none. Further: an attempt whose frames are gone is answered as lost, since an entry would wait for them in vain; the request id at the target names request and attempt; types that the entry's core names too have names of their own.

--- a/src/core/request/attempt_table.cc
+++ b/src/core/request/attempt_table.cc
@@ -49,10 +49,10 @@
   // and a refusal says that it did not.
   if (const Attempt* held = Find(start.id)) {
     ++counts_.foreign;
-    hooks_.send_state(link, {start.id,
-                             held->ended ? AttemptKnowledge::kFinished
-                                         : AttemptKnowledge::kRunning,
-                             held->frames.next_sequence()});
+    hooks_.send_state(
+        link, {start.id,
+               held->ended ? SideKnowledge::kFinished : SideKnowledge::kRunning,
+               held->frames.next_sequence()});
     return;
   }
   auto fate = memory_.Find(*peer, start.id, start.start_sequence);
@@ -65,8 +65,8 @@
     ++counts_.foreign;
     hooks_.send_state(
         link, {start.id,
-               fate == AttemptMemory::Fate::kLost ? AttemptKnowledge::kLost
-                                                  : AttemptKnowledge::kFinished,
+               fate == AttemptMemory::Fate::kLost ? SideKnowledge::kLost
+                                                  : SideKnowledge::kFinished,
                0});
     return;
   }
@@ -195,14 +195,14 @@
                             TimePoint now) {
   Attempt* attempt = Find(query.id);
   if (attempt == nullptr) {
-    AnswerQueryOfAbsent(link, query, now);
+    AnswerQueryOfAbsent(link, query, SideKnowledge::kFinished, now);
     return;
   }
   attempt->link = link;
   attempt->cancelled = true;
   if (attempt->ended) {
     attempt->frames.Clear();
-    hooks_.send_state(link, {query.id, AttemptKnowledge::kFinished,
+    hooks_.send_state(link, {query.id, SideKnowledge::kFinished,
                              attempt->frames.next_sequence()});
     return;
   }
@@ -213,11 +213,12 @@
     return;
   }
   RefuseHeld(attempt, RefusalReason::kCancelledEarlier, "", now);
-  hooks_.send_state(link, {query.id, AttemptKnowledge::kNotStarted, 0});
+  hooks_.send_state(link, {query.id, SideKnowledge::kNotStarted, 0});
 }
 
 void AttemptTable::AnswerQueryOfAbsent(LinkNumber link,
                                        const AttemptQuery& query,
+                                       SideKnowledge if_finished,
                                        TimePoint now) {
   ++counts_.foreign;
   const Incarnation* peer = PeerOf(link);
@@ -229,17 +230,17 @@
   if (fate == AttemptMemory::Fate::kNew && !sent_to_me) {
     fate = AttemptMemory::Fate::kLost;
   }
-  auto knowledge = AttemptKnowledge::kLost;
+  auto knowledge = SideKnowledge::kLost;
   switch (fate) {
     case AttemptMemory::Fate::kNew:
       memory_.Refuse(*peer, query.id, query.start_sequence, now);
-      knowledge = AttemptKnowledge::kNotStarted;
+      knowledge = SideKnowledge::kNotStarted;
       break;
     case AttemptMemory::Fate::kRefused:
-      knowledge = AttemptKnowledge::kNotStarted;
+      knowledge = SideKnowledge::kNotStarted;
       break;
     case AttemptMemory::Fate::kFinished:
-      knowledge = AttemptKnowledge::kFinished;
+      knowledge = if_finished;
       break;
     case AttemptMemory::Fate::kLost:
       break;
@@ -252,21 +253,22 @@
                             std::uint64_t granted_bytes, TimePoint now) {
   Attempt* attempt = Find(query.id);
   if (attempt == nullptr) {
-    AnswerQueryOfAbsent(link, query, now);
+    AnswerQueryOfAbsent(link, query, SideKnowledge::kLost, now);
     return;
   }
   ++counts_.resumed;
   attempt->link = link;
   const bool held = attempt->frames.Rewind(next_sequence, granted_bytes);
-  const auto knowledge =
-      attempt->ended ? AttemptKnowledge::kFinished : AttemptKnowledge::kRunning;
-  // Any other number than the one asked for says that frames are missing.
-  hooks_.send_state(
-      link, {query.id, knowledge,
-             held ? next_sequence : attempt->frames.next_sequence() + 1});
-  if (held) {
-    Send(attempt);
+  if (!held) {
+    // The entry would wait for frames that can never come.
+    hooks_.send_state(link, {query.id, SideKnowledge::kLost,
+                             attempt->frames.next_sequence()});
+    return;
   }
+  const auto knowledge =
+      attempt->ended ? SideKnowledge::kFinished : SideKnowledge::kRunning;
+  hooks_.send_state(link, {query.id, knowledge, next_sequence});
+  Send(attempt);
 }
 
 }  // namespace indigolead
--- a/src/core/request/attempt_table.h
+++ b/src/core/request/attempt_table.h
@@ -151,9 +151,10 @@
   void StartCall(Attempt* attempt, AttemptRequest&& request, TimePoint now);
   void RefuseHeld(Attempt* attempt, RefusalReason reason, std::string detail,
                   TimePoint now);
+  /// `if_finished` is the answer about one that ran here and is held no more.
   void AnswerQueryOfAbsent(LinkNumber link, const AttemptQuery& query,
-                           TimePoint now);
-  void End(Attempt* attempt, AttemptOutcome outcome, std::string detail,
+                           SideKnowledge if_finished, TimePoint now);
+  void End(Attempt* attempt, RunOutcome outcome, std::string detail,
            TimePoint now);
   void Erase(const AttemptId& id);
   void Send(Attempt* attempt);
--- a/src/core/request/attempt_table_answers.cc
+++ b/src/core/request/attempt_table_answers.cc
@@ -30,7 +30,7 @@
   }
   switch (outcome) {
     case CallOutcome::kComplete:
-      End(attempt, AttemptOutcome::kComplete, std::move(detail), now);
+      End(attempt, RunOutcome::kComplete, std::move(detail), now);
       return;
     case CallOutcome::kNotWritten:
       RefuseHeld(attempt, RefusalReason::kTargetDown, std::move(detail), now);
@@ -45,25 +45,25 @@
       return;
     }
     case CallOutcome::kFailed:
-      End(attempt, AttemptOutcome::kTargetFailed, std::move(detail), now);
+      End(attempt, RunOutcome::kTargetFailed, std::move(detail), now);
       return;
     case CallOutcome::kTargetDied:
-      End(attempt, AttemptOutcome::kTargetDied, std::move(detail), now);
+      End(attempt, RunOutcome::kTargetDied, std::move(detail), now);
       return;
     case CallOutcome::kTimeout:
-      End(attempt, AttemptOutcome::kDeadline, std::move(detail), now);
+      End(attempt, RunOutcome::kDeadline, std::move(detail), now);
       return;
     case CallOutcome::kCancelled:
       End(attempt,
-          attempt->past_deadline ? AttemptOutcome::kDeadline
-                                 : AttemptOutcome::kCancelled,
+          attempt->past_deadline ? RunOutcome::kDeadline
+                                 : RunOutcome::kCancelled,
           std::move(detail), now);
       return;
   }
 }
 
-void AttemptTable::End(Attempt* attempt, AttemptOutcome outcome,
-                       std::string detail, TimePoint now) {
+void AttemptTable::End(Attempt* attempt, RunOutcome outcome, std::string detail,
+                       TimePoint now) {
   attempt->ended = true;
   attempt->ended_at = now;
   --running_;
@@ -75,7 +75,7 @@
   Send(attempt);
   if (attempt->cancelled) {
     // The entry wants no more of it, so what it never took is freed at once.
-    hooks_.send_state(attempt->link, {attempt->id, AttemptKnowledge::kFinished,
+    hooks_.send_state(attempt->link, {attempt->id, SideKnowledge::kFinished,
                                       attempt->frames.next_sequence()});
     attempt->frames.Clear();
   }
--- a/src/core/request/attempt_types.h
+++ b/src/core/request/attempt_types.h
@@ -30,7 +30,7 @@
 };
 
 /// How an attempt that was accepted ended. The numbers are the protocol's.
-enum class AttemptOutcome {
+enum class RunOutcome {
   kComplete = 0,
   kTargetFailed = 1,  ///< The target broke after the request was written.
   kTargetDied = 2,    ///< The target's process ended meanwhile.
@@ -40,7 +40,7 @@
 };
 
 /// What a side knows of an attempt. The numbers are those of the protocol.
-enum class AttemptKnowledge {
+enum class SideKnowledge {
   kUnspecified = 0,
   kNotStarted = 1,  ///< Never started, and refused if it comes from now on.
   kRunning = 2,
@@ -65,6 +65,7 @@
 /// Asks a side to run one attempt.
 struct AttemptStart {
   AttemptId id;
+  RequestId request_id;
   std::uint64_t start_sequence = 0;  ///< 0: the entry does not number them.
   Duration start_within{};           ///< From its receipt to its first byte.
   Duration finish_within{};
@@ -100,7 +101,7 @@
 /// Answers a cancel or a resume.
 struct AttemptStateReply {
   AttemptId id;
-  AttemptKnowledge knowledge = AttemptKnowledge::kUnspecified;
+  SideKnowledge knowledge = SideKnowledge::kUnspecified;
   std::uint64_t next_sequence = 0;
 
   friend bool operator==(const AttemptStateReply&,
@@ -117,9 +118,9 @@
   int status = 0;      ///< Head only.
   HeaderList headers;  ///< Head only.
   std::string data;    ///< Chunk: bytes of the body. End: detail.
-  AttemptOutcome outcome = AttemptOutcome::kComplete;  ///< End only.
-  std::uint64_t body_bytes = 0;                        ///< End only.
-  std::uint64_t body_checksum = 0;                     ///< End only: XXH64.
+  RunOutcome outcome = RunOutcome::kComplete;  ///< End only.
+  std::uint64_t body_bytes = 0;                ///< End only.
+  std::uint64_t body_checksum = 0;             ///< End only: XXH64.
 
   friend bool operator==(const AttemptFrame&, const AttemptFrame&) = default;
 };
--- a/src/core/request/frame_buffer.cc
+++ b/src/core/request/frame_buffer.cc
@@ -44,7 +44,7 @@
   Append(std::move(frame));
 }
 
-void FrameBuffer::AppendEnd(AttemptOutcome outcome, std::string detail) {
+void FrameBuffer::AppendEnd(RunOutcome outcome, std::string detail) {
   AttemptFrame frame;
   frame.kind = AttemptFrame::Kind::kEnd;
   frame.outcome = outcome;
--- a/src/core/request/frame_buffer.h
+++ b/src/core/request/frame_buffer.h
@@ -29,7 +29,7 @@
 
   void AppendHead(int status, HeaderList headers);
   void AppendChunk(std::string&& data);
-  void AppendEnd(AttemptOutcome outcome, std::string detail);
+  void AppendEnd(RunOutcome outcome, std::string detail);
 
   /// Adds bytes that the caller took.
   void Take(std::uint64_t bytes);
--- a/src/side/attempt_codec.cc
+++ b/src/side/attempt_codec.cc
@@ -1,7 +1,9 @@
 #include "side/attempt_codec.h"
 
 #include <algorithm>
+#include <cctype>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 namespace indigolead {
@@ -10,6 +12,9 @@
 /// Longest duration taken from a message; longer ones mean "no limit".
 constexpr std::uint64_t kMaxMicros = 24ULL * 3600 * 1000 * 1000;
 
+constexpr std::string_view kRequestIdHeader = "X-Request-Id";
+constexpr std::string_view kPriorityHeader = "X-Priority";
+
 Duration FromMicros(std::uint64_t micros) {
   return std::chrono::microseconds(std::min(micros, kMaxMicros));
 }
@@ -52,8 +57,32 @@
   end->set_detail(frame.data);
 }
 
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](unsigned char x, unsigned char y) {
+                      return std::tolower(x) == std::tolower(y);
+                    });
+}
+
+/// Replaces the headers by which the target knows the attempt, so that a
+/// caller cannot name another's stream or raise its own priority.
+void SetOwnHeaders(int priority, AttemptStart* start) {
+  auto& headers = start->request.headers;
+  std::erase_if(headers, [](const auto& it) {
+    return EqualsIgnoringCase(it.first, kRequestIdHeader) ||
+           EqualsIgnoringCase(it.first, kPriorityHeader);
+  });
+  headers.emplace_back(kRequestIdHeader,
+                       TargetRequestId(start->request_id, start->id));
+  headers.emplace_back(kPriorityHeader, std::to_string(priority));
+}
+
 }  // namespace
 
+std::string TargetRequestId(const RequestId& request, const AttemptId& id) {
+  return ToHex(request.value) + "-" + ToHex(id.value);
+}
+
 std::optional<AttemptStart> ToAttemptStart(wire::StartAttempt&& message) {
   const auto id = Id128FromBytes(message.attempt_id());
   if (!id) {
@@ -61,6 +90,8 @@
   }
   AttemptStart start;
   start.id = AttemptId{*id};
+  start.request_id =
+      RequestId{Id128FromBytes(message.request_id()).value_or(Id128{})};
   start.start_sequence = message.start_sequence();
   start.start_within = FromMicros(message.start_within_us());
   start.finish_within = FromMicros(message.finish_within_us());
@@ -77,8 +108,7 @@
     start.request.headers.emplace_back(std::move(*it.mutable_name()),
                                        std::move(*it.mutable_value()));
   }
-  start.request.headers.emplace_back("X-Priority",
-                                     std::to_string(message.priority()));
+  SetOwnHeaders(message.priority(), &start);
   return start;
 }
 
--- a/src/side/attempt_codec.h
+++ b/src/side/attempt_codec.h
@@ -2,6 +2,7 @@
 #define INDIGOLEAD_SIDE_ATTEMPT_CODEC_H_
 
 #include <optional>
+#include <string>
 
 #include "core/request/attempt_types.h"
 #include "envelope.pb.h"
@@ -9,6 +10,11 @@
 
 namespace indigolead {
 
+/// Returns the value of `X-Request-Id` at the target. It names the request, for
+/// the target's logs, and the attempt, because an engine resumes and cancels
+/// streams by it: a second attempt must not be taken for the first.
+std::string TargetRequestId(const RequestId& request, const AttemptId& id);
+
 /// @name Messages from entries, as events of the core.
 /// Nothing is returned for a message without a valid attempt id.
 /// @{
--- a/src/side/target_worker.cc
+++ b/src/side/target_worker.cc
@@ -11,6 +11,16 @@
 constexpr char kRequestIdHeader[] = "X-Request-Id";
 constexpr std::size_t kMaxCleanups = 1024;
 
+/// Returns the id by which the engine knows the stream of this request.
+std::string StreamIdIn(const std::vector<HttpHeader>& headers) {
+  for (const auto& it : headers) {
+    if (it.name == kRequestIdHeader) {
+      return it.value;
+    }
+  }
+  return "";
+}
+
 HeaderList ToHeaderList(std::vector<HttpHeader> headers) {
   HeaderList list;
   list.reserve(headers.size());
@@ -76,11 +86,7 @@
   for (auto& [name, value] : command.request.headers) {
     request.headers.push_back({std::move(name), std::move(value)});
   }
-  if (options_.is_engine) {
-    // Streams are resumed and cancelled by this id, so it names the attempt:
-    // a second attempt of one request must not be taken for the first.
-    request.headers.push_back({kRequestIdHeader, ToHex(id.value)});
-  }
+  const std::string stream = StreamIdIn(request.headers);
   TargetClient::Hooks hooks;
   hooks.on_before_write = [this, id, start_by] {
     return BeforeWrite(id, start_by);
@@ -93,6 +99,7 @@
   };
   hooks.on_end = [this, id](const Status& status) { OnEnd(id, status); };
   RunningCall& call = calls_[id];
+  call.stream_id = stream;
   call.call = client_->Start(std::move(request), std::move(hooks));
 }
 
@@ -129,7 +136,7 @@
     return;
   }
   if (error.code == ErrorCode::kTimeout) {
-    StopEngineStream(id);
+    StopEngineStream(it->second.stream_id);
     EndCall(id, CallOutcome::kTimeout, error.detail);
     return;
   }
@@ -186,13 +193,14 @@
   }
   const bool written = it->second.written;
   if (written) {
-    StopEngineStream(id);
+    StopEngineStream(it->second.stream_id);
   }
   EndCall(id, written ? CallOutcome::kCancelled : CallOutcome::kStopped, "");
 }
 
-void TargetWorker::StopEngineStream(const AttemptId& id) {
-  if (!options_.is_engine || cleanups_.size() >= kMaxCleanups) {
+void TargetWorker::StopEngineStream(const std::string& stream_id) {
+  if (!options_.is_engine || stream_id.empty() ||
+      cleanups_.size() >= kMaxCleanups) {
     return;
   }
   // Engines keep a stream for resumption when its connection closes, so the
@@ -200,7 +208,7 @@
   const auto number = next_cleanup_++;
   TargetRequest request;
   request.method = "DELETE";
-  request.path = "/v1/streams/" + ToHex(id.value);
+  request.path = "/v1/streams/" + stream_id;
   request.deadline = options_.probe_deadline;
   TargetClient::Hooks hooks;
   hooks.on_head = [](int, const std::vector<HttpHeader>&) {};
--- a/src/side/target_worker.h
+++ b/src/side/target_worker.h
@@ -59,6 +59,7 @@
     bool too_late = false;
     bool paused_by_caller = false;
     std::string boot_id;  ///< Of the process that the request was written to.
+    std::string stream_id;
   };
   struct BrokenCall {
     AttemptId id;
@@ -74,7 +75,7 @@
   void OnBroken(BrokenCall broken);
   void SettleBroken(const Result<EngineState>& probe);
   void EndCall(const AttemptId& id, CallOutcome outcome, std::string detail);
-  void StopEngineStream(const AttemptId& id);
+  void StopEngineStream(const std::string& stream_id);
   void Emit(TargetEvent event);
   void FlushOutbox();
 
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <limits>
 #include <optional>
 
 namespace indigolead {
@@ -243,7 +244,8 @@
 
   void StartParser() {
     parser_.emplace();
-    parser_->body_limit(boost::none);
+    // Boost 1.74 takes `boost::none` for a limit of zero.
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_->header_limit(
         static_cast<std::uint32_t>(pool_->options().max_head_bytes));
     if (request_.method() == http::verb::head) {
--- /dev/null
+++ b/tests/shell/http_target_client_test.cc
@@ -0,0 +1,282 @@
+#include "target/http_target_client.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "tests/support/scripted_server.h"
+
+namespace indigolead {
+namespace {
+
+using Kind = ScriptStep::Kind;
+using Scripts = std::vector<std::vector<ScriptStep>>;
+
+/// What one call saw.
+struct Seen {
+  bool before_write = false;
+  int status = 0;
+  std::string body;
+  std::optional<Status> end;
+
+  std::optional<ErrorCode> error() const {
+    return end && !IsOk(*end) ? std::optional(ErrorOf(*end).code)
+                              : std::nullopt;
+  }
+};
+
+class ClientFixture {
+ public:
+  explicit ClientFixture(const std::string& address)
+      : client_(&io_, {.address = address}) {}
+
+  std::unique_ptr<TargetClient::Call> Start(Seen* seen, TargetRequest request) {
+    TargetClient::Hooks hooks;
+    hooks.on_before_write = [this, seen] {
+      seen->before_write = true;
+      return may_write_;
+    };
+    hooks.on_head = [seen](int status, const std::vector<HttpHeader>&) {
+      seen->status = status;
+    };
+    hooks.on_body = [seen](std::string_view data) { seen->body += data; };
+    hooks.on_end = [seen](const Status& status) { seen->end = status; };
+    return client_.Start(std::move(request), std::move(hooks));
+  }
+
+  /// Runs one call to its end.
+  Seen Call(TargetRequest request = MakeRequest()) {
+    Seen seen;
+    const auto call = Start(&seen, std::move(request));
+    RunUntil([&seen] { return seen.end.has_value(); });
+    if (!IsOk(*seen.end)) {
+      UNSCOPED_INFO(ErrorOf(*seen.end));
+    }
+    return seen;
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const auto limit =
+        std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    io_.restart();
+    while (!done() && std::chrono::steady_clock::now() < limit) {
+      io_.run_one_for(std::chrono::milliseconds(50));
+      io_.restart();
+    }
+    REQUIRE(done());
+  }
+
+  static TargetRequest MakeRequest() {
+    TargetRequest request;
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.body = "{}";
+    request.deadline = std::chrono::seconds(20);
+    return request;
+  }
+
+  boost::asio::io_context io_;
+  HttpTargetClient client_;
+  bool may_write_ = true;
+};
+
+const char kWhole[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmenu";
+const char kStreamHead[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+TEST_CASE("HttpTargetClient gives back whole answers") {
+  SECTION("with a stated length, over one kept connection") {
+    ScriptedServer server(Scripts{{{Kind::kSend, kWhole}}});
+    ClientFixture f(server.address());
+    for (int i = 0; i < 3; ++i) {
+      const Seen seen = f.Call();
+      CHECK(seen.status == 200);
+      CHECK(seen.body == "menu");
+      CHECK(seen.end == Status(Unit{}));
+    }
+    CHECK(server.connections() == 1);
+  }
+
+  SECTION("in chunks") {
+    ScriptedServer server(Scripts{{{Kind::kSend, kStreamHead},
+                                   {Kind::kSend, "2\r\nab\r\n3\r\ncde\r\n"},
+                                   {Kind::kSend, "1\r\nf\r\n0\r\n\r\n"}}});
+    ClientFixture f(server.address());
+    CHECK(f.Call().body == "abcdef");
+    CHECK(f.Call().body == "abcdef");
+    CHECK(server.connections() == 1);
+  }
+
+  SECTION("ended by the connection") {
+    ScriptedServer server(
+        Scripts{{{Kind::kSend, "HTTP/1.0 200 OK\r\n\r\nall of it"},
+                 {Kind::kClose, ""}}});
+    ClientFixture f(server.address());
+    const Seen seen = f.Call();
+    CHECK(seen.body == "all of it");
+    CHECK(seen.end == Status(Unit{}));
+  }
+
+  SECTION("after an interim answer") {
+    ScriptedServer server(
+        Scripts{{{Kind::kSend, "HTTP/1.1 103 Early Hints\r\n\r\n"},
+                 {Kind::kSend, kWhole}}});
+    ClientFixture f(server.address());
+    CHECK(f.Call().status == 200);
+  }
+
+  SECTION("without a body, to HEAD") {
+    ScriptedServer server(Scripts{
+        {{Kind::kSend, "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n"}}});
+    ClientFixture f(server.address());
+    auto request = ClientFixture::MakeRequest();
+    request.method = "HEAD";
+    request.body.clear();
+    CHECK(f.Call(request).end == Status(Unit{}));
+  }
+}
+
+TEST_CASE("HttpTargetClient passes a request through") {
+  ScriptedServer server(Scripts{{{Kind::kSend, kWhole}}});
+  ClientFixture f(server.address());
+  auto request = ClientFixture::MakeRequest();
+  request.headers = {{"X-Salon", "oviedo-3"},
+                     {"Transfer-Encoding", "chunked"},
+                     {"Content-Length", "99"},
+                     {"Connection", "close"}};
+  f.Call(request);
+  REQUIRE(server.requests().size() == 1);
+  const std::string sent = server.requests().front();
+  CHECK(sent.find("POST /v1/completions HTTP/1.1\r\n") == 0);
+  CHECK(sent.find("X-Salon: oviedo-3\r\n") != std::string::npos);
+  CHECK(sent.find("Content-Length: 2\r\n") != std::string::npos);
+  CHECK(sent.find("chunked") == std::string::npos);
+  CHECK(sent.find("close") == std::string::npos);
+}
+
+// The caller of a side needs one thing from a broken call: may it have run?
+// Each row breaks the call at another byte. Whatever comes after the first
+// byte written is "may have run", and the request is never written again.
+TEST_CASE("HttpTargetClient says whether a broken call may have run") {
+  struct Case {
+    const char* fault;
+    std::vector<ScriptStep> script;
+    ErrorCode expected;
+  };
+  const std::vector<Case> cases = {
+      {"closed before any answer",
+       {{Kind::kClose, ""}},
+       ErrorCode::kUnknownEffect},
+      {"reset before any answer",
+       {{Kind::kReset, ""}},
+       ErrorCode::kUnknownEffect},
+      {"closed inside the head",
+       {{Kind::kSend, "HTTP/1.1 200 OK\r\nCont"}, {Kind::kClose, ""}},
+       ErrorCode::kUnknownEffect},
+      {"closed inside a stated length",
+       {{Kind::kSend, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"},
+        {Kind::kClose, ""}},
+       ErrorCode::kUnknownEffect},
+      {"closed between two chunks",
+       {{Kind::kSend, kStreamHead},
+        {Kind::kSend, "4\r\nhalf\r\n"},
+        {Kind::kClose, ""}},
+       ErrorCode::kUnknownEffect},
+      {"reset inside a chunk",
+       {{Kind::kSend, kStreamHead},
+        {Kind::kSend, "9\r\nhalf"},
+        {Kind::kReset, ""}},
+       ErrorCode::kUnknownEffect},
+      {"not HTTP", {{Kind::kSend, "BEEP\r\n\r\n"}}, ErrorCode::kUnknownEffect},
+      {"silent", {{Kind::kSleep, ""}}, ErrorCode::kTimeout},
+      {"silent inside a stream",
+       {{Kind::kSend, kStreamHead}, {Kind::kSleep, ""}},
+       ErrorCode::kTimeout},
+  };
+  for (const auto& it : cases) {
+    DYNAMIC_SECTION(it.fault) {
+      ScriptedServer server(Scripts{it.script});
+      ClientFixture f(server.address());
+      auto request = ClientFixture::MakeRequest();
+      if (it.expected == ErrorCode::kTimeout) {
+        request.deadline = std::chrono::milliseconds(200);
+      }
+      const Seen seen = f.Call(request);
+      CHECK(seen.before_write);
+      CHECK(seen.error() == it.expected);
+      CHECK(server.requests().size() == 1);
+    }
+  }
+}
+
+TEST_CASE("HttpTargetClient proves that a call did not run") {
+  SECTION("no target listens") {
+    std::string address;
+    {
+      ScriptedServer gone(Scripts{{}});
+      address = gone.address();
+    }
+    ClientFixture f(address);
+    const Seen seen = f.Call();
+    CHECK_FALSE(seen.before_write);
+    CHECK(seen.error() == ErrorCode::kUnavailable);
+  }
+
+  SECTION("stopped right before the first byte") {
+    ScriptedServer server(Scripts{{{Kind::kSend, kWhole}}});
+    ClientFixture f(server.address());
+    f.may_write_ = false;
+    CHECK(f.Call().error() == ErrorCode::kUnavailable);
+    CHECK(server.requests().empty());
+    f.may_write_ = true;
+    CHECK(f.Call().status == 200);
+    CHECK(server.connections() == 1);
+  }
+
+  SECTION("destroyed before it began") {
+    ScriptedServer server(Scripts{{{Kind::kSend, kWhole}}});
+    ClientFixture f(server.address());
+    Seen seen;
+    f.Start(&seen, ClientFixture::MakeRequest()).reset();
+    f.io_.run_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(seen.before_write);
+    CHECK_FALSE(seen.end);
+  }
+}
+
+// A target may close a kept connection between two requests. Written there, the
+// second would break and count as "may have run" though it never arrived.
+TEST_CASE("HttpTargetClient does not use a connection closed while idle") {
+  ScriptedServer server(Scripts{{{Kind::kSend, kWhole}, {Kind::kClose, ""}},
+                                {{Kind::kSend, kWhole}}});
+  ClientFixture f(server.address());
+  CHECK(f.Call().body == "menu");
+  // The close must have arrived: the second call finds it by looking.
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  CHECK(f.Call().body == "menu");
+  CHECK(server.connections() == 2);
+}
+
+TEST_CASE("HttpTargetClient stops reading for a slow caller") {
+  const std::string part(64U << 10, 'x');
+  std::vector<ScriptStep> script = {
+      {Kind::kSend, "HTTP/1.1 200 OK\r\nContent-Length: 8388608\r\n\r\n"}};
+  for (int i = 0; i < 128; ++i) {
+    script.push_back({Kind::kSend, part});
+  }
+  ScriptedServer server(Scripts{script});
+  ClientFixture f(server.address());
+  Seen seen;
+  const auto call = f.Start(&seen, ClientFixture::MakeRequest());
+  f.RunUntil([&seen] { return seen.status == 200; });
+  call->PauseReading(true);
+  f.io_.restart();
+  f.io_.run_for(std::chrono::milliseconds(100));
+  const auto paused_at = seen.body.size();
+  CHECK(paused_at < 1U << 20);
+  call->PauseReading(false);
+  f.RunUntil([&seen] { return seen.end.has_value(); });
+  CHECK(seen.body.size() == 8388608);
+}
+
+}  // namespace
+}  // namespace indigolead
