--- a/src/core/admission/retry_budget.h
+++ b/src/core/admission/retry_budget.h
@@ -20,9 +20,11 @@
   struct Options {
     double share = 0.1;  ///< Retries per first attempt.
     double burst = 10;   ///< Most retries saved up in quiet times.
+    double initial = 0;  ///< Retries to begin with, for a quiet start.
   };
 
-  explicit RetryBudget(const Options& options) : options_(options) {}
+  explicit RetryBudget(const Options& options)
+      : options_(options), level_(options.initial) {}
 
   /// Sets the share from now on.
   void SetShare(double share) { options_.share = share; }
@@ -39,7 +41,7 @@
 
  private:
   Options options_;
-  double level_ = 0;
+  double level_;
   std::uint64_t first_attempts_ = 0;
   std::uint64_t retries_ = 0;
 };
--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -61,7 +61,7 @@
   }
   if (!hooks_.spend_retry) {
     hooks_.spend_retry = [this](const CallerRequest& request, TimePoint) {
-      return retry_budget_.Spend(request.deployment);
+      return BudgetOf(request).TryTake();
     };
   }
 }
@@ -206,7 +206,7 @@
   it.keep_answer = it.request->repeatability == Repeatability::kKeyed;
   it.answer = {};
   if (it.forwards++ == 0) {
-    retry_budget_.Earn(it.request->deployment, it.request->retry_budget_share);
+    BudgetOf(*it.request).OnFirstAttempt();
   }
   ++counts_.forwards;
   attempts_[id] = it.request->id;
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -11,11 +11,11 @@
 #include <utility>
 #include <vector>
 
+#include "core/admission/retry_budget.h"
 #include "core/base/ids.h"
 #include "core/base/time.h"
 #include "core/request/attempt.h"
 #include "core/request/request_types.h"
-#include "core/request/retry_budget.h"
 #include "core/request/side_table.h"
 
 namespace indigolead {
@@ -233,6 +233,7 @@
                   const SideRefusal& why, TimePoint now);
   void FinishAttempt(Request& it, Ending ending, AttemptOutcome outcome,
                      const SideRefusal& why, bool retry, TimePoint now);
+  RetryBudget& BudgetOf(const CallerRequest& request);
   bool MayRetry(const Request& it, Ending ending, TimePoint now);
   void CompleteAnswer(Request& it, TimePoint now);
   void Refuse(Request& it, Refusal refusal, TimePoint now);
@@ -250,7 +251,8 @@
   Requests requests_;
   std::unordered_map<AttemptId, RequestId> attempts_;
   SideTable sides_;
-  RetryBudget retry_budget_;
+  /// One for each deployment, whose number the catalogue bounds.
+  std::unordered_map<std::string, RetryBudget> retry_budgets_;
   std::vector<RequestAction> actions_;
   std::vector<RequestId> tick_ids_;
   RequestFlowCounts counts_;
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -10,6 +10,11 @@
 /// Absence after which a side without attempts is forgotten.
 constexpr Duration kForgetSideAfter = std::chrono::minutes(5);
 
+/// Retries that a deployment may spend before its traffic has earned any, and
+/// most that it saves up.
+constexpr double kFirstRetries = 20;
+constexpr double kMostRetries = 100;
+
 SideRefusal Because(std::string code, std::string detail) {
   SideRefusal why;
   why.code = std::move(code);
@@ -144,6 +149,16 @@
   }
 }
 
+RetryBudget& RequestFlow::BudgetOf(const CallerRequest& request) {
+  RetryBudget::Options options;
+  options.initial = kFirstRetries;
+  options.burst = kMostRetries;
+  RetryBudget& budget =
+      retry_budgets_.try_emplace(request.deployment, options).first->second;
+  budget.SetShare(request.retry_budget_share);
+  return budget;
+}
+
 bool RequestFlow::MayRetry(const Request& it, Ending ending, TimePoint now) {
   if (it.head_delivered || now >= it.request->deadline ||
       it.forwards >= options_.max_forwards) {
--- /dev/null
+++ b/standins/engine_run.h
@@ -0,0 +1,34 @@
+#ifndef INDIGOLEAD_STANDINS_ENGINE_RUN_H_
+#define INDIGOLEAD_STANDINS_ENGINE_RUN_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standins/engine_server.h"
+
+namespace indigolead::standins {
+
+/// One run, which goes on whether or not anyone reads its stream.
+struct EngineServer::Run {
+  Run(boost::asio::io_context* io, const CompletionRequest& asked,
+      const Answer& made)
+      : request(asked), answer(made), changed(io) {}
+
+  std::string id;
+  std::size_t log_number = 0;
+  std::uint64_t boot = 0;  ///< Boot of the engine that it belongs to.
+  int priority = 0;
+  CompletionRequest request;
+  Answer answer;
+  std::uint32_t uncached_tokens = 0;
+  std::vector<std::string> events;  ///< JSON of each SSE event so far.
+  bool holds_slot = false;
+  bool ended = false;
+  bool cut = false;  ///< Ended without its whole answer.
+  Notifier changed;
+};
+
+}  // namespace indigolead::standins
+
+#endif  // INDIGOLEAD_STANDINS_ENGINE_RUN_H_
--- /dev/null
+++ b/standins/run_log.h
@@ -0,0 +1,49 @@
+#ifndef INDIGOLEAD_STANDINS_RUN_LOG_H_
+#define INDIGOLEAD_STANDINS_RUN_LOG_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "standins/http_server.h"
+
+namespace indigolead::standins {
+
+/// One run of a request, as a target saw it.
+struct RunRecord {
+  std::string request_id;       ///< `X-Request-Id`, or empty.
+  std::string idempotency_key;  ///< `Idempotency-Key`, or empty.
+  std::string method;
+  std::string path;
+  std::string body_hash;  ///< 16 hex digits.
+  bool finished = false;  ///< The whole answer was made.
+  bool cut = false;       ///< Ended by an order, a cancel or a crash.
+
+  friend bool operator==(const RunRecord&, const RunRecord&) = default;
+};
+
+/// Remembers what a stand-in target ran, to be compared with what callers
+/// received.
+class RunLog {
+ public:
+  /// Adds a run and returns its number.
+  std::size_t Start(const HttpRequest& request);
+  void Finish(std::size_t run);
+  void Cut(std::size_t run);
+
+  std::vector<RunRecord> records() const;
+
+  /// Returns the records as the body of `GET /standin/runs`.
+  std::string ToJson() const;
+
+ private:
+  std::deque<RunRecord> records_;
+};
+
+/// Returns the XXH64 of `text` as 16 hex digits.
+std::string HashHex(const std::string& text);
+
+}  // namespace indigolead::standins
+
+#endif  // INDIGOLEAD_STANDINS_RUN_LOG_H_
--- /dev/null
+++ b/standins/service_server.h
@@ -0,0 +1,53 @@
+#ifndef INDIGOLEAD_STANDINS_SERVICE_SERVER_H_
+#define INDIGOLEAD_STANDINS_SERVICE_SERVER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standins/http_server.h"
+#include "standins/run_log.h"
+
+namespace indigolead::standins {
+
+/// Stand-in for a plain service: answers with what it was asked.
+///
+/// The answer is a function of the request alone, so an answer that reached
+/// the wrong caller shows. Public methods are safe from any thread but its
+/// own.
+class ServiceServer {
+ public:
+  struct Options {
+    std::uint16_t port = 0;
+    /// A request whose body or path contains this word kills the service.
+    std::string poison = "crash-service";
+    /// Called for such a request; by default the service goes down.
+    std::function<void()> on_poison;
+    /// Each answer is held back that long.
+    std::uint32_t delay_ms = 0;
+  };
+
+  ServiceServer() : ServiceServer(Options{}) {}
+  explicit ServiceServer(Options options);
+
+  std::uint16_t port() const { return server_->port(); }
+  std::string address() const { return server_->address(); }
+
+  void SetDown(bool down) { server_->SetDown(down); }
+  void SetDelay(std::uint32_t delay_ms);
+
+  std::vector<RunRecord> runs();
+
+ private:
+  Task Handle(HttpExchange& exchange);
+  Task Stream(HttpExchange& exchange, std::string body, std::uint64_t chunks);
+
+  Options options_;
+  RunLog log_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace indigolead::standins
+
+#endif  // INDIGOLEAD_STANDINS_SERVICE_SERVER_H_
