Talk to the object API through one bounded, honest client

Everything that must last goes through the object API, which can be slow, down, silent, stale, or lose the answer to a write that took effect. The client gives every call a deadline that covers its wait in the queue, keeps to a token bucket with a reserve and a connection for lease calls, says "no effect" only where that is certain, and counts calls by kind. SettledWriter repeats a write of unknown effect under the same condition and recognises its nonce; ListWatcher re-lists a broken or silent watch and drops a listing older than what it holds.

Ruled out: settling by reading alone, because the write may still be on its way when the read finds the old version.

--- /dev/null
+++ b/src/platform/events.h
@@ -0,0 +1,18 @@
+#ifndef INDIGOLEAD_PLATFORM_EVENTS_H_
+#define INDIGOLEAD_PLATFORM_EVENTS_H_
+
+#include "observe/event_log.h"
+
+namespace indigolead {
+
+inline constexpr EventInfo kStaleListing{
+    3001, "stale-listing", EventSeverity::kWarning,
+    "The store answered a listing older than what is held; it was dropped."};
+
+inline constexpr EventInfo kWatcherRetry{
+    3002, "watcher-retry", EventSeverity::kWarning,
+    "The store could not be listed or a watch ended; another try follows."};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_PLATFORM_EVENTS_H_
--- /dev/null
+++ b/src/platform/http_object_store.h
@@ -0,0 +1,90 @@
+#ifndef INDIGOLEAD_PLATFORM_HTTP_OBJECT_STORE_H_
+#define INDIGOLEAD_PLATFORM_HTTP_OBJECT_STORE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/base/time.h"
+#include "core/config/settings.h"
+#include "observe/metrics.h"
+#include "platform/object_store.h"
+
+namespace indigolead {
+
+class StoreCalls;
+namespace internal {
+struct StoreReply;
+struct StoreRequest;
+}  // namespace internal
+
+/// Object API over HTTP, as described in docs/INTERFACES.md.
+///
+/// Built for a store that is slow, down or silent: every call has a deadline
+/// that counts from the moment it was asked for, so callers wait no longer in
+/// the queue than on the wire; the queue is bounded and ordered by priority;
+/// and no more than a stated number of connections are open, one of which
+/// only lease calls may use, so that a slow store cannot starve the lease.
+///
+/// Runs on the thread of its io_context: every method must be called there,
+/// and callbacks are called there, never from inside the method.
+class HttpObjectStore : public ObjectStore {
+ public:
+  struct Options {
+    std::string address;  ///< "IP:port".
+    Duration watch_silence = std::chrono::seconds(10);
+    /// Bound on the opening of a watch, its wait for a token included.
+    Duration watch_open_deadline = std::chrono::seconds(2);
+    double calls_per_second = 50;
+    double call_burst = 100;
+    double lease_reserve = 5;  ///< Tokens that only lease calls may take.
+    std::size_t max_queued_calls = 1024;
+    std::size_t max_connections = 8;  ///< For calls; each watch has one more.
+    std::uint64_t max_answer_bytes = 64ULL << 20;
+  };
+
+  /// Returns the options that section [store] of the settings asks for.
+  static Options OptionsFrom(const StoreSettings& settings);
+
+  /// `io` and `metrics` must outlive this object.
+  HttpObjectStore(boost::asio::io_context* io, Options options, Clock clock,
+                  MetricsRegistry* metrics);
+
+  /// Cuts every call and watch; their callbacks are not called any more.
+  ~HttpObjectStore() override;
+  HttpObjectStore(const HttpObjectStore&) = delete;
+  HttpObjectStore& operator=(const HttpObjectStore&) = delete;
+
+  void Get(const std::string& key, const CallOptions& options,
+           Callback<std::optional<StoredObject>> done) override;
+  void List(const std::string& prefix, const CallOptions& options,
+            Callback<Listing> done) override;
+  void Put(const std::string& key, const std::string& value,
+           ExpectedVersion expected, const CallOptions& options,
+           Callback<std::uint64_t> done) override;
+  void Delete(const std::string& key, ExpectedVersion expected,
+              const CallOptions& options, Callback<Unit> done) override;
+  std::unique_ptr<Watch> StartWatch(
+      const std::string& prefix, std::uint64_t from_version,
+      std::function<void(const WatchEvent&)> on_event,
+      std::function<void(const Error&)> on_end) override;
+  void ListInstances(const CallOptions& options,
+                     Callback<InstanceList> done) override;
+
+ private:
+  static bool Accepts(const internal::StoreRequest& request,
+                      const std::string& key);
+  /// Queues `request`, or refuses it if `key` or its value are not allowed.
+  void Send(internal::StoreRequest request, const std::string& key,
+            const CallOptions& options,
+            std::function<void(Result<internal::StoreReply>)> done);
+
+  std::string address_;
+  std::shared_ptr<StoreCalls> calls_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_PLATFORM_HTTP_OBJECT_STORE_H_
--- /dev/null
+++ b/src/platform/list_watcher.h
@@ -0,0 +1,100 @@
+#ifndef INDIGOLEAD_PLATFORM_LIST_WATCHER_H_
+#define INDIGOLEAD_PLATFORM_LIST_WATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/base/time.h"
+#include "observe/event_log.h"
+#include "platform/object_store.h"
+#include "platform/run_after.h"
+
+namespace indigolead {
+
+/// Keeps a copy of the objects below a prefix up to date.
+///
+/// Lists, then watches from the version listed; when the watch breaks or falls
+/// silent it lists again, after a growing delay with jitter so that a fleet
+/// does not come back to a recovering store all at once. A stale read must not
+/// take configuration back, so a listing older than what is held is dropped
+/// and the watch goes on from the version held.
+///
+/// Runs on the thread of its store.
+class ListWatcher {
+ public:
+  /// Objects by key.
+  using State = std::map<std::string, StoredObject>;
+
+  struct Options {
+    std::string prefix;
+    CallOptions list;
+    Duration min_backoff = std::chrono::milliseconds(200);
+    Duration max_backoff = std::chrono::seconds(10);
+  };
+
+  struct Hooks {
+    /// The state changed, or was read for the first time. `version` is the
+    /// store-wide version up to which it is known.
+    std::function<void(const State&, std::uint64_t version)> on_state;
+    /// The store could not be read or the watch ended; another try follows.
+    std::function<void(const Error&)> on_error;
+    /// Returns a number in [0, 1) that spreads the delays.
+    std::function<double()> jitter;
+  };
+
+  /// `store` must outlive this object.
+  ListWatcher(ObjectStore* store, Options options, Hooks hooks, Clock clock,
+              RunAfter run_after, EventLog log);
+
+  /// Stops; the hooks are not called afterwards.
+  ~ListWatcher();
+  ListWatcher(const ListWatcher&) = delete;
+  ListWatcher& operator=(const ListWatcher&) = delete;
+
+  /// Starts with the first listing.
+  void Start();
+
+  const State& state() const { return state_; }
+
+  /// Returns the store-wide version up to which the state is known; 0 before
+  /// the first listing.
+  std::uint64_t version() const { return version_; }
+
+  /// Returns true while a watch follows the store.
+  bool following() const { return watch_ != nullptr; }
+
+  /// Returns when the state was last known to be up to date: now while it is
+  /// followed, else when the watch ended. Default-constructed before that.
+  TimePoint fresh_at() const;
+
+ private:
+  void List();
+  void OnListed(const Result<ObjectStore::Listing>& result);
+  void TakeListing(const ObjectStore::Listing& listing);
+  void StartWatch();
+  void OnEvent(const WatchEvent& event);
+  void OnWatchEnd(const Error& error);
+  void RetryLater(const Error& error);
+
+  ObjectStore* store_;
+  Options options_;
+  Hooks hooks_;
+  Clock clock_;
+  RunAfter run_after_;
+  EventLog log_;
+  State state_;
+  std::uint64_t version_ = 0;
+  bool listed_ = false;
+  std::uint32_t failures_ = 0;
+  TimePoint followed_until_{};
+  TimePoint watch_started_{};
+  std::unique_ptr<ObjectStore::Watch> watch_;
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_PLATFORM_LIST_WATCHER_H_
--- /dev/null
+++ b/src/platform/settled_write.cc
@@ -0,0 +1,132 @@
+#include "platform/settled_write.h"
+
+#include <optional>
+#include <utility>
+
+namespace indigolead {
+namespace {
+
+constexpr char kStep[] = "store.settle";
+
+/// Returns true if a write that ended with `code` may have taken effect.
+bool LeavesDoubt(ErrorCode code) {
+  return code == ErrorCode::kTimeout || code == ErrorCode::kUnknownEffect;
+}
+
+}  // namespace
+
+/// What the writes in progress need, emptied when the writer goes.
+struct SettledWriter::Shared {
+  ObjectStore* store;
+  Clock clock;
+  RunAfter run_after;
+  bool closed = false;
+};
+
+/// One write in progress; lives through the callbacks that hold it.
+class SettledWriter::Attempt : public std::enable_shared_from_this<Attempt> {
+ public:
+  Attempt(std::shared_ptr<Shared> shared, SettledPut put, Done done)
+      : shared_(std::move(shared)),
+        put_(std::move(put)),
+        done_(std::move(done)),
+        give_up_at_(shared_->clock() + put_.settle_for) {}
+
+  void Write() {
+    if (shared_->closed) {
+      return;
+    }
+    shared_->store->Put(
+        put_.key, put_.value, put_.expected, put_.call,
+        [self = shared_from_this()](const Result<std::uint64_t>& result) {
+          self->OnWritten(result);
+        });
+  }
+
+ private:
+  void OnWritten(const Result<std::uint64_t>& result) {
+    if (shared_->closed) {
+      return;
+    }
+    if (IsOk(result)) {
+      done_(ValueOf(result));
+      return;
+    }
+    const Error& error = ErrorOf(result);
+    if (LeavesDoubt(error.code)) {
+      in_doubt_ = true;
+      Retry(error);
+    } else if (!in_doubt_) {
+      done_(error);
+    } else if (error.code == ErrorCode::kConflict) {
+      ReadBack();
+    } else {
+      Retry(error);
+    }
+  }
+
+  /// Repeats the write a little later, or gives up.
+  void Retry(const Error& cause) {
+    if (shared_->clock() + put_.retry_delay >= give_up_at_) {
+      done_(Error{ErrorCode::kTimeout, kStep, cause.peer,
+                  "could not be settled in time: " + ToString(cause)});
+      return;
+    }
+    shared_->run_after(put_.retry_delay,
+                       [self = shared_from_this()] { self->Write(); });
+  }
+
+  /// Finds out whose write caused the conflict.
+  void ReadBack() {
+    shared_->store->Get(put_.key, put_.call,
+                        [self = shared_from_this()](
+                            const Result<std::optional<StoredObject>>& result) {
+                          self->OnRead(result);
+                        });
+  }
+
+  void OnRead(const Result<std::optional<StoredObject>>& result) {
+    if (shared_->closed) {
+      return;
+    }
+    if (!IsOk(result)) {
+      Retry(ErrorOf(result));
+      return;
+    }
+    const auto& object = ValueOf(result);
+    if (object && put_.is_ours(object->value)) {
+      done_(object->version);
+      return;
+    }
+    const std::uint64_t found = object ? object->version : 0;
+    const bool stale = object ? found <= put_.expected : put_.expected == 0;
+    if (stale) {
+      // The conflict proves that the object has moved on; this read is old.
+      Retry(Error{ErrorCode::kUnavailable, kStep, "", "stale read"});
+      return;
+    }
+    done_(Error{ErrorCode::kUnknownEffect, kStep, "",
+                "version " + std::to_string(found) +
+                    " of another writer stands there; ours may have stood "
+                    "before it"});
+  }
+
+  std::shared_ptr<Shared> shared_;
+  SettledPut put_;
+  Done done_;
+  TimePoint give_up_at_;
+  bool in_doubt_ = false;
+};
+
+SettledWriter::SettledWriter(ObjectStore* store, Clock clock,
+                             RunAfter run_after)
+    : shared_(std::make_shared<Shared>(
+          Shared{store, std::move(clock), std::move(run_after)})) {}
+
+SettledWriter::~SettledWriter() { shared_->closed = true; }
+
+void SettledWriter::Put(SettledPut put, Done done) {
+  std::make_shared<Attempt>(shared_, std::move(put), std::move(done))->Write();
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/tests/shell/object_store_contract_test.cc
@@ -0,0 +1,272 @@
+// One suite for every implementation of `ObjectStore`.
+
+#include <catch2/catch.hpp>
+
+#include "tests/support/store_world.h"
+
+namespace indigolead {
+namespace {
+
+using standins::PlatformFaults;
+using testing::MakeStoreWorld;
+using testing::StoreWorld;
+
+constexpr std::chrono::milliseconds kShortDeadline{300};
+
+CallOptions ShortCall() { return {CallPriority::kOrder, kShortDeadline}; }
+CallOptions LongCall() {
+  return {CallPriority::kOrder, std::chrono::seconds(20)};
+}
+
+Result<std::uint64_t> Put(StoreWorld* world, const std::string& value,
+                          ExpectedVersion expected,
+                          const CallOptions& options = LongCall()) {
+  return world->Ask<std::uint64_t>([&](auto done) {
+    world->store().Put("a/b", value, expected, options, done);
+  });
+}
+
+Result<std::optional<StoredObject>> Get(
+    StoreWorld* world, const CallOptions& options = LongCall()) {
+  return world->Ask<std::optional<StoredObject>>(
+      [&](auto done) { world->store().Get("a/b", options, done); });
+}
+
+Result<ObjectStore::Listing> List(StoreWorld* world,
+                                  const CallOptions& options = LongCall()) {
+  return world->Ask<ObjectStore::Listing>(
+      [&](auto done) { world->store().List("a/", options, done); });
+}
+
+template <typename T>
+std::string Outcome(const Result<T>& result) {
+  return IsOk(result) ? "ok" : std::string(ErrorCodeName(ErrorOf(result).code));
+}
+
+/// Watch that remembers what it was told.
+struct Watched {
+  Watched(StoreWorld* world, std::uint64_t from)
+      : watch(world->store().StartWatch(
+            "a/", from,
+            [this](const WatchEvent& event) { events.push_back(event); },
+            [this](const Error& error) { ends.push_back(error.code); })) {}
+
+  std::vector<WatchEvent> events;
+  std::vector<ErrorCode> ends;
+  std::unique_ptr<ObjectStore::Watch> watch;
+};
+
+TEST_CASE("ObjectStore keeps objects, versions and conditions") {
+  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+
+  SECTION("an absent object is nothing, not an error") {
+    CHECK(ValueOf(Get(world.get())) == std::nullopt);
+  }
+
+  SECTION("a write needs the version that the object has") {
+    const auto first = ValueOf(Put(world.get(), "one", 0));
+    CHECK(ValueOf(Get(world.get())) == StoredObject{"a/b", "one", first});
+    const auto conflict = Put(world.get(), "two", 0);
+    REQUIRE(Outcome(conflict) == "conflict");
+    CHECK(ErrorOf(conflict).detail == std::to_string(first));
+    CHECK(ValueOf(Put(world.get(), "two", first)) > first);
+  }
+
+  SECTION("values are bytes of any kind") {
+    const std::string bytes("\0\xff\n{\"", 5);
+    Put(world.get(), bytes, 0);
+    CHECK(ValueOf(Get(world.get()))->value == bytes);
+    CHECK(ValueOf(List(world.get())).objects.at(0).value == bytes);
+  }
+
+  SECTION("a delete needs the version too, and leaves nothing") {
+    const auto version = ValueOf(Put(world.get(), "one", 0));
+    const auto remove = [&](ExpectedVersion expected) {
+      return world->Ask<Unit>([&](auto done) {
+        world->store().Delete("a/b", expected, LongCall(), done);
+      });
+    };
+    CHECK(Outcome(remove(version + 1)) == "conflict");
+    CHECK(Outcome(remove(version)) == "ok");
+    CHECK(ValueOf(Get(world.get())) == std::nullopt);
+  }
+
+  SECTION("a listing has its prefix only, and the store's version") {
+    Put(world.get(), "one", 0);
+    const auto other = world->Poke("c", "x", 0);
+    const auto listing = ValueOf(List(world.get()));
+    CHECK(listing.version == other);
+    REQUIRE(listing.objects.size() == 1);
+    CHECK(listing.objects[0].key == "a/b");
+  }
+
+  SECTION("a bad key and a value above 1 MiB are refused") {
+    const auto bad = world->Ask<std::uint64_t>([&](auto done) {
+      world->store().Put("a b", "x", 0, LongCall(), done);
+    });
+    CHECK(Outcome(bad) == "invalid-input");
+    const std::string large((1U << 20) + 1, 'x');
+    CHECK(Outcome(Put(world.get(), large, 0)) == "invalid-input");
+  }
+
+  SECTION("the instance list tells leaving from live") {
+    world->PutInstance(
+        {"t1", "target", "bilbao-a", "norte", "", InstanceState::kLeaving});
+    const auto list = world->Ask<InstanceList>(
+        [&](auto done) { world->store().ListInstances(LongCall(), done); });
+    REQUIRE(ValueOf(list).instances.size() == 1);
+    CHECK(ValueOf(list).instances[0].state == InstanceState::kLeaving);
+    CHECK(ValueOf(list).instances[0].failure_domain == "bilbao-a");
+  }
+}
+
+TEST_CASE("ObjectStore watches tell each change once and in order") {
+  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const auto first = world->Poke("a/b", "one", 0);
+  Watched watched(world.get(), first);
+  const auto second = world->Poke("a/b", "two", first);
+  REQUIRE(world->RunUntil([&] { return watched.events.size() == 1; }));
+  CHECK(watched.events[0] == WatchEvent{"a/b", "two", second});
+
+  SECTION("also deletes, and nothing of other prefixes") {
+    world->Poke("c", "x", 0);
+    world->Ask<Unit>([&](auto done) {
+      world->store().Delete("a/b", second, LongCall(), done);
+    });
+    REQUIRE(world->RunUntil([&] { return watched.events.size() == 2; }));
+    CHECK(watched.events[1].value == std::nullopt);
+  }
+
+  SECTION("a watch that is dropped says so once") {
+    world->DropWatches();
+    REQUIRE(world->RunUntil([&] { return !watched.ends.empty(); }));
+    CHECK(watched.ends.size() == 1);
+  }
+
+  SECTION("a version no longer held asks for a new listing") {
+    Watched late(world.get(), second + 100);
+    REQUIRE(world->RunUntil([&] { return !late.ends.empty(); }));
+    CHECK(late.ends[0] == ErrorCode::kNotFound);
+  }
+
+  SECTION("a stopped watch says nothing more") {
+    watched.watch.reset();
+    world->Poke("a/b", "three", second);
+    Get(world.get());
+    CHECK(watched.events.size() == 1);
+    CHECK(watched.ends.empty());
+  }
+}
+
+/// One row of the fault table: what the caller is told, and what is true.
+struct FaultCase {
+  std::string name;
+  bool down = false;
+  PlatformFaults faults;
+  std::string put;
+  std::string get;
+  std::string list;
+  bool takes_effect = false;
+};
+
+PlatformFaults Slow() {
+  PlatformFaults faults;
+  faults.slow_ms = 2 * kShortDeadline.count();
+  return faults;
+}
+
+PlatformFaults Losing(bool by_silence) {
+  PlatformFaults faults;
+  faults.lose_answers = 1;
+  faults.lose_by_silence = by_silence;
+  return faults;
+}
+
+PlatformFaults Stale() {
+  PlatformFaults faults;
+  faults.stale_reads = true;
+  return faults;
+}
+
+PlatformFaults Refusing() {
+  PlatformFaults faults;
+  faults.refuse = true;
+  return faults;
+}
+
+PlatformFaults Stalled() {
+  PlatformFaults faults;
+  faults.stall = true;
+  return faults;
+}
+
+TEST_CASE("ObjectStore tells what is known of a call under each fault") {
+  // The caller asks for a write and two reads, each with a short deadline,
+  // while the store misbehaves in one way. Each call ends by its deadline with
+  // one answer. "Unavailable" is said only of a write that had no effect;
+  // "timeout" and "unknown-effect" leave it open, because a slow store does
+  // the write after its caller has gone, and a lost answer says nothing.
+  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const FaultCase fault = GENERATE(values<FaultCase>({
+      {"down", true, {}, "unavailable", "unavailable", "unavailable", false},
+      {"refusing", false, Refusing(), "unavailable", "unavailable",
+       "unavailable", false},
+      {"stalled", false, Stalled(), "timeout", "timeout", "timeout", false},
+      {"slow", false, Slow(), "timeout", "timeout", "timeout", true},
+      {"answer lost", false, Losing(false), "unknown-effect", "ok", "ok", true},
+      {"answer silent", false, Losing(true), "timeout", "ok", "ok", true},
+      {"stale read", false, Stale(), "ok", "ok", "ok", true},
+  }));
+  INFO("fault: " << fault.name);
+  const auto before = world->Poke("a/b", "before", 0);
+  CHECK(Outcome(Get(world.get())) == "ok");  // Opens a connection.
+  world->SetFaults(fault.faults);
+  world->SetDown(fault.down);
+
+  CHECK(Outcome(Put(world.get(), "after", before, ShortCall())) == fault.put);
+  const auto read = Get(world.get(), ShortCall());
+  CHECK(Outcome(read) == fault.get);
+  CHECK(Outcome(List(world.get(), ShortCall())) == fault.list);
+  if (fault.faults.stale_reads) {
+    CHECK(ValueOf(read)->value == "before");
+  }
+
+  const std::string expected = fault.takes_effect ? "after" : "before";
+  CHECK(world->RunUntil([&] { return world->Peek("a/b")->value == expected; }));
+
+  world->SetDown(false);
+  world->SetFaults({});
+  CHECK(ValueOf(Get(world.get()))->value == expected);
+}
+
+TEST_CASE("ObjectStore ends a silent watch, and one whose store is down") {
+  // The caller follows a prefix. Something between the two ends loses the
+  // connection, or the store goes: no change arrives any more, and without an
+  // end the caller would keep an old state for good.
+  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const auto version = world->Poke("a/b", "one", 0);
+  Watched watched(world.get(), version);
+  const auto second = world->Poke("a/b", "two", version);
+  REQUIRE(world->RunUntil([&] { return watched.events.size() == 1; }));
+
+  SECTION("silent") {
+    PlatformFaults faults;
+    faults.silence_watches = true;
+    world->SetFaults(faults);
+    world->Poke("a/b", "three", second);
+    REQUIRE(world->RunUntil([&] { return !watched.ends.empty(); }));
+    CHECK(watched.ends[0] == ErrorCode::kTimeout);
+    CHECK(watched.events.size() == 1);
+  }
+
+  SECTION("down, and the next watch cannot be opened") {
+    world->SetDown(true);
+    REQUIRE(world->RunUntil([&] { return !watched.ends.empty(); }));
+    Watched next(world.get(), second);
+    REQUIRE(world->RunUntil([&] { return !next.ends.empty(); }));
+    CHECK(next.ends[0] == ErrorCode::kUnavailable);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
--- /dev/null
+++ b/tests/shell/settled_write_test.cc
@@ -0,0 +1,124 @@
+#include "platform/settled_write.h"
+
+#include <catch2/catch.hpp>
+
+#include "runtime/clock.h"
+#include "tests/support/store_world.h"
+
+namespace indigolead {
+namespace {
+
+using standins::PlatformFaults;
+using std::chrono::milliseconds;
+using testing::MakeStoreWorld;
+using testing::StoreWorld;
+
+SettledPut Write(const std::string& nonce, ExpectedVersion expected) {
+  SettledPut put;
+  put.key = "control/lease";
+  put.value = "nonce=" + nonce;
+  put.expected = expected;
+  put.call = {CallPriority::kLease, milliseconds(300)};
+  put.is_ours = [value = put.value](const std::string& read) {
+    return read == value;
+  };
+  put.retry_delay = milliseconds(20);
+  return put;
+}
+
+Result<std::uint64_t> Settle(StoreWorld* world, const SettledPut& put) {
+  SettledWriter writer(&world->store(), BootTimeNow,
+                       MakeRunAfter(&world->io()));
+  return world->Ask<std::uint64_t>([&](auto done) { writer.Put(put, done); });
+}
+
+TEST_CASE("SettledWriter finds out what became of a lost answer") {
+  // The store does the write and its answer is lost, by a cut or by silence.
+  // The writer repeats the write, is told of a conflict, reads back, and
+  // recognises its own nonce: it succeeded once, and says so.
+  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const bool by_silence = GENERATE(false, true);
+  const auto first = world->Poke("control/lease", "nonce=old", 0);
+  PlatformFaults faults;
+  faults.lose_answers = 1;
+  faults.lose_by_silence = by_silence;
+  world->SetFaults(faults);
+
+  const auto result = Settle(world.get(), Write("mine", first));
+  REQUIRE(IsOk(result));
+  const auto object = world->Peek("control/lease");
+  CHECK(object->value == "nonce=mine");
+  CHECK(object->version == ValueOf(result));
+  CHECK(ValueOf(result) == first + 1);
+}
+
+TEST_CASE("SettledWriter does not take another's write for its own") {
+  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const auto first = world->Poke("control/lease", "nonce=other", 0);
+
+  SECTION("a plain conflict is proof that nothing was done") {
+    const auto result = Settle(world.get(), Write("mine", 0));
+    CHECK(ErrorOf(result).code == ErrorCode::kConflict);
+    CHECK(world->Peek("control/lease")->version == first);
+  }
+
+  SECTION("after a lost answer, another's value leaves it unknown") {
+    // Our write takes effect, its answer is lost, and another writer replaces
+    // it before we read back.
+    PlatformFaults faults;
+    faults.lose_answers = 1;
+    world->SetFaults(faults);
+    SettledPut put = Write("mine", first);
+    put.retry_delay = milliseconds(200);
+    SettledWriter writer(&world->store(), BootTimeNow,
+                         MakeRunAfter(&world->io()));
+    std::optional<Result<std::uint64_t>> result;
+    writer.Put(put, [&](const auto& answer) { result = answer; });
+    REQUIRE(world->RunUntil(
+        [&] { return world->Peek("control/lease")->version > first; }));
+    REQUIRE(world->Poke("control/lease", "nonce=third", first + 1) != 0);
+    REQUIRE(world->RunUntil([&] { return result.has_value(); }));
+    CHECK(ErrorOf(*result).code == ErrorCode::kUnknownEffect);
+  }
+
+  SECTION("a store that stays silent leaves it a timeout") {
+    PlatformFaults faults;
+    faults.stall = true;
+    world->SetFaults(faults);
+    SettledPut put = Write("mine", first);
+    put.settle_for = milliseconds(700);
+    CHECK(ErrorOf(Settle(world.get(), put)).code == ErrorCode::kTimeout);
+  }
+
+  SECTION("a store that is down had no effect, at once") {
+    world->SetDown(true);
+    CHECK(ErrorOf(Settle(world.get(), Write("mine", first))).code ==
+          ErrorCode::kUnavailable);
+  }
+}
+
+TEST_CASE("SettledWriter is not misled by a stale read") {
+  // The answer is lost and the read back shows the store as it was before the
+  // write. The conflict of the repeat proves that the read is old; the writer
+  // reads on until the store shows the truth.
+  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const auto first = world->Poke("control/lease", "nonce=old", 0);
+  PlatformFaults faults;
+  faults.lose_answers = 1;
+  faults.stale_reads = true;
+  world->SetFaults(faults);
+  SettledWriter writer(&world->store(), BootTimeNow,
+                       MakeRunAfter(&world->io()));
+  std::optional<Result<std::uint64_t>> result;
+  writer.Put(Write("mine", first),
+             [&](const auto& answer) { result = answer; });
+  const auto until = std::chrono::steady_clock::now() + milliseconds(300);
+  world->RunUntil([&] { return std::chrono::steady_clock::now() > until; });
+  CHECK_FALSE(result.has_value());
+  world->SetFaults({});
+  REQUIRE(world->RunUntil([&] { return result.has_value(); }));
+  CHECK(ValueOf(*result) == first + 1);
+}
+
+}  // namespace
+}  // namespace indigolead
--- /dev/null
+++ b/tests/support/store_world.cc
@@ -0,0 +1,90 @@
+#include "tests/support/store_world.h"
+
+#include "platform/http_object_store.h"
+#include "runtime/clock.h"
+#include "tests/support/fake_object_store.h"
+
+namespace indigolead::testing {
+namespace {
+
+constexpr std::chrono::seconds kGenerousBound{30};
+constexpr std::chrono::milliseconds kStep{5};
+
+class FakeWorld : public StoreWorld {
+ public:
+  ObjectStore& store() override { return store_; }
+  void SetFaults(const standins::PlatformFaults& faults) override {
+    platform_.SetFaults(faults);
+  }
+  void SetDown(bool down) override { platform_.SetDown(down); }
+  void DropWatches() override { platform_.DropWatches(); }
+  void PutInstance(const InstanceRecord& record) override {
+    platform_.PutInstance(record);
+  }
+  std::optional<StoredObject> Peek(const std::string& key) override {
+    return platform_.Peek(key);
+  }
+  std::uint64_t Poke(const std::string& key, const std::string& value,
+                     ExpectedVersion expected) override {
+    return platform_.Poke(key, value, expected);
+  }
+
+ private:
+  FakePlatform platform_{&io_};
+  FakeObjectStore store_{&io_, &platform_, kWatchSilence};
+};
+
+class HttpWorld : public StoreWorld {
+ public:
+  ObjectStore& store() override { return store_; }
+  void SetFaults(const standins::PlatformFaults& faults) override {
+    platform_.SetFaults(faults);
+  }
+  void SetDown(bool down) override { platform_.SetDown(down); }
+  void DropWatches() override { platform_.DropWatches(); }
+  void PutInstance(const InstanceRecord& record) override {
+    platform_.PutInstance(record);
+  }
+  std::optional<StoredObject> Peek(const std::string& key) override {
+    return platform_.Peek(key);
+  }
+  std::uint64_t Poke(const std::string& key, const std::string& value,
+                     ExpectedVersion expected) override {
+    return platform_.Poke(key, value, expected);
+  }
+
+ private:
+  HttpObjectStore::Options Options() {
+    HttpObjectStore::Options options;
+    options.address = platform_.address();
+    options.watch_silence = kWatchSilence;
+    return options;
+  }
+
+  standins::PlatformServer platform_;
+  MetricsRegistry metrics_;
+  HttpObjectStore store_{&io_, Options(), BootTimeNow, &metrics_};
+};
+
+}  // namespace
+
+bool StoreWorld::RunUntil(const std::function<bool()>& condition) {
+  const auto deadline = std::chrono::steady_clock::now() + kGenerousBound;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > deadline) {
+      return false;
+    }
+    io_.restart();
+    io_.run_one_for(kStep);
+  }
+  return true;
+}
+
+std::unique_ptr<StoreWorld> MakeStoreWorld(const std::string& kind) {
+  if (kind == "http") {
+    return std::make_unique<HttpWorld>();
+  }
+  return std::make_unique<FakeWorld>();
+}
+
+}  // namespace indigolead::testing
--- /dev/null
+++ b/tests/support/store_world.h
@@ -0,0 +1,62 @@
+#ifndef INDIGOLEAD_TESTS_SUPPORT_STORE_WORLD_H_
+#define INDIGOLEAD_TESTS_SUPPORT_STORE_WORLD_H_
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "observe/metrics.h"
+#include "platform/object_store.h"
+#include "standins/platform_server.h"
+
+namespace indigolead::testing {
+
+/// An `ObjectStore` and the platform behind it, in memory or over HTTP, so
+/// that one suite of cases runs against both.
+class StoreWorld {
+ public:
+  /// Time after which a silent watch ends, short because tests wait for it.
+  static constexpr std::chrono::milliseconds kWatchSilence{1500};
+
+  virtual ~StoreWorld() = default;
+
+  virtual ObjectStore& store() = 0;
+  virtual void SetFaults(const standins::PlatformFaults& faults) = 0;
+  virtual void SetDown(bool down) = 0;
+  virtual void DropWatches() = 0;
+  virtual void PutInstance(const InstanceRecord& record) = 0;
+  virtual std::optional<StoredObject> Peek(const std::string& key) = 0;
+  virtual std::uint64_t Poke(const std::string& key, const std::string& value,
+                             ExpectedVersion expected) = 0;
+
+  boost::asio::io_context& io() { return io_; }
+
+  /// Runs the store's thread until `condition` holds. Returns false if it does
+  /// not within a generous bound.
+  bool RunUntil(const std::function<bool()>& condition);
+
+  /// Waits for the answer of one call. `call` gets the callback to pass on.
+  template <typename T>
+  Result<T> Ask(const std::function<void(ObjectStore::Callback<T>)>& call) {
+    std::optional<Result<T>> answer;
+    call([&answer](Result<T> result) { answer = std::move(result); });
+    if (!RunUntil([&] { return answer.has_value(); })) {
+      return Error{ErrorCode::kInternal, "test", "",
+                   "expected: one answer\nseen: none"};
+    }
+    return *answer;
+  }
+
+ protected:
+  boost::asio::io_context io_{1};
+};
+
+/// Returns a world of the kind "fake" or "http".
+std::unique_ptr<StoreWorld> MakeStoreWorld(const std::string& kind);
+
+}  // namespace indigolead::testing
+
+#endif  // INDIGOLEAD_TESTS_SUPPORT_STORE_WORLD_H_
