Let operators apply, look back, drain and read status

Cause: operators race each other's edits, and an answer from the store can be lost after the write took effect. Change: diff, apply, history, rollback, export, status, drain, undrain, quarantines, lift and audit. A revision that is replaced is kept in the history first, so a writer whose answer was lost can tell whether its edit was ever live. Ruled out: a check of the store's version alone, since both editors read just before they write and the second would undo the first's change unseen.

--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -1,4 +1,5 @@
 #include "cli/commands.h"
+#include "cli/declaration_dir.h"
 #include "cli/flags.h"
 #include "cli/settings_file.h"
 
@@ -20,12 +21,27 @@
   return kExitOk;
 }
 
+int CheckDeclarations(const CommandContext& context) {
+  const auto specs = LoadDeclarations(context.arguments[0], *context.err);
+  if (!specs || !LoadSeen(context.arguments[0], *context.err)) {
+    return kExitUsage;
+  }
+  for (const DeploymentSpec& it : *specs) {
+    *context.out << it.name << ": good, " << it.models.size() << " models, "
+                 << it.client_accounts.size() << " client accounts\n";
+  }
+  return kExitOk;
+}
+
 }  // namespace
 
 int RunCheck(const CommandContext& context) {
   if (!FLAGS_settings.empty()) {
     return CheckSettings(context);
   }
+  if (!context.arguments.empty()) {
+    return CheckDeclarations(context);
+  }
   *context.err << "indigolead check: give DIR, or --settings FILE --as "
                   "entry|side\n";
   return kExitUsage;
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -34,9 +34,15 @@
                         *context.err);
 }
 
-std::vector<Command> MakeCommands() {
-  std::vector<Command> commands;
-  commands.push_back(
+/// Flags of every command that reads the store, then `more`.
+std::vector<std::string> StoreFlags(std::vector<std::string> more) {
+  std::vector<std::string> flags = {"store", "settings"};
+  flags.insert(flags.end(), more.begin(), more.end());
+  return flags;
+}
+
+void AddProcesses(std::vector<Command>* commands) {
+  commands->push_back(
       {"entry",
        "",
        "Serve callers; run on each thin instance.",
@@ -46,7 +52,7 @@
        0,
        0,
        RunEntry});
-  commands.push_back(
+  commands->push_back(
       {"side",
        "",
        "Run beside one target and speak for it.",
@@ -56,7 +62,10 @@
        0,
        0,
        RunSide});
-  commands.push_back(
+}
+
+void AddRevisions(std::vector<Command>* commands) {
+  commands->push_back(
       {"check",
        "[DIR]",
        "Check settings or declarations; touches nothing.",
@@ -66,6 +75,61 @@
        0,
        1,
        RunCheck});
+  commands->push_back({"diff", "DIR", "Show what applying DIR would change.",
+                       "", StoreFlags({"seen"}), 1, 1, RunDiff});
+  commands->push_back(
+      {"apply", "DIR", "Make the declarations in DIR the live revisions.",
+       "Each deployment changes as a whole, and only if the live revision is "
+       "the one that DIR was\nedited from (seen.ini or --seen). With --wait, "
+       "returns once it is in force everywhere\nas seen by the entries in "
+       "--entry, or names who is missing.",
+       StoreFlags({"seen", "author", "source_version", "note", "wait", "entry",
+                   "timeout"}),
+       1, 1, RunApply});
+  commands->push_back({"history", "DEPLOYMENT",
+                       "List a deployment's revisions.", "",
+                       StoreFlags({"output"}), 1, 1, RunHistory});
+  commands->push_back(
+      {"rollback", "DEPLOYMENT NUMBER",
+       "Make an earlier revision's content the newest.",
+       "The result is a new revision; numbers never go back.",
+       StoreFlags({"author", "note", "wait", "entry", "timeout"}), 2, 2,
+       RunRollback});
+  commands->push_back(
+      {"export", "DIR", "Write the live state as declarations.",
+       "DIR must be empty or absent. Applying an export changes nothing.",
+       StoreFlags({}), 1, 1, RunExport});
+}
+
+void AddFleet(std::vector<Command>* commands) {
+  commands->push_back(
+      {"status",
+       "",
+       "Show the state of the fleet as an entry sees it.",
+       "Works while the object API is down. --entry may name several; the "
+       "first that answers\ntells.",
+       {"entry", "output"},
+       0,
+       0,
+       RunStatus});
+  commands->push_back({"drain", "INSTANCE", "Give an instance no new work.",
+                       "Requests in work end, streams too.",
+                       StoreFlags({"author", "note"}), 1, 1, RunDrain});
+  commands->push_back({"undrain", "INSTANCE", "Let an instance work again.", "",
+                       StoreFlags({"author", "note"}), 1, 1, RunUndrain});
+  commands->push_back({"quarantines", "", "List the quarantined requests.", "",
+                       StoreFlags({"output"}), 0, 0, RunQuarantines});
+  commands->push_back({"lift", "FINGERPRINT", "Lift a quarantine.", "",
+                       StoreFlags({"author", "note"}), 1, 1, RunLift});
+  commands->push_back({"audit", "", "List the accepted changes, oldest first.",
+                       "", StoreFlags({"since", "output"}), 0, 0, RunAudit});
+}
+
+std::vector<Command> MakeCommands() {
+  std::vector<Command> commands;
+  AddProcesses(&commands);
+  AddRevisions(&commands);
+  AddFleet(&commands);
   commands.push_back(
       {"version", "", "Print the version.", "", {}, 0, 0, RunVersion});
   commands.push_back({"help",
@@ -175,6 +239,11 @@
         << " --help\n";
     return kExitUsage;
   }
+  if (FLAGS_output != "table" && FLAGS_output != "json") {
+    err << "indigolead " << name << ": --output: \"" << FLAGS_output
+        << "\" is not accepted; accepted is table or json\n";
+    return kExitUsage;
+  }
   return command->run({std::move(others), &out, &err});
 }
 
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -25,6 +25,17 @@
 int RunEntry(const CommandContext& context);
 int RunSide(const CommandContext& context);
 int RunCheck(const CommandContext& context);
+int RunDiff(const CommandContext& context);
+int RunApply(const CommandContext& context);
+int RunRollback(const CommandContext& context);
+int RunHistory(const CommandContext& context);
+int RunExport(const CommandContext& context);
+int RunStatus(const CommandContext& context);
+int RunDrain(const CommandContext& context);
+int RunUndrain(const CommandContext& context);
+int RunQuarantines(const CommandContext& context);
+int RunLift(const CommandContext& context);
+int RunAudit(const CommandContext& context);
 
 }  // namespace indigolead::cli
 
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -35,10 +35,12 @@
 FlagText TakeApart(const std::string& argument) {
   const std::string text = argument.substr(argument[1] == '-' ? 2 : 1);
   const std::size_t equals = text.find('=');
+  std::string name = text.substr(0, equals);
+  std::replace(name.begin(), name.end(), '-', '_');
   if (equals == std::string::npos) {
-    return {text, std::nullopt};
+    return {name, std::nullopt};
   }
-  return {text.substr(0, equals), text.substr(equals + 1)};
+  return {name, text.substr(equals + 1)};
 }
 
 bool IsFlag(const std::string& argument) {
--- /dev/null
+++ b/src/cli/http_get.cc
@@ -0,0 +1,106 @@
+#include "cli/http_get.h"
+
+#include <utility>
+// Boost 1.74's Asio uses std::exchange without including its header.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+#include "core/config/value_text.h"
+
+namespace indigolead::cli {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr std::uint64_t kMaxAnswerBytes = 64ULL << 20;
+
+/// One GET on a connection of its own.
+class GetCall {
+ public:
+  GetCall(const std::string& address, const std::string& path)
+      : address_(address), stream_(io_) {
+    request_.method(http::verb::get);
+    request_.target(path);
+    request_.version(11);
+    request_.set(http::field::host, address);
+    request_.set(http::field::connection, "close");
+    parser_.body_limit(kMaxAnswerBytes);
+  }
+
+  Result<std::string> Run(Duration deadline) {
+    stream_.expires_after(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+            deadline));
+    const std::size_t colon = address_.find(':');
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(address_.substr(0, colon)),
+        static_cast<std::uint16_t>(*ParseInteger(address_.substr(colon + 1))));
+    stream_.async_connect(endpoint, [this](error_code ec) { Write(ec); });
+    io_.run();
+    if (failure_) {
+      return *failure_;
+    }
+    if (parser_.get().result() != http::status::ok) {
+      return Error{ErrorCode::kUnavailable, "http.get", address_,
+                   "answered " + std::to_string(parser_.get().result_int()) +
+                       ": " + parser_.get().body().substr(0, 200)};
+    }
+    return std::move(parser_.get().body());
+  }
+
+ private:
+  void Write(error_code ec) {
+    if (ec) {
+      Fail(ec);
+      return;
+    }
+    http::async_write(stream_, request_,
+                      [this](error_code ec, std::size_t) { Read(ec); });
+  }
+
+  void Read(error_code ec) {
+    if (ec) {
+      Fail(ec);
+      return;
+    }
+    http::async_read(stream_, buffer_, parser_,
+                     [this](error_code ec, std::size_t) {
+                       if (ec) {
+                         Fail(ec);
+                       }
+                     });
+  }
+
+  void Fail(error_code ec) {
+    const bool late = ec == beast::error::timeout;
+    failure_ = Error{late ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
+                     "http.get", address_, ec.message()};
+  }
+
+  std::string address_;
+  asio::io_context io_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  http::request<http::empty_body> request_;
+  http::response_parser<http::string_body> parser_;
+  std::optional<Error> failure_;
+};
+
+}  // namespace
+
+Result<std::string> HttpGet(const std::string& address, const std::string& path,
+                            Duration deadline) {
+  if (!IsIpAndPort(address)) {
+    return Error{ErrorCode::kInvalidInput, "http.get", address,
+                 "accepted is an IP number and port, such as 127.0.0.1:8080"};
+  }
+  return GetCall(address, path).Run(deadline);
+}
+
+}  // namespace indigolead::cli
--- /dev/null
+++ b/src/cli/operator_store.h
@@ -0,0 +1,54 @@
+#ifndef INDIGOLEAD_CLI_OPERATOR_STORE_H_
+#define INDIGOLEAD_CLI_OPERATOR_STORE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cli/command.h"
+#include "observe/metrics.h"
+#include "platform/http_object_store.h"
+#include "platform/settled_write.h"
+
+namespace indigolead::cli {
+
+/// The object API for one command: each call waits for its answer.
+class OperatorStore {
+ public:
+  /// `address` is "IP:port".
+  explicit OperatorStore(const std::string& address);
+
+  Result<std::optional<StoredObject>> Get(const std::string& key);
+  Result<ObjectStore::Listing> List(const std::string& prefix);
+
+  /// Writes `value` if the object's version is `expected`, and settles a lost
+  /// answer; `is_ours` recognises the value by its nonce.
+  Result<std::uint64_t> Put(
+      const std::string& key, const std::string& value,
+      ExpectedVersion expected,
+      std::function<bool(const std::string& value)> is_ours);
+
+  Status Delete(const std::string& key, ExpectedVersion expected);
+
+ private:
+  template <typename T>
+  Result<T> Await(std::function<void(ObjectStore::Callback<T>)> start);
+
+  boost::asio::io_context io_;
+  MetricsRegistry metrics_;
+  HttpObjectStore store_;
+  SettledWriter writer_;
+};
+
+/// Returns the store that --store or [store] in --settings names. On a problem
+/// says so and returns null; the command then ends with `kExitUsage`.
+std::unique_ptr<OperatorStore> OpenStore(const CommandContext& context);
+
+/// Says that `error` ended the command. Returns its exit code.
+int Fail(const CommandContext& context, const Error& error);
+
+}  // namespace indigolead::cli
+
+#endif  // INDIGOLEAD_CLI_OPERATOR_STORE_H_
