End a stand-in's thread before what its handlers use

A test that ended while a watch waited crashed now and then: the stand-in's members went in an order that destroyed the waiting place while the server's thread still used it. The server now goes first, starts only when all is set up, and a waiting timer leaves its set when its coroutine is destroyed.

--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -38,6 +38,7 @@
       options_.port,
       [this](HttpExchange& exchange) { return Handle(exchange); });
   slots_changed_ = std::make_unique<Notifier>(&server_->io());
+  server_->Start();
 }
 
 void EngineServer::Crash() {
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -140,8 +140,9 @@
   std::chrono::steady_clock::time_point load_measured_at_;
   std::uint64_t next_id_ = 0;
   RunLog log_;
-  std::unique_ptr<HttpServer> server_;
   std::unique_ptr<Notifier> slots_changed_;
+  /// Last, so that its thread is gone before what its handlers use.
+  std::unique_ptr<HttpServer> server_;
 };
 
 }  // namespace indigolead::standins
--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -203,13 +203,18 @@
     port_holder_.bind({asio::ip::address_v4::loopback(), port});
     port_ = port_holder_.local_endpoint().port();
     Listen();
+  }
+
+  void Start() {
     thread_ = std::thread([this] { io_.run(); });
   }
 
   ~Impl() {
     work_.reset();
     io_.stop();
-    thread_.join();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
   }
 
   std::uint16_t port() const { return port_; }
@@ -292,6 +297,8 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::Start() { impl_->Start(); }
+
 std::uint16_t HttpServer::port() const { return impl_->port(); }
 
 std::string HttpServer::address() const {
@@ -315,25 +322,47 @@
   std::set<asio::steady_timer*> waiting;
 };
 
+namespace {
+
+/// Keeps a timer in a set for as long as its coroutine's frame lives: a frame
+/// that is destroyed while it waits must not leave its timer behind.
+class WaitingTimer {
+ public:
+  WaitingTimer(std::set<asio::steady_timer*>* waiting, asio::io_context* io,
+               std::chrono::milliseconds at_most)
+      : waiting_(waiting), timer_(*io, at_most) {
+    waiting_->insert(&timer_);
+  }
+  ~WaitingTimer() { waiting_->erase(&timer_); }
+  WaitingTimer(const WaitingTimer&) = delete;
+  WaitingTimer& operator=(const WaitingTimer&) = delete;
+
+  asio::steady_timer& timer() { return timer_; }
+
+ private:
+  std::set<asio::steady_timer*>* waiting_;
+  asio::steady_timer timer_;
+};
+
+}  // namespace
+
 Notifier::Notifier(asio::io_context* io)
     : state_(std::make_shared<State>(State{io, {}})) {}
 
-Notifier::~Notifier() { NotifyAll(); }
+Notifier::~Notifier() = default;
 
 Task Notifier::Wait(std::chrono::milliseconds at_most) {
   const auto state = state_;
-  asio::steady_timer timer(*state->io, at_most);
-  state->waiting.insert(&timer);
+  WaitingTimer waiting(&state->waiting, state->io, at_most);
   beast::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-  state->waiting.erase(&timer);
+  co_await waiting.timer().async_wait(
+      asio::redirect_error(asio::use_awaitable, ec));
 }
 
 void Notifier::NotifyAll() {
   for (auto* timer : state_->waiting) {
     timer->cancel();
   }
-  state_->waiting.clear();
 }
 
 }  // namespace indigolead::standins
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -77,8 +77,8 @@
  public:
   using Handler = std::function<Task(HttpExchange&)>;
 
-  /// Listens on 127.0.0.1 at `port`, or at a free one if it is 0. Throws if
-  /// the port is taken.
+  /// Listens on 127.0.0.1 at `port`, or at a free one if it is 0, but serves
+  /// only once started. Throws if the port is taken.
   HttpServer(std::uint16_t port, Handler handler);
 
   /// Cuts every connection and joins the thread. Coroutines in flight are
@@ -87,6 +87,10 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /// Starts the thread. Separate, so that the owner can set up first what the
+  /// handler uses.
+  void Start();
+
   std::uint16_t port() const;
 
   /// Returns "127.0.0.1:PORT".
@@ -114,7 +118,8 @@
 /// Waiting place of coroutines on one server's thread.
 ///
 /// Stands for a condition variable: `Wait` returns after `NotifyAll` or after
-/// the time given, whichever comes first.
+/// the time given, whichever comes first. Used on that thread only, and
+/// destroyed there or after the server.
 class Notifier {
  public:
   explicit Notifier(boost::asio::io_context* io);
--- a/standins/platform_server.cc
+++ b/standins/platform_server.cc
@@ -44,6 +44,7 @@
       options.port,
       [this](HttpExchange& exchange) { return Handle(exchange); });
   changed_ = std::make_unique<Notifier>(&server_->io());
+  server_->Start();
 }
 
 PlatformFaults PlatformServer::faults() {
--- a/standins/platform_server.h
+++ b/standins/platform_server.h
@@ -109,8 +109,9 @@
   std::map<std::string, std::uint64_t> calls_;
   int waiting_watches_ = 0;
   std::uint64_t watch_epoch_ = 0;
-  std::unique_ptr<HttpServer> server_;
   std::unique_ptr<Notifier> changed_;
+  /// Last, so that its thread is gone before what its handlers use.
+  std::unique_ptr<HttpServer> server_;
 };
 
 }  // namespace indigolead::standins
--- a/standins/service_server.cc
+++ b/standins/service_server.cc
@@ -29,6 +29,7 @@
   server_ = std::make_unique<HttpServer>(
       options_.port,
       [this](HttpExchange& exchange) { return Handle(exchange); });
+  server_->Start();
 }
 
 void ServiceServer::SetDelay(std::uint32_t delay_ms) {
