Prove the request flow against faults and measure the path

Fault table of target, side, link and entry against idempotent, keyed, once and streamed requests, each with its outcome and count of runs; a seeded random test over a network that loses, doubles and reorders; a bench of the whole path.

A side that no longer holds a frame says so by a higher number: the attempt ends at once instead of after the resume timeout.

--- /dev/null
+++ b/bench/bench_target.h
@@ -0,0 +1,164 @@
+#ifndef INDIGOLEAD_BENCH_BENCH_TARGET_H_
+#define INDIGOLEAD_BENCH_BENCH_TARGET_H_
+
+#include <utility>
+// Asio of Boost 1.74 needs <utility> before it.
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+
+namespace indigolead::bench {
+
+/// One connection of a `BenchTarget`.
+class BenchTargetSession
+    : public std::enable_shared_from_this<BenchTargetSession> {
+ public:
+  explicit BenchTargetSession(boost::asio::ip::tcp::socket socket)
+      : socket_(std::move(socket)) {}
+
+  void Read() {
+    socket_.async_read_some(
+        boost::asio::buffer(buf_),
+        [self = shared_from_this()](const boost::system::error_code& ec,
+                                    std::size_t n) {
+          if (!ec) {
+            self->input_.append(self->buf_.data(), n);
+            self->Handle();
+          }
+        });
+  }
+
+ private:
+  void Handle() {
+    const std::size_t head = input_.find("\r\n\r\n");
+    if (head == std::string::npos) {
+      Read();
+      return;
+    }
+    const std::size_t body = head + 4;
+    const std::size_t length = ContentLength(input_.substr(0, head));
+    if (input_.size() < body + length) {
+      Read();
+      return;
+    }
+    const std::string request = input_.substr(0, body + length);
+    input_.erase(0, body + length);
+    if (request.find("\"stream\":true") != std::string::npos) {
+      hold_ = request.find("\"hold\":true") != std::string::npos;
+      tokens_ =
+          std::atoi(request.c_str() + request.find("\"max_tokens\":") + 13);
+      Write(
+          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n",
+          [this] { NextToken(); });
+    } else {
+      Write(
+          "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+          "Content-Length: 39\r\n\r\n"
+          "{\"choices\":[{\"text\":\"gel 22\",\"index\":0}]}",
+          [this] { Read(); });
+    }
+  }
+
+  static std::size_t ContentLength(const std::string& head) {
+    for (const char* name : {"Content-Length: ", "content-length: "}) {
+      const std::size_t at = head.find(name);
+      if (at != std::string::npos) {
+        return static_cast<std::size_t>(std::atoi(head.c_str() + at + 16));
+      }
+    }
+    return 0;
+  }
+
+  void NextToken() {
+    if (tokens_-- > 0) {
+      static const std::string kEvent =
+          "data: {\"choices\":[{\"text\":\" gel\"}]}\n\n";
+      std::ostringstream chunk;
+      chunk << std::hex << kEvent.size() << "\r\n" << kEvent << "\r\n";
+      Write(chunk.str(), [this] { NextToken(); });
+    } else if (!hold_) {
+      Write("e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", [this] { Read(); });
+    } else {
+      Read();
+    }
+  }
+
+  void Write(std::string data, std::function<void()> then) {
+    output_ = std::move(data);
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(output_),
+        [self = shared_from_this(), then = std::move(then)](
+            const boost::system::error_code& ec, std::size_t) {
+          if (!ec) {
+            then();
+          }
+        });
+  }
+
+  boost::asio::ip::tcp::socket socket_;
+  std::array<char, 2048> buf_;
+  std::string input_;
+  std::string output_;
+  int tokens_ = 0;
+  bool hold_ = false;
+};
+
+/// Target that does no work of its own, so that a bench measures the path.
+///
+/// A POST is answered with a small JSON body. One whose body says
+/// `"stream":true` gets `"max_tokens"` server-sent events, each in a write of
+/// its own, and with `"hold":true` no end.
+class BenchTarget {
+ public:
+  BenchTarget()
+      : work_(boost::asio::make_work_guard(io_)),
+        acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    Accept();
+    thread_ = std::thread([this] {
+      pthread_setname_np(pthread_self(), "bench-target");
+      io_.run();
+    });
+  }
+  ~BenchTarget() {
+    io_.stop();
+    thread_.join();
+  }
+  BenchTarget(const BenchTarget&) = delete;
+  BenchTarget& operator=(const BenchTarget&) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& ec,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (!ec) {
+        socket.set_option(boost::asio::ip::tcp::no_delay(true));
+        std::make_shared<BenchTargetSession>(std::move(socket))->Read();
+      }
+      Accept();
+    });
+  }
+
+  boost::asio::io_context io_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+}  // namespace indigolead::bench
+
+#endif  // INDIGOLEAD_BENCH_BENCH_TARGET_H_
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -167,8 +167,9 @@
                std::string data, TimePoint now);
   void OnEnd(SideLink link, const AttemptId& id, const AttemptEnd& end,
              TimePoint now);
+  /// `next_sequence` is the first frame that the side can still send.
   void OnKnowledge(SideLink link, const AttemptId& id, AttemptKnowledge known,
-                   TimePoint now);
+                   std::uint64_t next_sequence, TimePoint now);
 
   /// The start could not be queued, so it provably has no effect.
   void OnStartNotSent(const AttemptId& id, TimePoint now);
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -96,7 +96,8 @@
 }
 
 void RequestFlow::OnKnowledge(SideLink link, const AttemptId& id,
-                              AttemptKnowledge known, TimePoint now) {
+                              AttemptKnowledge known,
+                              std::uint64_t next_sequence, TimePoint now) {
   // Answers about attempts cancelled meanwhile are expected: not counted.
   if (attempts_.count(id) == 0) {
     return;
@@ -107,10 +108,14 @@
   }
   switch (known) {
     case AttemptKnowledge::kRunning:
-      it->attempt->heard_at = now;
-      return;
     case AttemptKnowledge::kFinished:
-      // Its frames follow. If the side dropped them, silence decides.
+      it->attempt->heard_at = now;
+      if (next_sequence > it->attempt->next_sequence()) {
+        EndAttempt(*it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
+                   Because("frames_lost",
+                           "The side no longer holds a part of the answer."),
+                   now);
+      }
       return;
     case AttemptKnowledge::kNotStarted:
       EndAttempt(
@@ -121,7 +126,8 @@
       return;
     case AttemptKnowledge::kLost:
       EndAttempt(*it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
-                 Because("side_lost", "The side restarted meanwhile."), now);
+                 Because("side_lost", "The side no longer knows the request."),
+                 now);
       return;
   }
 }
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -186,7 +186,7 @@
       const auto id = ReadAttemptId(state.attempt_id());
       const auto known = KnowledgeFrom(state.knowledge());
       if (id && known) {
-        flow_.OnKnowledge(side, *id, *known, now);
+        flow_.OnKnowledge(side, *id, *known, state.next_sequence(), now);
       }
       break;
     }
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_process.h"
 
+#include <pthread.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -28,12 +29,17 @@
 /// One duty's thread and the io_context that it runs.
 class DutyThread {
  public:
-  DutyThread() : work_(boost::asio::make_work_guard(io_)) {}
+  /// `name` is what the system's tools show, 15 characters at most.
+  explicit DutyThread(const char* name)
+      : name_(name), work_(boost::asio::make_work_guard(io_)) {}
   ~DutyThread() { Join(); }
 
   boost::asio::io_context* io() { return &io_; }
   void Start() {
-    thread_ = std::thread([this] { io_.run(); });
+    thread_ = std::thread([this] {
+      pthread_setname_np(pthread_self(), name_);
+      io_.run();
+    });
   }
   void Join() {
     work_.reset();
@@ -58,6 +64,7 @@
   }
 
  private:
+  const char* name_;
   boost::asio::io_context io_{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_;
@@ -247,9 +254,9 @@
   bool started_ = false;
   std::string http_address_;
   std::string link_address_;
-  DutyThread callers_thread_;
-  DutyThread dispatch_thread_;
-  DutyThread platform_thread_;
+  DutyThread callers_thread_{"entry-callers"};
+  DutyThread dispatch_thread_{"entry-dispatch"};
+  DutyThread platform_thread_{"entry-platform"};
   Mailbox<ToCallers> to_callers_;
   Mailbox<ToDispatch> to_dispatch_;
   Mailbox<PlatformEvent> from_platform_;
--- /dev/null
+++ b/tests/core/request/request_flow_faults_test.cc
@@ -0,0 +1,511 @@
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "tests/support/flow_driver.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kFirst = "gel ";
+constexpr const char* kSecond = "22 €";
+const std::string kWhole = std::string(kFirst) + kSecond;
+
+/// What the caller is told in the end.
+enum class Outcome {
+  kAnswered,  ///< Whole, with no byte repeated or missing.
+  kNotRun,
+  kUnknown,  ///< Refused before anything was answered.
+  kBroken,   ///< Broken off visibly after a part was answered.
+};
+
+/// Kind of request: streamed ones are idempotent and get server-sent events.
+enum class Kind { kIdempotent, kKeyed, kOnce, kStreamed };
+
+constexpr Kind kKinds[] = {Kind::kIdempotent, Kind::kKeyed, Kind::kOnce,
+                           Kind::kStreamed};
+
+const char* Name(Kind kind) {
+  switch (kind) {
+    case Kind::kIdempotent:
+      return "idempotent";
+    case Kind::kKeyed:
+      return "keyed";
+    case Kind::kOnce:
+      return "once";
+    case Kind::kStreamed:
+      return "streamed";
+  }
+  return "";
+}
+
+/// Outcome and count of runs for one kind of request.
+struct Expected {
+  Outcome outcome;
+  int runs;
+};
+
+/// One request at two targets, of which the first meets the fault.
+class Scene {
+ public:
+  explicit Scene(Kind kind) : kind_(kind) {
+    link_ = driver_.Up("bilbao-a-1");
+    other_ = driver_.Up("bilbao-a-2");
+    const Repeatability repeatability =
+        kind == Kind::kKeyed  ? Repeatability::kKeyed
+        : kind == Kind::kOnce ? Repeatability::kOnce
+                              : Repeatability::kIdempotent;
+    id_ = driver_.Ask(repeatability, kind == Kind::kStreamed);
+  }
+
+  FlowDriver& driver() { return driver_; }
+  const SendStart& first() const { return driver_.starts[0]; }
+
+  // Progress of the first attempt.
+  void Begin() { ++runs_; }
+  void Head() { driver_.Head(first(), kind_ == Kind::kStreamed); }
+  void FirstChunk() { driver_.Chunk(first(), 1, kFirst); }
+  void SecondChunk() { driver_.Chunk(first(), 2, kSecond); }
+  void End() { driver_.End(first(), 3, kWhole); }
+  void EndAs(std::uint64_t sequence, AttemptOutcome outcome) {
+    driver_.End(first(), sequence, "", outcome);
+  }
+  void Refuse(const std::string& code) {
+    SideRefusal refusal;
+    refusal.code = code;
+    driver_.flow().OnRefused(first().link, first().attempt, refusal,
+                             driver_.now());
+    driver_.Collect();
+  }
+
+  // What happens to the first side.
+  void LinkDown() { driver_.Down(link_); }
+  void SideRestarts() {
+    driver_.Down(link_);
+    link_ = driver_.Up("bilbao-a-1", 2);
+  }
+  /// The same run of the side comes back and sends from where it is asked to.
+  void SideReturns() {
+    link_ = driver_.Up("bilbao-a-1");
+    driver_.starts[0].link = link_;
+  }
+  void Knows(AttemptKnowledge known) {
+    driver_.flow().OnKnowledge(first().link, first().attempt, known, 0,
+                               driver_.now());
+    driver_.Collect();
+  }
+
+  /// Answers every further attempt in whole, then compares.
+  void Finish(const Expected& expected) {
+    driver_.Pass(milliseconds(100));
+    for (std::size_t i = 1; i < driver_.starts.size(); ++i) {
+      const SendStart again = driver_.starts[i];
+      ++runs_;
+      driver_.Head(again, kind_ == Kind::kStreamed);
+      driver_.Chunk(again, 1, kFirst);
+      driver_.Chunk(again, 2, kSecond);
+      driver_.End(again, 3, kWhole);
+    }
+    driver_.Pass(seconds(70));
+    const SeenAnswer& seen = driver_.seen(id_);
+    INFO("kind of request: " << Name(kind_));
+    INFO("seen: whole " << seen.whole << ", body \"" << seen.body << "\", "
+                        << (seen.refusal ? seen.refusal->code : "no refusal"));
+    CHECK(seen.finals == 1);
+    CHECK(runs_ == expected.runs);
+    CHECK(seen.whole == (expected.outcome == Outcome::kAnswered));
+    switch (expected.outcome) {
+      case Outcome::kAnswered:
+        CHECK(seen.body == kWhole);
+        break;
+      case Outcome::kNotRun:
+        REQUIRE(seen.refusal);
+        CHECK(seen.refusal->run == RunState::kNotRun);
+        CHECK(seen.status == 0);
+        break;
+      case Outcome::kUnknown:
+        REQUIRE(seen.refusal);
+        CHECK(seen.refusal->run == RunState::kUnknown);
+        CHECK(seen.status == 0);
+        break;
+      case Outcome::kBroken:
+        REQUIRE(seen.refusal);
+        CHECK(seen.refusal->run == RunState::kUnknown);
+        CHECK(seen.status == 200);
+        break;
+    }
+  }
+
+ private:
+  Kind kind_;
+  FlowDriver driver_;
+  SideLink link_;
+  SideLink other_;
+  RequestId id_;
+  int runs_ = 0;
+};
+
+struct FaultCase {
+  const char* fault;
+  std::function<void(Scene&)> play;
+  Expected idempotent;
+  Expected keyed;
+  Expected once;
+  Expected streamed;
+};
+
+const Expected& For(const FaultCase& it, Kind kind) {
+  switch (kind) {
+    case Kind::kIdempotent:
+      return it.idempotent;
+    case Kind::kKeyed:
+      return it.keyed;
+    case Kind::kOnce:
+      return it.once;
+    case Kind::kStreamed:
+      return it.streamed;
+  }
+  return it.once;
+}
+
+void PlayAll(const std::vector<FaultCase>& cases) {
+  for (const FaultCase& it : cases) {
+    for (const Kind kind : kKinds) {
+      INFO("fault: " << it.fault);
+      Scene scene(kind);
+      it.play(scene);
+      scene.Finish(For(it, kind));
+    }
+  }
+}
+
+constexpr Expected kOnceAnswered{Outcome::kAnswered, 1};
+constexpr Expected kTwiceAnswered{Outcome::kAnswered, 2};
+constexpr Expected kOnceUnknown{Outcome::kUnknown, 1};
+constexpr Expected kOnceBroken{Outcome::kBroken, 1};
+
+// The caller of an idempotent request sees an answer wherever another target
+// can still give one. The caller of any other request sees "unknown" as soon as
+// the run may have begun, because nobody can tell how far the dead target came,
+// and a second run would be a doubled one.
+TEST_CASE("A target fails") {
+  PlayAll({
+      {"dies before the start", [](Scene& it) { it.Refuse("target_down"); },
+       kOnceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+      {"dies before the first byte is written to it",
+       [](Scene& it) { it.EndAs(0, AttemptOutcome::kNotStarted); },
+       kOnceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+      {"dies after the start",
+       [](Scene& it) {
+         it.Begin();
+         it.EndAs(0, AttemptOutcome::kTargetDied);
+       },
+       kTwiceAnswered, kOnceUnknown, kOnceUnknown, kTwiceAnswered},
+      {"dies in the middle of its answer",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.EndAs(2, AttemptOutcome::kTargetDied);
+       },
+       kTwiceAnswered, kOnceUnknown, kOnceUnknown, kOnceBroken},
+      {"dies after the last part and before the end",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.SecondChunk();
+         it.EndAs(3, AttemptOutcome::kTargetDied);
+       },
+       kTwiceAnswered, kOnceUnknown, kOnceUnknown, kOnceBroken},
+      {"is paused for 5 s in the middle and woken",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         for (int i = 0; i < 10; ++i) {
+           it.driver().Pass(milliseconds(500));
+           it.Knows(AttemptKnowledge::kRunning);
+         }
+         it.SecondChunk();
+         it.End();
+       },
+       kOnceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+      {"goes silent after the start, which its side finds out",
+       [](Scene& it) {
+         it.Begin();
+         it.EndAs(0, AttemptOutcome::kTargetFailed);
+       },
+       kTwiceAnswered, kOnceUnknown, kOnceUnknown, kTwiceAnswered},
+  });
+}
+
+// A side that restarts has lost what it knew, so the same holds as for a dead
+// target. One that comes back as the same process still holds its attempts:
+// the answer goes on from the next frame, and nothing runs twice.
+TEST_CASE("A side fails") {
+  PlayAll({
+      {"is gone before the start can be queued",
+       [](Scene& it) {
+         it.driver().flow().OnStartNotSent(it.first().attempt,
+                                           it.driver().now());
+         it.driver().Collect();
+       },
+       kOnceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+      {"dies after the start",
+       [](Scene& it) {
+         it.Begin();
+         it.SideRestarts();
+       },
+       kTwiceAnswered, kOnceUnknown, kOnceUnknown, kTwiceAnswered},
+      {"dies in the middle of the answer",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.SideRestarts();
+       },
+       kTwiceAnswered, kOnceUnknown, kOnceUnknown, kOnceBroken},
+      {"dies after the last part and before the end",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.SecondChunk();
+         it.SideRestarts();
+       },
+       kTwiceAnswered, kOnceUnknown, kOnceUnknown, kOnceBroken},
+      {"dies and never comes back",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.LinkDown();
+         it.driver().Pass(seconds(1));
+       },
+       kTwiceAnswered, kOnceUnknown, kOnceUnknown, kOnceBroken},
+      {"is paused for 5 s in the middle and woken",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.driver().Pass(milliseconds(1500));
+         it.LinkDown();
+         it.driver().Pass(milliseconds(3500));
+         it.SideReturns();
+         it.SecondChunk();
+         it.End();
+       },
+       kTwiceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+  });
+}
+
+// The connection between entry and side breaks while both live. Within the
+// grace time nothing is sent elsewhere: the side keeps the frames, and the new
+// connection asks for them from the next one on.
+TEST_CASE("The connection between entry and side falls silent") {
+  PlayAll({
+      {"before the start arrives",
+       [](Scene& it) {
+         it.LinkDown();
+         it.driver().Pass(milliseconds(500));
+         it.SideReturns();
+         it.Knows(AttemptKnowledge::kNotStarted);
+       },
+       kOnceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+      {"after the start",
+       [](Scene& it) {
+         it.Begin();
+         it.LinkDown();
+         it.driver().Pass(milliseconds(500));
+         it.SideReturns();
+         it.Head();
+         it.FirstChunk();
+         it.SecondChunk();
+         it.End();
+       },
+       kOnceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+      {"in the middle, and frames are sent again from too early on",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.LinkDown();
+         it.driver().Pass(milliseconds(500));
+         it.SideReturns();
+         it.Head();
+         it.FirstChunk();
+         it.SecondChunk();
+         it.End();
+       },
+       kOnceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+      {"after the last part and before the end",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.SecondChunk();
+         it.LinkDown();
+         it.driver().Pass(milliseconds(500));
+         it.SideReturns();
+         it.End();
+       },
+       kOnceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+      {"and the side has dropped the frames meanwhile",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.LinkDown();
+         it.driver().Pass(milliseconds(500));
+         it.SideReturns();
+         it.driver().flow().OnKnowledge(it.first().link, it.first().attempt,
+                                        AttemptKnowledge::kFinished, 4,
+                                        it.driver().now());
+         it.driver().Collect();
+       },
+       kTwiceAnswered, kOnceUnknown, kOnceUnknown, kOnceBroken},
+  });
+}
+
+// The entry's process is stopped for 5 s and woken. Its connection was closed
+// by the side meanwhile; what it finds on waking is a closed connection and
+// then a new one. Its own death ends the callers' connections as well, which
+// no entry can answer: that case is in the process tests.
+TEST_CASE("An entry is paused for 5 s and woken") {
+  PlayAll({
+      {"in the middle of the answer",
+       [](Scene& it) {
+         it.Begin();
+         it.Head();
+         it.FirstChunk();
+         it.LinkDown();
+         it.driver().Jump(seconds(5));
+         it.SideReturns();
+         it.SecondChunk();
+         it.End();
+       },
+       kOnceAnswered, kOnceAnswered, kOnceAnswered, kOnceAnswered},
+  });
+}
+
+// With no target left the caller hears at once what is known, and the refusal
+// says "not run" only where no target ever got the request.
+TEST_CASE("No target is left") {
+  FlowDriver driver;
+  const SideLink link = driver.Up("bilbao-a-1");
+
+  SECTION("and none ever got the request") {
+    driver.Down(link);
+    const RequestId id = driver.Ask(Repeatability::kOnce);
+    driver.Pass(seconds(2));
+    REQUIRE(driver.seen(id).refusal);
+    CHECK(driver.seen(id).refusal->run == RunState::kNotRun);
+    CHECK(driver.starts.empty());
+  }
+
+  SECTION("and one died of it") {
+    const RequestId id = driver.Ask(Repeatability::kIdempotent);
+    driver.End(driver.starts[0], 0, "", AttemptOutcome::kTargetDied);
+    driver.Down(link);
+    driver.Pass(seconds(2));
+    REQUIRE(driver.seen(id).refusal);
+    CHECK(driver.seen(id).refusal->run == RunState::kUnknown);
+  }
+}
+
+TEST_CASE("Retries are bounded") {
+  RequestFlowHooks hooks;
+  int allowed = 0;
+  hooks.spend_retry = [&allowed](const CallerRequest&, TimePoint) {
+    return allowed-- > 0;
+  };
+  FlowDriver driver({}, hooks);
+  driver.Up("bilbao-a-1");
+  driver.Up("bilbao-a-2");
+  driver.Up("bilbao-a-3");
+  driver.Up("bilbao-a-4");
+
+  SECTION("by the budget") {
+    const RequestId id = driver.Ask(Repeatability::kIdempotent);
+    driver.End(driver.starts[0], 0, "", AttemptOutcome::kTargetFailed);
+    CHECK(driver.starts.size() == 1);
+    REQUIRE(driver.seen(id).refusal);
+    CHECK(driver.seen(id).refusal->run == RunState::kUnknown);
+  }
+
+  SECTION("by the request's most attempts") {
+    allowed = 100;
+    const RequestId id = driver.Ask(Repeatability::kIdempotent);
+    for (std::size_t i = 0; i < driver.starts.size(); ++i) {
+      driver.End(driver.starts[i], 0, "", AttemptOutcome::kTargetFailed);
+    }
+    CHECK(driver.starts.size() == 3);
+    CHECK(driver.seen(id).finals == 1);
+  }
+}
+
+TEST_CASE("A deadline is kept") {
+  FlowDriver driver;
+
+  SECTION("while the request waits: not run") {
+    const RequestId id =
+        driver.AskUntil(Repeatability::kOnce, milliseconds(300));
+    driver.Pass(milliseconds(400));
+    REQUIRE(driver.seen(id).refusal);
+    CHECK(driver.seen(id).refusal->status == 504);
+    CHECK(driver.seen(id).refusal->run == RunState::kNotRun);
+  }
+
+  SECTION("while it runs: cancelled, and unknown") {
+    driver.Up("bilbao-a-1");
+    const RequestId id =
+        driver.AskUntil(Repeatability::kOnce, milliseconds(300));
+    driver.Pass(milliseconds(400));
+    REQUIRE(driver.cancels.size() == 1);
+    REQUIRE(driver.seen(id).refusal);
+    CHECK(driver.seen(id).refusal->run == RunState::kUnknown);
+  }
+}
+
+TEST_CASE("A claim is settled by what is provable") {
+  std::vector<ClaimSettlement> settled;
+  RequestFlowHooks hooks;
+  hooks.claim = [](const CallerRequest&, TimePoint) -> GateResult {
+    return Gate::kOpen;
+  };
+  hooks.settle_claim = [&settled](const CallerRequest&, ClaimSettlement it,
+                                  const WholeAnswer*,
+                                  TimePoint) { settled.push_back(it); };
+  FlowDriver driver({}, hooks);
+  const SideLink link = driver.Up("bilbao-a-1");
+  const RequestId id = driver.Ask(Repeatability::kKeyed);
+  REQUIRE(driver.starts.size() == 1);
+
+  SECTION("finished, even if the caller has left") {
+    driver.flow().OnCallerGone(id, driver.now());
+    driver.Head(driver.starts[0]);
+    driver.End(driver.starts[0], 1, "");
+    CHECK(settled == std::vector{ClaimSettlement::kFinished});
+    CHECK(driver.seen(id).finals == 0);
+  }
+
+  SECTION("unknown if the target died") {
+    driver.End(driver.starts[0], 0, "", AttemptOutcome::kTargetDied);
+    CHECK(settled == std::vector{ClaimSettlement::kUnknown});
+  }
+
+  SECTION("not run if no target took it") {
+    driver.Down(link);
+    driver.flow().OnStartNotSent(driver.starts[0].attempt, driver.now());
+    driver.Pass(seconds(2));
+    CHECK(settled == std::vector{ClaimSettlement::kNotRun});
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
--- /dev/null
+++ b/tests/core/request/request_flow_random_test.cc
@@ -0,0 +1,414 @@
+#include <rapidcheck.h>
+#include <xxhash.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/support/flow_driver.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kSides = 3;
+
+/// Answer that a target gives to a request: depends on the request alone, so a
+/// part of another answer shows.
+std::vector<std::string> PartsFor(const RequestId& id) {
+  std::vector<std::string> parts;
+  for (std::uint64_t i = 0; i < 1 + id.value.lo % 4; ++i) {
+    parts.push_back(ToHex(id.value).substr(20) + "/" + std::to_string(i) + ";");
+  }
+  return parts;
+}
+
+std::string WholeFor(const RequestId& id) {
+  std::string whole;
+  for (const std::string& it : PartsFor(id)) {
+    whole += it;
+  }
+  return whole;
+}
+
+/// One frame of an answer on its way.
+struct Frame {
+  AttemptId attempt;
+  std::uint64_t sequence = 0;
+  std::string data;
+  AttemptEnd end;
+  enum { kHead, kChunk, kEnd, kRefused, kKnown } what = kHead;
+  AttemptKnowledge known = AttemptKnowledge::kRunning;
+  bool event_stream = false;
+};
+
+/// A side that keeps its promises over a network that keeps none: frames and
+/// orders are lost, doubled and reordered, and links and processes die.
+class FakeSide {
+ public:
+  std::uint64_t run = 1;
+  std::optional<SideLink> link;
+  std::vector<Frame> on_the_way;
+
+  void Start(const SendStart& start, std::map<RequestId, int>* runs) {
+    const AttemptId id = start.attempt;
+    if (refused_.count(id) > 0) {
+      Frame frame;
+      frame.attempt = id;
+      frame.what = Frame::kRefused;
+      on_the_way.push_back(frame);
+      return;
+    }
+    if (frames_.count(id) > 0 || ended_.count(id) > 0) {
+      return;
+    }
+    ++(*runs)[start.request->id];
+    Produce(start);
+    Send(id, 0, 1);
+  }
+
+  void Cancel(const AttemptId& id) {
+    if (frames_.erase(id) > 0) {
+      ended_.insert(id);
+    } else {
+      refused_.insert(id);
+    }
+  }
+
+  void Resume(const SendResume& resume) {
+    const AttemptId id = resume.ref.attempt;
+    Frame frame;
+    frame.attempt = id;
+    frame.what = Frame::kKnown;
+    frame.sequence = resume.next_sequence;
+    if (frames_.count(id) > 0) {
+      Send(id, resume.next_sequence, frames_[id].size());
+    } else if (resume.ref.side_incarnation == Incarnation{Id128{run, 1}} &&
+               ended_.count(id) == 0) {
+      refused_.insert(id);
+      frame.known = AttemptKnowledge::kNotStarted;
+    } else {
+      frame.known = AttemptKnowledge::kLost;
+    }
+    on_the_way.push_back(frame);
+  }
+
+  /// Sends some more of what is produced, as a target goes on.
+  void GoOn() {
+    for (auto& [id, frames] : frames_) {
+      Send(id, sent_[id], sent_[id] + 1);
+    }
+  }
+
+  /// The target dies: whatever is not yet produced never comes.
+  void TargetDies() {
+    for (auto& [id, frames] : frames_) {
+      if (sent_[id] >= frames.size()) {
+        continue;
+      }
+      frames.resize(sent_[id]);
+      Frame end;
+      end.attempt = id;
+      end.what = Frame::kEnd;
+      end.sequence = frames.size();
+      end.end.sequence = end.sequence;
+      end.end.outcome = AttemptOutcome::kTargetDied;
+      frames.push_back(end);
+    }
+  }
+
+  void Restart() {
+    ++run;
+    frames_.clear();
+    refused_.clear();
+    ended_.clear();
+    sent_.clear();
+    on_the_way.clear();
+  }
+
+ private:
+  void Produce(const SendStart& start) {
+    std::vector<Frame>& frames = frames_[start.attempt];
+    Frame head;
+    head.attempt = start.attempt;
+    head.event_stream = start.request->streamed;
+    frames.push_back(head);
+    std::string whole;
+    for (const std::string& it : PartsFor(start.request->id)) {
+      Frame chunk;
+      chunk.attempt = start.attempt;
+      chunk.what = Frame::kChunk;
+      chunk.sequence = frames.size();
+      chunk.data = it;
+      whole += it;
+      frames.push_back(chunk);
+    }
+    Frame end;
+    end.attempt = start.attempt;
+    end.what = Frame::kEnd;
+    end.sequence = frames.size();
+    end.end.sequence = end.sequence;
+    end.end.body_bytes = whole.size();
+    end.end.body_checksum = XXH64(whole.data(), whole.size(), 0);
+    frames.push_back(end);
+  }
+
+  void Send(const AttemptId& id, std::size_t from, std::size_t to) {
+    const std::vector<Frame>& frames = frames_[id];
+    for (std::size_t i = from; i < std::min(to, frames.size()); ++i) {
+      on_the_way.push_back(frames[i]);
+    }
+    sent_[id] = std::max(sent_[id], std::min(to, frames.size()));
+  }
+
+  std::map<AttemptId, std::vector<Frame>> frames_;
+  std::map<AttemptId, std::size_t> sent_;
+  std::set<AttemptId> refused_;
+  std::set<AttemptId> ended_;
+};
+
+/// Plays one random run and checks what callers were told against what ran.
+class World {
+ public:
+  explicit World(std::uint32_t seed) : random_(seed), driver_(Options()) {
+    for (std::size_t i = 0; i < kSides; ++i) {
+      Connect(i);
+    }
+  }
+
+  void Play() {
+    for (int step = 0; step < 400; ++step) {
+      Step();
+      CarryOut();
+    }
+    // Calm: whatever is still open must come to an end by its deadline.
+    for (int i = 0; i < 140; ++i) {
+      for (std::size_t side = 0; side < kSides; ++side) {
+        if (!sides_[side].link) {
+          Connect(side);
+        }
+        sides_[side].GoOn();
+        while (Deliver(side, /*faulty=*/false)) {
+        }
+      }
+      driver_.Pass(milliseconds(500));
+      CarryOut();
+    }
+  }
+
+  void Check() {
+    for (const auto& [id, repeatability] : asked_) {
+      const SeenAnswer& seen = driver_.seen(id);
+      if (gone_.count(id) == 0) {
+        RC_ASSERT(seen.finals == 1);
+      }
+      if (seen.whole) {
+        RC_ASSERT(seen.body == WholeFor(id));
+        RC_ASSERT(runs_[id] >= 1);
+      }
+      if (repeatability != Repeatability::kIdempotent) {
+        RC_ASSERT(runs_[id] <= 1);
+      }
+      if (seen.refusal && seen.refusal->run == RunState::kNotRun) {
+        RC_ASSERT(runs_[id] == 0);
+      }
+      // What came before a break is a beginning of the answer, never more.
+      RC_ASSERT(WholeFor(id).compare(0, seen.body.size(), seen.body) == 0);
+    }
+    RC_ASSERT(driver_.flow().open_requests() == 0U);
+  }
+
+ private:
+  static RequestFlowOptions Options() {
+    RequestFlowOptions options;
+    options.stream_window_bytes = 1U << 20;
+    return options;
+  }
+
+  std::uint32_t Dice(std::uint32_t sides) { return random_() % sides; }
+
+  void Connect(std::size_t side) {
+    // Orders and frames of the old connection never arrive on the new one.
+    sides_[side].on_the_way.clear();
+    sides_[side].link =
+        driver_.Up("target-" + std::to_string(side), sides_[side].run);
+    CarryOut();
+  }
+
+  void Disconnect(std::size_t side) {
+    if (sides_[side].link) {
+      const SideLink link = *sides_[side].link;
+      sides_[side].link.reset();
+      sides_[side].on_the_way.clear();
+      driver_.Down(link);
+    }
+  }
+
+  void Step() {
+    const std::size_t side = Dice(kSides);
+    switch (Dice(16)) {
+      case 0:
+      case 1:
+        Ask();
+        break;
+      case 2:
+        driver_.Pass(milliseconds(Dice(1500)));
+        break;
+      case 3:
+        Disconnect(side);
+        break;
+      case 4:
+      case 5:
+        if (!sides_[side].link) {
+          Connect(side);
+        }
+        break;
+      case 6:
+        if (Dice(4) == 0) {
+          sides_[side].Restart();
+          Disconnect(side);
+        }
+        break;
+      case 7:
+        if (Dice(3) == 0) {
+          sides_[side].TargetDies();
+        }
+        break;
+      case 8:
+        if (Dice(8) == 0 && !asked_.empty()) {
+          auto it = asked_.begin();
+          std::advance(it, Dice(static_cast<std::uint32_t>(asked_.size())));
+          gone_.insert(it->first);
+          driver_.flow().OnCallerGone(it->first, driver_.now());
+          driver_.Collect();
+        }
+        break;
+      case 9:
+      case 10:
+        sides_[side].GoOn();
+        break;
+      default:
+        Deliver(side, /*faulty=*/true);
+        break;
+    }
+  }
+
+  void Ask() {
+    constexpr Repeatability kAll[] = {Repeatability::kIdempotent,
+                                      Repeatability::kKeyed,
+                                      Repeatability::kOnce};
+    const Repeatability repeatability = kAll[Dice(3)];
+    asked_[driver_.Ask(repeatability, Dice(2) == 0)] = repeatability;
+  }
+
+  /// Delivers one frame of the side; false if there is none.
+  bool Deliver(std::size_t index, bool faulty) {
+    FakeSide& side = sides_[index];
+    if (!side.link || side.on_the_way.empty()) {
+      return false;
+    }
+    std::size_t at = 0;
+    if (faulty && Dice(4) == 0) {
+      at = Dice(static_cast<std::uint32_t>(side.on_the_way.size()));
+    }
+    const Frame frame = side.on_the_way[at];
+    const bool doubled = faulty && Dice(8) == 0;
+    if (!doubled) {
+      side.on_the_way.erase(side.on_the_way.begin() +
+                            static_cast<std::ptrdiff_t>(at));
+    }
+    if (faulty && Dice(8) == 0) {
+      return true;  // Lost.
+    }
+    Hand(*side.link, frame);
+    driver_.Collect();
+    CarryOut();
+    return true;
+  }
+
+  void Hand(SideLink link, const Frame& frame) {
+    RequestFlow& flow = driver_.flow();
+    const TimePoint now = driver_.now();
+    switch (frame.what) {
+      case Frame::kHead:
+        flow.OnHead(link, frame.attempt, 0, 200,
+                    frame.event_stream
+                        ? std::vector<HeaderField>{{"Content-Type",
+                                                    "text/event-stream"}}
+                        : std::vector<HeaderField>{},
+                    now);
+        break;
+      case Frame::kChunk:
+        flow.OnChunk(link, frame.attempt, frame.sequence, frame.data, now);
+        break;
+      case Frame::kEnd:
+        flow.OnEnd(link, frame.attempt, frame.end, now);
+        break;
+      case Frame::kRefused:
+        flow.OnRefused(link, frame.attempt, {}, now);
+        break;
+      case Frame::kKnown:
+        flow.OnKnowledge(link, frame.attempt, frame.known, frame.sequence, now);
+        break;
+    }
+  }
+
+  FakeSide* SideOf(SideLink link) {
+    for (FakeSide& it : sides_) {
+      if (it.link == link) {
+        return &it;
+      }
+    }
+    return nullptr;
+  }
+
+  /// Takes the flow's orders to the sides, losing some on the way.
+  void CarryOut() {
+    const auto starts = std::exchange(driver_.starts, {});
+    for (const SendStart& it : starts) {
+      FakeSide* side = SideOf(it.link);
+      if (side == nullptr || Dice(16) == 0) {
+        continue;
+      }
+      side->Start(it, &runs_);
+    }
+    for (const SendCancel& it : std::exchange(driver_.cancels, {})) {
+      FakeSide* side = SideOf(it.link);
+      if (side != nullptr && Dice(16) != 0) {
+        side->Cancel(it.ref.attempt);
+      }
+    }
+    for (const SendResume& it : std::exchange(driver_.resumes, {})) {
+      FakeSide* side = SideOf(it.link);
+      if (side != nullptr && Dice(16) != 0) {
+        side->Resume(it);
+      }
+    }
+  }
+
+  std::mt19937 random_;
+  FlowDriver driver_;
+  FakeSide sides_[kSides];
+  std::map<RequestId, Repeatability> asked_;
+  std::set<RequestId> gone_;
+  std::map<RequestId, int> runs_;
+};
+
+// Frames and orders are lost, doubled and reordered, links break, sides restart
+// and targets die, at random. Whatever happens a caller gets one final answer:
+// the whole of its own, or a refusal that is true.
+TEST_CASE("Whatever is lost, an answer is whole or an honest refusal") {
+  CHECK(rc::check("whole or error, at most one run, true not-run", [] {
+    World world(*rc::gen::arbitrary<std::uint32_t>());
+    world.Play();
+    world.Check();
+  }));
+}
+
+}  // namespace
+}  // namespace indigolead
--- a/tests/support/flow_driver.cc
+++ b/tests/support/flow_driver.cc
@@ -84,12 +84,17 @@
 }
 
 RequestId FlowDriver::Ask(Repeatability repeatability, bool streamed) {
+  return AskUntil(repeatability, std::chrono::seconds(60), streamed);
+}
+
+RequestId FlowDriver::AskUntil(Repeatability repeatability, Duration deadline,
+                               bool streamed) {
   CallerRequest request;
   request.id = RequestId{Id128{9, next_id_++}};
   request.deployment = "tarifa-llm";
   request.repeatability = repeatability;
   request.streamed = streamed;
-  request.deadline = now_ + std::chrono::seconds(60);
+  request.deadline = now_ + deadline;
   const RequestId id = request.id;
   flow_.OnRequest(std::make_shared<const CallerRequest>(std::move(request)),
                   now_);
--- a/tests/support/flow_driver.h
+++ b/tests/support/flow_driver.h
@@ -32,6 +32,9 @@
   /// Lets time pass in steps of 50 ms, with a tick after each.
   void Pass(Duration time);
 
+  /// Lets time pass without a tick, as if this process had been stopped.
+  void Jump(Duration time) { now_ += time; }
+
   /// Collects the actions decided so far.
   void Collect();
 
@@ -40,6 +43,8 @@
   void Down(SideLink link);
 
   RequestId Ask(Repeatability repeatability, bool streamed = false);
+  RequestId AskUntil(Repeatability repeatability, Duration deadline,
+                     bool streamed = false);
 
   /// Answers of the side. `Head` is frame 0.
   void Head(const SendStart& start, bool event_stream = false);
