Prove authority and orders together under faults

Cause: each core is right by itself; the promises are about all of them together, with processes that sleep and answers that are lost. Change: a world of store, entries, sides and engines in one thread and one time, with the real Controller, Lease, Reconciler and OrderForwarder and a model of the side. A randomised test with a fixed seed, 300 runs; tables of {killed, paused, partitioned} x {before the order is written, after it, while the engine changes}; a holder paused exactly between decision and send, for engines that check numbers and those that do not; an entry with an old view; a store that is away for 300 s.

--- /dev/null
+++ b/tests/core/control/authority_test.cc
@@ -0,0 +1,268 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "tests/support/control_world.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+ControlWorld::Options Calm(bool engines_check) {
+  ControlWorld::Options options;
+  options.engines_check_fencing = engines_check;
+  return options;
+}
+
+bool AllAt(const ControlWorld& world, int sides, const std::string& version) {
+  for (int i = 0; i < sides; ++i) {
+    if (world.engine(i).state.version != version || world.engine(i).changing) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// Does one harmful thing, chosen by the seed.
+void Harm(ControlWorld* world, std::uint64_t choice) {
+  const int which = static_cast<int>(choice / 16 % 4);
+  switch (choice % 8) {
+    case 0:
+      world->PauseEntry(which % 2, seconds(1 + choice / 64 % 20));
+      break;
+    case 1:
+      world->RestartSide(which);
+      break;
+    case 2:
+      world->CrashEngine(which);
+      break;
+    case 3:
+      world->CutEntry(which % 2, true);
+      break;
+    case 4:
+      world->CutEntry(0, false);
+      world->CutEntry(1, false);
+      break;
+    case 5:
+      world->SetStoreDown(true);
+      break;
+    default:
+      world->SetStoreDown(false);
+      break;
+  }
+}
+
+// Two controllers, four sides. Entries are paused and cut off, sides restart,
+// engines crash, the store goes away, answers and messages are lost, late and
+// repeated, while revisions are accepted. Whatever happens, an engine is only
+// made what the holder of the time ordered, and never taken back; once the
+// faults end, every engine has the newest revision.
+TEST_CASE("Authority, orders and revisions hold under random faults") {
+  rc::detail::TestParams params;
+  params.seed = 20;
+  params.maxSuccess = 300;
+  rc::detail::TestMetadata metadata;
+  metadata.id = "authority";
+  const auto property = [] {
+    ControlWorld::Options options;
+    options.seed = *rc::gen::arbitrary<std::uint64_t>();
+    options.engines_check_fencing = *rc::gen::arbitrary<bool>();
+    options.faults = {0.1, 0.1, 0.1, 0.2, 0.2};
+    ControlWorld world(options);
+    std::uint64_t revision = 1;
+    const auto harms = *rc::gen::container<std::vector<std::uint64_t>>(
+        12, rc::gen::arbitrary<std::uint64_t>());
+    for (const std::uint64_t choice : harms) {
+      world.Run(seconds(1 + choice / 1024 % 8));
+      if (choice % 3 == 0) {
+        ++revision;
+        world.Accept(revision, std::to_string(revision));
+      }
+      Harm(&world, choice);
+    }
+    world.SetStoreDown(false);
+    world.CutEntry(0, false);
+    world.CutEntry(1, false);
+    world.SetFaults({});
+    world.Run(seconds(120));
+    for (const std::string& violation : world.violations()) {
+      RC_FAIL(violation);
+    }
+    RC_ASSERT(AllAt(world, 4, std::to_string(revision)));
+  };
+  const auto result = rc::detail::checkTestable(property, metadata, params);
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  INFO(text.str());
+  CHECK(result.is<rc::detail::SuccessResult>());
+}
+
+// The holder is paused exactly between its decision and the moment at which
+// its write reaches the store. Meanwhile its lease lapses and the other entry
+// takes over and orders something else. The late write then either fails,
+// because the order was sealed, or is void, because its number had ended; no
+// engine ever shows it, whether it checks numbers or not.
+TEST_CASE("A holder paused between decision and send has no effect") {
+  const bool engines_check = GENERATE(true, false);
+  CAPTURE(engines_check);
+  ControlWorld world(Calm(engines_check));
+  world.Run(seconds(20));
+  REQUIRE(world.Holders().size() == 1);
+  const int holder = world.Holders()[0];
+  REQUIRE(AllAt(world, 4, "1"));
+
+  SECTION("the order of a sealed target") {
+    world.BeforeNextOrderWrite([&](int entry) {
+      world.PauseEntry(entry, seconds(60));
+      world.Run(seconds(30));
+    });
+    world.Accept(2, "2");
+    world.Run(seconds(90));
+    CHECK(world.violations() == std::vector<std::string>{});
+    CHECK(AllAt(world, 4, "2"));
+    CHECK(world.Holders() != std::vector<int>{holder});
+  }
+  SECTION("the order of a target that the new holder has not sealed yet") {
+    // No side hears of the new number, so nothing but the order's own version
+    // tells that it came too late.
+    ControlFaults faults;
+    faults.lose_notice = 1;
+    world.SetFaults(faults);
+    world.BeforeNextOrderWrite([&](int entry) {
+      world.PauseEntry(entry, seconds(60));
+      for (int i = 0; i < 600; ++i) {
+        world.Run(milliseconds(50));
+        if (world.Holders() == std::vector<int>{1 - holder}) {
+          return;
+        }
+      }
+      FAIL("the other entry did not take over in 30 s");
+    });
+    world.Accept(2, "2");
+    world.Run(seconds(90));
+    CHECK(world.violations() == std::vector<std::string>{});
+    CHECK(AllAt(world, 4, "2"));
+  }
+}
+
+// An entry is cut off from the store but not from the sides. It holds an order
+// that was replaced long ago. An instance is replaced, so that neither its side
+// nor its engine knows anything; the entry must not tell it the old order.
+TEST_CASE("An entry with an old view does not instruct a new side") {
+  const bool engines_check = GENERATE(true, false);
+  CAPTURE(engines_check);
+  ControlWorld world(Calm(engines_check));
+  world.Run(seconds(20));
+  REQUIRE(world.Holders().size() == 1);
+  const int other = 1 - world.Holders()[0];
+  world.CutFromStore(other, true);
+  world.Accept(2, "2");
+  world.Run(seconds(30));
+  REQUIRE(AllAt(world, 4, "2"));
+  for (int side = 0; side < 4; ++side) {
+    world.RestartSide(side);
+    world.CrashEngine(side);
+  }
+  world.Run(seconds(60));
+  CHECK(world.violations() == std::vector<std::string>{});
+  CHECK(AllAt(world, 4, "2"));
+}
+
+struct Fault {
+  std::string name;
+  std::function<void(ControlWorld*, int holder)> strike;
+};
+
+struct Moment {
+  std::string name;
+  std::function<void(ControlWorld*)> reach;
+};
+
+// The controller is killed, paused or cut off before the order is written,
+// after it, or while the engine changes. Outcome of every row: the other entry
+// takes over, each engine is brought to the revision, no order is repeated in
+// other words and none has an effect under an old number.
+TEST_CASE("A controller fails around an order") {
+  const std::vector<Fault> faults = {
+      {"killed",
+       [](ControlWorld* world, int holder) {
+         world->PauseEntry(holder, std::chrono::hours(1));
+       }},
+      {"paused", [](ControlWorld* world,
+                    int holder) { world->PauseEntry(holder, seconds(15)); }},
+      {"partitioned",
+       [](ControlWorld* world, int holder) { world->CutEntry(holder, true); }},
+  };
+  const std::vector<Moment> moments = {
+      {"before the order is written", [](ControlWorld*) {}},
+      {"after it is written",
+       [](ControlWorld* world) {
+         for (int i = 0; i < 400; ++i) {
+           world->Run(milliseconds(50));
+           for (int side = 0; side < 4; ++side) {
+             if (world->StoredOrderOf(side)->desired.version == "2") {
+               return;
+             }
+           }
+         }
+         FAIL("no order was written in 20 s");
+       }},
+      {"while the engine changes",
+       [](ControlWorld* world) {
+         for (int i = 0; i < 400; ++i) {
+           world->Run(milliseconds(50));
+           for (int side = 0; side < 4; ++side) {
+             if (world->engine(side).changing) {
+               return;
+             }
+           }
+         }
+         FAIL("no engine began to change in 20 s");
+       }},
+  };
+  for (const bool check : {true, false}) {
+    for (const Fault& fault : faults) {
+      for (const Moment& moment : moments) {
+        CAPTURE(fault.name, moment.name, check);
+        ControlWorld world(Calm(check));
+        world.Run(seconds(20));
+        REQUIRE(world.Holders().size() == 1);
+        const int holder = world.Holders()[0];
+        world.Accept(2, "2");
+        moment.reach(&world);
+        fault.strike(&world, holder);
+        world.Run(seconds(90));
+        CHECK(world.violations() == std::vector<std::string>{});
+        CHECK(AllAt(world, 4, "2"));
+        CHECK(world.Holders() == std::vector<int>{1 - holder});
+      }
+    }
+  }
+}
+
+// The store is away for long. Roles freeze: no order is written and no engine
+// changes. At its return exactly one controller acts.
+TEST_CASE("The store is down for long") {
+  ControlWorld world(Calm(true));
+  world.Run(seconds(20));
+  const auto effects = world.effects().size();
+  world.SetStoreDown(true);
+  world.Accept(2, "2");
+  world.Run(seconds(300));
+  CHECK(world.Holders().empty());
+  CHECK(world.effects().size() == effects);
+  world.SetStoreDown(false);
+  world.Run(seconds(60));
+  CHECK(world.Holders().size() == 1);
+  CHECK(AllAt(world, 4, "2"));
+  CHECK(world.effects().size() == effects + 4);
+  CHECK(world.violations() == std::vector<std::string>{});
+}
+
+}  // namespace
+}  // namespace indigolead::testing
--- /dev/null
+++ b/tests/support/control_world.cc
@@ -0,0 +1,362 @@
+#include "tests/support/control_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/config/enum_names.h"
+#include "entry/control_state.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kStep{50};
+
+std::string TargetName(int side) { return "engine-" + std::to_string(side); }
+
+Roles FixedRoles(const DeploymentSpec& spec,
+                 const std::vector<TargetObservation>& targets, TimePoint) {
+  return StaticRoles(spec, targets);
+}
+
+}  // namespace
+
+/// The store as one entry sees it, with the faults of the world.
+class ControlWorldStore : public ObjectStore {
+ public:
+  ControlWorldStore(ControlWorld* world, int entry)
+      : world_(world), entry_(entry) {}
+
+  void Get(const std::string& key, const CallOptions& options,
+           Callback<std::optional<StoredObject>> done) override {
+    Call<std::optional<StoredObject>>(options, std::move(done), [this, key] {
+      const auto objects = Objects();
+      const auto it = objects.find(key);
+      return Result<std::optional<StoredObject>>(
+          it == objects.end() ? std::nullopt : std::optional(it->second));
+    });
+  }
+  void List(const std::string& prefix, const CallOptions& options,
+            Callback<Listing> done) override {
+    Call<Listing>(options, std::move(done), [this, prefix] {
+      Listing listing;
+      for (const auto& [key, object] : Objects()) {
+        listing.version = std::max(listing.version, object.version);
+        if (key.starts_with(prefix)) {
+          listing.objects.push_back(object);
+        }
+      }
+      return Result<Listing>(listing);
+    });
+  }
+  void Put(const std::string& key, const std::string& value,
+           ExpectedVersion expected, const CallOptions& options,
+           Callback<std::uint64_t> done) override {
+    Call<std::uint64_t>(options, std::move(done), [this, key, value, expected] {
+      return world_->Put(entry_, key, value, expected);
+    });
+  }
+  void Delete(const std::string&, ExpectedVersion, const CallOptions&,
+              Callback<Unit>) override {}
+  std::unique_ptr<Watch> StartWatch(
+      const std::string&, std::uint64_t, std::function<void(const WatchEvent&)>,
+      std::function<void(const Error&)>) override {
+    return nullptr;
+  }
+  void ListInstances(const CallOptions&, Callback<InstanceList>) override {}
+
+ private:
+  std::map<std::string, StoredObject> Objects() {
+    if (!world_->Chance(world_->options_.faults.stale_read)) {
+      return world_->objects_;
+    }
+    std::map<std::string, StoredObject> stale;
+    const auto& history = world_->history_;
+    const std::size_t end =
+        history.empty() ? 0 : world_->random_() % history.size();
+    for (std::size_t i = 0; i < end; ++i) {
+      stale[history[i].key] = history[i];
+    }
+    return stale;
+  }
+
+  template <typename T>
+  void Call(const CallOptions& options, Callback<T> done,
+            std::function<Result<T>()> effect) {
+    ++world_->store_calls_;
+    const ControlFaults& faults = world_->options_.faults;
+    const bool slow = world_->Chance(faults.slow_effect);
+    const Duration wait = world_->Between(
+        milliseconds(1), slow ? faults.max_slow : Duration(milliseconds(30)));
+    const bool lost = world_->Chance(faults.lose_answer);
+    const TimePoint deadline = world_->now_ + options.deadline;
+    auto shared = std::make_shared<Callback<T>>(std::move(done));
+    const auto answer = [this, shared](Result<T> result) {
+      world_->OnEntry(entry_, [shared, result = std::move(result)] {
+        if (*shared) {
+          std::exchange(*shared, nullptr)(result);
+        }
+      });
+    };
+    world_->At(world_->now_ + wait, [this, answer, lost, effect] {
+      const auto& entry = world_->entries_[static_cast<std::size_t>(entry_)];
+      if (entry.cut || entry.cut_from_store) {
+        return;
+      }
+      if (world_->store_down_) {
+        answer(Error{ErrorCode::kUnavailable, "store", "store", "down"});
+        return;
+      }
+      Result<T> result = effect();
+      if (!lost) {
+        answer(std::move(result));
+      }
+    });
+    world_->At(deadline, [answer] {
+      answer(Error{ErrorCode::kTimeout, "store", "store", "no answer"});
+    });
+  }
+
+  ControlWorld* world_;
+  int entry_;
+};
+
+ControlWorld::ControlWorld(Options options)
+    : options_(options), random_(options.seed) {
+  sides_.resize(static_cast<std::size_t>(options_.sides));
+  for (Side& side : sides_) {
+    side.engine.checks_fencing = options_.engines_check_fencing;
+    side.engine.state.model = "small";
+    side.engine.state.version = "1";
+  }
+  entries_.resize(static_cast<std::size_t>(options_.entries));
+  for (int i = 0; i < options_.entries; ++i) {
+    Entry& entry = entries_[static_cast<std::size_t>(i)];
+    entry.offset = seconds(1000 * i);
+    entry.store = std::make_unique<ControlWorldStore>(this, i);
+    Controller::Options control;
+    control.lease.holder = "entry-" + std::to_string(i);
+    control.lease.incarnation = Incarnation{{1, static_cast<std::uint64_t>(i)}};
+    control.reconciler.weight_load_interval = milliseconds(200);
+    control.reconciler.retry_interval = seconds(2);
+    entry.controller = std::make_unique<Controller>(
+        entry.store.get(), control,
+        Controller::Hooks{[](const AuditRecord&) {}, FixedRoles,
+                          [this] { return Chance(0.5) ? 0.2 : 0.9; }},
+        [this, i] { return EntryClock(i); },
+        [this] {
+          return Id128{7, ++ids_};
+        },
+        MakeNullEventLog());
+    entry.forwarder = std::make_unique<OrderForwarder>(
+        OrderForwarder::Options{},
+        OrderForwarder::Hooks{
+            [this, i](LinkId link, const wire::Envelope& message) {
+              return SendToSide(i, link, message);
+            },
+            [this, i] {
+              Entry& self = entries_[static_cast<std::size_t>(i)];
+              self.store->List(
+                  kControlPrefix, {},
+                  [this, i](const Result<ObjectStore::Listing>& result) {
+                    Result<ControlState> answer = ControlState{};
+                    if (IsOk(result)) {
+                      ControlState state;
+                      for (const auto& object : ValueOf(result).objects) {
+                        AddControlObject(object, &state);
+                      }
+                      answer = state;
+                    } else {
+                      answer = ErrorOf(result);
+                    }
+                    entries_[static_cast<std::size_t>(i)]
+                        .forwarder->OnStateRead(answer, EntryClock(i));
+                  });
+            }},
+        MakeNullEventLog());
+    for (int side = 0; side < options_.sides; ++side) {
+      Connect(i, side);
+    }
+  }
+  Accept(1, "1");
+}
+
+ControlWorld::~ControlWorld() = default;
+
+void ControlWorld::Run(Duration duration) {
+  const TimePoint end = now_ + duration;
+  while (now_ < end) {
+    Step();
+  }
+}
+
+void ControlWorld::Step() {
+  now_ += kStep;
+  while (!queue_.empty() && queue_.begin()->first <= now_) {
+    const auto act = std::move(queue_.begin()->second);
+    queue_.erase(queue_.begin());
+    act();
+  }
+  for (int i = 0; i < options_.entries; ++i) {
+    if (entries_[static_cast<std::size_t>(i)].paused_until > now_) {
+      continue;
+    }
+    Watch(i);
+    entries_[static_cast<std::size_t>(i)].controller->Tick();
+    entries_[static_cast<std::size_t>(i)].forwarder->Tick(EntryClock(i));
+  }
+  for (int side = 0; side < options_.sides; ++side) {
+    SideSteps(side);
+  }
+  Check();
+}
+
+void ControlWorld::Accept(std::uint64_t number, const std::string& version) {
+  revision_.number = number;
+  revision_.spec.name = "brief-llm";
+  revision_.spec.models = {{"small", version, {}}};
+  revision_.spec.max_change_share = 0.5;
+  const RevisionRecord record{"brief-llm", number, number, version};
+  for (int i = 0; i < options_.entries; ++i) {
+    // Each entry hears of it at its own time, perhaps after a later one.
+    At(now_ + Between(milliseconds(10), seconds(3)),
+       [this, i, record, revision = revision_] {
+         Entry& entry = entries_[static_cast<std::size_t>(i)];
+         entry.book.Offer(record);
+         entry.controller->reconciler().OnRevision(revision);
+       });
+  }
+}
+
+void ControlWorld::PauseEntry(int entry, Duration duration) {
+  entries_[static_cast<std::size_t>(entry)].paused_until = now_ + duration;
+}
+
+void ControlWorld::CutEntry(int entry, bool cut) {
+  entries_[static_cast<std::size_t>(entry)].cut = cut;
+  for (int side = 0; side < options_.sides; ++side) {
+    if (cut) {
+      entries_[static_cast<std::size_t>(entry)].forwarder->OnLinkDown(
+          LinkOf(side, sides_[static_cast<std::size_t>(side)].run));
+    } else {
+      Connect(entry, side);
+    }
+  }
+}
+
+void ControlWorld::CutFromStore(int entry, bool cut) {
+  entries_[static_cast<std::size_t>(entry)].cut_from_store = cut;
+}
+
+void ControlWorld::RestartSide(int side) {
+  Side& self = sides_[static_cast<std::size_t>(side)];
+  for (int i = 0; i < options_.entries; ++i) {
+    entries_[static_cast<std::size_t>(i)].forwarder->OnLinkDown(
+        LinkOf(side, self.run));
+  }
+  Side next;
+  next.engine = self.engine;
+  next.run = self.run + 1;
+  next.reached = self.reached;
+  self = std::move(next);
+  for (int i = 0; i < options_.entries; ++i) {
+    if (!entries_[static_cast<std::size_t>(i)].cut) {
+      Connect(i, side);
+    }
+  }
+}
+
+void ControlWorld::CrashEngine(int side) {
+  Side& self = sides_[static_cast<std::size_t>(side)];
+  const bool checks = self.engine.checks_fencing;
+  self.engine = Engine{};
+  self.engine.checks_fencing = checks;
+  self.engine.state.model = "small";
+  self.engine.state.version = "1";
+  self.sent_to_engine = false;
+  if (self.order) {
+    self.phase = OrderPhase::kAccepted;
+  }
+}
+
+void ControlWorld::BeforeNextOrderWrite(std::function<void(int)> act) {
+  before_order_write_ = std::move(act);
+}
+
+std::vector<int> ControlWorld::Holders() {
+  std::vector<int> holders;
+  for (int i = 0; i < options_.entries; ++i) {
+    const Entry& entry = entries_[static_cast<std::size_t>(i)];
+    if (entry.controller->lease().Authority(EntryClock(i))) {
+      holders.push_back(i);
+    }
+  }
+  return holders;
+}
+
+std::optional<TargetOrder> ControlWorld::StoredOrderOf(int side) const {
+  const auto it = objects_.find(OrderKey(TargetName(side)));
+  return it == objects_.end() ? std::nullopt : OrderFrom(it->second).order;
+}
+
+bool ControlWorld::Chance(double p) {
+  return std::uniform_real_distribution<>(0, 1)(random_) < p;
+}
+
+Duration ControlWorld::Between(Duration low, Duration high) {
+  return Duration(std::uniform_int_distribution<Duration::rep>(
+      low.count(), high.count())(random_));
+}
+
+void ControlWorld::At(TimePoint when, std::function<void()> act) {
+  queue_.emplace(when, std::move(act));
+}
+
+// A paused process handles what came meanwhile only once it wakes.
+void ControlWorld::OnEntry(int entry, std::function<void()> act) {
+  const TimePoint until =
+      entries_[static_cast<std::size_t>(entry)].paused_until;
+  if (until > now_) {
+    At(until, [this, entry, act = std::move(act)] { OnEntry(entry, act); });
+  } else {
+    act();
+  }
+}
+
+Result<std::uint64_t> ControlWorld::Put(int entry, const std::string& key,
+                                        const std::string& value,
+                                        std::uint64_t expected) {
+  if (before_order_write_ && key != kLeaseKey) {
+    std::exchange(before_order_write_, nullptr)(entry);
+  }
+  StoredObject& object = objects_[key];
+  if (object.version != expected) {
+    return Error{ErrorCode::kConflict, "store.put", "store",
+                 std::to_string(object.version)};
+  }
+  if (key != kLeaseKey) {
+    CheckWrite(object, value);
+  }
+  object = StoredObject{key, value, ++version_};
+  history_.push_back(object);
+  return version_;
+}
+
+void ControlWorld::Watch(int entry) {
+  Entry& self = entries_[static_cast<std::size_t>(entry)];
+  if (self.cut || self.cut_from_store || store_down_ ||
+      self.watched == version_ || Chance(0.3)) {
+    return;
+  }
+  ControlState state;
+  for (const auto& [key, object] : objects_) {
+    AddControlObject(object, &state);
+  }
+  self.watched = version_;
+  self.controller->OnState(state);
+  self.forwarder->OnState(state, EntryClock(entry));
+}
+
+}  // namespace indigolead::testing
