--- a/src/side/attempt_codec.cc
+++ b/src/side/attempt_codec.cc
@@ -154,7 +154,7 @@
   state->set_next_sequence(reply.next_sequence);
 }
 
-void FillLoad(const TargetLoad& load, TimePoint now,
+void FillLoad(const EngineLoad& load, TimePoint now,
               wire::LoadReport* message) {
   message->set_measured_ago_us(ToMicros(now - load.measured_at));
   message->set_running(load.running);
--- a/src/side/attempt_codec.h
+++ b/src/side/attempt_codec.h
@@ -32,7 +32,7 @@
 /// @}
 
 /// Fills `message` with `load` as it is `now`.
-void FillLoad(const TargetLoad& load, TimePoint now, wire::LoadReport* message);
+void FillLoad(const EngineLoad& load, TimePoint now, wire::LoadReport* message);
 
 }  // namespace indigolead
 
--- a/src/side/attempt_service.cc
+++ b/src/side/attempt_service.cc
@@ -69,7 +69,7 @@
       clock_() < it->second.until) {
     return RefusalReason::kQuarantined;
   }
-  if (target_state_ == TargetState::kDown) {
+  if (target_state_ == TargetCondition::kDown) {
     return RefusalReason::kTargetDown;
   }
   if (hooks_.closed_for_change && hooks_.closed_for_change()) {
@@ -209,16 +209,16 @@
           table_.OnCallBody(it.id, std::move(it.data));
         } else if constexpr (std::is_same_v<T, CallEndEvent>) {
           table_.OnCallEnd(it.id, it.outcome, std::move(it.detail), clock_());
-        } else if constexpr (std::is_same_v<T, TargetLoadEvent>) {
+        } else if constexpr (std::is_same_v<T, EngineLoadEvent>) {
           load_ = it.load;
-        } else if constexpr (std::is_same_v<T, TargetStateEvent>) {
+        } else if constexpr (std::is_same_v<T, TargetConditionEvent>) {
           OnTargetState(it);
         }
       },
       std::move(event));
 }
 
-void AttemptService::OnTargetState(const TargetStateEvent& event) {
+void AttemptService::OnTargetState(const TargetConditionEvent& event) {
   const bool restarted =
       !engine_.boot_id.empty() && event.engine.boot_id != engine_.boot_id;
   if (restarted) {
--- a/src/side/attempt_service.h
+++ b/src/side/attempt_service.h
@@ -55,7 +55,7 @@
   void SetLeaving(bool leaving) { table_.SetLeaving(leaving); }
   bool Idle() const { return table_.Idle() && commands_.empty(); }
   std::size_t running() const { return table_.running(); }
-  TargetState target_state() const { return target_state_; }
+  TargetCondition target_state() const { return target_state_; }
   const EngineState& engine() const { return engine_; }
 
  private:
@@ -69,7 +69,7 @@
                  const AttemptFrame& frame);
   void Command(TargetCommand command);
   void FlushCommands();
-  void OnTargetState(const TargetStateEvent& event);
+  void OnTargetState(const TargetConditionEvent& event);
   void OnQuarantine(const wire::QuarantineNotice& notice);
   void HandleStart(LinkId link, wire::StartAttempt&& message);
   void HandleBodyChunk(LinkId link, const wire::BodyChunk& message);
@@ -83,9 +83,9 @@
   Clock clock_;
   EventLog log_;
   AttemptTable table_;
-  TargetState target_state_ = TargetState::kUnknown;
+  TargetCondition target_state_ = TargetCondition::kUnknown;
   EngineState engine_;
-  std::optional<TargetLoad> load_;
+  std::optional<EngineLoad> load_;
   std::unordered_map<std::uint64_t, Quarantine> quarantines_;
   /// Commands that the ring had no room for; at most two for each attempt.
   std::deque<TargetCommand> commands_;
--- a/src/side/side_process.cc
+++ b/src/side/side_process.cc
@@ -64,15 +64,15 @@
   return options;
 }
 
-wire::TargetHealth ToWire(TargetState state) {
+wire::TargetHealth ToWire(TargetCondition state) {
   switch (state) {
-    case TargetState::kUp:
+    case TargetCondition::kUp:
       return wire::TARGET_UP;
-    case TargetState::kDown:
+    case TargetCondition::kDown:
       return wire::TARGET_DOWN;
-    case TargetState::kChanging:
+    case TargetCondition::kChanging:
       return wire::TARGET_CHANGING;
-    case TargetState::kUnknown:
+    case TargetCondition::kUnknown:
       break;
   }
   return wire::TARGET_UNKNOWN;
--- a/src/side/target_messages.h
+++ b/src/side/target_messages.h
@@ -33,10 +33,10 @@
 /// @}
 
 /// Whether the target can serve, as last seen.
-enum class TargetState { kUnknown, kUp, kDown, kChanging };
+enum class TargetCondition { kUnknown, kUp, kDown, kChanging };
 
 /// Load figures of the target, with the time to which they apply.
-struct TargetLoad {
+struct EngineLoad {
   TimePoint measured_at;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
@@ -47,7 +47,7 @@
   std::uint64_t prefill_tokens_per_s = 0;
   std::uint64_t decode_tokens_per_s = 0;
 
-  friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
+  friend bool operator==(const EngineLoad&, const EngineLoad&) = default;
 };
 
 /// What an engine says of itself.
@@ -81,12 +81,12 @@
   CallOutcome outcome = CallOutcome::kComplete;
   std::string detail;
 };
-struct TargetStateEvent {
-  TargetState state = TargetState::kUnknown;
+struct TargetConditionEvent {
+  TargetCondition state = TargetCondition::kUnknown;
   EngineState engine;  ///< As last read; engines only.
 };
-struct TargetLoadEvent {
-  TargetLoad load;
+struct EngineLoadEvent {
+  EngineLoad load;
 };
 /// Changes of the engine's prefix cache; `gap_before` counts events lost.
 struct CacheChangedEvent {
@@ -97,7 +97,7 @@
 };
 using TargetEvent =
     std::variant<std::monostate, CallHeadEvent, CallBodyEvent, CallEndEvent,
-                 TargetStateEvent, TargetLoadEvent, CacheChangedEvent>;
+                 TargetConditionEvent, EngineLoadEvent, CacheChangedEvent>;
 /// @}
 
 }  // namespace indigolead
--- a/src/side/target_monitor.cc
+++ b/src/side/target_monitor.cc
@@ -56,13 +56,13 @@
   }
 }
 
-Result<TargetLoad> ParseTargetLoad(const std::string& json, TimePoint now) {
+Result<EngineLoad> ParseEngineLoad(const std::string& json, TimePoint now) {
   const auto doc = Json::parse(json, nullptr, false);
   if (!doc.is_object()) {
     return NotUnderstood("target.load", "expected a JSON object");
   }
   try {
-    TargetLoad load;
+    EngineLoad load;
     load.measured_at = now - std::chrono::milliseconds(doc.value(
                                  "measured_ago_ms", std::uint32_t{0}));
     load.running = doc.value("running", 0U);
@@ -138,21 +138,22 @@
     // A target that answers late may only be busy; one that cannot be reached
     // is down.
     if (ErrorOf(answer).code == ErrorCode::kUnavailable) {
-      SetState(TargetState::kDown, engine_);
+      SetState(TargetCondition::kDown, engine_);
     }
     return;
   }
   const EngineState& engine = ValueOf(answer);
-  SetState(engine.changing ? TargetState::kChanging : TargetState::kUp, engine);
+  SetState(engine.changing ? TargetCondition::kChanging : TargetCondition::kUp,
+           engine);
 }
 
-void TargetMonitor::SetState(TargetState state, const EngineState& engine) {
+void TargetMonitor::SetState(TargetCondition state, const EngineState& engine) {
   if (state == state_ && engine == engine_) {
     return;
   }
   state_ = state;
   engine_ = engine;
-  emit_(TargetStateEvent{state_, engine_});
+  emit_(TargetConditionEvent{state_, engine_});
 }
 
 void TargetMonitor::PollLoad() {
@@ -162,9 +163,9 @@
         if (!IsOk(answer)) {
           return;
         }
-        const auto load = ParseTargetLoad(ValueOf(answer).body, clock_());
+        const auto load = ParseEngineLoad(ValueOf(answer).body, clock_());
         if (IsOk(load)) {
-          emit_(TargetLoadEvent{ValueOf(load)});
+          emit_(EngineLoadEvent{ValueOf(load)});
         }
       });
 }
@@ -176,9 +177,9 @@
         polling_ = false;
         if (IsOk(answer)) {
           const bool up = ValueOf(answer).status != kServiceUnavailable;
-          SetState(up ? TargetState::kUp : TargetState::kDown, engine_);
+          SetState(up ? TargetCondition::kUp : TargetCondition::kDown, engine_);
         } else if (ErrorOf(answer).code == ErrorCode::kUnavailable) {
-          SetState(TargetState::kDown, engine_);
+          SetState(TargetCondition::kDown, engine_);
         }
       });
 }
--- a/src/side/target_monitor.h
+++ b/src/side/target_monitor.h
@@ -28,8 +28,9 @@
     Duration deadline = std::chrono::milliseconds(500);
   };
 
-  /// `emit` gets a `TargetStateEvent` on every change and a `TargetLoadEvent`
-  /// after every reading. `io` and `client` must outlive this object.
+  /// `emit` gets a `TargetConditionEvent` on every change and a
+  /// `EngineLoadEvent` after every reading. `io` and `client` must outlive this
+  /// object.
   TargetMonitor(boost::asio::io_context* io, Options options,
                 TargetClient* client, Clock clock,
                 std::function<void(TargetEvent)> emit);
@@ -53,7 +54,7 @@
   void OnStateAnswer(const Result<EngineState>& answer);
   void PollLoad();
   void PollHealth();
-  void SetState(TargetState state, const EngineState& engine);
+  void SetState(TargetCondition state, const EngineState& engine);
 
   boost::asio::io_context* io_;
   Options options_;
@@ -65,7 +66,7 @@
   std::unique_ptr<TargetClient::Call> load_call_;
   std::unique_ptr<TargetClient::Call> probe_call_;
   std::vector<std::function<void(const Result<EngineState>&)>> probes_;
-  TargetState state_ = TargetState::kUnknown;
+  TargetCondition state_ = TargetCondition::kUnknown;
   EngineState engine_;
   bool stopped_ = false;
   bool polling_ = false;
@@ -75,7 +76,7 @@
 Result<EngineState> ParseEngineState(const std::string& json);
 
 /// Returns the load in the body of a `/load` answer received at `now`.
-Result<TargetLoad> ParseTargetLoad(const std::string& json, TimePoint now);
+Result<EngineLoad> ParseEngineLoad(const std::string& json, TimePoint now);
 
 }  // namespace indigolead
 
--- a/src/side/target_worker.cc
+++ b/src/side/target_worker.cc
@@ -47,6 +47,7 @@
           {options_.is_engine, options_.poll_interval, options_.probe_deadline},
           client, clock_,
           [this](TargetEvent event) { Emit(std::move(event)); }),
+      probe_timer_(*io),
       outbox_timer_(*io) {}
 
 TargetWorker::~TargetWorker() = default;
@@ -56,6 +57,7 @@
 void TargetWorker::Stop() {
   monitor_.Stop();
   outbox_timer_.cancel();
+  probe_timer_.cancel();
   calls_.clear();
   cleanups_.clear();
 }
@@ -158,7 +160,24 @@
     return;
   }
   probing_ = true;
-  monitor_.Probe([this](const Result<EngineState>& probe) {
+  Probe(options_.max_probes);
+}
+
+void TargetWorker::Probe(int tries_left) {
+  monitor_.Probe([this, tries_left](const Result<EngineState>& probe) {
+    // A process on its way down or up may take a connection and drop it.
+    const bool broke =
+        !IsOk(probe) && ErrorOf(probe).code == ErrorCode::kUnknownEffect;
+    if (broke && tries_left > 1) {
+      probe_timer_.expires_after(options_.probe_pause);
+      probe_timer_.async_wait(
+          [this, tries_left](const boost::system::error_code& ec) {
+            if (!ec) {
+              Probe(tries_left - 1);
+            }
+          });
+      return;
+    }
     probing_ = false;
     SettleBroken(probe);
   });
@@ -172,7 +191,7 @@
     if (IsOk(probe)) {
       died = !it.boot_id.empty() && ValueOf(probe).boot_id != it.boot_id;
     } else {
-      died = ErrorOf(probe).code == ErrorCode::kUnavailable;
+      died = ErrorOf(probe).code != ErrorCode::kTimeout;
     }
     EndCall(it.id, died ? CallOutcome::kTargetDied : CallOutcome::kFailed,
             it.detail);
--- a/src/side/target_worker.h
+++ b/src/side/target_worker.h
@@ -32,6 +32,8 @@
     bool is_engine = true;
     Duration poll_interval = std::chrono::milliseconds(500);
     Duration probe_deadline = std::chrono::milliseconds(500);
+    Duration probe_pause = std::chrono::milliseconds(20);
+    int max_probes = 25;
     Duration emit_retry_interval = std::chrono::milliseconds(1);
   };
 
@@ -73,6 +75,7 @@
   bool BeforeWrite(const AttemptId& id, TimePoint start_by);
   void OnEnd(const AttemptId& id, const Status& status);
   void OnBroken(BrokenCall broken);
+  void Probe(int tries_left);
   void SettleBroken(const Result<EngineState>& probe);
   void EndCall(const AttemptId& id, CallOutcome outcome, std::string detail);
   void StopEngineStream(const std::string& stream_id);
@@ -89,6 +92,7 @@
   std::unordered_map<AttemptId, RunningCall> calls_;
   std::vector<BrokenCall> broken_;
   bool probing_ = false;
+  boost::asio::steady_timer probe_timer_;
   /// Events that the ring had no room for. Bounded: while any waits, no call
   /// reads, so each adds at most what its read under way delivers.
   std::deque<TargetEvent> outbox_;
