--- a/src/core/membership/link_monitor.cc
+++ b/src/core/membership/link_monitor.cc
@@ -4,6 +4,19 @@
 
 namespace indigolead {
 
+void LinkMonitor::OnWorkSent(TimePoint now) {
+  // The peer's last heartbeat may lie further back than the timeout of a busy
+  // link; it gets the whole timeout to answer the first message of work.
+  if (IsIdle(now)) {
+    last_received_ = now;
+  }
+  last_sent_ = last_work_ = now;
+}
+
+void LinkMonitor::OnWorkReceived(TimePoint now) {
+  last_received_ = last_work_ = now;
+}
+
 void LinkMonitor::OnOwnPause(TimePoint now) {
   const TimePoint grace =
       now - timing_.silence_timeout + timing_.heartbeat_interval;
@@ -11,12 +24,14 @@
 }
 
 LinkAction LinkMonitor::Poll(TimePoint now) const {
-  if (now - last_received_ >= timing_.silence_timeout) {
+  const int factor = IsIdle(now) ? timing_.idle_factor : 1;
+  if (now - last_received_ >= timing_.silence_timeout * factor) {
     return LinkAction::kCloseSilent;
   }
-  if (now - last_sent_ >= timing_.heartbeat_interval ||
-      now - last_heartbeat_ >=
-          timing_.heartbeat_interval * kBusyHeartbeatIntervals) {
+  const Duration interval = timing_.heartbeat_interval * factor;
+  const Duration longest =
+      timing_.heartbeat_interval * std::max(factor, kBusyHeartbeatIntervals);
+  if (now - last_sent_ >= interval || now - last_heartbeat_ >= longest) {
     return LinkAction::kSendHeartbeat;
   }
   return LinkAction::kNone;
--- a/src/core/membership/link_monitor.h
+++ b/src/core/membership/link_monitor.h
@@ -15,6 +15,10 @@
   Duration silence_timeout = std::chrono::milliseconds(1500);
   /// Longest wait for the peer's hello before a dial is given up.
   Duration dial_timeout = std::chrono::milliseconds(1500);
+  /// Time without work after which a link is idle: its heartbeats and its
+  /// silence timeout are then stretched by `idle_factor`.
+  Duration idle_after = std::chrono::seconds(60);
+  int idle_factor = 6;
   Duration backoff_min = std::chrono::milliseconds(50);
   Duration backoff_max = std::chrono::seconds(5);
 
@@ -31,20 +35,28 @@
 /// between the two ends lost track of it; the transport then reports nothing.
 /// Silence at this level is the only sign, so both ends send at least once per
 /// heartbeat interval and judge by what they received.
+///
+/// A fast verdict matters only to work in flight, and heartbeats to a hundred
+/// idle peers would cost more than all other control traffic. So a link without
+/// work slows down, by the same rule at both ends; the first message of work
+/// makes it fast again, and the peer has one silence timeout to answer.
 class LinkMonitor {
  public:
   LinkMonitor(const LinkTiming& timing, TimePoint now)
       : timing_(timing),
         last_sent_(now),
         last_heartbeat_(now),
-        last_received_(now) {}
+        last_received_(now),
+        last_work_(now) {}
 
-  /// Records that any message was sent.
-  void OnSent(TimePoint now) { last_sent_ = now; }
+  /// Records that a message of work was sent: anything but a heartbeat.
+  void OnWorkSent(TimePoint now);
   /// Records that a heartbeat was sent.
   void OnHeartbeatSent(TimePoint now) { last_sent_ = last_heartbeat_ = now; }
-  /// Records that any message came.
-  void OnReceived(TimePoint now) { last_received_ = now; }
+  /// Records that a heartbeat came.
+  void OnHeartbeatReceived(TimePoint now) { last_received_ = now; }
+  /// Records that any other message came.
+  void OnWorkReceived(TimePoint now);
 
   /// Records that this process itself did not run until `now`. What the peer
   /// sent meanwhile may still wait to be read, so the peer gets one heartbeat
@@ -59,10 +71,15 @@
   // (a target's role, revisions) are told in heartbeats only.
   static constexpr int kBusyHeartbeatIntervals = 4;
 
+  bool IsIdle(TimePoint now) const {
+    return now - last_work_ >= timing_.idle_after;
+  }
+
   LinkTiming timing_;
   TimePoint last_sent_;
   TimePoint last_heartbeat_;
   TimePoint last_received_;
+  TimePoint last_work_;
 };
 
 /// Tells that this process was paused, from the gap between two polls.
--- a/src/wire/links.h
+++ b/src/wire/links.h
@@ -39,6 +39,10 @@
     std::string bind_address;  ///< "IP:port"; port 0 picks one; empty: none.
     Duration heartbeat_interval = std::chrono::milliseconds(500);
     Duration silence_timeout = std::chrono::milliseconds(1500);
+    /// A link that carried nothing but heartbeats for this long sends six
+    /// times fewer of them, and is given six times the silence timeout. Must
+    /// be the same at both ends.
+    Duration idle_after = std::chrono::seconds(60);
     /// Envelopes queued in a socket for one peer before `Send` refuses.
     int high_water_mark = 4096;
     std::size_t max_message_bytes = 16U << 20;
--- a/src/wire/links_impl.cc
+++ b/src/wire/links_impl.cc
@@ -22,6 +22,7 @@
   timing.heartbeat_interval = options.heartbeat_interval;
   timing.silence_timeout = options.silence_timeout;
   timing.dial_timeout = options.silence_timeout;
+  timing.idle_after = options.idle_after;
   timing.backoff_min = kBackoffMin;
   timing.backoff_max = kBackoffMax;
   return timing;
--- a/src/wire/links_messages.cc
+++ b/src/wire/links_messages.cc
@@ -194,7 +194,12 @@
     return;
   }
   Link& link = it->second;
-  link.monitor.OnReceived(clock_());
+  if (message.has_heartbeat()) {
+    link.monitor.OnHeartbeatReceived(clock_());
+    link.seen_sequence = message.heartbeat().sequence();
+  } else {
+    link.monitor.OnWorkReceived(clock_());
+  }
   if (message.has_goodbye()) {
     const Error error = MakeError(ErrorCode::kUnavailable, link.instance,
                                   "goodbye: " + message.goodbye().reason());
@@ -207,9 +212,6 @@
     metrics_.dropped_stray.Add();
     return;
   }
-  if (message.has_heartbeat()) {
-    link.seen_sequence = message.heartbeat().sequence();
-  }
   hooks_.on_message(LinkId{id}, std::move(message));
 }
 
@@ -267,7 +269,11 @@
   }
   const SendResult result = SendOn(&it->second, message);
   if (result == SendResult::kSent) {
-    it->second.monitor.OnSent(clock_());
+    if (message.has_heartbeat()) {
+      it->second.monitor.OnHeartbeatSent(clock_());
+    } else {
+      it->second.monitor.OnWorkSent(clock_());
+    }
     return true;
   }
   if (result == SendResult::kFull) {
--- a/tests/core/membership/link_monitor_test.cc
+++ b/tests/core/membership/link_monitor_test.cc
@@ -35,13 +35,38 @@
     DYNAMIC_SECTION(row.name) {
       LinkMonitor monitor(timing, kStart);
       monitor.OnHeartbeatSent(kStart + row.heartbeat);
-      monitor.OnSent(kStart + row.sent);
-      monitor.OnReceived(kStart + row.received);
+      monitor.OnWorkSent(kStart + row.sent);
+      monitor.OnWorkReceived(kStart + row.received);
       CHECK(monitor.Poll(kStart + row.now) == row.expected);
     }
   }
 }
 
+// A link without work slows its heartbeats. Work that is then sent into a
+// half-open connection must not wait for the slow verdict: the caller's request
+// would hang for six silence timeouts instead of one.
+TEST_CASE("An idle link slows down and wakes with the first work") {
+  const LinkTiming timing;  // Idle after 60 s; then 3 s and 9 s.
+  LinkMonitor monitor(timing, kStart);
+  const TimePoint idle = kStart + 60s;
+  monitor.OnHeartbeatSent(idle);
+  monitor.OnHeartbeatReceived(idle);
+  CHECK(monitor.Poll(idle + 2999ms) == LinkAction::kNone);
+  CHECK(monitor.Poll(idle + 3s) == LinkAction::kSendHeartbeat);
+  CHECK(monitor.Poll(idle + 8999ms) == LinkAction::kSendHeartbeat);
+  CHECK(monitor.Poll(idle + 9s) == LinkAction::kCloseSilent);
+
+  SECTION("the peer gets the whole busy timeout for its first answer") {
+    monitor.OnWorkSent(idle + 1900ms);
+    CHECK(monitor.Poll(idle + 1900ms + 1499ms) != LinkAction::kCloseSilent);
+    CHECK(monitor.Poll(idle + 1900ms + 1500ms) == LinkAction::kCloseSilent);
+  }
+  SECTION("the end that received work answers with a heartbeat soon") {
+    monitor.OnWorkReceived(idle + 1900ms);
+    CHECK(monitor.Poll(idle + 1900ms) == LinkAction::kSendHeartbeat);
+  }
+}
+
 // This process is stopped for 5 s and woken. Its peers' messages wait unread
 // in the sockets, so by its own clock every peer looks silent. Closing all
 // links at once would break every stream for nothing.
@@ -55,7 +80,7 @@
 
   SECTION("a peer that was alive all along keeps its link") {
     CHECK(monitor.Poll(kStart + 5200ms) == LinkAction::kSendHeartbeat);
-    monitor.OnReceived(kStart + 5300ms);
+    monitor.OnHeartbeatReceived(kStart + 5300ms);
     CHECK(monitor.Poll(kStart + 6s) != LinkAction::kCloseSilent);
   }
   SECTION("a peer that is really gone is dropped after the interval") {
