Join the entry to the platform's store

Cause: the entry process had no source of revisions, drains and instances. Change: its platform thread owns the store's client and the duty that follows it; what the ring has no place for waits and goes first.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -16,6 +16,7 @@
 #include "entry/dispatcher.h"
 #include "entry/events.h"
 #include "entry/platform_duty.h"
+#include "platform/http_object_store.h"
 #include "runtime/clock.h"
 #include "runtime/outbox.h"
 
@@ -123,7 +124,12 @@
         dispatcher_(dispatch_thread_.io(), DispatcherOptions(settings_),
                     DispatcherHooks(), BootTimeNow, RandomId, log_, &metrics_),
         callers_(callers_thread_.io(), &settings_.entry, CallersHooks(),
-                 BootTimeNow, RandomId, log_, &metrics_) {
+                 BootTimeNow, RandomId, log_, &metrics_),
+        store_(platform_thread_.io(),
+               HttpObjectStore::OptionsFrom(settings_.store), BootTimeNow,
+               &metrics_),
+        platform_duty_(platform_thread_.io(), &store_, settings_.store,
+                       [this](PlatformEvent&& it) { Emit(std::move(it)); }) {
     if (stop_fd_ < 0) {
       throw std::system_error(errno, std::generic_category(), "eventfd");
     }
@@ -151,6 +157,10 @@
     dispatch_thread_.Start();
     callers_thread_.Start();
     platform_thread_.Start();
+    // Without a store the configuration comes from peers alone.
+    if (!settings_.store.address.empty()) {
+      platform_thread_.Call([this] { platform_duty_.Start(); });
+    }
     log_(kEntryStarted, {{"http", http_address_}, {"links", link_address_}});
     return Unit{};
   }
@@ -215,6 +225,12 @@
     return hooks;
   }
 
+  /// Passes what the platform said on; what waited goes first.
+  void Emit(PlatformEvent&& event) {
+    platform_outbox_.Flush();
+    platform_outbox_.Push(std::move(event));
+  }
+
   /// Lets open requests and streams end, within `drain_timeout`.
   void DrainCallers() {
     log_(kEntryStopping, {});
@@ -238,6 +254,7 @@
       return;
     }
     started_ = false;
+    platform_thread_.Call([this] { platform_duty_.Stop(); });
     platform_thread_.Join();
     callers_thread_.Call([this] { callers_.Stop(); });
     dispatch_thread_.Call([this] { dispatcher_.Stop("planned stop"); });
@@ -265,6 +282,8 @@
   Outbox<PlatformEvent> platform_outbox_;
   Dispatcher dispatcher_;
   CallersServer callers_;
+  HttpObjectStore store_;
+  PlatformDuty platform_duty_;
 };
 
 EntryProcess::EntryProcess(Settings settings, EventLog log)
--- a/tests/process/operators_test.cc
+++ b/tests/process/operators_test.cc
@@ -8,6 +8,7 @@
 
 #include "tests/support/http_call.h"
 #include "tests/support/process.h"
+#include "tests/support/scratch_folder.h"
 
 namespace indigolead {
 namespace {
@@ -20,23 +21,6 @@
 
 constexpr auto kPatience = std::chrono::seconds(60);
 
-/// A folder that goes with the test.
-class ScratchFolder {
- public:
-  ScratchFolder() {
-    std::string pattern = fs::temp_directory_path() / "indigolead-XXXXXX";
-    path_ = mkdtemp(pattern.data());
-  }
-  ~ScratchFolder() { fs::remove_all(path_); }
-  ScratchFolder(const ScratchFolder&) = delete;
-  ScratchFolder& operator=(const ScratchFolder&) = delete;
-
-  std::string Sub(const std::string& name) const { return path_ / name; }
-
- private:
-  fs::path path_;
-};
-
 std::string Declaration(const std::string& version) {
   return "[template t]\nkind = model\n[template t model m]\nversion = " +
          version +
@@ -95,7 +79,7 @@
   }
 
   std::string output;
-  ScratchFolder folder;
+  testing::ScratchFolder folder;
 
  private:
   Process platform_;
