Add a relay that loses track of open connections

Tests of silence and partitions need something between two processes that both ends believe in.

The harness's Pause now waits until the kernel says that every thread stands still: a test that expected no answer from a paused process got one, because the signal was only on its way.

--- a/standins/main.cc
+++ b/standins/main.cc
@@ -10,6 +10,7 @@
 
 #include "standins/engine_server.h"
 #include "standins/platform_server.h"
+#include "standins/relay_server.h"
 #include "standins/service_server.h"
 #include "standins/standin_version.h"
 
@@ -31,7 +32,8 @@
 DEFINE_uint32(cache_event_lag_ms, 200, "engine: lag of the cache events");
 DEFINE_uint32(cache_event_gap_every, 0, "engine: drops each N-th cache event");
 DEFINE_string(poison, "", "Word that kills the target; empty: the default");
-DEFINE_uint32(delay_ms, 0, "service: holds each answer back");
+DEFINE_uint32(delay_ms, 0, "service, relay: holds each answer or piece back");
+DEFINE_string(to, "", "relay: IP:port to which connections are passed on");
 
 namespace indigolead::standins {
 namespace {
@@ -40,16 +42,30 @@
 /// Exit code of a target that a poisoned request killed.
 constexpr int kPoisonExit = 3;
 
-/// Prints where the stand-in listens, then waits for SIGTERM or SIGINT.
-int ServeUntilSignal(const std::string& address) {
-  std::printf("listening %s\n", address.c_str());
-  std::fflush(stdout);
+/// Returns the signals that stop a stand-in or steer the relay.
+sigset_t WaitedSignals() {
   sigset_t signals;
   sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
+  for (const int number : {SIGTERM, SIGINT, SIGUSR1, SIGUSR2}) {
+    sigaddset(&signals, number);
+  }
+  return signals;
+}
+
+/// Prints `line` at once, for the process that reads it through a pipe.
+void PrintLine(const std::string& line) {
+  std::puts(line.c_str());
+  std::fflush(stdout);
+}
+
+/// Prints where the stand-in listens, then waits for SIGTERM or SIGINT.
+int ServeUntilSignal(const std::string& address) {
+  PrintLine("listening " + address);
+  const sigset_t signals = WaitedSignals();
   int signal_number = 0;
-  sigwait(&signals, &signal_number);
+  do {
+    sigwait(&signals, &signal_number);
+  } while (signal_number != SIGTERM && signal_number != SIGINT);
   return 0;
 }
 
@@ -106,32 +122,59 @@
   return ServeUntilSignal(server.address());
 }
 
-/// Blocks the stopping signals in every thread, so that only `sigwait` takes
+/// Lets a script that has only the process steer the relay.
+int ServeRelay(RelayServer* relay) {
+  PrintLine("listening " + relay->address());
+  const sigset_t signals = WaitedSignals();
+  while (true) {
+    int signal_number = 0;
+    sigwait(&signals, &signal_number);
+    switch (signal_number) {
+      case SIGUSR1:
+        relay->SilenceOpenConnections();
+        PrintLine("silenced");
+        break;
+      case SIGUSR2:
+        relay->CutOpenConnections();
+        PrintLine("cut");
+        break;
+      default:
+        return 0;
+    }
+  }
+}
+
+int RunRelay() {
+  RelayServer relay(Port(), FLAGS_to);
+  relay.SetDelay(std::chrono::milliseconds(FLAGS_delay_ms));
+  return ServeRelay(&relay);
+}
+
+/// Blocks the signals waited for in every thread, so that only `sigwait` takes
 /// them. Must be called before the first thread starts.
-void BlockStoppingSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
+void BlockWaitedSignals() {
+  const sigset_t signals = WaitedSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
 int Main(int argc, char** argv) {
-  gflags::SetUsageMessage("indigolead-standin platform|engine|service [flags]");
+  gflags::SetUsageMessage(
+      "indigolead-standin platform|engine|service|relay [flags]");
   gflags::SetVersionString(Version());
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const std::map<std::string, std::function<int()>> commands = {
       {"platform", RunPlatform},
       {"engine", RunEngine},
-      {"service", RunService}};
+      {"service", RunService},
+      {"relay", RunRelay}};
   const auto it = commands.find(argc == 2 ? argv[1] : "");
   if (it == commands.end()) {
     std::fprintf(stderr,
-                 "expected one of: platform, engine, service\n"
+                 "expected one of: platform, engine, service, relay\n"
                  "see standins/README.md for the flags\n");
     return kUsageExit;
   }
-  BlockStoppingSignals();
+  BlockWaitedSignals();
   return it->second();
 }
 
--- a/standins/service_server.cc
+++ b/standins/service_server.cc
@@ -7,6 +7,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds kHoldStep{5};
+
 std::string Echo(const HttpRequest& request) {
   nlohmann::json headers = nlohmann::json::array();
   for (const auto& [name, value] : request.headers) {
@@ -36,6 +38,10 @@
   server_->Invoke([&] { options_.delay_ms = delay_ms; });
 }
 
+void ServiceServer::SetHold(bool hold) {
+  server_->Invoke([&] { hold_ = hold; });
+}
+
 std::vector<RunRecord> ServiceServer::runs() {
   std::vector<RunRecord> records;
   server_->Invoke([&] { records = log_.records(); });
@@ -49,6 +55,11 @@
     co_await exchange.Reply(200, body, {});
     co_return;
   }
+  if (request.path == "/standin/hold") {
+    hold_ = request.body == "on";
+    co_await exchange.Reply(200, "{}", {});
+    co_return;
+  }
   if (request.path == "/health") {
     co_await exchange.Reply(200, "{\"status\":\"ok\"}", {});
     co_return;
@@ -64,6 +75,9 @@
   if (options_.delay_ms > 0) {
     co_await exchange.Sleep(milliseconds(options_.delay_ms));
   }
+  while (hold_ && exchange.open()) {
+    co_await exchange.Sleep(kHoldStep);
+  }
   const std::string body = Echo(request);
   const std::uint64_t chunks = request.QueryNumber("chunks", 0);
   const int status = static_cast<int>(request.QueryNumber("status", 200));
--- a/standins/service_server.h
+++ b/standins/service_server.h
@@ -37,6 +37,9 @@
   void SetDown(bool down) { server_->SetDown(down); }
   void SetDelay(std::uint32_t delay_ms);
 
+  /// While set, requests run but their answers are held back.
+  void SetHold(bool hold);
+
   std::vector<RunRecord> runs();
 
  private:
@@ -44,6 +47,7 @@
   Task Stream(HttpExchange& exchange, std::string body, std::uint64_t chunks);
 
   Options options_;
+  bool hold_ = false;
   RunLog log_;
   std::unique_ptr<HttpServer> server_;
 };
--- a/tests/process/standin_process_test.cc
+++ b/tests/process/standin_process_test.cc
@@ -1,4 +1,7 @@
+#include <signal.h>
+
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "tests/support/http_call.h"
 #include "tests/support/process.h"
@@ -46,6 +49,30 @@
   CHECK(process.WaitForExit(std::chrono::seconds(30)) == 3);
 }
 
+TEST_CASE("The relay process goes silent on its open connections at SIGUSR1") {
+  Process service("indigolead-standin", {"service"});
+  Process relay("indigolead-standin",
+                {"relay", "--to=" + service.WaitForAddress()});
+  const std::string address = relay.WaitForAddress();
+  CHECK(HttpCall(address, "PUT", "/standin/hold", "on").status == 200);
+  int stuck = -1;
+  std::thread caller([&] {
+    stuck = HttpCall(address, "GET", "/menu", "", {},
+                     std::chrono::milliseconds(1500))
+                .status;
+  });
+  const auto runs = [&] {
+    return HttpCall(address, "GET", "/standin/runs").body;
+  };
+  CHECK(WaitUntil([&] { return runs().find("/menu") != std::string::npos; }));
+  relay.Signal(SIGUSR1);
+  relay.WaitForLine("silenced");
+  CHECK(HttpCall(address, "PUT", "/standin/hold", "off").status == 200);
+  caller.join();
+  CHECK(stuck == 0);
+  CHECK(runs().find("\"finished\":true") != std::string::npos);
+}
+
 TEST_CASE("A stand-in without a known command says which ones there are") {
   Process process("indigolead-standin", {"nonsense"});
   CHECK(process.WaitForExit(std::chrono::seconds(30)) == 2);
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -115,28 +115,39 @@
   return found;
 }
 
-void Process::Pause() { kill(pid_, SIGSTOP); }
-
-void Process::Resume() { kill(pid_, SIGCONT); }
-
-void Process::Terminate() {
+void Process::Signal(int number) {
   if (running()) {
-    kill(pid_, SIGTERM);
+    kill(pid_, number);
   }
 }
 
-void Process::Kill() {
-  if (running()) {
-    kill(pid_, SIGKILL);
-    WaitForExit(kKillTimeout);
+void Process::Pause() {
+  Signal(SIGSTOP);
+  // The signal is on its way only: threads on other processors run on for a
+  // moment and could still answer. The kernel reports the stop when all stand.
+  int status = 0;
+  if (running() && waitpid(pid_, &status, WUNTRACED) == pid_) {
+    TakeStatus(status);
   }
 }
 
+void Process::Resume() { Signal(SIGCONT); }
+
+void Process::Terminate() { Signal(SIGTERM); }
+
+void Process::Kill() {
+  Signal(SIGKILL);
+  WaitForExit(kKillTimeout);
+}
+
 void Process::Reap(int options) {
   int status = 0;
-  if (exit_ || pid_ <= 0 || waitpid(pid_, &status, options) != pid_) {
-    return;
+  if (!exit_ && pid_ > 0 && waitpid(pid_, &status, options) == pid_) {
+    TakeStatus(status);
   }
+}
+
+void Process::TakeStatus(int status) {
   if (WIFEXITED(status)) {
     exit_ = WEXITSTATUS(status);
   } else if (WIFSIGNALED(status)) {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -35,7 +35,11 @@
   /// Returns the address of the line "listening IP:PORT".
   std::string WaitForAddress() { return WaitForLine("listening "); }
 
-  void Pause();      ///< SIGSTOP.
+  /// Sends signal `number` if the process still runs.
+  void Signal(int number);
+
+  /// SIGSTOP, then waits until every thread of the process stands still.
+  void Pause();
   void Resume();     ///< SIGCONT.
   void Kill();       ///< SIGKILL, then waits for the end.
   void Terminate();  ///< SIGTERM, without waiting.
@@ -53,6 +57,7 @@
  private:
   void ReadAvailable();
   void Reap(int options);
+  void TakeStatus(int status);
 
   std::string name_;
   pid_t pid_ = -1;
