--- a/src/wire/control_events.h
+++ b/src/wire/control_events.h
@@ -5,8 +5,8 @@
 
 namespace indigolead {
 
-inline constexpr EventInfo kRevisionInForce{
-    4001, "revision-in-force", EventSeverity::kInfo,
+inline constexpr EventInfo kRevisionApplied{
+    4001, "revision-applied", EventSeverity::kInfo,
     "A newer revision of a deployment is in force in this process."};
 inline constexpr EventInfo kRevisionUnreadable{
     4002, "revision-unreadable", EventSeverity::kError,
--- a/src/wire/revision_exchange.cc
+++ b/src/wire/revision_exchange.cc
@@ -129,7 +129,7 @@
   } else if (outcome == RevisionOutcome::kNoRoom) {
     log_(kRevisionNoRoom, fields);
   } else if (outcome == RevisionOutcome::kNewer) {
-    log_(kRevisionInForce, fields);
+    log_(kRevisionApplied, fields);
     hooks_.apply(revision);
     Report(deployment, revision.number);
     for (auto& [link, peer] : peers_) {
--- a/tests/core/control/authority_test.cc
+++ b/tests/core/control/authority_test.cc
@@ -1,6 +1,7 @@
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -245,6 +246,62 @@
   }
 }
 
+struct StoreFault {
+  std::string name;
+  std::function<void(ControlWorld*, bool on)> turn;
+};
+
+ControlFaults Only(double ControlFaults::*fault, bool on) {
+  ControlFaults faults;
+  faults.*fault = on ? 1.0 : 0.0;
+  return faults;
+}
+
+// The store misbehaves for 30 s in one way, for everybody, while the lease is
+// renewed, while an order is given, or while the entries start. Outcome of
+// every row: nothing wrong is done meanwhile; a minute after the fault has
+// ended exactly one entry holds the lease and every engine has the revision.
+TEST_CASE("The store fails around lease, orders and start") {
+  const std::vector<StoreFault> faults = {
+      {"down", [](ControlWorld* world, bool on) { world->SetStoreDown(on); }},
+      {"slow",
+       [](ControlWorld* world, bool on) {
+         world->SetFaults(Only(&ControlFaults::slow_effect, on));
+       }},
+      {"write answer lost",
+       [](ControlWorld* world, bool on) {
+         world->SetFaults(Only(&ControlFaults::lose_answer, on));
+       }},
+      {"stale read",
+       [](ControlWorld* world, bool on) {
+         world->SetFaults(Only(&ControlFaults::stale_read, on));
+       }},
+      {"watch silent",
+       [](ControlWorld* world, bool on) { world->SilenceWatches(on); }},
+  };
+  for (const StoreFault& fault : faults) {
+    for (const std::string when : {"lease renewal", "order", "start"}) {
+      CAPTURE(fault.name, when);
+      ControlWorld world(Calm(true));
+      if (when != "start") {
+        world.Run(seconds(20));
+        REQUIRE(world.Holders().size() == 1);
+      }
+      if (when == "order") {
+        world.Accept(2, "2");
+        world.Run(milliseconds(500));
+      }
+      fault.turn(&world, true);
+      world.Run(seconds(30));
+      fault.turn(&world, false);
+      world.Run(seconds(60));
+      CHECK(world.violations() == std::vector<std::string>{});
+      CHECK(world.Holders().size() == 1);
+      CHECK(AllAt(world, 4, when == "order" ? "2" : "1"));
+    }
+  }
+}
+
 // The store is away for long. Roles freeze: no order is written and no engine
 // changes. At its return exactly one controller acts.
 TEST_CASE("The store is down for long") {
--- a/tests/support/control_world.cc
+++ b/tests/support/control_world.cc
@@ -346,7 +346,7 @@
 
 void ControlWorld::Watch(int entry) {
   Entry& self = entries_[static_cast<std::size_t>(entry)];
-  if (self.cut || self.cut_from_store || store_down_ ||
+  if (self.cut || self.cut_from_store || store_down_ || watches_silent_ ||
       self.watched == version_ || Chance(0.3)) {
     return;
   }
--- a/tests/support/control_world.h
+++ b/tests/support/control_world.h
@@ -70,6 +70,7 @@
   void Accept(std::uint64_t number, const std::string& version);
   void PauseEntry(int entry, Duration duration);
   void SetStoreDown(bool down) { store_down_ = down; }
+  void SilenceWatches(bool silent) { watches_silent_ = silent; }
   void CutEntry(int entry, bool cut);  ///< From the store and the sides.
   void CutFromStore(int entry, bool cut);
   void RestartSide(int side);
@@ -147,6 +148,7 @@
   std::map<std::string, StoredObject> objects_;
   std::vector<StoredObject> history_;
   bool store_down_ = false;
+  bool watches_silent_ = false;
   std::uint64_t store_calls_ = 0;
   std::function<void(int)> before_order_write_;
   std::vector<Entry> entries_;
