Keep each process connected to the peers planned for it

Sides dialled only the entries of their settings, so an entry replaced at another address saw no target. Entries now pass the entries of the platform's instance list on to their sides, which choose by rendezvous hashing; an older list never takes a newer one back. Sides reading the list themselves was ruled out: 5,000 of them at one call a second exceed the platform's rate. Joined into the side process and the entry's dispatcher, where entries now dial each other too; the unused hook choose_entries goes.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -20,6 +20,13 @@
   return id ? std::optional(AttemptId{*id}) : std::nullopt;
 }
 
+Membership::Options EntryMembership(const Dispatcher::Options& options) {
+  Membership::Options membership = options.membership;
+  membership.plan.self_name = options.instance.name;
+  membership.plan.self_kind = MemberKind::kEntry;
+  return membership;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(boost::asio::io_context* io, Options options,
@@ -31,6 +38,7 @@
       clock_(std::move(clock)),
       log_(std::move(log)),
       links_(io, options_.links, LinkHooks(), clock_, ids, log_, metrics),
+      membership_(EntryMembership(options_), MembershipHooks(), clock_, log_),
       flow_(options_.flow, hooks_.flow, ids),
       book_(options_.revisions),
       tick_timer_(*io),
@@ -78,6 +86,16 @@
   return hooks;
 }
 
+MembershipService::Hooks Dispatcher::MembershipHooks() {
+  MembershipService::Hooks hooks;
+  hooks.send = [this](LinkId link, const wire::Envelope& message) {
+    return links_.Send(link, message);
+  };
+  hooks.connect = [this](const std::string& it) { links_.Connect(it); };
+  hooks.disconnect = [this](const std::string& it) { links_.Disconnect(it); };
+  return hooks;
+}
+
 void Dispatcher::AddService(EntryService service) {
   services_.push_back(std::move(service));
 }
@@ -109,6 +127,7 @@
 }
 
 void Dispatcher::OnLinkUp(LinkId link, const wire::Hello& hello) {
+  membership_.OnLinkUp(link, hello);
   if (hello.kind() == wire::PROCESS_SIDE) {
     if (auto info = SideInfoFrom(hello)) {
       log_(kSideUp, {{"side", info->instance},
@@ -128,6 +147,7 @@
 void Dispatcher::OnLinkDown(LinkId link, const Error& error) {
   log_(kSideDown, {{"peer", error.peer}, {"cause", error.detail}});
   flow_.OnSideDown(SideLinkOf(link), clock_());
+  membership_.OnLinkDown(link);
   for (const EntryService& it : services_) {
     if (it.on_link_down) {
       it.on_link_down(link);
@@ -145,6 +165,9 @@
 }
 
 void Dispatcher::OnEnvelope(LinkId link, wire::Envelope&& message) {
+  if (membership_.HandleMessage(link, message)) {
+    return;
+  }
   for (const EntryService& it : services_) {
     if (it.handle_message && it.handle_message(link, message)) {
       Flush();
@@ -224,6 +247,7 @@
 }
 
 void Dispatcher::OnInstances(const InstanceList& list) {
+  membership_.OnInstances(list);
   const TimePoint now = clock_();
   for (const InstanceRecord& it : list.instances) {
     if (it.kind == "target") {
@@ -335,6 +359,7 @@
   }
   const TimePoint now = clock_();
   flow_.Tick(now);
+  membership_.Tick(now);
   for (const EntryService& it : services_) {
     if (it.tick) {
       it.tick(now);
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -17,6 +17,7 @@
 #include "observe/event_log.h"
 #include "observe/metrics.h"
 #include "wire/links.h"
+#include "wire/membership_service.h"
 
 namespace indigolead {
 
@@ -38,6 +39,7 @@
     InstanceSettings instance;
     Incarnation incarnation;
     Links::Options links;
+    Membership::Options membership;
     RequestFlowOptions flow;
     RevisionBook::Options revisions;
   };
@@ -77,10 +79,12 @@
 
   RequestFlow& flow() { return flow_; }
   Links& links() { return links_; }
+  const MembershipService& membership() const { return membership_; }
   const RevisionBook& revisions() const { return book_; }
 
  private:
   Links::Hooks LinkHooks();
+  MembershipService::Hooks MembershipHooks();
   wire::Hello MakeHello() const;
   void OnLinkUp(LinkId link, const wire::Hello& hello);
   void OnLinkDown(LinkId link, const Error& error);
@@ -102,6 +106,7 @@
   Clock clock_;
   EventLog log_;
   Links links_;
+  MembershipService membership_;
   RequestFlow flow_;
   RevisionBook book_;
   std::vector<EntryService> services_;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -91,6 +91,8 @@
   options.instance = settings.instance;
   options.incarnation = Incarnation{RandomId()};
   options.links = LinkOptions(settings);
+  options.membership =
+      MakeMembershipOptions(settings, MemberKind::kEntry, RandomId().lo);
   options.flow.max_requests = settings.entry.max_requests;
   options.flow.max_sides = settings.links.max_links;
   options.flow.stream_window_bytes = settings.entry.stream_window_bytes;
--- a/src/side/side_process.cc
+++ b/src/side/side_process.cc
@@ -17,6 +17,7 @@
 #include "side/target_worker.h"
 #include "target/http_target_client.h"
 #include "wire/links.h"
+#include "wire/membership_service.h"
 
 namespace indigolead {
 namespace {
@@ -108,7 +109,10 @@
         attempts_(MakeAttemptOptions(settings_, incarnation_),
                   MakeAttemptHooks(), BootTimeNow, log_, &metrics_),
         links_(&dispatch_io_, MakeLinkOptions(settings_), MakeLinkHooks(),
-               BootTimeNow, RandomId, log_, &metrics_) {}
+               BootTimeNow, RandomId, log_, &metrics_),
+        membership_(
+            MakeMembershipOptions(settings_, MemberKind::kSide, RandomId().lo),
+            MakeMembershipHooks(), BootTimeNow, log_) {}
 
   int Run() {
     const Status started = links_.Start();
@@ -116,9 +120,7 @@
       log_(kSideStopped, {{"error", ToString(ErrorOf(started))}});
       return kExitNotStarted;
     }
-    for (const auto& it : settings_.links.seeds) {
-      links_.Connect(it);
-    }
+    membership_.Tick(BootTimeNow());
     log_(kSideStarted, {{"instance", settings_.instance.name},
                         {"link_address", links_.bound_address()},
                         {"target", settings_.side.target_address}});
@@ -157,12 +159,26 @@
     return hooks;
   }
 
+  MembershipService::Hooks MakeMembershipHooks() {
+    MembershipService::Hooks hooks;
+    hooks.send = [this](LinkId link, const wire::Envelope& message) {
+      return links_.Send(link, message);
+    };
+    hooks.connect = [this](const std::string& it) { links_.Connect(it); };
+    hooks.disconnect = [this](const std::string& it) { links_.Disconnect(it); };
+    hooks.may_disconnect = [this](const std::string&) {
+      return attempts_.Idle();
+    };
+    return hooks;
+  }
+
   Links::Hooks MakeLinkHooks() {
     Links::Hooks hooks;
     hooks.make_hello = [this] { return MakeHello(); };
     hooks.fill_heartbeat = [this](wire::Heartbeat* it) { FillHeartbeat(it); };
     hooks.on_up = [this](LinkId link, const wire::Hello& hello) {
       up_.insert(link.value);
+      membership_.OnLinkUp(link, hello);
       attempts_.OnLinkUp(link, hello);
       for (const auto& it : services_) {
         if (it.on_link_up) {
@@ -172,6 +188,7 @@
     };
     hooks.on_down = [this](LinkId link, const Error&) {
       up_.erase(link.value);
+      membership_.OnLinkDown(link);
       attempts_.OnLinkDown(link);
       for (const auto& it : services_) {
         if (it.on_link_down) {
@@ -190,6 +207,9 @@
       OnDrainNotice(message.drain());
       return;
     }
+    if (membership_.HandleMessage(link, message)) {
+      return;
+    }
     for (const auto& it : services_) {
       if (it.handle_message && it.handle_message(link, message)) {
         return;
@@ -278,6 +298,7 @@
   void Tick() {
     const TimePoint now = BootTimeNow();
     attempts_.Tick(now);
+    membership_.Tick(now);
     for (const auto& it : services_) {
       if (it.tick) {
         it.tick(now);
@@ -317,6 +338,7 @@
   TargetWorker worker_;
   AttemptService attempts_;
   Links links_;
+  MembershipService membership_;
   std::vector<DispatchService> services_;
   std::set<std::uint64_t> up_;
   LeavingSigns signs_;
--- a/src/side/side_process.h
+++ b/src/side/side_process.h
@@ -15,14 +15,11 @@
 /// The process beside one target, and the only one that talks to it.
 ///
 /// Two threads: dispatch (links, attempts, orders) and target (HTTP), joined by
-/// bounded rings. It connects to the entries that it is told of by its settings
-/// and by the platform's instance list.
+/// bounded rings. It connects to the entries named in its settings, then to
+/// those that it chooses from the instance list, which entries pass on to it.
 class SideProcess {
  public:
   struct Hooks {
-    /// Chooses the entries to connect to, out of the instance list. Unset: all
-    /// entries in it.
-    std::function<std::vector<std::string>(const InstanceList&)> choose_entries;
     /// Told once the process accepts connections, with its link address.
     std::function<void(const std::string&)> on_ready;
   };
--- a/src/wire/events.h
+++ b/src/wire/events.h
@@ -28,6 +28,9 @@
     5007, "link-address-refused", EventSeverity::kError,
     "A peer's address was not dialled: it is malformed, or not on loopback "
     "while encryption is off."};
+inline constexpr EventInfo kMemberChanged{
+    5008, "member-changed", EventSeverity::kInfo,
+    "What this process believes of an instance has changed."};
 
 }  // namespace indigolead::events
 
--- /dev/null
+++ b/src/wire/membership_service.h
@@ -0,0 +1,69 @@
+#ifndef INDIGOLEAD_WIRE_MEMBERSHIP_SERVICE_H_
+#define INDIGOLEAD_WIRE_MEMBERSHIP_SERVICE_H_
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "core/config/settings.h"
+#include "core/membership/membership.h"
+#include "observe/event_log.h"
+#include "platform/object_store.h"
+#include "wire/links.h"
+
+namespace indigolead {
+
+/// Keeps a process connected to the peers that it is planned to have.
+///
+/// Entries read the platform's instance list and pass its entries on to their
+/// sides; thousands of sides reading it themselves would exceed the platform's
+/// call rate. Lives on the dispatch thread, beside the links.
+class MembershipService {
+ public:
+  struct Hooks {
+    std::function<bool(LinkId, const wire::Envelope&)> send;
+    std::function<void(const std::string& address)> connect;
+    std::function<void(const std::string& address)> disconnect;
+    /// Returns true if no work depends on the connection to the address.
+    std::function<bool(const std::string& address)> may_disconnect;
+  };
+
+  MembershipService(Membership::Options options, Hooks hooks, Clock clock,
+                    EventLog log);
+
+  /// Returns true if the message was for this service alone.
+  bool HandleMessage(LinkId link, const wire::Envelope& message);
+  void OnLinkUp(LinkId link, const wire::Hello& hello);
+  void OnLinkDown(LinkId link);
+  /// Takes a list read from the platform; older ones than held are dropped.
+  void OnInstances(const InstanceList& list);
+  void Tick(TimePoint now);
+
+  /// Returns what is believed of `instance`.
+  MemberState StateOf(const std::string& instance) const {
+    return membership_.StateOf(instance);
+  }
+
+ private:
+  void TakeList(std::uint64_t version, std::vector<ListedInstance> instances);
+  void SendNotice(LinkId link);
+  void Act(const std::vector<MembershipAction>& actions);
+
+  MemberKind kind_;
+  Hooks hooks_;
+  Clock clock_;
+  EventLog log_;
+  Membership membership_;
+  TimePoint ticked_at_;
+  std::uint64_t version_ = 0;
+  wire::Envelope notice_;
+  std::set<LinkId> sides_;
+};
+
+/// Returns the membership options of a process with these settings.
+Membership::Options MakeMembershipOptions(const Settings& settings,
+                                          MemberKind kind, std::uint64_t seed);
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_WIRE_MEMBERSHIP_SERVICE_H_
