Size the roles of engines from the token mix

Cause: the mix of prompt and output tokens swings within minutes, and a role change takes an engine away for seconds.

Change: a planner that values a role count by the share of the demand that it serves, on a slow and a fast average, and changes one engine if the gain over a horizon exceeds the engine-seconds lost, weighted by role_change_cost, by a hysteresis. Dwell before turning back, one change in flight, quiet hours that only a lost outcome breaks, declared minima, and engines missing for one kind of work. Orders and changes under way come with each call, so a controller that takes over repeats and forgets none.

Ruled out: a threshold on queue lengths, which changes roles on every swing; planning the whole target in one step, which takes several engines away.

--- /dev/null
+++ b/src/core/roles/role_capacity.cc
@@ -0,0 +1,45 @@
+#include "core/roles/role_capacity.h"
+
+#include <algorithm>
+
+namespace indigolead {
+namespace {
+
+constexpr double kMostTimes = 100;
+
+double Times(double engines, double demand) {
+  return demand * kMostTimes <= engines ? kMostTimes : engines / demand;
+}
+
+}  // namespace
+
+std::uint32_t& CountOf(RoleCounts* counts, EngineRole role) {
+  switch (role) {
+    case EngineRole::kPrefill:
+      return counts->prefill;
+    case EngineRole::kDecode:
+      return counts->decode;
+    case EngineRole::kMixed:
+      break;
+  }
+  return counts->mixed;
+}
+
+EngineDemand DemandOf(const TokenMix& mix, const EngineRates& rates) {
+  return EngineDemand{
+      mix.prefill_tokens_per_s / std::max(rates.prefill_tokens_per_s, 1.0),
+      mix.output_tokens_per_s / std::max(rates.decode_tokens_per_s, 1.0)};
+}
+
+double ServedTimes(const RoleCounts& counts, const EngineDemand& demand,
+                   const EngineRates& rates) {
+  const double mixed = counts.mixed * rates.mixed_efficiency;
+  // Mixed engines take whichever kind is short, so three limits bind: each
+  // kind with all the mixed engines on its side, and both together.
+  return std::min({Times(counts.prefill + mixed, demand.prefill),
+                   Times(counts.decode + mixed, demand.decode),
+                   Times(counts.prefill + counts.decode + mixed,
+                         demand.prefill + demand.decode)});
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/roles/role_planner.cc
@@ -0,0 +1,256 @@
+#include "core/roles/role_planner.h"
+
+#include <algorithm>
+#include <array>
+
+namespace indigolead {
+namespace {
+
+constexpr std::array kRoles = {EngineRole::kPrefill, EngineRole::kDecode,
+                               EngineRole::kMixed};
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+RoleCounts CountServing(std::span<const RoleTarget> targets) {
+  RoleCounts counts;
+  for (const RoleTarget& it : targets) {
+    if (it.serving && !it.leaving) {
+      ++CountOf(&counts, it.role);
+    }
+  }
+  return counts;
+}
+
+/// Returns true if both kinds of work have an engine and the minima hold.
+bool IsAllowed(const RoleCounts& counts, const RoleSpec& spec) {
+  return counts.prefill + counts.mixed > 0 &&
+         counts.decode + counts.mixed > 0 &&
+         counts.prefill >= spec.min_prefill && counts.decode >= spec.min_decode;
+}
+
+const RoleTarget* FindTarget(std::span<const RoleTarget> targets,
+                             const std::string& instance) {
+  const auto it = std::find_if(
+      targets.begin(), targets.end(),
+      [&](const RoleTarget& target) { return target.instance == instance; });
+  return it == targets.end() ? nullptr : &*it;
+}
+
+}  // namespace
+
+bool IsQuietHour(const RoleSpec& spec, std::uint32_t hour) {
+  const std::uint32_t from = spec.quiet_from_hour;
+  const std::uint32_t to = spec.quiet_to_hour;
+  if (from <= to) {
+    return hour >= from && hour < to;
+  }
+  return hour >= from || hour < to;
+}
+
+RolePlanner::RolePlanner(const Options& options)
+    : options_(options), fast_(options.fast), slow_(options.slow) {}
+
+void RolePlanner::OnDemand(const TokenMix& mix, Duration length) {
+  fast_.Add(mix, length);
+  slow_.Add(mix, length);
+}
+
+bool RolePlanner::ChangeInFlight(std::span<const RoleTarget> targets,
+                                 TimePoint now) {
+  if (pending_) {
+    const RoleTarget* target = FindTarget(targets, pending_->instance);
+    const bool ordered = target != nullptr && target->role == pending_->to;
+    const bool timed_out = now - pending_since_ >= options_.order_timeout;
+    // An engine that left takes its change with it.
+    if (ordered || timed_out || target == nullptr || target->leaving) {
+      pending_.reset();
+    } else {
+      return true;
+    }
+  }
+  bool in_flight = false;
+  std::map<std::string, TimePoint> since;
+  for (const RoleTarget& it : targets) {
+    if (!it.changing || it.leaving || since.size() >= options_.max_targets) {
+      continue;
+    }
+    const auto known = changing_since_.find(it.instance);
+    const TimePoint began =
+        known == changing_since_.end() ? now : known->second;
+    since.emplace(it.instance, began);
+    // One engine that never comes back must not freeze the roles for ever.
+    in_flight = in_flight || now - began < options_.stuck_timeout;
+  }
+  changing_since_.swap(since);
+  return in_flight;
+}
+
+void RolePlanner::NoteConfirmed(std::span<const RoleTarget> targets,
+                                TimePoint now) {
+  std::erase_if(changed_at_, [&](const auto& it) {
+    return FindTarget(targets, it.first) == nullptr;
+  });
+  for (const RoleTarget& it : targets) {
+    // The dwell counts from the end of a change, whoever ordered it.
+    if (it.changing && changed_at_.size() < options_.max_targets) {
+      changed_at_[it.instance] = now;
+    }
+  }
+}
+
+double RolePlanner::Value(const RoleCounts& counts,
+                          const EngineDemand& demand) const {
+  const double times = ServedTimes(counts, demand, rates_);
+  const double share = std::min(1.0, times * options_.target_use);
+  return share * (demand.prefill + demand.decode);
+}
+
+double RolePlanner::GainPerMove(const RoleCounts& counts, const Move& move,
+                                std::uint32_t n,
+                                const EngineDemand& demand) const {
+  RoleCounts after = counts;
+  CountOf(&after, move.from) -= n;
+  CountOf(&after, move.to) += n;
+  return (Value(after, demand) - Value(counts, demand)) *
+         Seconds(options_.horizon) / n;
+}
+
+bool RolePlanner::Reverses(const Move& move, const RoleSpec& spec,
+                           TimePoint now) const {
+  const bool towards_other =
+      last_ && (move.to == last_->from || move.from == last_->to);
+  return towards_other && now - last_at_ < spec.min_dwell;
+}
+
+std::optional<RoleChange> RolePlanner::Order(
+    const Move& move, RoleChangeCause cause,
+    std::span<const RoleTarget> targets, const RoleSpec& spec, TimePoint now) {
+  for (const RoleTarget& it : targets) {
+    const auto changed = changed_at_.find(it.instance);
+    const bool dwells = cause == RoleChangeCause::kGain &&
+                        changed != changed_at_.end() &&
+                        now - changed->second < spec.min_dwell;
+    if (it.role != move.from || !it.serving || it.leaving || dwells) {
+      continue;
+    }
+    RoleChange change;
+    change.instance = it.instance;
+    change.from = move.from;
+    change.to = move.to;
+    change.cause = cause;
+    change.gain_engine_s = move.gain_engine_s;
+    change.cost_engine_s =
+        Seconds(options_.change_time) * spec.role_change_cost;
+    pending_ = change;
+    pending_since_ = now;
+    last_ = change;
+    last_at_ = now;
+    return change;
+  }
+  return std::nullopt;
+}
+
+std::optional<RoleChange> RolePlanner::PlanForced(
+    const RoleSpec& spec, std::span<const RoleTarget> targets,
+    const RoleCounts& counts, TimePoint now) {
+  const bool no_prefill = counts.prefill + counts.mixed == 0;
+  const bool no_decode = counts.decode + counts.mixed == 0;
+  const bool few_prefill = counts.prefill < spec.min_prefill;
+  const bool few_decode = counts.decode < spec.min_decode;
+  if (!no_prefill && !no_decode && !few_prefill && !few_decode) {
+    return std::nullopt;
+  }
+  const EngineRole to = no_prefill || (few_prefill && !no_decode)
+                            ? EngineRole::kPrefill
+                            : EngineRole::kDecode;
+  const RoleChangeCause cause = no_prefill || no_decode
+                                    ? RoleChangeCause::kMissing
+                                    : RoleChangeCause::kMinimum;
+  for (const EngineRole from :
+       {EngineRole::kMixed, EngineRole::kPrefill, EngineRole::kDecode}) {
+    RoleCounts after = counts;
+    if (from == to || CountOf(&after, from) == 0) {
+      continue;
+    }
+    --CountOf(&after, from);
+    ++CountOf(&after, to);
+    // A minimum that is missed anyway does not stand in the way of the other.
+    const bool keeps_other =
+        to == EngineRole::kPrefill
+            ? after.decode >= std::min(spec.min_decode, counts.decode) &&
+                  after.decode + after.mixed > 0
+            : after.prefill >= std::min(spec.min_prefill, counts.prefill) &&
+                  after.prefill + after.mixed > 0;
+    if (keeps_other) {
+      return Order(Move{from, to, 0}, cause, targets, spec, now);
+    }
+  }
+  // One engine is left for both kinds of work: it has to be mixed.
+  if (cause == RoleChangeCause::kMissing) {
+    const EngineRole from =
+        no_prefill ? EngineRole::kDecode : EngineRole::kPrefill;
+    return Order(Move{from, EngineRole::kMixed, 0}, cause, targets, spec, now);
+  }
+  return std::nullopt;
+}
+
+std::optional<RoleChange> RolePlanner::PlanGain(
+    const RoleSpec& spec, std::span<const RoleTarget> targets,
+    const RoleCounts& counts, TimePoint now) {
+  const EngineDemand slow = DemandOf(slow_.mix(), rates_);
+  const EngineDemand fast = DemandOf(fast_.mix(), rates_);
+  Move best;
+  for (const EngineRole from : kRoles) {
+    for (const EngineRole to : kRoles) {
+      RoleCounts after = counts;
+      for (std::uint32_t n = 1; from != to && CountOf(&after, from) > 0; ++n) {
+        --CountOf(&after, from);
+        ++CountOf(&after, to);
+        Move move{from, to, 0};
+        if (!IsAllowed(after, spec)) {
+          break;
+        }
+        // Gains of several steps count per step: one engine of a kind may
+        // show no gain where two do.
+        move.gain_engine_s = std::min(GainPerMove(counts, move, n, slow),
+                                      GainPerMove(counts, move, n, fast));
+        if (move.gain_engine_s > best.gain_engine_s &&
+            !Reverses(move, spec, now)) {
+          best = move;
+        }
+      }
+    }
+  }
+  const double cost = Seconds(options_.change_time) * spec.role_change_cost;
+  if (best.gain_engine_s <= cost * options_.hysteresis) {
+    return std::nullopt;
+  }
+  return Order(best, RoleChangeCause::kGain, targets, spec, now);
+}
+
+std::optional<RoleChange> RolePlanner::Plan(const RoleSpec& spec,
+                                            std::span<const RoleTarget> targets,
+                                            std::uint32_t hour, TimePoint now) {
+  NoteConfirmed(targets, now);
+  const RoleCounts counts = CountServing(targets);
+  if (!spec.automatic || ChangeInFlight(targets, now) ||
+      counts == RoleCounts{}) {
+    return std::nullopt;
+  }
+  if (auto change = PlanForced(spec, targets, counts, now)) {
+    return change;
+  }
+  if (slow_.observed() < options_.warm_up) {
+    return std::nullopt;
+  }
+  const double served =
+      ServedTimes(counts, DemandOf(slow_.mix(), rates_), rates_);
+  if (IsQuietHour(spec, hour) && served >= options_.quiet_served_share) {
+    return std::nullopt;
+  }
+  return PlanGain(spec, targets, counts, now);
+}
+
+}  // namespace indigolead
