Replay recorded traces against the decisions under load

Cause: figures are needed for routing, admission, retries and roles, and no cluster may be simulated.

Change: indigolead replay drives the very cores with a trace in virtual time against one cost model of an engine. Replays found a metastable failure at once: requests late for having waited at the entry were taken for overload of the engines, the concurrency limit closed, and the queue never drained after the peak. Only time lost at the targets counts now, and a target's expected finish is calibrated by what attempts took.

Ruled out: leaving the concurrency limit out, which has nothing to say when a target refuses for overload.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -130,6 +130,16 @@
   AddProcesses(&commands);
   AddRevisions(&commands);
   AddFleet(&commands);
+  commands.push_back(
+      {"replay",
+       "TRACE [POLICY] | generate SCENARIO [SEED]",
+       "Run a recorded trace against the decisions under load.",
+       "Time is virtual and every draw is seeded, so the outcome repeats. "
+       "Fails if the outcome\nthat the trace states is not reached.",
+       {"output"},
+       1,
+       3,
+       RunReplay});
   commands.push_back(
       {"version", "", "Print the version.", "", {}, 0, 0, RunVersion});
   commands.push_back({"help",
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -36,6 +36,7 @@
 int RunQuarantines(const CommandContext& context);
 int RunLift(const CommandContext& context);
 int RunAudit(const CommandContext& context);
+int RunReplay(const CommandContext& context);
 
 }  // namespace indigolead::cli
 
--- a/src/core/admission/admission.cc
+++ b/src/core/admission/admission.cc
@@ -150,14 +150,15 @@
   return decision;
 }
 
-AdmissionDecision Admission::Admit(const RequestId& id, std::uint32_t account,
-                                   double work, TimePoint now) {
-  ++accounts_[account].running;
+AdmissionDecision Admission::Admit(const QueuedRequest& request,
+                                   TimePoint now) {
+  ++accounts_[request.account].running;
   concurrency_.OnStarted();
   AdmissionDecision decision;
-  decision.id = id;
+  decision.id = request.id;
   decision.verdict = AdmissionVerdict::kAdmitted;
-  decision.ticket = AdmissionTicket{account, work, now};
+  decision.ticket =
+      AdmissionTicket{request.account, request.work, now, request.service};
   return decision;
 }
 
@@ -207,9 +208,10 @@
   if (auto refused = CheckDeadline(request, wait, now)) {
     return *refused;
   }
+  const QueuedRequest queued{request.id, *account, WorkOf(request),
+                             request.deadline, request.service};
   AdmissionDecision decision =
-      runs_now ? Admit(request.id, *account, WorkOf(request), now)
-               : Enqueue(request, *account, displaced);
+      runs_now ? Admit(queued, now) : Enqueue(queued, displaced);
   if (decision.verdict != AdmissionVerdict::kRefused) {
     // Only what is accepted counts against the rates: refusals cost nothing.
     AccountState& state = accounts_[*account];
@@ -220,12 +222,11 @@
   return decision;
 }
 
-AdmissionDecision Admission::Enqueue(const AdmissionRequest& request,
-                                     std::uint32_t account,
+AdmissionDecision Admission::Enqueue(const QueuedRequest& request,
                                      const OnDecision& displaced) {
-  const double work = WorkOf(request);
+  const double work = request.work;
   for (int it = 0; it < kMaxDisplaced && !queue_.HasRoom(work); ++it) {
-    const auto victim = queue_.MakeRoomFor(account, work);
+    const auto victim = queue_.MakeRoomFor(request.account, work);
     if (!victim) {
       break;
     }
@@ -233,15 +234,10 @@
         Refuse(victim->id, RefusalCause::kDisplaced, WaitOf(victim->account)));
   }
   if (!queue_.HasRoom(work)) {
-    return Refuse(request.id, RefusalCause::kQueueFull, WaitOf(account));
+    return Refuse(request.id, RefusalCause::kQueueFull,
+                  WaitOf(request.account));
   }
-  QueuedRequest queued;
-  queued.id = request.id;
-  queued.account = account;
-  queued.work = work;
-  queued.deadline = request.deadline;
-  queued.service = request.service;
-  queue_.Push(queued);
+  queue_.Push(request);
   AdmissionDecision decision;
   decision.id = request.id;
   decision.verdict = AdmissionVerdict::kQueued;
@@ -272,17 +268,29 @@
           Refuse(next.id, RefusalCause::kDeadline, WaitOf(next.account)));
       continue;
     }
-    on_decision(Admit(next.id, next.account, next.work, now));
+    on_decision(Admit(next, now));
     fleet_ = fleet();
   }
   window_saturated_ = window_saturated_ && queue_.size() > 0;
 }
 
+// A request that comes late because it waited here says nothing of the
+// targets. Taking it for overload closes the limit, which lengthens the wait,
+// which makes the next ones late: the engines idle while the queue is full,
+// and it stays so after the peak. Only time lost at the targets counts.
+bool Admission::ShowsOverload(const AdmissionTicket& ticket, AdmissionEnd end,
+                              TimePoint now) const {
+  constexpr int kSlow = 2;
+  return end == AdmissionEnd::kOverloaded ||
+         (end == AdmissionEnd::kLate &&
+          now - ticket.started_at > kSlow * ticket.service);
+}
+
 void Admission::OnEnded(const AdmissionTicket& ticket, AdmissionEnd end,
                         TimePoint now) {
   AccountState& state = accounts_[ticket.account];
   state.running -= state.running > 0 ? 1 : 0;
-  concurrency_.OnEnded(end == AdmissionEnd::kOverloaded, now);
+  concurrency_.OnEnded(ShowsOverload(ticket, end, now), now);
   if (end != AdmissionEnd::kInTime) {
     return;
   }
--- a/src/core/admission/admission.h
+++ b/src/core/admission/admission.h
@@ -35,6 +35,7 @@
   std::uint32_t account = 0;
   double work = 0;
   TimePoint started_at{};
+  Duration service{0};  ///< Expected from there to the end.
 
   friend bool operator==(const AdmissionTicket&,
                          const AdmissionTicket&) = default;
@@ -76,7 +77,8 @@
 /// How an admitted request ended.
 enum class AdmissionEnd {
   kInTime,
-  kOverloaded,  ///< Refused by a target for overload, or past its deadline.
+  kLate,        ///< Ran past its deadline.
+  kOverloaded,  ///< Refused by a target for overload.
   kNeutral,     ///< Cancelled or failed for a reason other than load.
 };
 
@@ -168,10 +170,11 @@
       const AdmissionRequest& request, Duration wait, TimePoint now) const;
   AdmissionDecision Refuse(const RequestId& id, RefusalCause cause,
                            std::optional<Duration> retry_after) const;
-  AdmissionDecision Admit(const RequestId& id, std::uint32_t account,
-                          double work, TimePoint now);
-  AdmissionDecision Enqueue(const AdmissionRequest& request,
-                            std::uint32_t account, const OnDecision& displaced);
+  AdmissionDecision Admit(const QueuedRequest& request, TimePoint now);
+  bool ShowsOverload(const AdmissionTicket& ticket, AdmissionEnd end,
+                     TimePoint now) const;
+  AdmissionDecision Enqueue(const QueuedRequest& request,
+                            const OnDecision& displaced);
   void DropHopeless(TimePoint now, const OnDecision& on_decision);
   void MeasureRate(double work, TimePoint now);
 
--- a/src/core/roles/role_planner.cc
+++ b/src/core/roles/role_planner.cc
@@ -50,7 +50,10 @@
 }
 
 RolePlanner::RolePlanner(const Options& options)
-    : options_(options), fast_(options.fast), slow_(options.slow) {}
+    : options_(options),
+      change_time_s_(Seconds(options.change_time)),
+      fast_(options.fast),
+      slow_(options.slow) {}
 
 void RolePlanner::OnDemand(const TokenMix& mix, Duration length) {
   fast_.Add(mix, length);
@@ -83,6 +86,12 @@
     // One engine that never comes back must not freeze the roles for ever.
     in_flight = in_flight || now - began < options_.stuck_timeout;
   }
+  for (const auto& [instance, began] : changing_since_) {
+    const RoleTarget* target = FindTarget(targets, instance);
+    if (target != nullptr && !target->changing && target->serving) {
+      change_time_s_ += 0.25 * (Seconds(now - began) - change_time_s_);
+    }
+  }
   changing_since_.swap(since);
   return in_flight;
 }
@@ -141,8 +150,7 @@
     change.to = move.to;
     change.cause = cause;
     change.gain_engine_s = move.gain_engine_s;
-    change.cost_engine_s =
-        Seconds(options_.change_time) * spec.role_change_cost;
+    change.cost_engine_s = change_time_s_ * spec.role_change_cost;
     pending_ = change;
     pending_since_ = now;
     last_ = change;
@@ -223,7 +231,7 @@
       }
     }
   }
-  const double cost = Seconds(options_.change_time) * spec.role_change_cost;
+  const double cost = change_time_s_ * spec.role_change_cost;
   if (best.gain_engine_s <= cost * options_.hysteresis) {
     return std::nullopt;
   }
--- a/src/core/roles/role_planner.h
+++ b/src/core/roles/role_planner.h
@@ -65,9 +65,10 @@
     /// Demand to have seen before the first change.
     Duration warm_up = std::chrono::seconds(30);
     /// Time over which a gain is expected to last.
-    Duration horizon = std::chrono::seconds(300);
-    /// Time that a change takes an engine away.
-    Duration change_time = std::chrono::seconds(10);
+    Duration horizon = std::chrono::seconds(120);
+    /// Time that a change takes an engine away, its drain included; the
+    /// average of those seen takes its place.
+    Duration change_time = std::chrono::seconds(15);
     /// Gain over cost above which a change is made.
     double hysteresis = 1.3;
     /// Use of the engines up to which latency stays good: capacity is
@@ -124,6 +125,7 @@
 
   Options options_;
   EngineRates rates_;
+  double change_time_s_;
   DemandAverage fast_;
   DemandAverage slow_;
   /// Change returned last, until it shows in the orders.
--- a/src/core/routing/in_flight_table.h
+++ b/src/core/routing/in_flight_table.h
@@ -25,6 +25,7 @@
   std::uint32_t target = 0;  ///< Index of the target.
   AttemptWork work;
   Duration expected_first_token{0};
+  Duration expected_end{0};
   TimePoint sent_at{};
   TimePoint ended_at{};
   bool first_token_seen = false;
--- a/src/core/routing/router.cc
+++ b/src/core/routing/router.cc
@@ -190,6 +190,7 @@
   sent.target = leg.target.index;
   sent.work = leg.work;
   sent.expected_first_token = leg.expected_first_token;
+  sent.expected_end = leg.expected_end;
   sent.sent_at = now;
   if (attempts_.Insert(sent) == InFlightTable::kNone) {
     return false;
@@ -218,7 +219,7 @@
                        sent.expected_first_token, now);
 }
 
-void Router::OnEnded(AttemptId attempt, bool target_failed, TimePoint now) {
+void Router::OnEnded(AttemptId attempt, AttemptFate fate, TimePoint now) {
   const std::uint32_t place = attempts_.Find(attempt);
   if (place == InFlightTable::kNone || attempts_.At(place).ended) {
     return;
@@ -226,8 +227,10 @@
   InFlightAttempt& sent = attempts_.At(place);
   TargetState& state = targets_[sent.target];
   state.load.OnEnded(sent);
-  if (target_failed) {
+  if (fate == AttemptFate::kTargetFailed) {
     outliers_.OnFailure(&state.outlier, now);
+  } else if (fate == AttemptFate::kFinished) {
+    CalibrateFinish(sent, now);
   }
   sent.ended = true;
   sent.ended_at = now;
@@ -239,6 +242,17 @@
   }
 }
 
+void Router::CalibrateFinish(const InFlightAttempt& attempt, TimePoint now) {
+  // Shorter ones are mostly overhead that does not grow with the work.
+  constexpr Duration kShortest = std::chrono::milliseconds(50);
+  if (attempt.expected_end < kShortest || now < attempt.sent_at) {
+    return;
+  }
+  const double ratio = std::chrono::duration<double>(now - attempt.sent_at) /
+                       std::chrono::duration<double>(attempt.expected_end);
+  finish_ratio_ += 0.05 * (std::clamp(ratio, 0.2, 5.0) - finish_ratio_);
+}
+
 std::optional<TargetHandle> Router::Find(std::string_view instance) const {
   for (std::uint32_t it = 0; it < targets_.size(); ++it) {
     if (targets_[it].in_use && targets_[it].view.instance == instance) {
@@ -262,6 +276,14 @@
   return state->load.Estimate(now);
 }
 
+std::optional<TargetLoadReport> Router::LastReport(TargetHandle target) const {
+  const TargetState* state = Get(target);
+  if (state == nullptr) {
+    return std::nullopt;
+  }
+  return state->load.report();
+}
+
 FleetLoad Router::Fleet(TimePoint now) const {
   FleetLoad fleet;
   for (const std::uint32_t it : serving_) {
--- a/src/core/routing/router.h
+++ b/src/core/routing/router.h
@@ -72,6 +72,7 @@
   AttemptWork work;
   std::uint64_t cached_tokens = 0;  ///< Prompt tokens probably cached there.
   Duration expected_first_token{0};
+  Duration expected_end{0};  ///< Before calibration; passed to `OnSent`.
 
   friend bool operator==(const RouteLeg&, const RouteLeg&) = default;
 };
@@ -82,12 +83,20 @@
   RouteLeg leg;  ///< Valid if `verdict` is `kChosen`.
   /// Engine to prefill on first; that of `leg` then imports its KV cache.
   std::optional<RouteLeg> prefill;
+  /// Time to the whole answer, corrected by how the last ones compared.
   Duration expected_finish{0};
   bool probe = false;  ///< The target is suspect and tried on purpose.
 
   friend bool operator==(const RouteDecision&, const RouteDecision&) = default;
 };
 
+/// What an attempt's end says of its target.
+enum class AttemptFate {
+  kFinished,      ///< The answer came whole: shows how long it takes.
+  kTargetFailed,  ///< The target's fault.
+  kOther,         ///< Cancelled, refused, or a fault elsewhere.
+};
+
 /// Bounds and weights of a router.
 struct RouterOptions {
   std::string failure_domain;  ///< Where the router itself runs.
@@ -99,6 +108,9 @@
   PrefixCacheHint::Options cache;
   OutlierDetector::Options outlier;
   TargetDefaults defaults;
+  /// Off: routes on the last report as it is. Only to measure what the
+  /// correction is worth.
+  bool correct_reports = true;
   std::uint64_t kv_bytes_per_token = 0;  ///< 0 leaves KV memory out.
   double transfer_bytes_per_s = 1e9;     ///< Of KV cache between engines.
   /// Weight of a prefill's own work over its time: it delays others as well.
@@ -169,6 +181,11 @@
   /// source and, for a probe, the time of the next.
   RouteDecision Choose(const RouteQuery& query, TimePoint now);
 
+  /// Returns the decision for one given target, however bad, to send a
+  /// request there for a reason of the caller's own. `target` must be known.
+  RouteDecision Consider(TargetHandle target, const RouteQuery& query,
+                         TimePoint now) const;
+
   /// Records that the attempt was sent as decided. `prefix_blocks` are then
   /// taken to be cached there. Returns false if the attempt is not tracked,
   /// because `max_in_flight` are or the target is gone.
@@ -178,8 +195,8 @@
   /// Records the first byte of the answer.
   void OnFirstToken(AttemptId attempt, TimePoint now);
 
-  /// Records the end. `target_failed` blames the target.
-  void OnEnded(AttemptId attempt, bool target_failed, TimePoint now);
+  /// Records the end. `kTargetFailed` blames the target.
+  void OnEnded(AttemptId attempt, AttemptFate fate, TimePoint now);
 
   /// Returns the handle of `instance`, if it is known.
   std::optional<TargetHandle> Find(std::string_view instance) const;
@@ -191,6 +208,10 @@
   std::optional<LoadEstimate> Estimate(TargetHandle target,
                                        TimePoint now) const;
 
+  /// Returns the newest report of `target`, empty before the first, or
+  /// nothing if the handle is old.
+  std::optional<TargetLoadReport> LastReport(TargetHandle target) const;
+
   FleetLoad Fleet(TimePoint now) const;
 
   /// Returns the number of serving targets that are suspect.
@@ -254,6 +275,7 @@
   void RenumberNames();
   void SetServing(std::uint32_t index, bool serving);
   void ForgetAttempts(std::uint32_t index);
+  void CalibrateFinish(const InFlightAttempt& attempt, TimePoint now);
 
   std::optional<Wanted> Resolve(const RouteQuery& query) const;
   void CollectCandidates(const RouteQuery& query, const Wanted& wanted);
@@ -283,6 +305,8 @@
   std::vector<std::uint32_t> suitable_;
   std::vector<Candidate> scored_;
   bool any_excluded_ = false;
+  /// Average of the time that attempts took over the time expected.
+  double finish_ratio_ = 1;
 };
 
 }  // namespace indigolead
--- a/src/core/routing/router_choose.cc
+++ b/src/core/routing/router_choose.cc
@@ -119,7 +119,8 @@
 Router::Candidate Router::Score(std::uint32_t index, const RouteQuery& query,
                                 Part part, TimePoint now) const {
   const TargetState& state = targets_[index];
-  const LoadEstimate load = state.load.Estimate(now);
+  const LoadEstimate load = options_.correct_reports ? state.load.Estimate(now)
+                                                     : state.load.Reported();
   const CachedPrefix cached = state.hint.Find(query.prefix_blocks, now);
   Candidate result;
   result.index = index;
@@ -211,6 +212,7 @@
   leg.target = HandleOf(candidate.index);
   leg.cached_tokens = part == Part::kDecode ? 0 : candidate.cached_tokens;
   leg.expected_first_token = FromSeconds(candidate.first_token_s);
+  leg.expected_end = FromSeconds(candidate.finish_s);
   if (part != Part::kDecode) {
     leg.work.prefill_tokens = query.prompt_tokens - candidate.cached_tokens;
   }
@@ -227,7 +229,7 @@
   RouteDecision decision;
   decision.verdict = RouteVerdict::kChosen;
   decision.leg = LegOf(whole, query, Part::kWhole);
-  decision.expected_finish = FromSeconds(whole.finish_s);
+  decision.expected_finish = FromSeconds(finish_ratio_ * whole.finish_s);
   decision.probe = probe;
   return decision;
 }
@@ -251,11 +253,17 @@
   decision.verdict = RouteVerdict::kChosen;
   decision.prefill = LegOf(prefill, query, Part::kPrefill);
   decision.leg = LegOf(decode, query, Part::kDecode);
-  decision.expected_finish =
-      FromSeconds(prefill.finish_s + transfer_s + decode.finish_s);
+  decision.expected_finish = FromSeconds(
+      finish_ratio_ * (prefill.finish_s + transfer_s + decode.finish_s));
   return decision;
 }
 
+RouteDecision Router::Consider(TargetHandle target, const RouteQuery& query,
+                               TimePoint now) const {
+  return WholeDecision(Score(target.index, query, Part::kWhole, now), query,
+                       false);
+}
+
 RouteDecision Router::Choose(const RouteQuery& query, TimePoint now) {
   RouteDecision none;
   const std::optional<Wanted> wanted = Resolve(query);
--- a/src/core/routing/target_load.cc
+++ b/src/core/routing/target_load.cc
@@ -75,32 +75,41 @@
   }
 }
 
-LoadEstimate TargetLoad::Estimate(TimePoint now) const {
+LoadEstimate TargetLoad::Reported() const {
   LoadEstimate estimate;
+  estimate.queued_prefill_tokens =
+      static_cast<double>(report_.queued_prefill_tokens);
+  estimate.requests = static_cast<double>(report_.running) +
+                      static_cast<double>(report_.waiting);
+  estimate.kv_used_bytes = static_cast<double>(report_.kv_used_bytes);
+  estimate.kv_capacity_bytes = static_cast<double>(report_.kv_capacity_bytes);
   estimate.slots = OrDefault(report_.slots, defaults_.slots);
   estimate.prefill_tokens_per_s =
       OrDefault(report_.prefill_tokens_per_s, defaults_.prefill_tokens_per_s);
   estimate.decode_tokens_per_s =
       OrDefault(report_.decode_tokens_per_s, defaults_.decode_tokens_per_s);
+  return estimate;
+}
+
+LoadEstimate TargetLoad::Estimate(TimePoint now) const {
+  LoadEstimate estimate = Reported();
   const double age_s =
       has_report_
           ? std::max(0.0,
                      std::chrono::duration<double>(now - report_.measured_at)
                          .count())
           : 0.0;
-  const double queued = static_cast<double>(report_.queued_prefill_tokens) +
+  const double queued = estimate.queued_prefill_tokens +
                         sent_since_.prefill_tokens -
                         age_s * estimate.prefill_tokens_per_s;
   estimate.queued_prefill_tokens =
       std::max({queued, own_pending_prefill_, 0.0});
-  const double requests = static_cast<double>(report_.running) +
-                          static_cast<double>(report_.waiting) +
-                          sent_since_.requests - ended_since_.requests;
-  estimate.requests = std::max(requests, static_cast<double>(own_requests_));
-  estimate.kv_capacity_bytes = static_cast<double>(report_.kv_capacity_bytes);
+  estimate.requests =
+      std::max(estimate.requests + sent_since_.requests - ended_since_.requests,
+               static_cast<double>(own_requests_));
   estimate.kv_used_bytes =
-      std::max(0.0, static_cast<double>(report_.kv_used_bytes) +
-                        sent_since_.kv_bytes - ended_since_.kv_bytes);
+      std::max(0.0, estimate.kv_used_bytes + sent_since_.kv_bytes -
+                        ended_since_.kv_bytes);
   return estimate;
 }
 
--- a/src/core/routing/target_load.h
+++ b/src/core/routing/target_load.h
@@ -69,6 +69,9 @@
 
   LoadEstimate Estimate(TimePoint now) const;
 
+  /// Returns the last report without any correction.
+  LoadEstimate Reported() const;
+
   /// Returns the number of own attempts that have not ended.
   std::uint32_t own_requests() const { return own_requests_; }
   bool has_report() const { return has_report_; }
--- /dev/null
+++ b/src/replay/engine_model.h
@@ -0,0 +1,90 @@
+#ifndef INDIGOLEAD_REPLAY_ENGINE_MODEL_H_
+#define INDIGOLEAD_REPLAY_ENGINE_MODEL_H_
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <vector>
+
+#include "core/config/deployment.h"
+#include "core/routing/target_load.h"
+
+namespace indigolead::replay {
+
+/// What an engine can do; the same for all engines of a trace.
+struct EngineCosts {
+  double prefill_tokens_per_s = 4000;
+  double decode_tokens_per_s = 600;  ///< With all slots in use.
+  std::uint32_t slots = 16;
+  std::uint64_t kv_tokens = 60000;     ///< For running requests.
+  std::uint64_t cache_tokens = 20000;  ///< For shared prefixes.
+  std::uint32_t chunk_tokens = 256;    ///< Prefill done in one step.
+  /// Times longer that a step is which does both kinds of work.
+  double interference = 1.15;
+  /// Times longer that work of another role takes.
+  double mismatch = 3;
+};
+
+/// One request on an engine.
+struct Sequence {
+  std::uint64_t attempt = 0;
+  int priority = 0;
+  double prefill_left = 0;
+  double output_left = 0;
+  double context_tokens = 0;
+  std::uint32_t prefix = 0;
+  std::uint32_t prefix_tokens = 0;
+  bool poison = false;
+};
+
+/// What one step of an engine brought about.
+struct StepResult {
+  std::vector<std::uint64_t> first_tokens;
+  std::vector<std::uint64_t> finished;
+  std::vector<std::uint32_t> cached;   ///< Prefixes that came into the cache.
+  std::vector<std::uint32_t> evicted;  ///< Prefixes that left it.
+  bool crashed = false;
+};
+
+/// Cost model of one engine: continuous batching in steps, each with one
+/// token for every running sequence and one chunk of prefill.
+class EngineModel {
+ public:
+  explicit EngineModel(const EngineCosts& costs) : costs_(costs) {}
+
+  /// Queues a request. Returns the prompt tokens found in the cache.
+  std::uint32_t Add(Sequence sequence);
+  void Cancel(std::uint64_t attempt);
+
+  /// Begins a step and returns its seconds, or 0 if there is nothing to do.
+  double BeginStep();
+  StepResult EndStep();
+
+  /// Empties the engine, as a crash or a role change does.
+  void Reset();
+
+  TargetLoadReport Report() const;
+
+  /// Returns the seconds until a new request would be done, at the least.
+  double FinishSeconds(double prompt_tokens, double output_tokens) const;
+
+  bool idle() const { return running_.empty() && waiting_.empty(); }
+
+  EngineRole role = EngineRole::kMixed;
+  double slowness = 1;
+  bool stepping = false;
+
+ private:
+  void Start();
+  void Cache(const Sequence& sequence, StepResult* result);
+
+  EngineCosts costs_;
+  std::deque<Sequence> waiting_;  ///< Highest priority first.
+  std::vector<Sequence> running_;
+  std::list<std::pair<std::uint32_t, std::uint32_t>> cache_;  ///< Newest first.
+  double kv_used_ = 0;
+};
+
+}  // namespace indigolead::replay
+
+#endif  // INDIGOLEAD_REPLAY_ENGINE_MODEL_H_
--- a/src/replay/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace indigolead {}
--- a/tests/core/routing/router_test.cc
+++ b/tests/core/routing/router_test.cc
@@ -146,7 +146,8 @@
     CHECK(load->requests == 1);
     CHECK(load->queued_prefill_tokens == 2000);
 
-    fleet.router.OnEnded(Attempt(1), false, kStart + milliseconds(30));
+    fleet.router.OnEnded(Attempt(1), AttemptFate::kFinished,
+                         kStart + milliseconds(30));
     CHECK(fleet.router.Estimate(fleet.handles[0], kStart + milliseconds(30))
               ->requests == 0);
     // Late report from before the end: still one less.
@@ -177,7 +178,8 @@
                               kStart + seconds(1));
     CHECK(fleet.router.Estimate(fleet.handles[0], kStart)
               ->queued_prefill_tokens >= 700);
-    fleet.router.OnEnded(Attempt(1), false, kStart - seconds(5));
+    fleet.router.OnEnded(Attempt(1), AttemptFate::kFinished,
+                         kStart - seconds(5));
     CHECK(fleet.router.Choose(Prompt(1), kStart - seconds(9)).verdict ==
           RouteVerdict::kChosen);
   }
@@ -248,7 +250,9 @@
     if (!failed) {
       fleet.router.OnFirstToken(attempt, now + took);
     }
-    fleet.router.OnEnded(attempt, failed, now + took);
+    fleet.router.OnEnded(
+        attempt, failed ? AttemptFate::kTargetFailed : AttemptFate::kFinished,
+        now + took);
   };
   for (int it = 0; it < 20; ++it) {
     run(fleet.handles[0], milliseconds(100), false, kStart);
@@ -351,7 +355,7 @@
       CHECK(fleet.router.OnSent(Attempt(it), leg, {}, kStart));
     }
     CHECK_FALSE(fleet.router.OnSent(Attempt(4), leg, {}, kStart));
-    fleet.router.OnEnded(Attempt(2), false, kStart);
+    fleet.router.OnEnded(Attempt(2), AttemptFate::kFinished, kStart);
     CHECK(fleet.router.OnSent(Attempt(4), leg, {}, kStart));
   }
   SECTION("hundreds of rollouts do not use up the names") {
@@ -381,7 +385,9 @@
     const RouteDecision decision = fleet.router.Choose(query, now);
     fleet.router.OnSent(Attempt(it), decision.leg, query.prefix_blocks, now);
     fleet.router.OnFirstToken(Attempt(it), now);
-    fleet.router.OnEnded(Attempt(it - 1), it % 9 == 0, now);
+    fleet.router.OnEnded(
+        Attempt(it - 1),
+        it % 9 == 0 ? AttemptFate::kTargetFailed : AttemptFate::kFinished, now);
     fleet.router.OnLoadReport(fleet.handles[it % 100],
                               Report(now - seconds(1), 100), now);
     fleet.router.OnCacheEvents(fleet.handles[it % 100], query.prefix_blocks,
