Change roles by the work lost so far; doubt caches by what was lost

Cause: a fixed horizon guesses how long a mix lasts; with 120 s an account with role_change_cost 10 could never change a role. And every gap in the cache events halved the trust in the whole map, again for each gap.

Change: the planner sums the work lost for want of each change, less what it would have cost on the other side of a swing, and changes once the sum exceeds the weighted cost. Gains under 2% of the engines count as errors of the model. A gap costs a block the share of the cache that the lost events may have removed, counted since that block was last seen.

Ruled out: a longer horizon, which changes on every swing; the slow average in the gain, which is late by its own length.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -73,8 +73,8 @@
       router.OnSent(id, decision.leg, {}, now);
       router.OnEnded(id, AttemptFate::kFinished, now);
       if (it % 16 == 0) {
-        router.OnCacheEvents(decision.leg.target, query.prefix_blocks, {},
-                             false, now);
+        router.OnCacheEvents(decision.leg.target, query.prefix_blocks, {}, 0,
+                             now);
       }
     }
     const std::chrono::duration<double, std::nano> took =
--- a/src/core/roles/role_planner.cc
+++ b/src/core/roles/role_planner.cc
@@ -116,14 +116,24 @@
   return share * (demand.prefill + demand.decode);
 }
 
-double RolePlanner::GainPerMove(const RoleCounts& counts, const Move& move,
-                                std::uint32_t n,
-                                const EngineDemand& demand) const {
+// Gains of several engines count per engine: where one alone shows no gain,
+// two may.
+RolePlanner::Move RolePlanner::BestOf(EngineRole from, EngineRole to,
+                                      const RoleSpec& spec,
+                                      const RoleCounts& counts,
+                                      const EngineDemand& demand) const {
+  Move best{from, to, -1};
+  const double value = Value(counts, demand);
   RoleCounts after = counts;
-  CountOf(&after, move.from) -= n;
-  CountOf(&after, move.to) += n;
-  return (Value(after, demand) - Value(counts, demand)) *
-         Seconds(options_.horizon) / n;
+  for (std::uint32_t n = 1; CountOf(&after, from) > 0; ++n) {
+    --CountOf(&after, from);
+    ++CountOf(&after, to);
+    if (!IsAllowed(after, spec)) {
+      break;
+    }
+    best.rate = std::max(best.rate, (Value(after, demand) - value) / n);
+  }
+  return best;
 }
 
 bool RolePlanner::Reverses(const Move& move, const RoleSpec& spec,
@@ -134,7 +144,7 @@
 }
 
 std::optional<RoleChange> RolePlanner::Order(
-    const Move& move, RoleChangeCause cause,
+    const Move& move, RoleChangeCause cause, double loss_engine_s,
     std::span<const RoleTarget> targets, const RoleSpec& spec, TimePoint now) {
   for (const RoleTarget& it : targets) {
     const auto changed = changed_at_.find(it.instance);
@@ -149,12 +159,14 @@
     change.from = move.from;
     change.to = move.to;
     change.cause = cause;
-    change.gain_engine_s = move.gain_engine_s;
+    change.gain_engine_s = loss_engine_s;
     change.cost_engine_s = change_time_s_ * spec.role_change_cost;
     pending_ = change;
     pending_since_ = now;
     last_ = change;
     last_at_ = now;
+    // The sums were about the roles as they have been.
+    loss_ = {};
     return change;
   }
   return std::nullopt;
@@ -192,14 +204,15 @@
             : after.prefill >= std::min(spec.min_prefill, counts.prefill) &&
                   after.prefill + after.mixed > 0;
     if (keeps_other) {
-      return Order(Move{from, to, 0}, cause, targets, spec, now);
+      return Order(Move{from, to, 0}, cause, 0, targets, spec, now);
     }
   }
   // One engine is left for both kinds of work: it has to be mixed.
   if (cause == RoleChangeCause::kMissing) {
     const EngineRole from =
         no_prefill ? EngineRole::kDecode : EngineRole::kPrefill;
-    return Order(Move{from, EngineRole::kMixed, 0}, cause, targets, spec, now);
+    return Order(Move{from, EngineRole::kMixed, 0}, cause, 0, targets, spec,
+                 now);
   }
   return std::nullopt;
 }
@@ -207,35 +220,42 @@
 std::optional<RoleChange> RolePlanner::PlanGain(
     const RoleSpec& spec, std::span<const RoleTarget> targets,
     const RoleCounts& counts, TimePoint now) {
-  const EngineDemand slow = DemandOf(slow_.mix(), rates_);
-  const EngineDemand fast = DemandOf(fast_.mix(), rates_);
+  const double step_s =
+      std::clamp(Seconds(now - planned_at_), 0.0, Seconds(options_.max_step));
+  planned_at_ = now;
+  const EngineDemand demand = DemandOf(fast_.mix(), rates_);
+  const double cost = change_time_s_ * spec.role_change_cost;
+  const double limit = cost * options_.hysteresis;
+  const double noise =
+      options_.min_gain_share *
+      static_cast<double>(counts.prefill + counts.decode + counts.mixed);
   Move best;
+  double best_loss = limit;
   for (const EngineRole from : kRoles) {
     for (const EngineRole to : kRoles) {
-      RoleCounts after = counts;
-      for (std::uint32_t n = 1; from != to && CountOf(&after, from) > 0; ++n) {
-        --CountOf(&after, from);
-        ++CountOf(&after, to);
-        Move move{from, to, 0};
-        if (!IsAllowed(after, spec)) {
-          break;
-        }
-        // Gains of several steps count per step: one engine of a kind may
-        // show no gain where two do.
-        move.gain_engine_s = std::min(GainPerMove(counts, move, n, slow),
-                                      GainPerMove(counts, move, n, fast));
-        if (move.gain_engine_s > best.gain_engine_s &&
-            !Reverses(move, spec, now)) {
-          best = move;
-        }
+      if (from == to) {
+        continue;
+      }
+      const Move move = BestOf(from, to, spec, counts, demand);
+      double& loss =
+          loss_[static_cast<std::size_t>(from)][static_cast<std::size_t>(to)];
+      // Never below zero: a long time on the right side is no reason to be
+      // slow when the mix turns. And bounded above, for the way back.
+      loss = std::clamp(loss + (move.rate - noise) * step_s, 0.0, 2 * limit);
+      if (loss > best_loss && move.rate > best.rate &&
+          !Reverses(move, spec, now)) {
+        best = move;
+        best_loss = limit;
       }
     }
   }
-  const double cost = change_time_s_ * spec.role_change_cost;
-  if (best.gain_engine_s <= cost * options_.hysteresis) {
+  if (best.rate <= 0) {
     return std::nullopt;
   }
-  return Order(best, RoleChangeCause::kGain, targets, spec, now);
+  return Order(best, RoleChangeCause::kGain,
+               loss_[static_cast<std::size_t>(best.from)]
+                    [static_cast<std::size_t>(best.to)],
+               targets, spec, now);
 }
 
 std::optional<RoleChange> RolePlanner::Plan(const RoleSpec& spec,
@@ -251,6 +271,7 @@
     return change;
   }
   if (slow_.observed() < options_.warm_up) {
+    planned_at_ = now;
     return std::nullopt;
   }
   const double served =
--- a/src/core/roles/role_planner.h
+++ b/src/core/roles/role_planner.h
@@ -1,6 +1,7 @@
 #ifndef INDIGOLEAD_CORE_ROLES_ROLE_PLANNER_H_
 #define INDIGOLEAD_CORE_ROLES_ROLE_PLANNER_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -39,7 +40,7 @@
   EngineRole from = EngineRole::kMixed;
   EngineRole to = EngineRole::kMixed;
   RoleChangeCause cause = RoleChangeCause::kGain;
-  double gain_engine_s = 0;  ///< Work gained over the horizon.
+  double gain_engine_s = 0;  ///< Work lost so far for want of the change.
   double cost_engine_s = 0;  ///< Work lost, weighted by `role_change_cost`.
 
   friend bool operator==(const RoleChange&, const RoleChange&) = default;
@@ -49,10 +50,16 @@
 ///
 /// Sizing the roles to the mix of the moment is easy and wrong: a change takes
 /// an engine away for seconds, and the mix has turned again when it is back;
-/// what is seen then is a fleet that is always changing and never serving. So
-/// a change must be worth its engine-seconds over a horizon, on a slow average
-/// and on a fast one that shows that the swing still lasts; turning back waits
-/// for a dwell; and one change at a time bounds what a wrong one costs.
+/// what is seen then is a fleet that is always changing and never serving. How
+/// long a mix will last is not known. So the planner sums up, for each possible
+/// change, the work that is lost by not having made it, less what it would have
+/// cost whenever the mix is the other way round; once the sum exceeds the
+/// engine-seconds that the change takes, weighted by `role_change_cost`, it is
+/// made. A swing that turns back in time costs nothing, and whatever the mix
+/// does, waiting has lost about as much as the change costs, and no more.
+///
+/// Turning back waits for a dwell as well, and one change at a time bounds what
+/// a wrong one costs.
 ///
 /// What is ordered and what is in change comes with each call, from the store
 /// and the sides. A controller that takes over in the middle of a change
@@ -60,17 +67,22 @@
 class RolePlanner {
  public:
   struct Options {
+    /// Averages of the demand: for the gain of a change, and for whether
+    /// quiet hours are to be broken.
     Duration fast = std::chrono::seconds(15);
     Duration slow = std::chrono::seconds(60);
     /// Demand to have seen before the first change.
     Duration warm_up = std::chrono::seconds(30);
-    /// Time over which a gain is expected to last.
-    Duration horizon = std::chrono::seconds(120);
     /// Time that a change takes an engine away, its drain included; the
     /// average of those seen takes its place.
     Duration change_time = std::chrono::seconds(15);
-    /// Gain over cost above which a change is made.
+    /// Loss over cost above which a change is made.
     double hysteresis = 1.3;
+    /// Gain below this share of all engines is taken for an error of the
+    /// capacity model and counts against a change.
+    double min_gain_share = 0.02;
+    /// Loss is counted for at most so long between two calls.
+    Duration max_step = std::chrono::seconds(5);
     /// Use of the engines up to which latency stays good: capacity is
     /// sized for the demand over this.
     double target_use = 0.85;
@@ -102,7 +114,7 @@
   struct Move {
     EngineRole from = EngineRole::kMixed;
     EngineRole to = EngineRole::kMixed;
-    double gain_engine_s = 0;
+    double rate = 0;  ///< Engine-seconds gained per second, for each step.
 
     friend bool operator==(const Move&, const Move&) = default;
   };
@@ -116,16 +128,20 @@
                                      std::span<const RoleTarget> targets,
                                      const RoleCounts& counts, TimePoint now);
   double Value(const RoleCounts& counts, const EngineDemand& demand) const;
-  double GainPerMove(const RoleCounts& counts, const Move& move,
-                     std::uint32_t n, const EngineDemand& demand) const;
+  Move BestOf(EngineRole from, EngineRole to, const RoleSpec& spec,
+              const RoleCounts& counts, const EngineDemand& demand) const;
   bool Reverses(const Move& move, const RoleSpec& spec, TimePoint now) const;
   std::optional<RoleChange> Order(const Move& move, RoleChangeCause cause,
+                                  double loss_engine_s,
                                   std::span<const RoleTarget> targets,
                                   const RoleSpec& spec, TimePoint now);
 
   Options options_;
   EngineRates rates_;
   double change_time_s_;
+  /// Work lost for want of each change, in engine-seconds, by roles.
+  std::array<std::array<double, 3>, 3> loss_{};
+  TimePoint planned_at_{};
   DemandAverage fast_;
   DemandAverage slow_;
   /// Change returned last, until it shows in the orders.
--- a/src/core/routing/prefix_cache_hint.cc
+++ b/src/core/routing/prefix_cache_hint.cc
@@ -7,12 +7,15 @@
 namespace indigolead {
 namespace {
 
-/// Resolution of the time stamps: fine enough for half-lives of a second,
-/// coarse enough for 32 bits to last more than a year.
-constexpr Duration kTick = std::chrono::milliseconds(10);
+/// Resolution of the time stamps.
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr std::uint32_t kTickMask = (1U << 24U) - 1;
 
-/// Gaps beyond this many make no further difference.
-constexpr std::uint32_t kMaxGaps = 8;
+/// Parts of a halving that doubt is counted in.
+constexpr double kDoubtParts = 16;
+/// Doubt at which a block is forgotten: eight halvings. Half of what eight
+/// bits hold, so that old doubt is dropped before it wraps round.
+constexpr std::uint32_t kMostDoubt = 128;
 
 }  // namespace
 
@@ -24,46 +27,85 @@
           std::max(1.0, static_cast<double>(options.half_life / kTick))) {}
 
 std::uint32_t PrefixCacheHint::Tick(TimePoint now) {
-  return static_cast<std::uint32_t>(now.time_since_epoch() / kTick) + 1;
+  return static_cast<std::uint32_t>(now.time_since_epoch() / kTick) & kTickMask;
 }
 
 std::uint32_t PrefixCacheHint::Tag(std::uint64_t block) {
   return static_cast<std::uint32_t>(block >> 32U) | 1U;
 }
 
+std::uint32_t PrefixCacheHint::AgeOf(const Entry& entry,
+                                     std::uint32_t tick) const {
+  const std::uint32_t age = (tick - entry.tick) & kTickMask;
+  // A time that went backwards makes an entry young, not ancient.
+  return age > kTickMask / 2 ? 0 : age;
+}
+
+std::uint32_t PrefixCacheHint::DoubtOf(const Entry& entry) const {
+  return (doubt_ - entry.doubt) & 0xFFU;
+}
+
 void PrefixCacheHint::Add(std::uint64_t block, TimePoint now) {
   Set& set = sets_[block & mask_];
   const std::uint32_t tag = Tag(block);
-  Entry* slot = &set[0];
+  const std::uint32_t tick = Tick(now);
+  Entry* place = &set[0];
   for (Entry& it : set) {
     if (it.tag == tag) {
-      slot = &it;
+      place = &it;
       break;
     }
-    if (it.seen_tick < slot->seen_tick) {
-      slot = &it;
-    }
+    // An empty place first, else the block not seen for longest.
+    const bool better = place->tag != 0 &&
+                        (it.tag == 0 || AgeOf(it, tick) > AgeOf(*place, tick));
+    place = better ? &it : place;
   }
-  *slot = Entry{tag, Tick(now)};
+  size_ += place->tag == 0 ? 1 : 0;
+  place->tag = tag;
+  place->tick = tick;
+  place->doubt = doubt_ & 0xFFU;
 }
 
 void PrefixCacheHint::Remove(std::uint64_t block) {
   for (Entry& it : sets_[block & mask_]) {
     if (it.tag == Tag(block)) {
       it = Entry{};
+      --size_;
     }
   }
 }
 
-void PrefixCacheHint::NoteGap(TimePoint now) {
-  gap_tick_ = Tick(now);
-  gaps_ = std::min(gaps_ + 1, kMaxGaps);
+void PrefixCacheHint::NoteGap(std::uint64_t lost_blocks) {
+  if (size_ == 0 || lost_blocks == 0) {
+    return;
+  }
+  // Half of what is lost may be removals, and each removes one of those held.
+  const double removed = static_cast<double>(lost_blocks) / 2;
+  const double kept =
+      static_cast<double>(size_) / (static_cast<double>(size_) + removed);
+  const double parts = std::ceil(-std::log2(kept) * kDoubtParts);
+  doubt_ += static_cast<std::uint32_t>(
+      std::min(parts, static_cast<double>(kMostDoubt)));
+  if (doubt_ - dropped_at_doubt_ >= kMostDoubt / 2) {
+    DropDoubtful();
+  }
+}
+
+void PrefixCacheHint::DropDoubtful() {
+  dropped_at_doubt_ = doubt_;
+  for (Set& set : sets_) {
+    for (Entry& it : set) {
+      if (it.tag != 0 && DoubtOf(it) >= kMostDoubt / 2) {
+        it = Entry{};
+        --size_;
+      }
+    }
+  }
 }
 
 void PrefixCacheHint::Clear() {
   std::fill(sets_.begin(), sets_.end(), Set{});
-  gap_tick_ = 0;
-  gaps_ = 0;
+  size_ = 0;
 }
 
 const PrefixCacheHint::Entry* PrefixCacheHint::FindEntry(
@@ -79,38 +121,30 @@
 }
 
 double PrefixCacheHint::Confidence(const Entry& entry, TimePoint now) const {
-  const std::uint32_t tick = Tick(now);
-  // A time that went backwards makes an entry young, not ancient.
-  const std::uint32_t age = tick > entry.seen_tick ? tick - entry.seen_tick : 0;
-  const bool doubtful = entry.seen_tick <= gap_tick_;
   const double halvings =
-      age / half_life_ticks_ + (doubtful ? static_cast<double>(gaps_) : 0.0);
+      AgeOf(entry, Tick(now)) / half_life_ticks_ + DoubtOf(entry) / kDoubtParts;
   return std::exp2(-halvings);
 }
 
 CachedPrefix PrefixCacheHint::Find(std::span<const std::uint64_t> blocks,
                                    TimePoint now) const {
-  std::size_t low = 0;
+  // The first look is at the first block: most targets hold nothing of a
+  // prompt, and then one cache line is all that is read.
+  const Entry* last = blocks.empty() ? nullptr : FindEntry(blocks[0]);
+  if (last == nullptr) {
+    return CachedPrefix{};
+  }
+  std::size_t low = 1;
   std::size_t high = blocks.size();
-  const Entry* last = nullptr;
   while (low < high) {
-    // The first probe is the first block: most targets hold nothing of a
-    // prompt, and then one cache line is all that is read.
-    const std::size_t middle =
-        low == 0 && last == nullptr && high == blocks.size()
-            ? 0
-            : low + (high - low) / 2;
-    const Entry* entry = FindEntry(blocks[middle]);
-    if (entry == nullptr) {
-      high = middle;
-    } else {
+    const std::size_t middle = low + (high - low) / 2;
+    if (const Entry* entry = FindEntry(blocks[middle])) {
       last = entry;
       low = middle + 1;
+    } else {
+      high = middle;
     }
   }
-  if (last == nullptr) {
-    return CachedPrefix{};
-  }
   return CachedPrefix{low, Confidence(*last, now)};
 }
 
--- a/src/core/routing/prefix_cache_hint.h
+++ b/src/core/routing/prefix_cache_hint.h
@@ -24,7 +24,8 @@
 /// Engines publish cache events late and with gaps, so this is a hint: it may
 /// be wrong both ways, and a wrong one costs a prefill, never an answer. Each
 /// block's confidence halves with every `half_life` since it was last seen, and
-/// a gap in the events halves that of every block seen before the gap.
+/// falls with each event lost since, by the share of the cache that the event
+/// may have removed.
 ///
 /// Memory is one fixed table of eight-way sets, one cache line each; a full
 /// set forgets its oldest block.
@@ -43,8 +44,8 @@
   /// Records that the target dropped `block`.
   void Remove(std::uint64_t block);
 
-  /// Records that events were lost before `now`.
-  void NoteGap(TimePoint now);
+  /// Records that about `lost_blocks` were added or removed unseen.
+  void NoteGap(std::uint64_t lost_blocks);
 
   /// Forgets everything, because the target's cache is empty after a restart.
   void Clear();
@@ -56,8 +57,9 @@
 
  private:
   struct Entry {
-    std::uint32_t tag = 0;  ///< High half of the hash; 0 if empty.
-    std::uint32_t seen_tick = 0;
+    std::uint32_t tag = 0;        ///< High half of the hash; 0 if empty.
+    std::uint32_t tick : 24 = 0;  ///< Time last seen; wraps after 19 days.
+    std::uint32_t doubt : 8 = 0;  ///< Low bits of `doubt_` at that time.
   };
   static constexpr std::size_t kWays = 8;
   using Set = std::array<Entry, kWays>;
@@ -65,13 +67,19 @@
   static std::uint32_t Tick(TimePoint now);
   static std::uint32_t Tag(std::uint64_t block);
   const Entry* FindEntry(std::uint64_t block) const;
+  std::uint32_t AgeOf(const Entry& entry, std::uint32_t tick) const;
+  std::uint32_t DoubtOf(const Entry& entry) const;
   double Confidence(const Entry& entry, TimePoint now) const;
+  void DropDoubtful();
 
   std::vector<Set> sets_;
   std::uint64_t mask_;
   double half_life_ticks_;
-  std::uint32_t gap_tick_ = 0;
-  std::uint32_t gaps_ = 0;
+  std::size_t size_ = 0;
+  /// Doubt added by all gaps so far, in parts of a halving. A block's own is
+  /// what was added since it was last seen.
+  std::uint32_t doubt_ = 0;
+  std::uint32_t dropped_at_doubt_ = 0;
 };
 
 }  // namespace indigolead
--- a/src/core/routing/router.cc
+++ b/src/core/routing/router.cc
@@ -161,15 +161,13 @@
 
 void Router::OnCacheEvents(TargetHandle target,
                            std::span<const std::uint64_t> added,
-                           std::span<const std::uint64_t> removed, bool gap,
-                           TimePoint now) {
+                           std::span<const std::uint64_t> removed,
+                           std::uint64_t lost, TimePoint now) {
   TargetState* state = Get(target);
   if (state == nullptr) {
     return;
   }
-  if (gap) {
-    state->hint.NoteGap(now);
-  }
+  state->hint.NoteGap(lost);
   for (const std::uint64_t it : removed) {
     state->hint.Remove(it);
   }
--- a/src/core/routing/router.h
+++ b/src/core/routing/router.h
@@ -172,9 +172,10 @@
   void OnLoadReport(TargetHandle target, const TargetLoadReport& report,
                     TimePoint now);
 
-  /// Takes cache events. `gap` tells that events before these were lost.
+  /// Takes cache events. `lost` is the number of blocks in events before these
+  /// that were lost, by estimate.
   void OnCacheEvents(TargetHandle target, std::span<const std::uint64_t> added,
-                     std::span<const std::uint64_t> removed, bool gap,
+                     std::span<const std::uint64_t> removed, std::uint64_t lost,
                      TimePoint now);
 
   /// Returns the target to send an attempt to. Changes nothing but the random
--- a/src/replay/replay.cc
+++ b/src/replay/replay.cc
@@ -656,9 +656,10 @@
   After(kCacheEventLag, [=, this, epoch = engines_[e].epoch] {
     for (Entry& it : entries_) {
       if (engines_[e].epoch == epoch && !lost) {
-        it.router->OnCacheEvents(it.handles[e], added, removed, false, now_);
+        it.router->OnCacheEvents(it.handles[e], added, removed, 0, now_);
       } else if (lost) {
-        it.router->OnCacheEvents(it.handles[e], {}, {}, true, now_);
+        it.router->OnCacheEvents(it.handles[e], {}, {},
+                                 added.size() + removed.size(), now_);
       }
     }
   });
--- a/src/replay/trace_generator.cc
+++ b/src/replay/trace_generator.cc
@@ -263,7 +263,7 @@
     {"domain_lost", 0.95, 1, 2},
     {"lag_1s", 0.98, 1, 0},
     {"lag_5s", 0.98, 1, 0},
-    {"cache_events_lost", 0.6, 1, 2},
+    {"cache_events_lost", 0.95, 1, 2},
     {"poison", 0.95, 1, 0},
     {"overload_2x", 0.65, 1, 2},
     {"overload_5x", 0.6, 0.99, 2},
