--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -177,8 +177,8 @@
 }  // namespace
 
 const std::vector<Command>& Commands() {
-  static const auto* const kCommands = new std::vector<Command>(MakeCommands());
-  return *kCommands;
+  static const auto* const commands = new std::vector<Command>(MakeCommands());
+  return *commands;
 }
 
 std::string HelpText() {
--- a/src/cli/revision_store.cc
+++ b/src/cli/revision_store.cc
@@ -150,7 +150,7 @@
 Status WriteNext(OperatorStore* store, const std::optional<LiveRevision>& live,
                  const Revision& next) {
   if (live) {
-    const Status kept = KeepInHistory(store, *live);
+    Status kept = KeepInHistory(store, *live);
     if (!IsOk(kept)) {
       return kept;
     }
--- a/src/cli/source_version.cc
+++ b/src/cli/source_version.cc
@@ -29,7 +29,7 @@
 fs::path FindGitFolder(fs::path path) {
   std::error_code ec;
   while (!path.empty()) {
-    const fs::path candidate = path / ".git";
+    fs::path candidate = path / ".git";
     if (fs::is_directory(candidate, ec)) {
       return candidate;
     }
@@ -64,7 +64,7 @@
   if (git.empty()) {
     return "";
   }
-  const std::string head = FirstLine(git / "HEAD");
+  std::string head = FirstLine(git / "HEAD");
   const auto reference = AfterPrefix(head, "ref: ");
   if (!reference) {
     return head;
--- a/src/cli/status_view.cc
+++ b/src/cli/status_view.cc
@@ -61,9 +61,9 @@
 }
 
 const Json& ListOf(const Json& status, const char* key) {
-  static const auto* const kEmpty = new Json(Json::array());
+  static const auto* const empty = new Json(Json::array());
   const auto it = status.find(key);
-  return it == status.end() ? *kEmpty : *it;
+  return it == status.end() ? *empty : *it;
 }
 
 std::string HeadText(const Json& status) {
--- a/src/core/config/declaration_index.cc
+++ b/src/core/config/declaration_index.cc
@@ -11,11 +11,11 @@
 namespace {
 
 const std::vector<std::string>& SectionForms() {
-  static const auto* const kForms = new std::vector<std::string>{
+  static const auto* const forms = new std::vector<std::string>{
       "[template NAME]", "[template NAME model MODEL]",
       "[template NAME client-account]", "[deployment NAME]",
       "[client-account DEPLOYMENT NAME]"};
-  return *kForms;
+  return *forms;
 }
 
 std::vector<std::string> WordsOf(const std::string& text) {
@@ -57,7 +57,7 @@
   }
 
  private:
-  void Add(PlacedSection placed) {
+  void Add(const PlacedSection& placed) {
     const std::string& kind = placed.section.kind;
     const std::vector<std::string> words = WordsOf(placed.section.name);
     if (kind == "template" && AddTemplate(placed, words)) {
--- a/src/core/config/declaration_keys.cc
+++ b/src/core/config/declaration_keys.cc
@@ -166,20 +166,20 @@
 }  // namespace
 
 const DeploymentRows& DeploymentKeys() {
-  static const auto* const kRows = new DeploymentRows(MakeDeploymentKeys());
-  return *kRows;
+  static const auto* const rows = new DeploymentRows(MakeDeploymentKeys());
+  return *rows;
 }
 
 const std::vector<KeyRow<ModelSpec>>& ModelKeys() {
-  static const auto* const kRows =
+  static const auto* const rows =
       new std::vector<KeyRow<ModelSpec>>(MakeModelKeys());
-  return *kRows;
+  return *rows;
 }
 
 const std::vector<KeyRow<ClientAccountSpec>>& ClientAccountKeys() {
-  static const auto* const kRows =
+  static const auto* const rows =
       new std::vector<KeyRow<ClientAccountSpec>>(MakeClientAccountKeys());
-  return *kRows;
+  return *rows;
 }
 
 std::map<std::string, std::string> FlattenSpec(const DeploymentSpec& spec) {
--- a/src/core/config/declaration_keys.h
+++ b/src/core/config/declaration_keys.h
@@ -39,6 +39,7 @@
 template <typename Owner>
 std::vector<std::string> KeyNames(const std::vector<KeyRow<Owner>>& rows) {
   std::vector<std::string> names;
+  names.reserve(rows.size());
   for (const KeyRow<Owner>& it : rows) {
     names.push_back(it.key);
   }
--- a/src/core/config/settings_table.cc
+++ b/src/core/config/settings_table.cc
@@ -208,8 +208,8 @@
 }  // namespace
 
 const std::vector<KeyRow<Settings>>& SettingsTable() {
-  static const auto* const kTable = new Rows(MakeTable());
-  return *kTable;
+  static const auto* const table = new Rows(MakeTable());
+  return *table;
 }
 
 std::vector<std::string> SectionsOf(SettingsRole role) {
--- a/src/core/config/value_text.cc
+++ b/src/core/config/value_text.cc
@@ -64,7 +64,7 @@
         return amount != 0 && amount % it.factor == 0;
       });
   const AmountUnit& chosen = unit == units.end() ? units.back() : *unit;
-  return std::to_string(amount / chosen.factor) + std::string(chosen.suffix);
+  return std::to_string(amount / chosen.factor).append(chosen.suffix);
 }
 
 /// Returns the length of the UTF-8 character that `text` begins with, or 0.
--- a/tests/core/config/declarations_test.cc
+++ b/tests/core/config/declarations_test.cc
@@ -12,10 +12,9 @@
 
 using Catch::Matchers::Contains;
 
-const std::string kHashA(64, 'a');
-const std::string kHashB(64, 'b');
+std::string HashOf(char digit) { return std::string(64, digit); }
 
-const std::string kTemplates = R"([template price-rules]
+constexpr char kTemplates[] = R"([template price-rules]
 parameter.model_version = 3
 parameter.adapters =
 kind = model
@@ -31,14 +30,15 @@
 max_concurrent = ${salons}
 )";
 
-const std::string kDeployment = R"([deployment tarifa-llm]
+std::string Deployment() {
+  return R"([deployment tarifa-llm]
 template = price-rules
 adapters = bilbao, oviedo
 
 [client-account tarifa-llm gran-via]
-api_key_sha256 = )" + kHashA + R"(
-salons = 12
-)";
+api_key_sha256 = )" +
+         HashOf('a') + "\nsalons = 12\n";
+}
 
 std::string ProblemsOf(const std::vector<DeclarationFile>& files) {
   const auto read = ReadDeclarations(files);
@@ -46,9 +46,9 @@
 }
 
 /// Checks the two good files with `added` at the end of the second, whose
-/// eight lines are those of `kDeployment`.
+/// eight lines are those of `Deployment`.
 std::string ProblemsWith(const std::string& added) {
-  return ProblemsOf({{"t.ini", kTemplates}, {"d.ini", kDeployment + added}});
+  return ProblemsOf({{"t.ini", kTemplates}, {"d.ini", Deployment() + added}});
 }
 
 DeploymentSpec ExpectedSpec() {
@@ -59,7 +59,7 @@
   spec.models = {{"tarifa", "3", {"bilbao", "oviedo"}}};
   ClientAccountSpec account;
   account.name = "gran-via";
-  account.api_key_sha256 = kHashA;
+  account.api_key_sha256 = HashOf('a');
   account.priority = 10;
   account.max_concurrent = 12;
   spec.client_accounts = {account};
@@ -69,14 +69,14 @@
 TEST_CASE("A deployment is its template with the parameters filled in") {
   SECTION("defaults, parameters and account values come together") {
     const auto read =
-        ReadDeclarations({{"t.ini", kTemplates}, {"d.ini", kDeployment}});
+        ReadDeclarations({{"t.ini", kTemplates}, {"d.ini", Deployment()}});
     REQUIRE(read.index() == 0);
     REQUIRE(std::get<0>(read).size() == 1);
     CHECK(std::get<0>(read)[0] == ExpectedSpec());
   }
   SECTION("an account's own key goes before the template's") {
     const auto read = ReadDeclarations(
-        {{"t.ini", kTemplates}, {"d.ini", kDeployment + "priority = -5\n"}});
+        {{"t.ini", kTemplates}, {"d.ini", Deployment() + "priority = -5\n"}});
     REQUIRE(read.index() == 0);
     CHECK(std::get<0>(read)[0].client_accounts[0].priority == -5);
   }
@@ -84,7 +84,7 @@
     std::string own = kTemplates;
     own.replace(own.find("30s"), 3, "31s");
     const auto read = ReadDeclarations(
-        {{"t.ini", kTemplates}, {"d.ini", own + "\n" + kDeployment}});
+        {{"t.ini", kTemplates}, {"d.ini", own + "\n" + Deployment()}});
     REQUIRE(read.index() == 0);
     CHECK(std::get<0>(read)[0].request.deadline == std::chrono::seconds(31));
   }
@@ -118,7 +118,7 @@
     const char* message;
   };
   const std::string account = "[client-account tarifa-llm b]\n";
-  const std::string key_b = "api_key_sha256 = " + kHashB + "\n";
+  const std::string key_b = "api_key_sha256 = " + HashOf('b') + "\n";
   const Case cases[] = {
       {"prioriti = 1\n",
        "d.ini:8: [client-account tarifa-llm gran-via] prioriti: is not a "
@@ -131,7 +131,7 @@
        "d.ini:8: [client-account tarifa-llm b] api_key_sha256: is "
        "missing; accepted is 64"},
       {account + "api_key_sha256 = 12\n", "api_key_sha256: \"12\" is not"},
-      {account + "api_key_sha256 = " + kHashA + "\n",
+      {account + "api_key_sha256 = " + HashOf('a') + "\n",
        "d.ini:6: [client-account tarifa-llm gran-via] api_key_sha256: is the "
        "key of client account b too; give each its own"},
       {account + key_b + "salons = 0\n",
--- a/tests/shell/status_view_test.cc
+++ b/tests/shell/status_view_test.cc
@@ -10,7 +10,7 @@
 using Catch::Matchers::Contains;
 
 constexpr WallMicros kNoon = 1'700'000'000'000'000;  // 2023-11-14T22:13:20Z
-const TimePoint kNow{std::chrono::seconds(1000)};
+constexpr TimePoint kNow{std::chrono::seconds(1000)};
 
 /// Returns the table for `status` as it is shown at `kNow`.
 std::string Shown(const SystemStatus& status) {
