Join orders, the store and the instance list to the side

Cause: the order executor decided, but nothing fed it; a side whose settings name no entry found none. Change: OrderService joins the executor to links, store and target; PlatformReader reads the lease before each write, and, often while the side is alone and rarely once it has a link, the instance list and its own drain. Each reading of the engine carries the time at which it was asked for, since one from before a write says nothing about the write's effect. Tested with the platform, engine and entry in one process, for engines that check numbers and for those that ignore them.

--- a/src/side/events.h
+++ b/src/side/events.h
@@ -26,6 +26,15 @@
 inline constexpr EventInfo kTargetCallBroke{
     2012, "target-call-broke", EventSeverity::kWarning,
     "A call broke after its first byte was written to the target."};
+inline constexpr EventInfo kOrderPhaseChanged{
+    2030, "order-phase-changed", EventSeverity::kInfo,
+    "An order for the target went on to its next phase."};
+inline constexpr EventInfo kOrderGateShut{
+    2031, "order-gate-shut", EventSeverity::kInfo,
+    "An order waits for the attempts to end; new ones are refused."};
+inline constexpr EventInfo kOrderGateOpened{
+    2032, "order-gate-opened", EventSeverity::kInfo,
+    "The order has ended; the target takes attempts again."};
 inline constexpr EventInfo kSideProtocolError{
     2020, "side-protocol-error", EventSeverity::kWarning,
     "A peer sent a message that does not follow the protocol."};
--- a/src/side/side_process.cc
+++ b/src/side/side_process.cc
@@ -8,12 +8,15 @@
 #include <thread>
 #include <utility>
 
+#include "platform/http_object_store.h"
 #include "runtime/clock.h"
 #include "runtime/mailbox.h"
 #include "side/attempt_service.h"
 #include "side/dispatch_service.h"
 #include "side/events.h"
 #include "side/leaving.h"
+#include "side/order_service.h"
+#include "side/platform_reader.h"
 #include "side/target_worker.h"
 #include "target/http_target_client.h"
 #include "wire/links.h"
@@ -27,6 +30,9 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 /// How long a stopping process gives its sockets to flush the last frames.
 constexpr Duration kFlushTime = std::chrono::milliseconds(200);
+/// A side with links hears of everything from entries; its own reading of the
+/// platform is only the backstop.
+constexpr int kLinkedPollFactor = 10;
 constexpr std::size_t kRingCapacity = 4096;
 constexpr std::uint32_t kProtocolVersion = 1;
 constexpr int kExitClean = 0;
@@ -65,6 +71,22 @@
   return options;
 }
 
+PlatformReader::Options MakeReaderOptions(const Settings& settings) {
+  PlatformReader::Options options;
+  options.instance = settings.instance.name;
+  options.interval_alone = settings.store.instance_poll_interval;
+  options.interval_linked =
+      kLinkedPollFactor * settings.store.instance_poll_interval;
+  options.call.deadline = settings.store.call_deadline;
+  return options;
+}
+
+OrderExecutor::Options MakeOrderOptions(const Settings& settings) {
+  OrderExecutor::Options options;
+  options.drain_timeout = settings.side.drain_timeout;
+  return options;
+}
+
 wire::TargetHealth ToWire(TargetCondition state) {
   switch (state) {
     case TargetCondition::kUp:
@@ -93,10 +115,9 @@
         to_target_(
             &target_io_, kRingCapacity,
             [this](TargetCommand&& it) { worker_.Handle(std::move(it)); }),
-        to_dispatch_(&dispatch_io_, kRingCapacity,
-                     [this](TargetEvent&& it) {
-                       attempts_.OnTargetEvent(std::move(it));
-                     }),
+        to_dispatch_(
+            &dispatch_io_, kRingCapacity,
+            [this](TargetEvent&& it) { OnTargetEvent(std::move(it)); }),
         worker_(
             &target_io_,
             {.is_engine = IsEngine(settings_),
@@ -108,6 +129,11 @@
             log_),
         attempts_(MakeAttemptOptions(settings_, incarnation_),
                   MakeAttemptHooks(), BootTimeNow, log_, &metrics_),
+        store_(&dispatch_io_, HttpObjectStore::OptionsFrom(settings_.store),
+               BootTimeNow, &metrics_),
+        platform_(MakeReaderOptions(settings_), &store_, MakeReaderHooks()),
+        orders_(settings_.instance.name, MakeOrderOptions(settings_),
+                MakeOrderHooks(), BootTimeNow, log_),
         links_(&dispatch_io_, MakeLinkOptions(settings_), MakeLinkHooks(),
                BootTimeNow, RandomId, log_, &metrics_),
         membership_(
@@ -156,6 +182,7 @@
     hooks.command = [this](TargetCommand&& command) {
       return to_target_.Push(std::move(command));
     };
+    hooks.closed_for_change = [this] { return !orders_.gate_open(); };
     return hooks;
   }
 
@@ -172,6 +199,48 @@
     return hooks;
   }
 
+  OrderService::Hooks MakeOrderHooks() {
+    OrderService::Hooks hooks;
+    hooks.send = [this](LinkId link, const wire::Envelope& message) {
+      return links_.Send(link, message);
+    };
+    hooks.command = [this](TargetCommand&& command) {
+      return to_target_.Push(std::move(command));
+    };
+    hooks.running = [this] { return attempts_.running(); };
+    hooks.read_number = [this](PlatformReader::NumberCallback done) {
+      platform_.ReadNumber(std::move(done));
+    };
+    return hooks;
+  }
+
+  PlatformReader::Hooks MakeReaderHooks() {
+    PlatformReader::Hooks hooks;
+    hooks.on_instances = [this](const InstanceList& it) {
+      membership_.OnInstances(it);
+    };
+    hooks.on_listed_leaving = [this](bool leaving) {
+      SetSign(LeavingSign::kInstanceList, leaving, "instance list");
+    };
+    hooks.on_drain = [this](bool drained) {
+      SetSign(LeavingSign::kStore, drained, "drain in the store");
+    };
+    return hooks;
+  }
+
+  void OnTargetEvent(TargetEvent&& event) {
+    if (const auto* written = std::get_if<OrderWrittenEvent>(&event)) {
+      orders_.OnWritten(*written);
+      return;
+    }
+    if (const auto* condition = std::get_if<TargetConditionEvent>(&event)) {
+      attempts_.OnTargetEvent(TargetConditionEvent(*condition));
+      orders_.OnEngine(*condition);
+      return;
+    }
+    attempts_.OnTargetEvent(std::move(event));
+  }
+
   Links::Hooks MakeLinkHooks() {
     Links::Hooks hooks;
     hooks.make_hello = [this] { return MakeHello(); };
@@ -180,6 +249,7 @@
       up_.insert(link.value);
       membership_.OnLinkUp(link, hello);
       attempts_.OnLinkUp(link, hello);
+      orders_.OnLinkUp(link, hello);
       for (const auto& it : services_) {
         if (it.on_link_up) {
           it.on_link_up(link, hello);
@@ -190,6 +260,7 @@
       up_.erase(link.value);
       membership_.OnLinkDown(link);
       attempts_.OnLinkDown(link);
+      orders_.OnLinkDown(link);
       for (const auto& it : services_) {
         if (it.on_link_down) {
           it.on_link_down(link);
@@ -215,7 +286,9 @@
         return;
       }
     }
-    attempts_.HandleMessage(link, std::move(message));
+    if (!orders_.HandleMessage(link, message)) {
+      attempts_.HandleMessage(link, std::move(message));
+    }
   }
 
   void OnDrainNotice(const wire::DrainNotice& notice) {
@@ -255,9 +328,11 @@
     for (const auto& it : engine.adapters) {
       target->add_adapters(it);
     }
-    target->set_health(ToWire(attempts_.target_state()));
-    target->set_order_generation(engine.generation);
-    target->set_fencing_number(engine.fencing_number);
+    const auto health = ToWire(attempts_.target_state());
+    const bool closed = !orders_.gate_open() && health == wire::TARGET_UP;
+    target->set_health(closed ? wire::TARGET_CHANGING : health);
+    target->set_order_generation(orders_.executor().generation_in_force());
+    target->set_fencing_number(orders_.executor().newest_number());
   }
 
   void SetSign(LeavingSign sign, bool up, const std::string& cause) {
@@ -299,6 +374,10 @@
     const TimePoint now = BootTimeNow();
     attempts_.Tick(now);
     membership_.Tick(now);
+    orders_.Tick(now);
+    if (!settings_.store.address.empty()) {
+      platform_.Tick(now, !up_.empty());
+    }
     for (const auto& it : services_) {
       if (it.tick) {
         it.tick(now);
@@ -337,6 +416,9 @@
   Mailbox<TargetEvent> to_dispatch_;
   TargetWorker worker_;
   AttemptService attempts_;
+  HttpObjectStore store_;
+  PlatformReader platform_;
+  OrderService orders_;
   Links links_;
   MembershipService membership_;
   std::vector<DispatchService> services_;
--- a/src/side/target_messages.h
+++ b/src/side/target_messages.h
@@ -9,6 +9,7 @@
 
 #include "core/base/ids.h"
 #include "core/base/time.h"
+#include "core/control/order_executor.h"
 #include "core/request/attempt_types.h"
 
 namespace indigolead {
@@ -28,8 +29,17 @@
   AttemptId id;
   bool pause = false;
 };
-using TargetCommand = std::variant<std::monostate, StartCallCommand,
-                                   CancelCallCommand, PauseCallCommand>;
+/// Writes an order, its first byte before `write_by` or never.
+struct WriteOrderCommand {
+  std::uint64_t ticket = 0;
+  SideOrder order;
+  TimePoint write_by;
+};
+/// Reads the target's state soon.
+struct ReadStateCommand {};
+using TargetCommand =
+    std::variant<std::monostate, StartCallCommand, CancelCallCommand,
+                 PauseCallCommand, WriteOrderCommand, ReadStateCommand>;
 /// @}
 
 /// Whether the target can serve, as last seen.
@@ -84,6 +94,12 @@
 struct TargetConditionEvent {
   TargetCondition state = TargetCondition::kUnknown;
   EngineState engine;  ///< As last read; engines only.
+  TimePoint asked_at;  ///< When the target was asked, before its answer.
+};
+struct OrderWrittenEvent {
+  std::uint64_t ticket = 0;
+  OrderWriteResult result = OrderWriteResult::kUnknown;
+  std::string detail;
 };
 struct EngineLoadEvent {
   EngineLoad load;
@@ -97,7 +113,8 @@
 };
 using TargetEvent =
     std::variant<std::monostate, CallHeadEvent, CallBodyEvent, CallEndEvent,
-                 TargetConditionEvent, EngineLoadEvent, CacheChangedEvent>;
+                 TargetConditionEvent, EngineLoadEvent, CacheChangedEvent,
+                 OrderWrittenEvent>;
 /// @}
 
 }  // namespace indigolead
--- a/src/side/target_monitor.cc
+++ b/src/side/target_monitor.cc
@@ -56,6 +56,16 @@
   }
 }
 
+std::string EncodeEngineOrder(const SideOrder& order) {
+  const Json doc = {{"fencing_number", order.fencing_number},
+                    {"generation", order.generation},
+                    {"role", order.setup.role},
+                    {"model", order.setup.model},
+                    {"version", order.setup.version},
+                    {"adapters", order.setup.adapters}};
+  return doc.dump();
+}
+
 Result<EngineLoad> ParseEngineLoad(const std::string& json, TimePoint now) {
   const auto doc = Json::parse(json, nullptr, false);
   if (!doc.is_object()) {
@@ -115,12 +125,13 @@
     PollHealth();
     return;
   }
-  poll_call_ =
-      FetchAnswer(client_, GetRequest("/state", options_.deadline),
-                  kMaxAnswerBytes, [this](const Result<TargetAnswer>& answer) {
-                    polling_ = false;
-                    OnStateAnswer(StateIn(answer));
-                  });
+  const TimePoint asked_at = clock_();
+  poll_call_ = FetchAnswer(
+      client_, GetRequest("/state", options_.deadline), kMaxAnswerBytes,
+      [this, asked_at](const Result<TargetAnswer>& answer) {
+        polling_ = false;
+        OnStateAnswer(StateIn(answer), asked_at);
+      });
   PollLoad();
 }
 
@@ -133,27 +144,25 @@
   });
 }
 
-void TargetMonitor::OnStateAnswer(const Result<EngineState>& answer) {
+void TargetMonitor::OnStateAnswer(const Result<EngineState>& answer,
+                                  TimePoint asked_at) {
   if (!IsOk(answer)) {
     // A target that answers late may only be busy; one that cannot be reached
     // is down.
     if (ErrorOf(answer).code == ErrorCode::kUnavailable) {
-      SetState(TargetCondition::kDown, engine_);
+      SetState(TargetCondition::kDown, engine_, asked_at);
     }
     return;
   }
   const EngineState& engine = ValueOf(answer);
   SetState(engine.changing ? TargetCondition::kChanging : TargetCondition::kUp,
-           engine);
+           engine, asked_at);
 }
 
-void TargetMonitor::SetState(TargetCondition state, const EngineState& engine) {
-  if (state == state_ && engine == engine_) {
-    return;
-  }
-  state_ = state;
+void TargetMonitor::SetState(TargetCondition state, const EngineState& engine,
+                             TimePoint asked_at) {
   engine_ = engine;
-  emit_(TargetConditionEvent{state_, engine_});
+  emit_(TargetConditionEvent{state, engine_, asked_at});
 }
 
 void TargetMonitor::PollLoad() {
@@ -171,15 +180,17 @@
 }
 
 void TargetMonitor::PollHealth() {
+  const TimePoint asked_at = clock_();
   poll_call_ = FetchAnswer(
       client_, GetRequest("/health", options_.deadline), kMaxAnswerBytes,
-      [this](const Result<TargetAnswer>& answer) {
+      [this, asked_at](const Result<TargetAnswer>& answer) {
         polling_ = false;
         if (IsOk(answer)) {
           const bool up = ValueOf(answer).status != kServiceUnavailable;
-          SetState(up ? TargetCondition::kUp : TargetCondition::kDown, engine_);
+          SetState(up ? TargetCondition::kUp : TargetCondition::kDown, engine_,
+                   asked_at);
         } else if (ErrorOf(answer).code == ErrorCode::kUnavailable) {
-          SetState(TargetCondition::kDown, engine_);
+          SetState(TargetCondition::kDown, engine_, asked_at);
         }
       });
 }
@@ -190,18 +201,19 @@
   if (probe_call_) {
     return;
   }
-  probe_call_ =
-      FetchAnswer(client_, GetRequest("/state", options_.deadline),
-                  kMaxAnswerBytes, [this](const Result<TargetAnswer>& answer) {
-                    const auto call = std::move(probe_call_);
-                    const auto state = StateIn(answer);
-                    OnStateAnswer(state);
-                    const auto probes = std::move(probes_);
-                    probes_.clear();
-                    for (const auto& it : probes) {
-                      it(state);
-                    }
-                  });
+  const TimePoint asked_at = clock_();
+  probe_call_ = FetchAnswer(
+      client_, GetRequest("/state", options_.deadline), kMaxAnswerBytes,
+      [this, asked_at](const Result<TargetAnswer>& answer) {
+        const auto call = std::move(probe_call_);
+        const auto state = StateIn(answer);
+        OnStateAnswer(state, asked_at);
+        const auto probes = std::move(probes_);
+        probes_.clear();
+        for (const auto& it : probes) {
+          it(state);
+        }
+      });
 }
 
 }  // namespace indigolead
--- a/src/side/target_monitor.h
+++ b/src/side/target_monitor.h
@@ -28,7 +28,7 @@
     Duration deadline = std::chrono::milliseconds(500);
   };
 
-  /// `emit` gets a `TargetConditionEvent` on every change and a
+  /// `emit` gets a `TargetConditionEvent` and, of engines, an
   /// `EngineLoadEvent` after every reading. `io` and `client` must outlive this
   /// object.
   TargetMonitor(boost::asio::io_context* io, Options options,
@@ -51,10 +51,11 @@
  private:
   void Poll();
   void ArmTimer();
-  void OnStateAnswer(const Result<EngineState>& answer);
+  void OnStateAnswer(const Result<EngineState>& answer, TimePoint asked_at);
   void PollLoad();
   void PollHealth();
-  void SetState(TargetCondition state, const EngineState& engine);
+  void SetState(TargetCondition state, const EngineState& engine,
+                TimePoint asked_at);
 
   boost::asio::io_context* io_;
   Options options_;
@@ -66,7 +67,6 @@
   std::unique_ptr<TargetClient::Call> load_call_;
   std::unique_ptr<TargetClient::Call> probe_call_;
   std::vector<std::function<void(const Result<EngineState>&)>> probes_;
-  TargetCondition state_ = TargetCondition::kUnknown;
   EngineState engine_;
   bool stopped_ = false;
   bool polling_ = false;
@@ -75,6 +75,9 @@
 /// Returns the state in the body of a `/state` answer.
 Result<EngineState> ParseEngineState(const std::string& json);
 
+/// Returns the body of an `/order` request.
+std::string EncodeEngineOrder(const SideOrder& order);
+
 /// Returns the load in the body of a `/load` answer received at `now`.
 Result<EngineLoad> ParseEngineLoad(const std::string& json, TimePoint now);
 
--- a/src/side/target_worker.cc
+++ b/src/side/target_worker.cc
@@ -10,6 +10,10 @@
 
 constexpr char kRequestIdHeader[] = "X-Request-Id";
 constexpr std::size_t kMaxCleanups = 1024;
+constexpr int kOrderDone = 200;
+constexpr int kOrderAccepted = 202;
+constexpr int kOrderStale = 409;
+constexpr int kOrderBusy = 423;
 
 /// Returns the id by which the engine knows the stream of this request.
 std::string StreamIdIn(const std::vector<HttpHeader>& headers) {
@@ -21,6 +25,37 @@
   return "";
 }
 
+OrderWrittenEvent JudgeOrderWrite(std::uint64_t ticket, int status,
+                                  const Status& end) {
+  OrderWrittenEvent event;
+  event.ticket = ticket;
+  if (!IsOk(end)) {
+    const Error& error = ErrorOf(end);
+    event.detail = error.detail;
+    event.result = error.code == ErrorCode::kUnavailable
+                       ? OrderWriteResult::kNotWritten
+                       : OrderWriteResult::kUnknown;
+    return event;
+  }
+  event.detail = "the engine answered " + std::to_string(status);
+  switch (status) {
+    case kOrderAccepted:
+    case kOrderDone:
+      event.result = OrderWriteResult::kTaken;
+      break;
+    case kOrderStale:
+      event.result = OrderWriteResult::kStale;
+      break;
+    case kOrderBusy:
+      event.result = OrderWriteResult::kBusy;
+      break;
+    default:
+      event.result = OrderWriteResult::kRejected;
+      break;
+  }
+  return event;
+}
+
 HeaderList ToHeaderList(std::vector<HttpHeader> headers) {
   HeaderList list;
   list.reserve(headers.size());
@@ -60,6 +95,7 @@
   probe_timer_.cancel();
   calls_.clear();
   cleanups_.clear();
+  order_call_.reset();
 }
 
 void TargetWorker::Handle(TargetCommand&& command) {
@@ -72,6 +108,10 @@
           CancelCall(it.id);
         } else if constexpr (std::is_same_v<T, PauseCallCommand>) {
           PauseCall(it);
+        } else if constexpr (std::is_same_v<T, WriteOrderCommand>) {
+          WriteOrder(it);
+        } else if constexpr (std::is_same_v<T, ReadStateCommand>) {
+          monitor_.PollSoon();
         }
       },
       std::move(command));
@@ -236,6 +276,30 @@
   cleanups_[number] = client_->Start(std::move(request), std::move(hooks));
 }
 
+void TargetWorker::WriteOrder(const WriteOrderCommand& command) {
+  TargetRequest request;
+  request.method = "POST";
+  request.path = "/order";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = EncodeEngineOrder(command.order);
+  request.deadline = options_.order_deadline;
+  const auto ticket = command.ticket;
+  TargetClient::Hooks hooks;
+  auto status = std::make_shared<int>(0);
+  hooks.on_before_write = [this, write_by = command.write_by] {
+    // The confirmed number may have aged while this process slept.
+    return clock_() < write_by;
+  };
+  hooks.on_head = [status](int code, const std::vector<HttpHeader>&) {
+    *status = code;
+  };
+  hooks.on_body = [](std::string_view) {};
+  hooks.on_end = [this, ticket, status](const Status& end) {
+    Emit(JudgeOrderWrite(ticket, *status, end));
+  };
+  order_call_ = client_->Start(std::move(request), std::move(hooks));
+}
+
 void TargetWorker::PauseCall(const PauseCallCommand& command) {
   const auto it = calls_.find(command.id);
   if (it == calls_.end()) {
--- a/src/side/target_worker.h
+++ b/src/side/target_worker.h
@@ -31,6 +31,7 @@
   struct Options {
     bool is_engine = true;
     Duration poll_interval = std::chrono::milliseconds(500);
+    Duration order_deadline = std::chrono::seconds(5);
     Duration probe_deadline = std::chrono::milliseconds(500);
     Duration probe_pause = std::chrono::milliseconds(20);
     int max_probes = 25;
@@ -70,6 +71,7 @@
   };
 
   void StartCall(StartCallCommand command);
+  void WriteOrder(const WriteOrderCommand& command);
   void CancelCall(const AttemptId& id);
   void PauseCall(const PauseCallCommand& command);
   bool BeforeWrite(const AttemptId& id, TimePoint start_by);
@@ -100,6 +102,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<TargetClient::Call>>
       cleanups_;
   std::uint64_t next_cleanup_ = 0;
+  std::unique_ptr<TargetClient::Call> order_call_;
 };
 
 }  // namespace indigolead
--- /dev/null
+++ b/tests/shell/side_orders_test.cc
@@ -0,0 +1,204 @@
+#include <catch2/catch.hpp>
+
+#include "core/control/lease.h"
+#include "standins/engine_server.h"
+#include "standins/platform_server.h"
+#include "tests/support/side_fixture.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A side with an engine, the platform and an entry, all in this process.
+class OrderBench {
+ public:
+  explicit OrderBench(bool engine_checks_fencing) {
+    engine_.Change([&](auto* it) {
+      it->change_time = milliseconds(200);
+      it->check_fencing = engine_checks_fencing;
+      it->decode_tokens_per_s = 200;
+    });
+    auto settings =
+        RunningSide::MakeSettings(entry_.address(), engine_.address());
+    settings.store.address = platform_.address();
+    side_ = std::make_unique<RunningSide>(settings);
+    entry_.WaitForSide();
+    entry_.RunUntil(
+        [&] { return entry_.heartbeat_.target().health() == wire::TARGET_UP; },
+        "the engine up");
+  }
+
+  /// Makes a new holder of the lease; its number is the object's version.
+  FencingNumber WinLease() {
+    LeaseRecord lease;
+    lease.holder = "entry-1";
+    const auto before = platform_.Peek("control/lease");
+    return platform_.Poke("control/lease", EncodeLease(lease),
+                          before ? before->version : 0);
+  }
+
+  void Notify(FencingNumber number) {
+    wire::Envelope message;
+    message.mutable_fencing()->set_fencing_number(number);
+    entry_.Send(message);
+  }
+
+  void Order(FencingNumber number, std::uint64_t generation,
+             const std::string& role) {
+    wire::Envelope message;
+    auto* order = message.mutable_order();
+    order->set_target("bilbao-a-1");
+    order->set_fencing_number(number);
+    order->set_generation(generation);
+    order->set_role(role);
+    order->set_model("tarifa-llm");
+    order->set_model_version("1");
+    entry_.Send(message);
+  }
+
+  void WaitForPhase(std::uint64_t generation, wire::OrderPhase phase) {
+    entry_.RunUntil([&] { return Saw(generation, phase); }, "a phase");
+  }
+
+  bool Saw(std::uint64_t generation, wire::OrderPhase phase) const {
+    for (const auto& it : entry_.messages_) {
+      if (it.has_order_status() &&
+          it.order_status().generation() == generation &&
+          it.order_status().phase() == phase) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  standins::PlatformServer platform_;
+  standins::EngineServer engine_;
+  FakeEntry entry_;
+  std::unique_ptr<RunningSide> side_;
+};
+
+const char kLongStream[] =
+    R"({"model":"tarifa-llm","prompt":"x","stream":true,"max_tokens":100})";
+
+TEST_CASE("A side changes its engine's role without cutting a stream") {
+  OrderBench bench(GENERATE(true, false));
+  const FencingNumber number = bench.WinLease();
+  bench.Notify(number);
+  const auto id = bench.entry_.Start(1, kLongStream);
+  bench.entry_.RunUntil([&] { return !bench.entry_.BodyOf(id).empty(); },
+                        "a token");
+  bench.Order(number, 1, "decode");
+  bench.WaitForPhase(1, wire::ORDER_DRAINING);
+  const auto late = bench.entry_.Start(2, kLongStream);
+  bench.entry_.RunUntil([&] { return bench.entry_.RefusalOf(late) != nullptr; },
+                        "the refusal");
+  bench.WaitForPhase(1, wire::ORDER_IN_FORCE);
+
+  REQUIRE(bench.entry_.EndOf(id) != nullptr);
+  CHECK(bench.entry_.EndOf(id)->outcome() == wire::END_COMPLETE);
+  REQUIRE(bench.engine_.orders().size() == 1);
+  CHECK(bench.engine_.orders()[0].role == "decode");
+  for (const auto& it : bench.engine_.runs()) {
+    CHECK_FALSE(it.cut);
+  }
+  bench.entry_.RunUntil(
+      [&] {
+        return bench.entry_.heartbeat_.target().role() == "decode" &&
+               bench.entry_.heartbeat_.target().health() == wire::TARGET_UP;
+      },
+      "the new role");
+}
+
+// The holder of the lease is paused after it sent an order that still drains;
+// another holder wins the lease, which no entry tells the side. Whether or not
+// the engine checks numbers, the side finds the newer one right before it
+// writes, and the old order has no effect.
+TEST_CASE("A side gives an order no effect whose number is old") {
+  OrderBench bench(GENERATE(true, false));
+  const FencingNumber number = bench.WinLease();
+  bench.Notify(number);
+  const auto id = bench.entry_.Start(1, kLongStream);
+  bench.entry_.RunUntil([&] { return !bench.entry_.BodyOf(id).empty(); },
+                        "a token");
+  bench.Order(number, 1, "decode");
+  bench.WaitForPhase(1, wire::ORDER_DRAINING);
+  const FencingNumber newer = bench.WinLease();
+  bench.WaitForPhase(1, wire::ORDER_REFUSED_STALE);
+  CHECK(bench.engine_.orders().empty());
+
+  bench.Order(newer, 2, "prefill");
+  bench.WaitForPhase(2, wire::ORDER_IN_FORCE);
+  CHECK(bench.engine_.orders().size() == 1);
+}
+
+// The store goes away: the order waits, the target serves on. When the store
+// is back, the same order goes through.
+TEST_CASE("A side freezes its engine's role while the store is down") {
+  OrderBench bench(true);
+  const FencingNumber number = bench.WinLease();
+  bench.Notify(number);
+  bench.platform_.SetDown(true);
+  bench.Order(number, 1, "decode");
+  bench.WaitForPhase(1, wire::ORDER_ACCEPTED);
+  const auto id = bench.entry_.Start(1, kLongStream);
+  bench.entry_.RunUntil([&] { return bench.entry_.EndOf(id) != nullptr; },
+                        "the answer");
+  CHECK(bench.engine_.orders().empty());
+  bench.platform_.SetDown(false);
+  bench.WaitForPhase(1, wire::ORDER_IN_FORCE);
+}
+
+TEST_CASE("A side drives an engine on that crashes in its change") {
+  OrderBench bench(true);
+  const FencingNumber number = bench.WinLease();
+  bench.Notify(number);
+  bench.engine_.Change([](auto* it) { it->crash_in_change = true; });
+  bench.Order(number, 1, "decode");
+  bench.entry_.RunUntil(
+      [&] {
+        return bench.entry_.heartbeat_.target().health() == wire::TARGET_DOWN;
+      },
+      "the engine down");
+  bench.engine_.Change([](auto* it) { it->crash_in_change = false; });
+  bench.engine_.Restart();
+  bench.WaitForPhase(1, wire::ORDER_IN_FORCE);
+  bench.entry_.RunUntil(
+      [&] { return bench.entry_.heartbeat_.target().role() == "decode"; },
+      "the new role");
+}
+
+// No entry tells the side anything; it finds its entry and its drain in the
+// platform alone.
+TEST_CASE("A side alone finds its entry and its drain in the platform") {
+  standins::PlatformServer platform;
+  standins::EngineServer engine;
+  FakeEntry entry;
+  platform.PutInstance({"entry-1", "entry", "bilbao-a", "norte",
+                        entry.address(), InstanceState::kLive});
+  auto settings = RunningSide::MakeSettings("", engine.address());
+  settings.links.seeds.clear();
+  settings.store.address = platform.address();
+  settings.store.instance_poll_interval = milliseconds(50);
+
+  SECTION("drained in the store") {
+    platform.Poke("drains/bilbao-a-1", "{}", 0);
+    RunningSide side(settings);
+    entry.WaitForSide();
+    entry.RunUntil([&] { return entry.heartbeat_.leaving(); }, "leaving");
+  }
+  SECTION("leaving in the instance list") {
+    RunningSide side(settings);
+    entry.WaitForSide();
+    platform.PutInstance({"bilbao-a-1", "target", "bilbao-a", "norte", "",
+                          InstanceState::kLeaving});
+    entry.RunUntil([&] { return entry.heartbeat_.leaving(); }, "leaving");
+    const auto id = entry.Start(1, kLongStream);
+    entry.RunUntil([&] { return entry.RefusalOf(id) != nullptr; },
+                   "the refusal");
+    CHECK(entry.RefusalOf(id)->reason() == wire::REFUSAL_LEAVING);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
