Encrypt links with CURVE and let only trusted keys in

With key files set, links were accepted outside loopback but nothing encrypted them. Every socket now uses ZeroMQ's CURVE, and an authentication handler in the same event loop lets in only the public keys of trusted_keys_file. The files are read again every 5 s; a file that cannot be used leaves the keys held in force. A dial that fails tries the next trusted key, so that keys can be changed process by process. What needs a restart: a process's own secret key on its listening socket, which ZeroMQ reads at bind.

--- a/src/wire/events.h
+++ b/src/wire/events.h
@@ -31,6 +31,12 @@
 inline constexpr EventInfo kMemberChanged{
     5008, "member-changed", EventSeverity::kInfo,
     "What this process believes of an instance has changed."};
+inline constexpr EventInfo kKeysReloaded{
+    5009, "keys-reloaded", EventSeverity::kInfo,
+    "The key files have changed and are in force for new connections."};
+inline constexpr EventInfo kKeysNotReloaded{
+    5010, "keys-not-reloaded", EventSeverity::kError,
+    "The key files cannot be used; the keys read before stay in force."};
 
 }  // namespace indigolead::events
 
--- a/src/wire/links_impl.cc
+++ b/src/wire/links_impl.cc
@@ -67,8 +67,8 @@
 }
 
 Status Links::Impl::Start() {
-  if (!IsEncrypted()) {
-    log_(events::kLinksUnencrypted, {{"address", options_.bind_address}});
+  if (Status keys = StartKeys(); !IsOk(keys)) {
+    return keys;
   }
   if (!options_.bind_address.empty()) {
     Status bound = Bind();
@@ -76,6 +76,7 @@
       return bound;
     }
   }
+  started_ = true;
   ArmTimer();
   return Unit{};
 }
@@ -101,6 +102,7 @@
     }
     return;
   }
+  ReloadKeys(now);
   const bool paused = pause_detector_.Observe(now);
   PollLinks(now, paused);
   if (!stopped_) {
--- a/src/wire/links_impl.h
+++ b/src/wire/links_impl.h
@@ -13,9 +13,11 @@
 
 #include "core/membership/link_monitor.h"
 #include "core/membership/peer_table.h"
+#include "wire/key_files.h"
 #include "wire/link_metrics.h"
 #include "wire/links.h"
 #include "wire/transport_monitor.h"
+#include "wire/zap_handler.h"
 #include "wire/zmq_socket.h"
 
 namespace indigolead {
@@ -49,6 +51,7 @@
     std::shared_ptr<internal::ZmqSocket> socket;
     std::unique_ptr<internal::TransportMonitor> transport;
     bool hello_sent = false;
+    std::size_t tries = 0;   ///< Since the last hello of the peer.
     std::uint64_t link = 0;  ///< 0 until the peer's hello.
     /// Link of another dial that reaches the same process. While it lives this
     /// dial rests: each hello replaces the other's link at the peer, so two
@@ -80,6 +83,12 @@
   void OnDealerTransport(const std::string& address, TransportEvent event);
   std::string NewRoutingId();
 
+  // Keys.
+  Status StartKeys();
+  void ReloadKeys(TimePoint now);
+  void SetServerKeys(zmq::socket_t* socket) const;
+  void SetClientKeys(const Dial& dial, zmq::socket_t* socket) const;
+
   // Dials.
   void OpenDial(Dial* dial);
   void CloseDial(Dial* dial);
@@ -144,11 +153,16 @@
   PauseDetector pause_detector_;
   PeerTable peers_;
 
+  internal::CurveKeys keys_;
+  TimePoint keys_read_at_;
+
   zmq::context_t context_;
+  std::unique_ptr<internal::ZapHandler> zap_;
   std::shared_ptr<internal::ZmqSocket> router_;
   std::unique_ptr<internal::TransportMonitor> router_transport_;
   boost::asio::steady_timer timer_;
   std::string bound_address_;
+  bool started_ = false;
   bool stopped_ = false;
 
   std::map<std::string, std::unique_ptr<Dial>> dials_;
--- a/src/wire/links_messages.cc
+++ b/src/wire/links_messages.cc
@@ -124,6 +124,8 @@
     return;
   }
   dial->link = id;
+  // The key that worked is the first to be tried again.
+  --dial->tries;
   dial->monitor.OnUp(clock_());
   Link link(LinkMonitor(timing_, clock_()), hello.instance());
   link.address = dial->address;
--- a/src/wire/links_sockets.cc
+++ b/src/wire/links_sockets.cc
@@ -83,6 +83,7 @@
   router_ =
       std::make_shared<ZmqSocket>(io_, &context_, zmq::socket_type::router);
   SetCommonOptions(&router_->raw());
+  SetServerKeys(&router_->raw());
   router_->raw().set(zmq::sockopt::router_mandatory, 1);
   router_transport_ = std::make_unique<TransportMonitor>(
       io_, &context_, &router_->raw(),
@@ -225,7 +226,10 @@
   }
   auto dial = std::make_unique<Dial>(address,
                                      DialMonitor(timing_, ids_().lo, clock_()));
-  OpenDial(dial.get());
+  // Before the start there are no keys; the first tick opens the dial then.
+  if (started_) {
+    OpenDial(dial.get());
+  }
   dials_[address] = std::move(dial);
 }
 
@@ -246,6 +250,8 @@
       std::make_shared<ZmqSocket>(io_, &context_, zmq::socket_type::dealer);
   zmq::socket_t& raw = dial->socket->raw();
   SetCommonOptions(&raw);
+  SetClientKeys(*dial, &raw);
+  ++dial->tries;
   raw.set(zmq::sockopt::routing_id, NewRoutingId());
   // A silent reconnect would carry the routing id of the lost connection on,
   // so each connection gets a socket of its own instead.
