Join admission and routing to the entry's dispatch thread

Cause: the entry forwarded each request to the target with the fewest of its own attempts, and admitted everything.

Change: LoadControl holds an admission and a router per deployment, feeds them from load reports, cache events, sends and ends, and answers the request flow's hooks. The flow's candidates stay the truth about who may be chosen. Requests displaced by others are told on the next tick, because the flow is in the middle of the one that did it.

Ruled out: a request held for want of any target. The flow waits a moment for one and gives that reason.

Conclusion: limits, waiting, refusals and choices are shown through the hooks that the flow calls.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -271,6 +271,9 @@
   if (outcome == RevisionOutcome::kNewer) {
     log_(kRevisionInForce, {{"deployment", revision.spec.name},
                             {"revision", std::to_string(revision.number)}});
+    if (hooks_.on_revision) {
+      hooks_.on_revision(revision);
+    }
     RebuildCatalogue();
   }
   return outcome;
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -47,6 +47,8 @@
     std::function<void(ToCallers&&)> to_callers;
     /// Called every tick, for what waits to be sent to other threads.
     std::function<void()> on_tick;
+    /// A newer revision of a deployment is in force here.
+    std::function<void(const Revision&)> on_revision;
     RequestFlowHooks flow;
   };
 
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -15,6 +15,7 @@
 #include "entry/callers_server.h"
 #include "entry/dispatcher.h"
 #include "entry/events.h"
+#include "entry/load_control.h"
 #include "entry/platform_duty.h"
 #include "platform/http_object_store.h"
 #include "runtime/clock.h"
@@ -102,6 +103,13 @@
   return options;
 }
 
+LoadControl::Options LoadOptions(const Settings& settings) {
+  LoadControl::Options options;
+  options.failure_domain = settings.instance.failure_domain;
+  options.max_requests = settings.entry.max_requests;
+  return options;
+}
+
 }  // namespace
 
 class EntryProcess::Impl {
@@ -123,6 +131,8 @@
         callers_outbox_(&to_callers_),
         dispatch_outbox_(&to_dispatch_),
         platform_outbox_(&from_platform_),
+        load_control_(LoadOptions(settings_), LoadOutputs(),
+                      MakeSeededRandom(RandomId().lo), &metrics_),
         dispatcher_(dispatch_thread_.io(), DispatcherOptions(settings_),
                     DispatcherHooks(), BootTimeNow, RandomId, log_, &metrics_),
         callers_(callers_thread_.io(), &settings_.entry, CallersHooks(),
@@ -147,6 +157,7 @@
       return Unit{};
     }
     // Nothing else runs yet, so the duties may be set up on this thread.
+    dispatcher_.AddService(load_control_.Service(BootTimeNow));
     if (Status status = dispatcher_.Start(); !IsOk(status)) {
       return status;
     }
@@ -194,8 +205,24 @@
   const std::string& link_address() const { return link_address_; }
 
  private:
+  LoadControl::Outputs LoadOutputs() {
+    LoadControl::Outputs outputs;
+    outputs.admitted = [this](const RequestId& id, TimePoint now) {
+      dispatcher_.flow().OnAdmitted(id, now);
+    };
+    outputs.refused = [this](const RequestId& id, Refusal refusal,
+                             TimePoint now) {
+      dispatcher_.flow().OnGateRefused(id, std::move(refusal), now);
+    };
+    return outputs;
+  }
+
   Dispatcher::Hooks DispatcherHooks() {
     Dispatcher::Hooks hooks;
+    load_control_.Install(&hooks.flow);
+    hooks.on_revision = [this](const Revision& revision) {
+      load_control_.OnRevision(revision);
+    };
     hooks.to_callers = [this](ToCallers&& it) {
       if (std::holds_alternative<CatalogueChanged>(it)) {
         configured_.store(true, std::memory_order_relaxed);
@@ -282,6 +309,7 @@
   Outbox<ToCallers> callers_outbox_;
   Outbox<ToDispatch> dispatch_outbox_;
   Outbox<PlatformEvent> platform_outbox_;
+  LoadControl load_control_;
   Dispatcher dispatcher_;
   CallersServer callers_;
   HttpObjectStore store_;
--- /dev/null
+++ b/src/entry/load_control.h
@@ -0,0 +1,137 @@
+#ifndef INDIGOLEAD_ENTRY_LOAD_CONTROL_H_
+#define INDIGOLEAD_ENTRY_LOAD_CONTROL_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/admission/admission.h"
+#include "core/base/random.h"
+#include "core/config/deployment.h"
+#include "core/request/request_flow.h"
+#include "core/routing/prefix_blocks.h"
+#include "core/routing/router.h"
+#include "entry/dispatcher.h"
+#include "observe/metrics.h"
+
+namespace indigolead {
+
+/// Joins admission and routing to the entry's dispatch thread: one of each for
+/// every deployment.
+///
+/// Feeds them with what sides report and what the request flow sends, and
+/// answers the flow's hooks. Lives on the dispatch thread.
+class LoadControl {
+ public:
+  struct Options {
+    std::string failure_domain;
+    std::uint32_t max_targets = 512;
+    std::size_t max_requests = 8192;
+    std::size_t max_deployments = 256;
+    std::size_t block_bytes = 1024;  ///< Of a prompt, in one prefix block.
+  };
+  /// Ways to tell the request flow about a request that was held back.
+  struct Outputs {
+    std::function<void(const RequestId&, TimePoint)> admitted;
+    std::function<void(const RequestId&, Refusal, TimePoint)> refused;
+  };
+
+  /// `metrics` must outlive this object.
+  LoadControl(Options options, Outputs outputs, RandomSource random,
+              MetricsRegistry* metrics);
+
+  /// Sets the hooks that this object answers.
+  void Install(RequestFlowHooks* hooks);
+
+  /// Returns the service through which it sees the messages of sides. This
+  /// object must outlive it.
+  EntryService Service(Clock clock);
+
+  /// Takes over a deployment's limits and accounts.
+  void OnRevision(const Revision& revision);
+
+ private:
+  struct Target {
+    TargetHandle handle;
+    SideInfo info;
+    bool offered = false;  ///< Among the candidates of this decision.
+  };
+  /// How long an account's requests take over the time expected of them,
+  /// which takes the limit on the output for its length.
+  struct FinishRatio {
+    double ratio = 1;
+    std::uint32_t samples = 0;
+    TimePoint seen_at{};
+  };
+  struct Deployment {
+    Deployment(const RouterOptions& router, const AdmissionOptions& admission,
+               RandomSource random)
+        : router(router, std::move(random)), admission(admission) {}
+    Router router;
+    Admission admission;
+    std::map<std::string, Target> targets;
+    std::map<std::string, FinishRatio> ratios;  ///< By client account.
+  };
+  struct Held {
+    std::string deployment;
+    std::optional<AdmissionTicket> ticket;  ///< Absent while it waits.
+    AdmissionEnd end = AdmissionEnd::kNeutral;
+  };
+  struct Sent {
+    std::string deployment;
+    std::string account;
+    RouteLeg leg;
+    TimePoint at{};
+  };
+
+  Deployment* Find(const std::string& name);
+  void Observe(Deployment* deployment, const SideInfo& info);
+  void Match(Deployment* deployment, const std::vector<Candidate>& candidates,
+             std::vector<TargetHandle>* tried);
+  FleetLoad FleetOf(const Deployment& deployment, TimePoint now) const;
+  RouteQuery QueryOf(const Deployment& deployment, const CallerRequest& request,
+                     const PrefixBlocks& blocks) const;
+  Duration ServiceOf(const Deployment& deployment, const CallerRequest& request,
+                     const RouteLeg& leg, TimePoint now) const;
+
+  GateResult Admit(const CallerRequest& request, TimePoint now);
+  RouteResult Route(const CallerRequest& request,
+                    const std::vector<Candidate>& candidates, TimePoint now);
+  void OnSent(const CallerRequest& request, const AttemptId& attempt,
+              const SideInfo& side, TimePoint now);
+  void OnFirstFrame(const AttemptId& attempt, TimePoint now);
+  void OnAttemptEnd(const CallerRequest& request, const AttemptId& attempt,
+                    AttemptOutcome outcome, TimePoint now);
+  void OnDone(const CallerRequest& request, TimePoint now);
+  void Learn(Deployment* deployment, const Sent& sent, TimePoint now);
+  void Tick(TimePoint now);
+  void Take(const AdmissionDecision& decision, TimePoint now);
+  Refusal RefusalOf(const AdmissionDecision& decision);
+
+  void OnLinkUp(LinkId link, const wire::Hello& hello);
+  bool OnEnvelope(LinkId link, const wire::Envelope& message, TimePoint now);
+  void OnLoad(LinkId link, const wire::LoadReport& load, TimePoint now);
+
+  Options options_;
+  Outputs outputs_;
+  RandomSource random_;
+  std::map<std::string, std::unique_ptr<Deployment>> deployments_;
+  std::map<LinkId, SideInfo> sides_;
+  std::unordered_map<RequestId, Held> held_;
+  std::unordered_map<AttemptId, Sent> sent_;
+  /// Leg decided by `Route` for the `OnSent` that follows it.
+  RouteLeg decided_;
+  /// Refusals of requests that others displaced. Told on the next tick,
+  /// because the flow is in the middle of the request that did it.
+  std::vector<AdmissionDecision> displaced_;
+  Counter& refusals_;
+  Gauge& queued_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_LOAD_CONTROL_H_
--- /dev/null
+++ b/tests/shell/load_control_test.cc
@@ -0,0 +1,188 @@
+#include "entry/load_control.h"
+
+#include <catch2/catch.hpp>
+
+#include "entry/attempt_messages.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+/// Entry's load control with a deployment "tarifa-llm" and its engines.
+struct Desk {
+  Desk()
+      : control({.failure_domain = "bilbao-a"}, Outputs(), MakeSeededRandom(3),
+                &metrics) {
+    control.Install(&hooks);
+    service = control.Service([this] { return now; });
+    Revision revision;
+    revision.spec.name = "tarifa-llm";
+    ClientAccountSpec salon;
+    salon.name = "salon";
+    salon.max_concurrent = 2;
+    revision.spec.client_accounts = {salon};
+    control.OnRevision(revision);
+  }
+
+  LoadControl::Outputs Outputs() {
+    LoadControl::Outputs outputs;
+    outputs.admitted = [this](const RequestId& id, TimePoint) {
+      admitted.push_back(id);
+    };
+    outputs.refused = [this](const RequestId& id, Refusal refusal, TimePoint) {
+      refused.emplace_back(id, refusal);
+    };
+    return outputs;
+  }
+
+  void EngineUp(std::uint64_t link, const std::string& name) {
+    wire::Hello hello;
+    hello.set_kind(wire::PROCESS_SIDE);
+    hello.set_instance(name);
+    hello.set_incarnation(ToBytes(Id128{1, link}));
+    hello.set_failure_domain("bilbao-a");
+    hello.mutable_target()->set_deployment("tarifa-llm");
+    hello.mutable_target()->set_is_engine(true);
+    hello.mutable_target()->add_models("tarifa@1");
+    hello.mutable_target()->set_health(wire::TARGET_UP);
+    service.on_link_up(LinkId{link}, hello);
+    SideInfo info = *SideInfoFrom(hello);
+    sides.push_back(info);
+  }
+
+  void Load(std::uint64_t link, std::uint32_t running,
+            std::uint64_t queued_tokens) {
+    wire::Envelope message;
+    wire::LoadReport& load = *message.mutable_heartbeat()->mutable_load();
+    load.set_slots(16);
+    load.set_running(running);
+    load.set_queued_prefill_tokens(queued_tokens);
+    CHECK_FALSE(service.handle_message(LinkId{link}, message));
+  }
+
+  CallerRequest Request(std::uint64_t n) const {
+    CallerRequest request;
+    request.id = RequestId{Id128{0, n}};
+    request.client_account = "salon";
+    request.deployment = "tarifa-llm";
+    request.model = "tarifa";
+    request.deadline = now + seconds(60);
+    request.prompt_tokens = 100;
+    request.max_output_tokens = 100;
+    return request;
+  }
+
+  std::vector<Candidate> Candidates() const {
+    std::vector<Candidate> candidates;
+    for (const SideInfo& it : sides) {
+      candidates.push_back(Candidate{&it, 0, false});
+    }
+    return candidates;
+  }
+
+  TimePoint now = kStart;
+  MetricsRegistry metrics;
+  std::vector<RequestId> admitted;
+  std::vector<std::pair<RequestId, Refusal>> refused;
+  std::vector<SideInfo> sides;
+  LoadControl control;
+  RequestFlowHooks hooks;
+  EntryService service;
+};
+
+TEST_CASE("The entry holds accounts to their limits and gives places back") {
+  Desk desk;
+  desk.EngineUp(1, "worker-1");
+  CHECK(std::get<Gate>(desk.hooks.admit(desk.Request(1), desk.now)) ==
+        Gate::kOpen);
+  CHECK(std::get<Gate>(desk.hooks.admit(desk.Request(2), desk.now)) ==
+        Gate::kOpen);
+
+  const GateResult third = desk.hooks.admit(desk.Request(3), desk.now);
+  REQUIRE(std::holds_alternative<Refusal>(third));
+  CHECK(std::get<Refusal>(third).status == 429);
+  CHECK(std::get<Refusal>(third).run == RunState::kNotRun);
+  CHECK(std::get<Refusal>(third).retry_after > Duration{0});
+
+  desk.hooks.on_done(desk.Request(1), desk.now);
+  CHECK(std::get<Gate>(desk.hooks.admit(desk.Request(4), desk.now)) ==
+        Gate::kOpen);
+}
+
+TEST_CASE("A request waits while the engines are full, and goes on after") {
+  Desk desk;
+  desk.EngineUp(1, "worker-1");
+  desk.Load(1, 16, 0);
+  REQUIRE(std::get<Gate>(desk.hooks.admit(desk.Request(1), desk.now)) ==
+          Gate::kWait);
+  desk.service.tick(desk.now);
+  CHECK(desk.admitted.empty());
+
+  SECTION("a report of free slots lets it go on") {
+    desk.now += milliseconds(500);
+    desk.Load(1, 3, 0);
+    desk.service.tick(desk.now);
+    CHECK(desk.admitted == std::vector<RequestId>{desk.Request(1).id});
+  }
+  SECTION("its caller leaves: nothing is dispatched for it") {
+    desk.hooks.on_done(desk.Request(1), desk.now);
+    desk.Load(1, 0, 0);
+    desk.service.tick(desk.now + seconds(1));
+    CHECK(desk.admitted.empty());
+  }
+  SECTION("past its deadline it is refused, as not run") {
+    desk.service.tick(desk.now + seconds(61));
+    REQUIRE(desk.refused.size() == 1);
+    CHECK(desk.refused[0].second.status == 503);
+    CHECK(desk.refused[0].second.run == RunState::kNotRun);
+  }
+}
+
+TEST_CASE("The entry routes by load, and only to the targets offered") {
+  Desk desk;
+  desk.EngineUp(1, "worker-1");
+  desk.EngineUp(2, "worker-2");
+  desk.Load(1, 2, 90000);
+  desk.Load(2, 2, 0);
+  const auto route = [&](const CallerRequest& request,
+                         const std::vector<Candidate>& candidates) {
+    const RouteResult result = desk.hooks.route(request, candidates, desk.now);
+    const auto* to = std::get_if<RouteTo>(&result);
+    return to == nullptr ? std::string("none") : to->instance;
+  };
+  auto candidates = desk.Candidates();
+  CHECK(route(desk.Request(1), candidates) == "worker-2");
+
+  SECTION("a target that the flow does not offer is not chosen") {
+    candidates.pop_back();
+    CHECK(route(desk.Request(1), candidates) == "worker-1");
+    CHECK(route(desk.Request(1), {}) == "none");
+    CHECK(route(desk.Request(1), desk.Candidates()) == "worker-2");
+  }
+  SECTION("one that was tried is left out") {
+    candidates[1].tried = true;
+    CHECK(route(desk.Request(1), candidates) == "worker-1");
+  }
+  SECTION("a model that is loaded nowhere has no target") {
+    CallerRequest request = desk.Request(1);
+    request.model = "other";
+    CHECK(route(request, candidates) == "none");
+  }
+  SECTION("what was sent counts before any report shows it") {
+    for (std::uint64_t it = 1; it <= 16; ++it) {
+      CallerRequest request = desk.Request(it);
+      request.prompt_tokens = 90000;
+      route(request, candidates);
+      desk.hooks.on_sent(request, AttemptId{Id128{0, it}}, desk.sides[1],
+                         desk.now);
+    }
+    CHECK(route(desk.Request(20), candidates) == "worker-1");
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
