Join claims and quarantine to links, store and request flow

Cause: the cores decide, but nothing fed them.

Change: the side's home of claims and its gate for suspects, the entry's guards (claims and quarantine before the request flow), the keeper of the slot map and of quarantines. Segments are at most 32 KiB, since each write carries a whole one. A suspect may be held back up to its deadline without counting as one that finds no target, and a keyed request whose home has not answered by its deadline ends as unknown.

--- a/src/core/claims/claim_home.cc
+++ b/src/core/claims/claim_home.cc
@@ -106,7 +106,8 @@
     return;
   }
   if (record->answer &&
-      record->answer->size() > options_.max_journaled_answer_bytes) {
+      (record->answer->size() > options_.max_journaled_answer_bytes ||
+       !journal_->HasRoomForAnswers())) {
     record->answer.reset();
   }
   const std::uint64_t position = journal_->Append(std::move(*record));
--- a/src/core/claims/claim_journal.cc
+++ b/src/core/claims/claim_journal.cc
@@ -68,6 +68,7 @@
          now - closed_.front().at >= options_.retention) {
     out.push_back(
         DeleteSegment{ref_, closed_.front().number, closed_.front().version});
+    closed_bytes_ -= closed_.front().bytes;
     closed_.pop_front();
   }
   return out;
@@ -235,9 +236,10 @@
     }
   }
   // Only this process writes unsealed segments of this journal, so a newer
-  // version of the open one is a write of ours that took effect unseen.
+  // version of the open one is a write of ours that took effect unseen. An
+  // older one is a stale read; the next write's conflict leads back here.
   if (!fenced_ && newest && newest->segment.number == open_.number &&
-      newest->version != open_version_) {
+      newest->version > open_version_) {
     Commit(newest->segment, newest->version, now);
   }
 }
@@ -260,7 +262,9 @@
                 [&](const auto& it) { return it.first < written.generation; });
   std::erase_if(asked_, [&](auto it) { return it < written.generation; });
   if (written.closed) {
-    closed_.push_back({written.number, version, now});
+    const std::size_t bytes = SizeOf(written.records);
+    closed_.push_back({written.number, version, bytes, now});
+    closed_bytes_ += bytes;
     open_.records.clear();
     open_.closed = false;
     ++open_.number;
--- a/src/core/claims/claim_journal.h
+++ b/src/core/claims/claim_journal.h
@@ -118,7 +118,9 @@
  public:
   struct Options {
     std::size_t max_segment_records = 512;
-    std::size_t max_segment_bytes = 128U << 10;
+    std::size_t max_segment_bytes = 32U << 10;
+    /// Bytes held in the store; a successor must read them in one listing.
+    std::size_t max_journal_bytes = 24U << 20;
     /// Records waiting for the store before `HasRoom` is false.
     std::size_t max_pending = 20000;
     /// Least time between the starts of two writes: bounds the store's load.
@@ -135,7 +137,15 @@
 
   /// Queues `record` and returns its position; positions start at 1.
   std::uint64_t Append(ClaimRecord record);
-  bool HasRoom() const { return pending_.size() < options_.max_pending; }
+  bool HasRoom() const {
+    return pending_.size() < options_.max_pending &&
+           closed_bytes_ < options_.max_journal_bytes;
+  }
+  /// Returns false while answers must be left out, so that there stays room
+  /// for claims.
+  bool HasRoomForAnswers() const {
+    return closed_bytes_ < options_.max_journal_bytes / 2;
+  }
 
   /// Names the entries that can be asked now. The journal's witnesses are
   /// taken from them, by a write, whenever one is no longer among them.
@@ -171,6 +181,7 @@
   struct Closed {
     std::uint64_t number;
     std::uint64_t version;
+    std::size_t bytes;
     TimePoint at;
   };
 
@@ -204,6 +215,7 @@
   std::vector<std::uint32_t> incomplete_slots_;
   std::deque<ClaimRecord> pending_;
   std::deque<Closed> closed_;
+  std::size_t closed_bytes_ = 0;
   std::uint64_t durable_ = 0;
   std::uint64_t appended_ = 0;
   std::uint64_t released_ = 0;
--- a/src/core/claims/journal_absorber.cc
+++ b/src/core/claims/journal_absorber.cc
@@ -48,8 +48,10 @@
     return;
   }
   // Whatever the answer says, the next reading shows whether the seal is on.
+  // After a conflict, too, it waits: a store that reads stale for a while
+  // would otherwise be called without pause.
   phase_ = Phase::kToRead;
-  if (!IsOk(version) && ErrorOf(version).code != ErrorCode::kConflict) {
+  if (!IsOk(version)) {
     next_call_ = now + options_.retry_interval;
   }
 }
--- a/src/core/claims/slot_map.h
+++ b/src/core/claims/slot_map.h
@@ -58,7 +58,7 @@
     std::size_t max_homes = 8;
     std::size_t max_sources = 8;
     /// Slots move to spread the load only above this share of the mean.
-    double imbalance = 2.0;
+    double imbalance = 1.5;
   };
 
   /// What is known of the processes now.
--- a/src/core/request/attempt_table.cc
+++ b/src/core/request/attempt_table.cc
@@ -34,6 +34,11 @@
   return it == attempts_.end() ? nullptr : &it->second;
 }
 
+bool AttemptTable::IsRunning(const AttemptId& id) const {
+  const auto it = attempts_.find(id);
+  return it != attempts_.end() && !it->second.ended;
+}
+
 const Incarnation* AttemptTable::PeerOf(LinkNumber link) const {
   const auto it = peers_.find(link);
   return it == peers_.end() ? nullptr : &it->second;
--- a/src/core/request/attempt_table.h
+++ b/src/core/request/attempt_table.h
@@ -113,6 +113,8 @@
 
   /// Returns the attempts that have not ended.
   std::size_t running() const { return running_; }
+  /// Returns true if the attempt is held here and has not ended.
+  bool IsRunning(const AttemptId& id) const;
   /// Returns true if no attempt runs and the end of each was sent.
   bool Idle() const;
   std::uint64_t buffered_bytes() const { return buffered_bytes_; }
--- /dev/null
+++ b/src/core/request/quarantine.cc
@@ -0,0 +1,350 @@
+#include "core/request/quarantine.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace indigolead {
+namespace {
+
+constexpr std::size_t kMaxKills = 16;
+
+/// Returns the target that every entry chooses for `fingerprint` out of the
+/// same `targets`: the one with the highest hash of both.
+const std::string& ChooseFor(Fingerprint fingerprint,
+                             const std::vector<std::string>& targets) {
+  return *std::max_element(targets.begin(), targets.end(),
+                           [&](const std::string& a, const std::string& b) {
+                             return XXH64(a.data(), a.size(), fingerprint) <
+                                    XXH64(b.data(), b.size(), fingerprint);
+                           });
+}
+
+}  // namespace
+
+Quarantine::Verdict Quarantine::Check(const Subject& subject,
+                                      const std::vector<std::string>& targets,
+                                      TimePoint now) const {
+  const Fingerprint fingerprint = subject.fingerprint;
+  const auto it = records_.find(fingerprint);
+  const Running* running = FindRunning(fingerprint);
+  if (it == records_.end() || now >= it->second.until) {
+    if (running && proven_.count(fingerprint) == 0) {
+      return OnlyTo{running->instance};
+    }
+    return Anywhere{};
+  }
+  const Record& record = it->second;
+  if (record.quarantined) {
+    return Quarantined{record.until - now, record.reason};
+  }
+  if (now < record.rest_until || running || targets.empty()) {
+    return Hold{};
+  }
+  const std::string chosen = PlaceFor(fingerprint, record, targets, now);
+  if (chosen.empty() || RunsOtherSuspect(fingerprint, chosen)) {
+    return Hold{};
+  }
+  return OnlyTo{chosen};
+}
+
+std::string Quarantine::PlaceFor(Fingerprint fingerprint, const Record& record,
+                                 const std::vector<std::string>& targets,
+                                 TimePoint now) const {
+  // Another target than those that died, so that its death is told from theirs
+  // by name; the same one again only when there is no other.
+  std::vector<std::string> others;
+  bool settled = true;
+  for (const std::string& it : targets) {
+    const bool died =
+        std::any_of(record.kills.begin(), record.kills.end(),
+                    [&](const Kill& kill) { return kill.instance == it; });
+    if (!died) {
+      others.push_back(it);
+    }
+  }
+  for (const Kill& it : record.kills) {
+    settled = settled && now - it.at > 2 * options_.same_death;
+  }
+  if (!others.empty()) {
+    return ChooseFor(fingerprint, others);
+  }
+  return settled ? ChooseFor(fingerprint, targets) : std::string();
+}
+
+void Quarantine::OnStarted(const Subject& subject, const AttemptId& attempt,
+                           const std::string& instance, TimePoint now) {
+  running_[attempt] = {subject.fingerprint, subject.deployment, instance, now};
+  by_fingerprint_[subject.fingerprint].insert(attempt);
+  const auto it = records_.find(subject.fingerprint);
+  if (it != records_.end()) {
+    Announce(subject.fingerprint, it->second, now);
+  }
+}
+
+void Quarantine::OnFinished(const AttemptId& attempt, TimePoint now) {
+  const auto it = running_.find(attempt);
+  if (it == running_.end()) {
+    return;
+  }
+  const Fingerprint fingerprint = it->second.fingerprint;
+  OnBroken(attempt);
+  if (proven_.insert(fingerprint).second) {
+    proven_order_.push_back(fingerprint);
+  }
+  if (proven_order_.size() > options_.max_proven) {
+    proven_.erase(proven_order_.front());
+    proven_order_.pop_front();
+  }
+  const auto record = records_.find(fingerprint);
+  if (record != records_.end() && !record->second.quarantined) {
+    Clear(fingerprint, now);
+  }
+}
+
+void Quarantine::OnBroken(const AttemptId& attempt) {
+  const auto it = running_.find(attempt);
+  if (it == running_.end()) {
+    return;
+  }
+  const auto copies = by_fingerprint_.find(it->second.fingerprint);
+  copies->second.erase(attempt);
+  if (copies->second.empty()) {
+    by_fingerprint_.erase(copies);
+  }
+  running_.erase(it);
+}
+
+void Quarantine::Rest(Fingerprint fingerprint, TimePoint until) {
+  const auto it = records_.find(fingerprint);
+  if (it != records_.end()) {
+    it->second.rest_until = std::max(it->second.rest_until, until);
+  }
+}
+
+void Quarantine::OnKill(const Subject& subject, const std::string& instance,
+                        TimePoint now) {
+  Record* record = Obtain(subject.fingerprint, now);
+  record->client_account = subject.client_account;
+  record->deployment = subject.deployment;
+  // Several copies die in one death; one that was started after the death
+  // known so far died in another.
+  TimePoint started = now;
+  const auto copies = by_fingerprint_.find(subject.fingerprint);
+  if (copies != by_fingerprint_.end()) {
+    for (const AttemptId& it : copies->second) {
+      const Running& running = running_.at(it);
+      if (running.instance == instance) {
+        started = std::min(started, running.started);
+      }
+    }
+  }
+  for (const Kill& it : record->kills) {
+    if (it.instance == instance && started < it.at) {
+      return;
+    }
+  }
+  AddKill(record, {instance, now}, now);
+  Judge(record, subject.policy, now);
+  Announce(subject.fingerprint, *record, now);
+}
+
+void Quarantine::AddKill(Record* record, const Kill& kill, TimePoint now) {
+  if (record->kills.size() < kMaxKills) {
+    record->kills.push_back(kill);
+  }
+  record->rest_until = std::max(record->rest_until, now + options_.rest);
+  record->until = std::max(record->until, now + options_.suspect_time);
+}
+
+void Quarantine::Judge(Record* record, const Policy& policy, TimePoint now) {
+  if (record->quarantined || record->kills.size() < policy.kills) {
+    return;
+  }
+  record->quarantined = true;
+  record->until = now + policy.time;
+  record->reason = "in flight when these targets died:";
+  for (const Kill& it : record->kills) {
+    record->reason += " " + it.instance;
+  }
+}
+
+void Quarantine::OnNotice(const SuspicionNotice& notice, const Policy& policy,
+                          TimePoint now) {
+  if (notice.lifted) {
+    records_.erase(notice.fingerprint);
+    return;
+  }
+  Record* record = Obtain(notice.fingerprint, now);
+  record->client_account = notice.client_account;
+  record->deployment = notice.deployment;
+  for (const TargetDeath& it : notice.deaths) {
+    const TimePoint at = now - it.age;
+    const bool known = std::any_of(
+        record->kills.begin(), record->kills.end(), [&](const Kill& kill) {
+          const Duration apart = kill.at > at ? kill.at - at : at - kill.at;
+          return kill.instance == it.instance && apart <= options_.same_death;
+        });
+    if (!known) {
+      AddKill(record, {it.instance, at}, now);
+    }
+  }
+  if (notice.in_flight) {
+    record->rest_until = std::max(record->rest_until, now + options_.busy);
+  }
+  record->until = std::max(record->until, now + notice.remaining);
+  if (notice.quarantined) {
+    record->quarantined = true;
+    record->reason = notice.reason;
+  }
+  // The two entries may each have seen one of the deaths.
+  Judge(record, policy, now);
+  if (!record->quarantined && FindRunning(notice.fingerprint) &&
+      !notice.in_flight) {
+    // Its sender is about to retry it; it must learn of the copy here first.
+    Announce(notice.fingerprint, *record, now);
+  }
+}
+
+void Quarantine::Lift(Fingerprint fingerprint, TimePoint now) {
+  Clear(fingerprint, now);
+}
+
+void Quarantine::Clear(Fingerprint fingerprint, TimePoint now) {
+  const auto it = records_.find(fingerprint);
+  if (it == records_.end()) {
+    return;
+  }
+  SuspicionNotice notice = NoticeOf(fingerprint, it->second, now);
+  notice.lifted = true;
+  notice.quarantined = false;
+  records_.erase(it);
+  notices_.push_back(std::move(notice));
+}
+
+void Quarantine::Tick(TimePoint now) {
+  std::erase_if(records_,
+                [&](const auto& it) { return now >= it.second.until; });
+  if (now < next_announce_) {
+    return;
+  }
+  next_announce_ = now + options_.announce_interval;
+  for (const auto& [fingerprint, copies] : by_fingerprint_) {
+    const auto it = records_.find(fingerprint);
+    if (it != records_.end() && !it->second.quarantined) {
+      Announce(fingerprint, it->second, now);
+    }
+  }
+}
+
+std::vector<SuspicionNotice> Quarantine::TakeNotices() {
+  return std::exchange(notices_, {});
+}
+
+std::vector<SuspicionNotice> Quarantine::List(TimePoint now) const {
+  std::vector<SuspicionNotice> all;
+  for (const auto& [fingerprint, record] : records_) {
+    if (now < record.until) {
+      all.push_back(NoticeOf(fingerprint, record, now));
+    }
+  }
+  return all;
+}
+
+Quarantine::Record* Quarantine::Obtain(Fingerprint fingerprint, TimePoint now) {
+  if (records_.size() >= options_.max_records &&
+      records_.count(fingerprint) == 0) {
+    // The one that would be forgotten first makes room.
+    const auto oldest = std::min_element(
+        records_.begin(), records_.end(), [](const auto& a, const auto& b) {
+          return a.second.until < b.second.until;
+        });
+    records_.erase(oldest);
+  }
+  Record& record = records_[fingerprint];
+  if (record.until != TimePoint{} && now >= record.until) {
+    record = {};  // A time that is over does not count towards a new one.
+  }
+  return &record;
+}
+
+void Quarantine::Announce(Fingerprint fingerprint, const Record& record,
+                          TimePoint now) {
+  notices_.push_back(NoticeOf(fingerprint, record, now));
+}
+
+SuspicionNotice Quarantine::NoticeOf(Fingerprint fingerprint,
+                                     const Record& record,
+                                     TimePoint now) const {
+  SuspicionNotice notice;
+  notice.fingerprint = fingerprint;
+  notice.client_account = record.client_account;
+  notice.deployment = record.deployment;
+  for (const Kill& it : record.kills) {
+    notice.deaths.push_back({it.instance, now - it.at});
+  }
+  notice.quarantined = record.quarantined;
+  notice.in_flight = FindRunning(fingerprint) != nullptr;
+  notice.remaining = record.until - now;
+  notice.reason = record.reason;
+  return notice;
+}
+
+const Quarantine::Running* Quarantine::FindRunning(
+    Fingerprint fingerprint) const {
+  const auto copies = by_fingerprint_.find(fingerprint);
+  if (copies == by_fingerprint_.end()) {
+    return nullptr;
+  }
+  return &running_.at(*copies->second.begin());
+}
+
+bool Quarantine::RunsOtherSuspect(Fingerprint fingerprint,
+                                  const std::string& instance) const {
+  return std::any_of(running_.begin(), running_.end(), [&](const auto& it) {
+    return it.second.fingerprint != fingerprint &&
+           it.second.instance == instance &&
+           records_.count(it.second.fingerprint) > 0;
+  });
+}
+
+void SuspectGate::OnNotice(const SuspicionNotice& notice, TimePoint now) {
+  if (notice.lifted) {
+    suspects_.erase(notice.fingerprint);
+    return;
+  }
+  if (suspects_.size() >= max_suspects_) {
+    std::erase_if(suspects_, [&](const auto& it) { return now >= it.second; });
+  }
+  if (suspects_.size() < max_suspects_ ||
+      suspects_.count(notice.fingerprint) > 0) {
+    suspects_[notice.fingerprint] = now + notice.remaining;
+  }
+}
+
+bool SuspectGate::IsSuspect(Fingerprint fingerprint, TimePoint now) const {
+  const auto it = suspects_.find(fingerprint);
+  return it != suspects_.end() && now < it->second;
+}
+
+bool SuspectGate::Admit(const AttemptId& attempt, Fingerprint fingerprint,
+                        TimePoint now) {
+  if (IsSuspect(fingerprint, now)) {
+    for (const auto& [id, other] : running_) {
+      if (other != fingerprint && IsSuspect(other, now)) {
+        return false;
+      }
+    }
+  }
+  running_[attempt] = fingerprint;
+  return true;
+}
+
+void SuspectGate::Sweep(
+    const std::function<bool(const AttemptId&)>& is_running) {
+  std::erase_if(running_,
+                [&](const auto& it) { return !is_running(it.first); });
+}
+
+}  // namespace indigolead
--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -19,7 +19,8 @@
   return EqualsIgnoringCase(type.substr(0, kEventStream.size()), kEventStream);
 }
 
-/// Returns true if the engine holds the model, or does not say what it holds.
+}  // namespace
+
 bool HoldsModel(const SideInfo& side, const std::string& model) {
   if (!side.is_engine || side.models.empty() || model.empty()) {
     return true;
@@ -48,8 +49,6 @@
   return RouteTo{best->side->instance};
 }
 
-}  // namespace
-
 RequestFlow::RequestFlow(RequestFlowOptions options, RequestFlowHooks hooks,
                          IdSource ids)
     : options_(options),
@@ -177,6 +176,9 @@
       return;
     }
   }
+  if (const auto* wait = std::get_if<RouteWait>(&result); wait && wait->held) {
+    return;
+  }
   // Every target is gone or tried: wait a moment for one to come up, and give
   // the tried ones a second chance then.
   it.tried.clear();
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -33,9 +33,22 @@
 struct RouteTo {
   std::string instance;
 };
-struct RouteWait {};  ///< No target now; asked again soon.
+/// No target now; asked again soon. A request that is held back on purpose
+/// waits up to its deadline, any other until `no_target_wait` is over.
+struct RouteWait {
+  bool held = false;
+};
 using RouteResult = std::variant<RouteTo, RouteWait, Refusal>;
 
+/// Returns true if the engine holds the model, or does not say what it holds.
+bool HoldsModel(const SideInfo& side, const std::string& model);
+
+/// Chooses the untried candidate with the fewest attempts in flight. The
+/// default of `RequestFlowHooks::route`.
+RouteResult LeastOutstanding(const CallerRequest& request,
+                             const std::vector<Candidate>& candidates,
+                             TimePoint now);
+
 /// How a keyed request's claim ended.
 enum class ClaimSettlement { kFinished, kNotRun, kUnknown };
 
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -386,7 +386,11 @@
 
 void RequestFlow::TickRequest(Request& it, TimePoint now) {
   if (now >= it.request->deadline) {
-    it.may_have_run = it.may_have_run || it.attempt.has_value();
+    // Of a key whose home has not answered yet, an earlier request may have
+    // run, so "not-run" would be a guess.
+    const bool unasked = it.stage == Stage::kClaim &&
+                         it.request->repeatability == Repeatability::kKeyed;
+    it.may_have_run = it.may_have_run || unasked || it.attempt.has_value();
     ReleaseAttempt(it, AttemptOutcome::kDeadline, true, now);
     Refuse(it,
            {504, RunState::kNotRun, "deadline",
--- /dev/null
+++ b/src/entry/claim_service.h
@@ -0,0 +1,95 @@
+#ifndef INDIGOLEAD_ENTRY_CLAIM_SERVICE_H_
+#define INDIGOLEAD_ENTRY_CLAIM_SERVICE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "core/claims/claim_client.h"
+#include "core/request/request_flow.h"
+#include "envelope.pb.h"
+#include "observe/metrics.h"
+#include "wire/links.h"
+
+namespace indigolead {
+
+/// Joins the request flow to the homes of idempotency keys, and serves homes
+/// as their witness. Lives on the entry's dispatch thread.
+class ClaimService {
+ public:
+  struct Options {
+    ClaimClient::Options client;
+    /// The verdict comes this long before the request's own deadline, so that
+    /// the flow never ends a keyed request before its home was heard.
+    Duration margin = std::chrono::milliseconds(50);
+  };
+  struct Hooks {
+    std::function<bool(LinkId, const wire::Envelope&)> send;
+    std::function<void(const RequestId&, TimePoint)> granted;
+    std::function<void(const RequestId&, WholeAnswer, TimePoint)> answered;
+    std::function<void(const RequestId&, Refusal, TimePoint)> refused;
+    /// A side offers itself as a home, or says that its state has changed.
+    std::function<void(const std::string& deployment, const HomeState&)>
+        on_home;
+    /// The connection to a side has ended.
+    std::function<void(const std::string& instance)> on_home_down;
+  };
+
+  /// `metrics` must outlive this object.
+  ClaimService(Options options, Incarnation self, Hooks hooks, Clock clock,
+               MetricsRegistry* metrics);
+
+  /// @name Hooks of `RequestFlow`: `claim`, `settle_claim` and `on_done`.
+  /// @{
+  GateResult Claim(const CallerRequest& request, TimePoint now);
+  void Settle(const CallerRequest& request, ClaimSettlement settlement,
+              const WholeAnswer* answer, TimePoint now);
+  void Done(const CallerRequest& request, TimePoint now);
+  /// @}
+
+  bool HandleMessage(LinkId link, const wire::Envelope& message);
+  void OnLinkUp(LinkId link, const wire::Hello& hello);
+  void OnLinkDown(LinkId link);
+  void Tick(TimePoint now);
+
+  /// Takes in a deployment's slot map, from the platform or from a peer.
+  void OnSlotMap(const std::string& deployment, const SlotMap& map);
+
+ private:
+  struct Side {
+    std::string instance;
+    std::string failure_domain;
+    std::string deployment;
+  };
+
+  void Act(TimePoint now);
+  void Decide(const ClaimDecided& decided, TimePoint now);
+  void SendTo(const std::string& instance, const wire::Envelope& message);
+  void OfferMap(LinkId link, const std::string& deployment);
+  void OnWitnessAsk(LinkId link, const wire::WitnessAsk& ask);
+  void OnHomeState(LinkId link, const wire::HomeState& state);
+
+  Options options_;
+  Hooks hooks_;
+  Clock clock_;
+  ClaimClient client_;
+  WitnessTable witness_;
+  std::map<LinkId, Side> sides_;
+  std::map<std::string, LinkId> links_;
+  std::map<std::string, SlotMap> maps_;
+  Counter& granted_;
+  Counter& replayed_;
+  Counter& refused_;
+  Gauge& open_;
+};
+
+/// Returns what a caller is told when its keyed request does not run.
+///
+/// "not-run" is said of the key, not of this one request: a caller that reads
+/// it may send the job under a new key, so it is said only if the home knows
+/// the key to be free. A home that cannot be asked leaves it "unknown".
+Refusal RefusalOf(const ClaimDecision& decision);
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_CLAIM_SERVICE_H_
--- /dev/null
+++ b/src/entry/quarantine_keeper.cc
@@ -0,0 +1,143 @@
+#include "entry/quarantine_keeper.h"
+
+#include <chrono>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace indigolead {
+namespace {
+
+constexpr char kPrefix[] = "quarantines/";
+
+ListWatcher::Options WatchOptions(Duration deadline) {
+  ListWatcher::Options options;
+  options.prefix = kPrefix;
+  options.list = {CallPriority::kStatus, deadline};
+  return options;
+}
+
+}  // namespace
+
+std::string QuarantineKey(Fingerprint fingerprint) {
+  char digits[17];
+  std::snprintf(digits, sizeof digits, "%016llx",
+                static_cast<unsigned long long>(fingerprint));
+  return std::string(kPrefix) + digits;
+}
+
+std::string EncodeQuarantine(const SuspicionNotice& notice) {
+  nlohmann::json json;
+  json["fingerprint"] = notice.fingerprint;
+  json["client_account"] = notice.client_account;
+  json["deployment"] = notice.deployment;
+  json["reason"] = notice.reason;
+  json["remaining_ms"] =
+      std::chrono::duration_cast<std::chrono::milliseconds>(notice.remaining)
+          .count();
+  json["targets"] = nlohmann::json::array();
+  for (const TargetDeath& it : notice.deaths) {
+    json["targets"].push_back(it.instance);
+  }
+  return json.dump();
+}
+
+Result<SuspicionNotice> DecodeQuarantine(const std::string& text) {
+  try {
+    const auto json = nlohmann::json::parse(text);
+    SuspicionNotice notice;
+    notice.fingerprint = json.at("fingerprint").get<Fingerprint>();
+    notice.client_account = json.at("client_account").get<std::string>();
+    notice.deployment = json.at("deployment").get<std::string>();
+    notice.reason = json.at("reason").get<std::string>();
+    notice.remaining =
+        std::chrono::milliseconds(json.at("remaining_ms").get<std::int64_t>());
+    for (const auto& it : json.at("targets")) {
+      notice.deaths.push_back({it.get<std::string>(), {}});
+    }
+    notice.quarantined = true;
+    return notice;
+  } catch (const nlohmann::json::exception& error) {
+    return Error{ErrorCode::kProtocol, "quarantine.decode", "store",
+                 error.what()};
+  }
+}
+
+QuarantineKeeper::QuarantineKeeper(ObjectStore* store, Options options,
+                                   Hooks hooks, Clock clock, RunAfter run_after,
+                                   EventLog log)
+    : store_(store),
+      options_(options),
+      hooks_(std::move(hooks)),
+      clock_(std::move(clock)),
+      watcher_(store, WatchOptions(options.call_deadline),
+               {[this](const ListWatcher::State& state, std::uint64_t) {
+                  OnState(state);
+                },
+                [](const Error&) {}, hooks_.jitter},
+               clock_, std::move(run_after), std::move(log)) {}
+
+void QuarantineKeeper::OnState(const ListWatcher::State& state) {
+  for (auto it = seen_.begin(); it != seen_.end();) {
+    if (state.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    hooks_.on_lifted(it->second);
+    own_.erase(it->first);
+    it = seen_.erase(it);
+  }
+  for (const auto& [key, object] : state) {
+    const auto notice = DecodeQuarantine(object.value);
+    if (!IsOk(notice) || seen_.count(key) > 0 ||
+        seen_.size() >= options_.max_kept) {
+      continue;
+    }
+    seen_[key] = ValueOf(notice).fingerprint;
+    if (own_.count(key) == 0) {
+      hooks_.on_kept(ValueOf(notice));
+    }
+  }
+}
+
+void QuarantineKeeper::Keep(const SuspicionNotice& notice) {
+  const std::string key = QuarantineKey(notice.fingerprint);
+  if (notice.lifted) {
+    Delete(key);
+    return;
+  }
+  if (own_.size() >= options_.max_kept) {
+    return;
+  }
+  own_[key] = clock_() + notice.remaining;
+  // A conflict means that another entry has written it.
+  store_->Put(key, EncodeQuarantine(notice), 0,
+              {CallPriority::kStatus, options_.call_deadline},
+              [](const Result<std::uint64_t>&) {});
+}
+
+void QuarantineKeeper::Tick() {
+  const TimePoint now = clock_();
+  std::vector<std::string> over;
+  for (const auto& [key, end] : own_) {
+    if (now >= end) {
+      over.push_back(key);
+    }
+  }
+  for (const std::string& it : over) {
+    own_.erase(it);
+    Delete(it);
+  }
+}
+
+void QuarantineKeeper::Delete(const std::string& key) {
+  const auto held = watcher_.state().find(key);
+  if (held != watcher_.state().end()) {
+    store_->Delete(key, held->second.version,
+                   {CallPriority::kStatus, options_.call_deadline},
+                   [](const Result<Unit>&) {});
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/entry/request_guards.h
@@ -0,0 +1,89 @@
+#ifndef INDIGOLEAD_ENTRY_REQUEST_GUARDS_H_
+#define INDIGOLEAD_ENTRY_REQUEST_GUARDS_H_
+
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "entry/claim_service.h"
+#include "entry/dispatcher.h"
+#include "entry/quarantine_service.h"
+
+namespace indigolead {
+
+/// A side offers itself as a home of idempotency keys.
+struct HomeSeen {
+  std::string deployment;
+  HomeState state;
+};
+
+/// The connection to a side has ended.
+struct HomeLost {
+  std::string instance;
+};
+
+/// A quarantine to be kept in the store, or to be deleted there.
+struct KeepQuarantine {
+  SuspicionNotice notice;
+};
+
+/// From the guards to the platform thread.
+using GuardMessage =
+    std::variant<std::monostate, HomeSeen, HomeLost, KeepQuarantine>;
+
+/// A deployment's slot map was read.
+struct SlotMapSeen {
+  std::string deployment;
+  SlotMap map;
+};
+
+/// A quarantine was read, or its object was deleted.
+struct QuarantineSeen {
+  SuspicionNotice notice;
+};
+
+/// From the platform thread to the guards.
+using GuardEvent = std::variant<std::monostate, SlotMapSeen, QuarantineSeen>;
+
+/// What stands between a caller's request and the targets: at most one run for
+/// each key, and no further run of what kills its targets. Joins both to the
+/// request flow. Lives on the entry's dispatch thread.
+class RequestGuards {
+ public:
+  struct Options {
+    ClaimService::Options claims;
+    QuarantineService::Options quarantine;
+  };
+  struct Hooks {
+    std::function<bool(LinkId, const wire::Envelope&)> send;
+    /// Returns the request flow; called only while the process runs.
+    std::function<RequestFlow&()> flow;
+    std::function<Quarantine::Policy(const std::string& deployment)> policy;
+    std::function<void(GuardMessage&&)> to_platform;
+  };
+
+  /// `metrics` must outlive this object.
+  RequestGuards(Options options, Incarnation self, Hooks hooks, Clock clock,
+                EventLog log, MetricsRegistry* metrics);
+
+  /// Puts the guards before what `hooks` already does.
+  void AddTo(RequestFlowHooks* hooks);
+
+  /// Returns the service to add to the dispatcher.
+  EntryService MakeService();
+
+  void OnEvent(GuardEvent&& event, TimePoint now);
+
+  QuarantineService& quarantine() { return quarantine_; }
+
+ private:
+  ClaimService::Hooks ClaimHooks(const Hooks& hooks);
+  static QuarantineService::Hooks QuarantineHooks(const Hooks& hooks);
+
+  ClaimService claims_;
+  QuarantineService quarantine_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_REQUEST_GUARDS_H_
--- /dev/null
+++ b/src/entry/slot_keeper.h
@@ -0,0 +1,105 @@
+#ifndef INDIGOLEAD_ENTRY_SLOT_KEEPER_H_
+#define INDIGOLEAD_ENTRY_SLOT_KEEPER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/claims/slot_map.h"
+#include "observe/event_log.h"
+#include "platform/list_watcher.h"
+#include "platform/object_store.h"
+#include "platform/run_after.h"
+
+namespace indigolead {
+
+/// Follows the slot maps in the store and, while this entry holds the control
+/// lease, writes the next ones. Lives on the platform thread.
+///
+/// While the store does not answer no map can be written, so every assignment
+/// stays as it is.
+class SlotKeeper {
+ public:
+  struct Options {
+    SlotPlanner::Options planner;
+    /// A home out of reach this long is replaced.
+    Duration lost_after = std::chrono::seconds(5);
+    /// Absence from the instance list that proves an instance gone, if this
+    /// process has never seen it listed: the list lags behind new ones, too.
+    Duration unlisted_after = std::chrono::seconds(30);
+    /// Time for the first homes to appear before the first map is written.
+    Duration first_wait = std::chrono::seconds(2);
+    Duration plan_interval = std::chrono::milliseconds(250);
+    Duration call_deadline = std::chrono::seconds(2);
+    std::size_t max_homes_known = 16384;
+  };
+  struct Hooks {
+    /// A newer map was read.
+    std::function<void(const std::string& deployment, const SlotMap&)> on_map;
+    std::function<double()> jitter;
+  };
+
+  /// `store` must outlive this object.
+  SlotKeeper(ObjectStore* store, Options options, Hooks hooks, Clock clock,
+             RunAfter run_after, EventLog log);
+  ~SlotKeeper();
+  SlotKeeper(const SlotKeeper&) = delete;
+  SlotKeeper& operator=(const SlotKeeper&) = delete;
+
+  void Start() { watcher_.Start(); }
+
+  /// Sets the fencing number while the control lease is held here; nothing
+  /// while it is not.
+  void SetLease(std::optional<FencingNumber> number) { lease_ = number; }
+
+  void OnHome(const std::string& deployment, const HomeState& state);
+  void OnHomeDown(const std::string& instance);
+  void OnInstances(const InstanceList& list);
+
+  /// Plans what is due; call several times a second.
+  void Tick();
+
+ private:
+  struct Known {
+    std::string deployment;
+    HomeState state;
+    bool linked = true;
+    TimePoint down_since;
+  };
+  struct Kept {
+    std::optional<SlotMap> map;
+    std::uint64_t version = 0;
+    bool writing = false;
+    std::optional<TimePoint> first_home;
+  };
+
+  void OnState(const ListWatcher::State& state);
+  SlotPlanner::Input InputFor(const std::string& deployment,
+                              const Kept& kept) const;
+  bool IsRemoved(const std::string& instance) const;
+  void Write(const std::string& deployment, Kept* kept, const SlotMap& next);
+
+  ObjectStore* store_;
+  Options options_;
+  Hooks hooks_;
+  Clock clock_;
+  EventLog log_;
+  ListWatcher watcher_;
+  std::optional<FencingNumber> lease_;
+  std::map<std::string, Known> homes_;  ///< By instance name.
+  std::map<std::string, Kept> kept_;    ///< By deployment.
+  std::set<std::string> listed_;
+  std::set<std::string> seen_listed_;
+  bool have_list_ = false;
+  TimePoint started_;
+  TimePoint next_plan_;
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_SLOT_KEEPER_H_
--- a/src/side/attempt_service.h
+++ b/src/side/attempt_service.h
@@ -56,6 +56,7 @@
   bool Idle() const { return table_.Idle() && commands_.empty(); }
   std::size_t running() const { return table_.running(); }
   TargetCondition target_state() const { return target_state_; }
+  bool IsRunning(const AttemptId& id) const { return table_.IsRunning(id); }
   const EngineState& engine() const { return engine_; }
 
  private:
--- a/src/side/side_process.cc
+++ b/src/side/side_process.cc
@@ -12,11 +12,13 @@
 #include "runtime/clock.h"
 #include "runtime/mailbox.h"
 #include "side/attempt_service.h"
+#include "side/claim_home_service.h"
 #include "side/dispatch_service.h"
 #include "side/events.h"
 #include "side/leaving.h"
 #include "side/order_service.h"
 #include "side/platform_reader.h"
+#include "side/suspect_service.h"
 #include "side/target_worker.h"
 #include "target/http_target_client.h"
 #include "wire/links.h"
@@ -57,6 +59,18 @@
   return options;
 }
 
+ClaimHomeService::Options MakeClaimOptions(const Settings& settings) {
+  ClaimHomeService::Options options;
+  options.instance = settings.instance.name;
+  options.deployment = settings.side.deployment;
+  options.store_deadline = settings.store.call_deadline;
+  options.home.table.max_claims = settings.side.max_claims;
+  options.home.table.max_answer_bytes = settings.side.max_answer_memory_bytes;
+  options.home.table.retention = settings.side.claim_retention;
+  options.home.journal.retention = settings.side.claim_retention;
+  return options;
+}
+
 AttemptService::Options MakeAttemptOptions(const Settings& settings,
                                            const Incarnation& incarnation) {
   AttemptService::Options options;
@@ -241,6 +255,31 @@
     attempts_.OnTargetEvent(std::move(event));
   }
 
+  SuspectService::Hooks MakeSuspectHooks() {
+    SuspectService::Hooks hooks;
+    hooks.send = [this](LinkId link, const wire::Envelope& message) {
+      return links_.Send(link, message);
+    };
+    hooks.is_running = [this](const AttemptId& id) {
+      return attempts_.IsRunning(id);
+    };
+    return hooks;
+  }
+
+  template <typename T>
+  static DispatchService MakeService(T* it) {
+    DispatchService service;
+    service.handle_message = [it](LinkId link, const wire::Envelope& message) {
+      return it->HandleMessage(link, message);
+    };
+    service.on_link_up = [it](LinkId link, const wire::Hello& hello) {
+      it->OnLinkUp(link, hello);
+    };
+    service.on_link_down = [it](LinkId link) { it->OnLinkDown(link); };
+    service.tick = [it](TimePoint now) { it->Tick(now); };
+    return service;
+  }
+
   Links::Hooks MakeLinkHooks() {
     Links::Hooks hooks;
     hooks.make_hello = [this] { return MakeHello(); };
@@ -343,6 +382,7 @@
       return;
     }
     attempts_.SetLeaving(signs_.leaving());
+    claims_.SetLeaving(signs_.leaving());
     log_(signs_.leaving() ? kSideLeaving : kSideStaying,
          {{"cause", cause}, {"running", std::to_string(attempts_.running())}});
     AnnounceLeaving(cause);
@@ -421,7 +461,18 @@
   OrderService orders_;
   Links links_;
   MembershipService membership_;
-  std::vector<DispatchService> services_;
+  SuspectService suspects_{MakeSuspectHooks(), BootTimeNow};
+  ClaimHomeService claims_{MakeClaimOptions(settings_),
+                           &store_,
+                           [this](LinkId link, const wire::Envelope& it) {
+                             return links_.Send(link, it);
+                           },
+                           BootTimeNow,
+                           RandomId,
+                           log_,
+                           &metrics_};
+  std::vector<DispatchService> services_{MakeService(&suspects_),
+                                         MakeService(&claims_)};
   std::set<std::uint64_t> up_;
   LeavingSigns signs_;
   TimePoint stop_by_;
