Join the entry to the store, to its peers and to a real path

The platform thread follows deployments and drains with the list watcher and polls the instance list; revisions go through the exchange, so that peers and sides get them as well, and entries connect to the peers that the membership plan names.

--- a/bench/path_bench.cc
+++ b/bench/path_bench.cc
@@ -45,7 +45,7 @@
   return text;
 }
 
-RevisionRecord BenchRevision() {
+std::string BenchRevision() {
   ClientAccountSpec account;
   account.name = "bench";
   account.api_key_sha256 = Hex(HashKey(kKey));
@@ -56,10 +56,8 @@
   revision.spec.models = {{"bench", "1", {}}};
   revision.spec.client_accounts = {account};
   revision.spec.request.deadline = std::chrono::minutes(10);
-  RevisionRecord record;
-  record.deployment = revision.spec.name;
-  record.value = ToJson(revision);
-  return record;
+  revision.digest = SpecDigest(revision.spec);
+  return ToJson(revision);
 }
 
 /// The path: one target, one side, one entry.
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -1,8 +1,5 @@
 #include "entry/dispatcher.h"
 
-#include <unordered_set>
-
-#include "core/config/revision_json.h"
 #include "entry/attempt_messages.h"
 #include "entry/events.h"
 
@@ -40,7 +37,11 @@
       links_(io, options_.links, LinkHooks(), clock_, ids, log_, metrics),
       membership_(EntryMembership(options_), MembershipHooks(), clock_, log_),
       flow_(options_.flow, hooks_.flow, ids),
-      book_(options_.revisions),
+      revisions_({.instance = options_.instance.name,
+                  .incarnation = options_.incarnation,
+                  .deployment = "",
+                  .book = options_.revisions},
+                 RevisionHooks(), log_),
       tick_timer_(*io),
       forwards_(metrics->AddCounter("indigolead_entry_forwards_total",
                                     "Attempts sent to sides")),
@@ -73,6 +74,7 @@
   hooks.make_hello = [this] { return MakeHello(); };
   hooks.fill_heartbeat = [this](wire::Heartbeat* heartbeat) {
     heartbeat->set_leaving(leaving_);
+    revisions_.FillKnown(heartbeat->mutable_revisions());
   };
   hooks.on_up = [this](LinkId link, const wire::Hello& hello) {
     OnLinkUp(link, hello);
@@ -118,11 +120,7 @@
   hello.set_region(options_.instance.region);
   hello.set_link_address(links_.bound_address());
   hello.set_leaving(leaving_);
-  for (const auto& [deployment, number] : book_.Known()) {
-    wire::KnownRevision* known = hello.add_revisions();
-    known->set_deployment(deployment);
-    known->set_number(number);
-  }
+  revisions_.FillKnown(hello.mutable_revisions());
   return hello;
 }
 
@@ -136,6 +134,7 @@
       flow_.OnSideUp(SideLinkOf(link), std::move(*info), clock_());
     }
   }
+  revisions_.OnLinkUp(link, hello, clock_());
   for (const EntryService& it : services_) {
     if (it.on_link_up) {
       it.on_link_up(link, hello);
@@ -148,6 +147,7 @@
   log_(kSideDown, {{"peer", error.peer}, {"cause", error.detail}});
   flow_.OnSideDown(SideLinkOf(link), clock_());
   membership_.OnLinkDown(link);
+  revisions_.OnLinkDown(link, clock_());
   for (const EntryService& it : services_) {
     if (it.on_link_down) {
       it.on_link_down(link);
@@ -215,8 +215,10 @@
     }
     case wire::Envelope::kHeartbeat:
       OnHeartbeat(link, message.heartbeat());
+      revisions_.HandleMessage(link, message, now);
       break;
     default:
+      revisions_.HandleMessage(link, message, now);
       break;
   }
   Flush();
@@ -237,7 +239,7 @@
 
 void Dispatcher::OnMessage(PlatformEvent&& event) {
   if (auto* seen = std::get_if<RevisionSeen>(&event)) {
-    OfferRevision(std::move(seen->record));
+    OfferRevision(seen->json);
   } else if (const auto* instances = std::get_if<InstancesSeen>(&event)) {
     OnInstances(instances->list);
   } else if (const auto* drains = std::get_if<DrainsSeen>(&event)) {
@@ -256,39 +258,28 @@
   }
 }
 
-RevisionOutcome Dispatcher::OfferRevision(RevisionRecord record) {
-  const auto parsed = RevisionFromJson(record.value);
-  if (!IsOk(parsed)) {
-    log_(kRevisionInvalid, {{"deployment", record.deployment},
-                            {"cause", ToString(ErrorOf(parsed))}});
-    return RevisionOutcome::kMismatch;
-  }
-  const Revision& revision = ValueOf(parsed);
-  record.deployment = revision.spec.name;
-  record.number = revision.number;
-  record.digest = revision.digest;
-  const RevisionOutcome outcome = book_.Offer(std::move(record));
-  if (outcome == RevisionOutcome::kNewer) {
-    log_(kRevisionInForce, {{"deployment", revision.spec.name},
-                            {"revision", std::to_string(revision.number)}});
-    if (hooks_.on_revision) {
-      hooks_.on_revision(revision);
-    }
-    RebuildCatalogue();
-  }
-  return outcome;
+RevisionOutcome Dispatcher::OfferRevision(const std::string& json) {
+  return revisions_.OfferFromStore(json, clock_());
 }
 
-void Dispatcher::RebuildCatalogue() {
-  std::map<std::string, Revision> revisions;
-  for (const auto& [deployment, number] : book_.Known()) {
-    const auto parsed = RevisionFromJson(book_.Find(deployment)->value);
-    if (IsOk(parsed)) {
-      revisions.emplace(deployment, ValueOf(parsed));
-    }
+RevisionExchange::Hooks Dispatcher::RevisionHooks() {
+  RevisionExchange::Hooks hooks;
+  hooks.send = [this](LinkId link, const wire::Envelope& message) {
+    return links_.Send(link, message);
+  };
+  hooks.apply = [this](const Revision& revision) { Apply(revision); };
+  return hooks;
+}
+
+void Dispatcher::Apply(const Revision& revision) {
+  log_(kRevisionInForce, {{"deployment", revision.spec.name},
+                          {"revision", std::to_string(revision.number)}});
+  in_force_[revision.spec.name] = revision;
+  hooks_.to_callers(
+      CatalogueChanged{std::make_shared<const Catalogue>(in_force_)});
+  if (hooks_.on_revision) {
+    hooks_.on_revision(revision);
   }
-  hooks_.to_callers(CatalogueChanged{
-      std::make_shared<const Catalogue>(std::move(revisions))});
 }
 
 void Dispatcher::Flush() {
@@ -363,6 +354,7 @@
   const TimePoint now = clock_();
   flow_.Tick(now);
   membership_.Tick(now);
+  revisions_.Tick(now);
   for (const EntryService& it : services_) {
     if (it.tick) {
       it.tick(now);
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -6,18 +6,20 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "core/config/settings.h"
-#include "core/control/revision_book.h"
 #include "core/request/request_flow.h"
 #include "entry/messages.h"
 #include "observe/event_log.h"
 #include "observe/metrics.h"
 #include "wire/links.h"
 #include "wire/membership_service.h"
+#include "wire/revision_exchange.h"
 
 namespace indigolead {
 
@@ -47,7 +49,7 @@
     std::function<void(ToCallers&&)> to_callers;
     /// Called every tick, for what waits to be sent to other threads.
     std::function<void()> on_tick;
-    /// A newer revision of a deployment is in force here.
+    /// A revision is in force at this entry.
     std::function<void(const Revision&)> on_revision;
     RequestFlowHooks flow;
   };
@@ -67,8 +69,8 @@
   void OnMessage(ToDispatch&& message);
   void OnMessage(PlatformEvent&& event);
 
-  /// Takes a revision in from wherever it came. Returns what it was.
-  RevisionOutcome OfferRevision(RevisionRecord record);
+  /// Takes a revision in as read from the store. Returns what it was.
+  RevisionOutcome OfferRevision(const std::string& json);
 
   /// Carries out what the request flow has decided. Call after calling the
   /// flow from outside.
@@ -82,7 +84,7 @@
   RequestFlow& flow() { return flow_; }
   Links& links() { return links_; }
   const MembershipService& membership() const { return membership_; }
-  const RevisionBook& revisions() const { return book_; }
+  RevisionExchange& revisions() { return revisions_; }
 
  private:
   Links::Hooks LinkHooks();
@@ -98,7 +100,8 @@
   void Send(const SendCredit& action);
   void Send(const SendCancel& action);
   void Send(const SendResume& action);
-  void RebuildCatalogue();
+  RevisionExchange::Hooks RevisionHooks();
+  void Apply(const Revision& revision);
   void Tick();
   void CountFrames();
 
@@ -110,7 +113,9 @@
   Links links_;
   MembershipService membership_;
   RequestFlow flow_;
-  RevisionBook book_;
+  RevisionExchange revisions_;
+  /// In force; one element for each deployment, which the exchange bounds.
+  std::map<std::string, Revision> in_force_;
   std::vector<EntryService> services_;
   boost::asio::steady_timer tick_timer_;
   bool leaving_ = false;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -17,7 +17,6 @@
 #include "entry/events.h"
 #include "entry/load_control.h"
 #include "entry/platform_duty.h"
-#include "platform/http_object_store.h"
 #include "runtime/clock.h"
 #include "runtime/outbox.h"
 
@@ -137,11 +136,12 @@
                     DispatcherHooks(), BootTimeNow, RandomId, log_, &metrics_),
         callers_(callers_thread_.io(), &settings_.entry, CallersHooks(),
                  BootTimeNow, RandomId, log_, &metrics_),
-        store_(platform_thread_.io(),
-               HttpObjectStore::OptionsFrom(settings_.store), BootTimeNow,
-               &metrics_),
-        platform_duty_(platform_thread_.io(), &store_, settings_.store,
-                       [this](PlatformEvent&& it) { Emit(std::move(it)); }) {
+        platform_(
+            platform_thread_.io(), settings_.store,
+            [this](PlatformEvent&& it) {
+              platform_outbox_.Push(std::move(it));
+            },
+            BootTimeNow, log_, &metrics_) {
     if (stop_fd_ < 0) {
       throw std::system_error(errno, std::generic_category(), "eventfd");
     }
@@ -167,13 +167,10 @@
     http_address_ = callers_.bound_address();
     link_address_ = dispatcher_.bound_address();
     started_ = true;
+    platform_.Start();
     dispatch_thread_.Start();
     callers_thread_.Start();
     platform_thread_.Start();
-    // Without a store the configuration comes from peers alone.
-    if (!settings_.store.address.empty()) {
-      platform_thread_.Call([this] { platform_duty_.Start(); });
-    }
     log_(kEntryStarted, {{"http", http_address_}, {"links", link_address_}});
     return Unit{};
   }
@@ -196,9 +193,8 @@
     [[maybe_unused]] const auto n = write(stop_fd_, &one, sizeof(one));
   }
 
-  void OfferRevision(RevisionRecord record) {
-    dispatch_thread_.Call(
-        [&] { dispatcher_.OfferRevision(std::move(record)); });
+  void OfferRevision(const std::string& json) {
+    dispatch_thread_.Call([&] { dispatcher_.OfferRevision(json); });
   }
 
   const std::string& http_address() const { return http_address_; }
@@ -254,12 +250,6 @@
     return hooks;
   }
 
-  /// Passes what the platform said on; what waited goes first.
-  void Emit(PlatformEvent&& event) {
-    platform_outbox_.Flush();
-    platform_outbox_.Push(std::move(event));
-  }
-
   /// Lets open requests and streams end, within `drain_timeout`.
   void DrainCallers() {
     log_(kEntryStopping, {});
@@ -283,7 +273,6 @@
       return;
     }
     started_ = false;
-    platform_thread_.Call([this] { platform_duty_.Stop(); });
     platform_thread_.Join();
     callers_thread_.Call([this] { callers_.Stop(); });
     dispatch_thread_.Call([this] { dispatcher_.Stop("planned stop"); });
@@ -312,8 +301,7 @@
   LoadControl load_control_;
   Dispatcher dispatcher_;
   CallersServer callers_;
-  HttpObjectStore store_;
-  PlatformDuty platform_duty_;
+  PlatformDuty platform_;
 };
 
 EntryProcess::EntryProcess(Settings settings, EventLog log)
@@ -325,8 +313,8 @@
 void EntryProcess::RequestStop() { impl_->RequestStop(); }
 std::string EntryProcess::http_address() const { return impl_->http_address(); }
 std::string EntryProcess::link_address() const { return impl_->link_address(); }
-void EntryProcess::OfferRevision(RevisionRecord record) {
-  impl_->OfferRevision(std::move(record));
+void EntryProcess::OfferRevision(const std::string& json) {
+  impl_->OfferRevision(json);
 }
 
 }  // namespace indigolead
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -8,7 +8,6 @@
 
 #include "core/base/result.h"
 #include "core/config/settings.h"
-#include "core/control/revision_book.h"
 #include "observe/event_log.h"
 
 namespace indigolead {
@@ -40,7 +39,7 @@
   std::string link_address() const;
 
   /// Takes a revision in, as if it had been read from the store.
-  void OfferRevision(RevisionRecord record);
+  void OfferRevision(const std::string& json);
 
  private:
   class Impl;
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -19,10 +19,6 @@
 inline constexpr EventInfo kRevisionInForce{
     1005, "revision-in-force", EventSeverity::kInfo,
     "A newer revision of a deployment is in force at this entry."};
-inline constexpr EventInfo kRevisionInvalid{
-    1006, "revision-invalid", EventSeverity::kError,
-    "A deployment object in the store cannot be read; the last good one "
-    "stays in force."};
 inline constexpr EventInfo kSideUp{1007, "side-up", EventSeverity::kInfo,
                                    "A side has connected."};
 inline constexpr EventInfo kSideDown{1008, "side-down", EventSeverity::kWarning,
--- a/src/entry/messages.h
+++ b/src/entry/messages.h
@@ -9,7 +9,6 @@
 #include <vector>
 
 #include "core/base/ids.h"
-#include "core/control/revision_book.h"
 #include "core/request/catalogue.h"
 #include "core/request/request_types.h"
 #include "platform/object_store.h"
@@ -45,7 +44,7 @@
 
 /// A deployment's revision, read from the store.
 struct RevisionSeen {
-  RevisionRecord record;
+  std::string json;
 };
 
 /// The instance list, as the platform has it now.
--- a/src/entry/platform_duty.cc
+++ b/src/entry/platform_duty.cc
@@ -1,138 +1,93 @@
 #include "entry/platform_duty.h"
 
-#include <chrono>
+#include "runtime/clock.h"
 
 namespace indigolead {
 namespace {
 
-constexpr std::string_view kDeployments = "deployments/";
-constexpr std::string_view kDrains = "drains/";
-constexpr std::chrono::milliseconds kRetryInterval{500};
+constexpr const char* kDeployments = "deployments/";
+constexpr const char* kDrains = "drains/";
+
+/// Returns a number in [0, 1).
+double Jitter() {
+  constexpr double kScale = 1.0 / 18446744073709551616.0;  // 2^-64
+  return static_cast<double>(RandomId().lo) * kScale;
+}
 
 }  // namespace
 
-PlatformDuty::PlatformDuty(boost::asio::io_context* io, ObjectStore* store,
-                           const StoreSettings& settings, Emit emit)
-    : io_(io),
-      store_(store),
-      settings_(settings),
+PlatformDuty::PlatformDuty(boost::asio::io_context* io,
+                           const StoreSettings& settings, Emit emit,
+                           Clock clock, EventLog log, MetricsRegistry* metrics)
+    : settings_(settings),
       emit_(std::move(emit)),
-      poll_timer_(*io) {
-  deployments_.prefix = kDeployments;
-  drains_.prefix = kDrains;
-  deployments_.retry = std::make_unique<boost::asio::steady_timer>(*io);
-  drains_.retry = std::make_unique<boost::asio::steady_timer>(*io);
-}
+      log_(std::move(log)),
+      run_after_(MakeRunAfter(io)),
+      store_(io, HttpObjectStore::OptionsFrom(settings), clock, metrics),
+      deployments_(&store_, WatchOf(kDeployments),
+                   HooksFor(&PlatformDuty::OnDeployments), clock, run_after_,
+                   log_),
+      drains_(&store_, WatchOf(kDrains), HooksFor(&PlatformDuty::OnDrains),
+              clock, run_after_, log_) {}
 
-void PlatformDuty::Start() {
-  Follow(&deployments_);
-  Follow(&drains_);
-  PollInstances();
+ListWatcher::Options PlatformDuty::WatchOf(const std::string& prefix) const {
+  ListWatcher::Options options;
+  options.prefix = prefix;
+  options.list.priority = CallPriority::kConfig;
+  options.list.deadline = settings_.call_deadline;
+  return options;
 }
 
-void PlatformDuty::Stop() {
-  stopped_ = true;
-  for (Followed* it : {&deployments_, &drains_}) {
-    it->watch.reset();
-    it->retry->cancel();
-  }
-  poll_timer_.cancel();
+ListWatcher::Hooks PlatformDuty::HooksFor(
+    void (PlatformDuty::*on_state)(const ListWatcher::State&)) {
+  ListWatcher::Hooks hooks;
+  hooks.on_state = [this, on_state](const ListWatcher::State& state,
+                                    std::uint64_t) {
+    (this->*on_state)(state);
+  };
+  hooks.on_error = [](const Error&) {};  // The watcher logs and tries again.
+  hooks.jitter = Jitter;
+  return hooks;
 }
 
-void PlatformDuty::Follow(Followed* it) {
-  if (stopped_) {
+void PlatformDuty::Start() {
+  if (settings_.address.empty()) {
     return;
   }
-  CallOptions options;
-  options.priority = CallPriority::kConfig;
-  options.deadline = settings_.call_deadline;
-  store_->List(
-      it->prefix, options, [this, it](Result<ObjectStore::Listing> result) {
-        if (stopped_) {
-          return;
-        }
-        if (!IsOk(result)) {
-          FollowLater(it);
-          return;
-        }
-        if (it == &drains_) {
-          drained_.clear();
-        }
-        for (const StoredObject& object : ValueOf(result).objects) {
-          OnChange(object.key, &object.value);
-        }
-        if (it == &drains_) {
-          EmitDrains();
-        }
-        it->watch = store_->StartWatch(
-            it->prefix, ValueOf(result).version,
-            [this](const WatchEvent& event) {
-              OnChange(event.key, event.value ? &*event.value : nullptr);
-              if (event.key.substr(0, kDrains.size()) == kDrains) {
-                EmitDrains();
-              }
-            },
-            [this, it](const Error&) { FollowLater(it); });
-      });
-}
-
-void PlatformDuty::FollowLater(Followed* it) {
-  it->retry->expires_after(kRetryInterval);
-  it->retry->async_wait([this, it](const boost::system::error_code& ec) {
-    if (!ec) {
-      Follow(it);
-    }
-  });
+  deployments_.Start();
+  drains_.Start();
+  PollInstances();
 }
 
-void PlatformDuty::OnChange(const std::string& key, const std::string* value) {
-  if (key.substr(0, kDrains.size()) == kDrains) {
-    const std::string instance = key.substr(kDrains.size());
-    if (value != nullptr) {
-      drained_[instance] = true;
-    } else {
-      drained_.erase(instance);
-    }
-    return;
-  }
+void PlatformDuty::OnDeployments(const ListWatcher::State& state) {
   // A deployment whose object vanished keeps its last revision: taking it away
   // would cut its callers, and no command deletes one.
-  if (value != nullptr) {
-    RevisionRecord record;
-    record.deployment = key.substr(kDeployments.size());
-    record.value = *value;
-    emit_(RevisionSeen{std::move(record)});
+  for (const auto& [key, object] : state) {
+    std::uint64_t& emitted = emitted_[key];
+    if (object.version > emitted) {
+      emitted = object.version;
+      emit_(RevisionSeen{object.value});
+    }
   }
 }
 
-void PlatformDuty::EmitDrains() {
+void PlatformDuty::OnDrains(const ListWatcher::State& state) {
   DrainsSeen seen;
-  for (const auto& [instance, drained] : drained_) {
-    seen.instances.push_back(instance);
+  for (const auto& [key, object] : state) {
+    seen.instances.push_back(key.substr(std::string(kDrains).size()));
   }
   emit_(std::move(seen));
 }
 
 void PlatformDuty::PollInstances() {
-  if (stopped_) {
-    return;
-  }
   CallOptions options;
   options.priority = CallPriority::kConfig;
   options.deadline = settings_.call_deadline;
-  store_->ListInstances(options, [this](Result<InstanceList> result) {
-    if (stopped_) {
-      return;
-    }
+  store_.ListInstances(options, [this](Result<InstanceList> result) {
     if (IsOk(result)) {
       emit_(InstancesSeen{ValueOf(std::move(result))});
     }
-    poll_timer_.expires_after(settings_.instance_poll_interval);
-    poll_timer_.async_wait([this](const boost::system::error_code& ec) {
-      if (!ec) {
-        PollInstances();
-      }
-    });
+    run_after_(settings_.instance_poll_interval, [this] { PollInstances(); });
   });
 }
 
--- a/src/entry/platform_duty.h
+++ b/src/entry/platform_duty.h
@@ -4,15 +4,20 @@
 #include <utility>
 // Asio of Boost 1.74 needs <utility> before it.
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "core/base/time.h"
 #include "core/config/settings.h"
 #include "entry/messages.h"
-#include "platform/object_store.h"
+#include "observe/event_log.h"
+#include "observe/metrics.h"
+#include "platform/http_object_store.h"
+#include "platform/list_watcher.h"
+#include "platform/run_after.h"
 
 namespace indigolead {
 
@@ -24,39 +29,36 @@
  public:
   using Emit = std::function<void(PlatformEvent&&)>;
 
-  /// `io` and `store` must outlive this object; `emit` is called on the thread
-  /// of `io`.
-  PlatformDuty(boost::asio::io_context* io, ObjectStore* store,
-               const StoreSettings& settings, Emit emit);
+  /// `io` and `metrics` must outlive this object; `emit` is called on the
+  /// thread of `io`.
+  PlatformDuty(boost::asio::io_context* io, const StoreSettings& settings,
+               Emit emit, Clock clock, EventLog log, MetricsRegistry* metrics);
   PlatformDuty(const PlatformDuty&) = delete;
   PlatformDuty& operator=(const PlatformDuty&) = delete;
 
+  /// Starts to follow. Without a store address nothing is followed.
   void Start();
-  void Stop();
 
- private:
-  /// One prefix that is listed and then watched, over and over.
-  struct Followed {
-    std::string prefix;
-    std::unique_ptr<ObjectStore::Watch> watch;
-    std::unique_ptr<boost::asio::steady_timer> retry;
-  };
+  /// The store, for further duties of the platform thread.
+  HttpObjectStore* store() { return &store_; }
 
-  void Follow(Followed* it);
-  void FollowLater(Followed* it);
-  void OnChange(const std::string& key, const std::string* value);
-  void EmitDrains();
+ private:
+  ListWatcher::Options WatchOf(const std::string& prefix) const;
+  ListWatcher::Hooks HooksFor(
+      void (PlatformDuty::*on_state)(const ListWatcher::State&));
+  void OnDeployments(const ListWatcher::State& state);
+  void OnDrains(const ListWatcher::State& state);
   void PollInstances();
 
-  boost::asio::io_context* io_;
-  ObjectStore* store_;
   StoreSettings settings_;
   Emit emit_;
-  Followed deployments_;
-  Followed drains_;
-  boost::asio::steady_timer poll_timer_;
-  std::map<std::string, bool> drained_;  ///< By instance name.
-  bool stopped_ = false;
+  EventLog log_;
+  RunAfter run_after_;
+  HttpObjectStore store_;
+  ListWatcher deployments_;
+  ListWatcher drains_;
+  /// Versions handed on, by key; one element for each deployment.
+  std::map<std::string, std::uint64_t> emitted_;
 };
 
 }  // namespace indigolead
--- a/src/runtime/outbox.h
+++ b/src/runtime/outbox.h
@@ -22,6 +22,7 @@
 
   /// Appends `message`. Only the writer's thread.
   void Push(T&& message) {
+    Flush();
     if (!waiting_.empty() || !mailbox_->Push(std::move(message))) {
       waiting_.push_back(std::move(message));
     }
--- /dev/null
+++ b/tests/shell/entry_process_test.cc
@@ -0,0 +1,145 @@
+#include "entry/entry_process.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "core/config/revision_json.h"
+#include "side/side_process.h"
+#include "standins/engine_server.h"
+#include "tests/support/callers_fixture.h"
+#include "tests/support/raw_client.h"
+
+namespace indigolead {
+namespace {
+
+using Catch::Matchers::Contains;
+using Catch::Matchers::EndsWith;
+using Catch::Matchers::StartsWith;
+using standins::EngineOptions;
+using standins::EngineServer;
+
+/// One entry, one side and one engine on loopback, without a store.
+class SmallFleet {
+ public:
+  explicit SmallFleet(EngineOptions engine) : engine_(std::move(engine)) {
+    Settings settings;
+    settings.instance.name = "entry-1";
+    entry_ = std::make_unique<EntryProcess>(settings, MakeNullEventLog());
+    if (!IsOk(entry_->Start())) {
+      throw std::runtime_error("the entry did not start");
+    }
+    Revision revision = ExampleRevisions().at("tarifa-llm");
+    revision.digest = SpecDigest(revision.spec);
+    entry_->OfferRevision(ToJson(revision));
+    Settings side;
+    side.instance.name = "bilbao-a-1";
+    side.links.seeds = {entry_->link_address()};
+    side.side.deployment = "tarifa-llm";
+    side.side.target_address = engine_.address();
+    side_ = std::make_unique<SideProcess>(side, MakeNullEventLog());
+    side_thread_ = std::thread([this] { side_->Run(); });
+  }
+
+  ~SmallFleet() {
+    side_->RequestStop();
+    side_thread_.join();
+  }
+
+  EngineServer& engine() { return engine_; }
+  EntryProcess& entry() { return *entry_; }
+
+  /// Repeats a request until the path is up; returns the answer.
+  std::string AskUntilAnswered() {
+    for (int i = 0; i < 100; ++i) {
+      RawClient client(entry_->http_address());
+      client.Write(Post(R"({"model":"tarifa","prompt":"gel"})"));
+      const std::string answer = client.ReadUntil("}\n");
+      if (answer.find("HTTP/1.1 200") == 0) {
+        return answer;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return "";
+  }
+
+  static std::string Post(const std::string& body) {
+    return std::string("POST /v1/completions HTTP/1.1\r\nHost: e\r\n") +
+           "Connection: close\r\nX-Api-Key: " + kExampleKey +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+
+ private:
+  EngineServer engine_;
+  std::unique_ptr<EntryProcess> entry_;
+  std::unique_ptr<SideProcess> side_;
+  std::thread side_thread_;
+};
+
+EngineOptions Engine() {
+  EngineOptions options;
+  options.model = "tarifa";
+  return options;
+}
+
+const std::string kStream =
+    R"({"model":"tarifa","prompt":"gel","max_tokens":40,"stream":true})";
+
+TEST_CASE("A request goes through entry and side to an engine") {
+  SmallFleet fleet(Engine());
+  CHECK_THAT(fleet.AskUntilAnswered(), Contains("X-Request-Id: "));
+
+  SECTION("and a stream comes back to its end") {
+    RawClient client(fleet.entry().http_address());
+    client.Write(SmallFleet::Post(kStream));
+    const std::string& answer = client.ReadToEnd();
+    CHECK_THAT(answer, Contains("data: [DONE]"));
+    CHECK_THAT(answer, EndsWith("0\r\n\r\n"));
+  }
+}
+
+// The engine dies while a stream is running. The caller has got a part of the
+// answer, so nothing else can be put in its place: it sees an error event that
+// says "unknown", and no clean end.
+TEST_CASE("A stream whose engine dies ends with an error event") {
+  EngineOptions options = Engine();
+  options.decode_tokens_per_s = 20;
+  SmallFleet fleet(options);
+  REQUIRE(!fleet.AskUntilAnswered().empty());
+  RawClient client(fleet.entry().http_address());
+  client.Write(SmallFleet::Post(kStream));
+  client.ReadUntil("data: ");
+  fleet.engine().Crash();
+  const std::string& answer = client.ReadToEnd();
+  CHECK(client.closed());
+  CHECK_THAT(answer, Contains("event: error"));
+  CHECK_THAT(answer, Contains(R"("run":"unknown")"));
+  CHECK_THAT(answer, !Contains("[DONE]"));
+}
+
+// The operator stops the entry while a stream is running. The stream goes on to
+// its end, new connections are refused, and only then does the process end.
+TEST_CASE("A planned stop of the entry lets a stream end") {
+  EngineOptions options = Engine();
+  options.decode_tokens_per_s = 40;
+  SmallFleet fleet(options);
+  REQUIRE(!fleet.AskUntilAnswered().empty());
+  std::thread running([&] { CHECK(IsOk(fleet.entry().Run())); });
+  const std::string address = fleet.entry().http_address();
+  RawClient client(address);
+  client.Write(SmallFleet::Post(kStream));
+  client.ReadUntil("data: ");
+  fleet.entry().RequestStop();
+  const std::string& answer = client.ReadToEnd();
+  CHECK_THAT(answer, StartsWith("HTTP/1.1 200"));
+  CHECK_THAT(answer, Contains("data: [DONE]"));
+  CHECK_THAT(answer, EndsWith("0\r\n\r\n"));
+  client.Close();
+  running.join();
+  CHECK_THROWS(RawClient(address));
+}
+
+}  // namespace
+}  // namespace indigolead
