Spend less on ids and header names per request

Cause: a profile of the path bench (four sides) showed getrandom at 1.01% of the entry's callers thread and 0.95% of its dispatch thread, and tolower at 1.26% of the first. Change: random ids are drawn sixteen at a time; header names are compared by length first and without the locale.

--- a/src/core/request/header_fields.cc
+++ b/src/core/request/header_fields.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace indigolead {
 namespace {
@@ -11,6 +10,10 @@
     "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
     "te",         "trailer",    "transfer-encoding",  "upgrade"};
 
+char Lower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
 std::string_view Trim(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
     text.remove_prefix(1);
@@ -38,10 +41,11 @@
 }  // namespace
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
-    return std::tolower(static_cast<unsigned char>(x)) ==
-           std::tolower(static_cast<unsigned char>(y));
-  });
+  // Most names differ in length already, and the library's tolower asks the
+  // locale for every letter.
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](char x, char y) { return Lower(x) == Lower(y); });
 }
 
 std::string_view FindHeader(const std::vector<HeaderField>& headers,
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -133,9 +133,10 @@
         load_control_(LoadOptions(settings_), LoadOutputs(),
                       MakeSeededRandom(RandomId().lo), &metrics_),
         dispatcher_(dispatch_thread_.io(), DispatcherOptions(settings_),
-                    DispatcherHooks(), BootTimeNow, RandomId, log_, &metrics_),
+                    DispatcherHooks(), BootTimeNow, MakeRandomIdSource(), log_,
+                    &metrics_),
         callers_(callers_thread_.io(), &settings_.entry, CallersHooks(),
-                 BootTimeNow, RandomId, log_, &metrics_),
+                 BootTimeNow, MakeRandomIdSource(), log_, &metrics_),
         platform_(
             platform_thread_.io(), settings_.store,
             [this](PlatformEvent&& it) {
--- a/src/runtime/clock.cc
+++ b/src/runtime/clock.cc
@@ -3,7 +3,10 @@
 #include <sys/random.h>
 #include <time.h>
 
+#include <array>
 #include <cerrno>
+#include <cstddef>
+#include <memory>
 #include <system_error>
 
 namespace indigolead {
@@ -30,4 +33,22 @@
   return id;
 }
 
+IdSource MakeRandomIdSource() {
+  // getrandom fills up to 256 bytes without ever being interrupted.
+  struct Stock {
+    std::array<Id128, 16> ids;
+    std::size_t next = 16;
+  };
+  return [stock = std::make_shared<Stock>()] {
+    if (stock->next == stock->ids.size()) {
+      constexpr auto kBytes = sizeof(stock->ids);
+      if (getrandom(stock->ids.data(), kBytes, 0) != kBytes) {
+        throw std::system_error(errno, std::generic_category(), "getrandom");
+      }
+      stock->next = 0;
+    }
+    return stock->ids[stock->next++];
+  };
+}
+
 }  // namespace indigolead
--- a/src/runtime/clock.h
+++ b/src/runtime/clock.h
@@ -16,6 +16,10 @@
 /// Returns 128 bits of the system's entropy.
 Id128 RandomId();
 
+/// Returns a source of random ids that asks the system for many at a time, for
+/// use per request. Copies share their stock; each thread needs its own source.
+IdSource MakeRandomIdSource();
+
 }  // namespace indigolead
 
 #endif  // INDIGOLEAD_RUNTIME_CLOCK_H_
