Refuse to start an entry with TLS settings it cannot honour

Cause: a certificate in the settings was ignored, and callers' keys went in the clear. Change: the entry does not start and says why.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -157,6 +157,15 @@
     if (started_) {
       return Unit{};
     }
+    const EntrySettings& entry = settings_.entry;
+    if (!entry.tls_certificate_file.empty() || !entry.tls_key_file.empty()) {
+      // Serving in the clear what was meant to be encrypted would show callers'
+      // keys to whoever listens.
+      return Error{ErrorCode::kInvalidInput, "entry.start", "",
+                   "this build serves callers without TLS; remove "
+                   "tls_certificate_file and tls_key_file and let the balancer "
+                   "end TLS"};
+    }
     // Nothing else runs yet, so the duties may be set up on this thread.
     dispatcher_.AddService(load_control_.Service(BootTimeNow));
     if (Status status = dispatcher_.Start(); !IsOk(status)) {
--- a/tests/shell/entry_process_test.cc
+++ b/tests/shell/entry_process_test.cc
@@ -100,6 +100,17 @@
   }
 }
 
+// The operator names a certificate that this build cannot use. Serving without
+// it would show callers' keys on the network, so the entry does not start.
+TEST_CASE("An entry that is asked for TLS does not start without it") {
+  Settings settings;
+  settings.entry.tls_certificate_file = "entry.pem";
+  EntryProcess entry(settings, MakeNullEventLog());
+  const Status status = entry.Start();
+  REQUIRE_FALSE(IsOk(status));
+  CHECK(ErrorOf(status).code == ErrorCode::kInvalidInput);
+}
+
 // The engine dies while a stream is running. The caller has got a part of the
 // answer, so nothing else can be put in its place: it sees an error event that
 // says "unknown", and no clean end.
