--- a/src/entry/callers_server.cc
+++ b/src/entry/callers_server.cc
@@ -27,8 +27,7 @@
                              const EntrySettings* settings, Hooks hooks,
                              Clock clock, IdSource ids, EventLog log,
                              MetricsRegistry* metrics)
-    : io_(io),
-      settings_(settings),
+    : settings_(settings),
       hooks_(std::move(hooks)),
       clock_(clock),
       log_(std::move(log)),
@@ -218,7 +217,7 @@
 
 void CallersServer::OnMessage(ToCallers&& message) {
   std::visit(
-      [this](auto&& it) {
+      [this](auto& it) {
         using T = std::decay_t<decltype(it)>;
         if constexpr (std::is_same_v<T, CatalogueChanged>) {
           catalogue_ = std::move(it.catalogue);
@@ -229,7 +228,7 @@
           }
         }
       },
-      std::move(message));
+      message);
 }
 
 void CallersServer::StartDrain() {
--- a/src/entry/callers_server.h
+++ b/src/entry/callers_server.h
@@ -74,7 +74,6 @@
   void Register(const RequestId& id, Session* session);
   void OnFinished(const RequestId& id, bool gone);
 
-  boost::asio::io_context* io_;
   const EntrySettings* settings_;
   Hooks hooks_;
   Clock clock_;
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -27,10 +27,9 @@
 }  // namespace
 
 Dispatcher::Dispatcher(boost::asio::io_context* io, Options options,
-                       Hooks hooks, Clock clock, IdSource ids, EventLog log,
-                       MetricsRegistry* metrics)
-    : io_(io),
-      options_(std::move(options)),
+                       Hooks hooks, Clock clock, const IdSource& ids,
+                       EventLog log, MetricsRegistry* metrics)
+    : options_(std::move(options)),
       hooks_(std::move(hooks)),
       clock_(std::move(clock)),
       log_(std::move(log)),
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -56,7 +56,8 @@
 
   /// `io` and `metrics` must outlive this object.
   Dispatcher(boost::asio::io_context* io, Options options, Hooks hooks,
-             Clock clock, IdSource ids, EventLog log, MetricsRegistry* metrics);
+             Clock clock, const IdSource& ids, EventLog log,
+             MetricsRegistry* metrics);
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
@@ -105,7 +106,6 @@
   void Tick();
   void CountFrames();
 
-  boost::asio::io_context* io_;
   Options options_;
   Hooks hooks_;
   Clock clock_;
--- a/src/entry/platform_duty.cc
+++ b/src/entry/platform_duty.cc
@@ -18,7 +18,8 @@
 
 PlatformDuty::PlatformDuty(boost::asio::io_context* io,
                            const StoreSettings& settings, Emit emit,
-                           Clock clock, EventLog log, MetricsRegistry* metrics)
+                           const Clock& clock, EventLog log,
+                           MetricsRegistry* metrics)
     : settings_(settings),
       emit_(std::move(emit)),
       log_(std::move(log)),
--- a/src/entry/platform_duty.h
+++ b/src/entry/platform_duty.h
@@ -32,7 +32,8 @@
   /// `io` and `metrics` must outlive this object; `emit` is called on the
   /// thread of `io`.
   PlatformDuty(boost::asio::io_context* io, const StoreSettings& settings,
-               Emit emit, Clock clock, EventLog log, MetricsRegistry* metrics);
+               Emit emit, const Clock& clock, EventLog log,
+               MetricsRegistry* metrics);
   PlatformDuty(const PlatformDuty&) = delete;
   PlatformDuty& operator=(const PlatformDuty&) = delete;
 
--- a/src/entry/session_read.cc
+++ b/src/entry/session_read.cc
@@ -136,8 +136,8 @@
   IncomingRequest incoming;
   incoming.method = std::string(ToView(message.method_string()));
   incoming.target = std::string(ToView(message.target()));
-  const std::string_view path =
-      std::string_view(incoming.target).substr(0, incoming.target.find('?'));
+  const std::string_view target = incoming.target;
+  const std::string_view path = target.substr(0, target.find('?'));
   if (auto answer = host_->local(path)) {
     Respond(answer->status, answer->headers, answer->body);
     return;
--- a/src/runtime/outbox.h
+++ b/src/runtime/outbox.h
@@ -22,10 +22,8 @@
 
   /// Appends `message`. Only the writer's thread.
   void Push(T&& message) {
+    waiting_.push_back(std::move(message));
     Flush();
-    if (!waiting_.empty() || !mailbox_->Push(std::move(message))) {
-      waiting_.push_back(std::move(message));
-    }
   }
 
   /// Moves what waits into the ring. Call often, on the writer's thread.
