--- a/src/replay/policies.cc
+++ b/src/replay/policies.cc
@@ -130,6 +130,9 @@
     return [choose = std::move(choose)](Policy* policy) {
       policy->choose = choose;
       policy->roles = StaticRoles();
+      // They know nothing of roles and would send whole requests to engines
+      // that do one part well.
+      policy->all_mixed = true;
     };
   };
   return {
