--- a/src/core/request/attempt_table.cc
+++ b/src/core/request/attempt_table.cc
@@ -80,7 +80,7 @@
            RefusalReason::kCancelledEarlier, "refused before it came", now);
     return;
   }
-  if (const auto reason = ReasonToRefuse(*peer, start);
+  if (const auto reason = ReasonToRefuse(*peer, start, now);
       reason != RefusalReason::kUnspecified) {
     Refuse(link, *peer, start.id, start.start_sequence, reason, "", now);
     return;
@@ -99,7 +99,8 @@
 }
 
 RefusalReason AttemptTable::ReasonToRefuse(const Incarnation& peer,
-                                           const AttemptStart& start) {
+                                           const AttemptStart& start,
+                                           TimePoint now) {
   if (leaving_) {
     return RefusalReason::kLeaving;
   }
@@ -109,6 +110,7 @@
   if (start.start_within <= Duration::zero()) {
     return RefusalReason::kTooLate;
   }
+  MakeRoom(now);
   if (running_ >= options_.max_attempts || !memory_.AddPeer(peer) ||
       buffered_bytes_ >= options_.max_buffer_bytes ||
       start.request.body.size() > options_.max_body_bytes) {
--- a/src/core/request/attempt_table.h
+++ b/src/core/request/attempt_table.h
@@ -146,7 +146,7 @@
   Attempt* Find(const AttemptId& id);
   const Incarnation* PeerOf(LinkNumber link) const;
   RefusalReason ReasonToRefuse(const Incarnation& peer,
-                               const AttemptStart& start);
+                               const AttemptStart& start, TimePoint now);
   void Refuse(LinkNumber link, const Incarnation& peer, const AttemptId& id,
               std::uint64_t start_sequence, RefusalReason reason,
               std::string detail, TimePoint now);
@@ -164,6 +164,8 @@
   void ExpireDeadlines(TimePoint now);
   void ForgetFinished(TimePoint now);
   void ForgetOldest(TimePoint now);
+  /// Forgets finished attempts, oldest first, until the bounds hold.
+  void MakeRoom(TimePoint now);
 
   Options options_;
   Hooks hooks_;
@@ -177,6 +179,7 @@
   std::unordered_set<AttemptId> paused_;
   std::size_t running_ = 0;
   bool leaving_ = false;
+  TimePoint latest_;  ///< Time of the latest event that carried one.
   Counts counts_;
 };
 
--- a/src/core/request/attempt_table_answers.cc
+++ b/src/core/request/attempt_table_answers.cc
@@ -19,6 +19,7 @@
     return;
   }
   attempt->frames.AppendChunk(std::move(data));
+  MakeRoom(latest_);
   Send(attempt);
 }
 
@@ -79,9 +80,15 @@
                                       attempt->frames.next_sequence()});
     attempt->frames.Clear();
   }
-  while (
-      finished_.size() > options_.max_finished ||
-      (buffered_bytes_ > options_.max_buffer_bytes && finished_.size() > 1)) {
+  MakeRoom(now);
+}
+
+// What finished attempts hold is kept for callers that may resume; it must
+// not keep new attempts out or stop the streams that run.
+void AttemptTable::MakeRoom(TimePoint now) {
+  latest_ = now;
+  while (finished_.size() > options_.max_finished ||
+         (buffered_bytes_ >= options_.max_buffer_bytes && !finished_.empty())) {
     ForgetOldest(now);
   }
 }
@@ -125,6 +132,7 @@
 }
 
 void AttemptTable::Tick(TimePoint now) {
+  latest_ = now;
   ExpireDeadlines(now);
   ForgetFinished(now);
   memory_.Tick(now);
--- a/tests/core/request/attempt_table_test.cc
+++ b/tests/core/request/attempt_table_test.cc
@@ -299,6 +299,26 @@
   }
 }
 
+// Answers that their callers took long ago are still held for a resume. They
+// must make way: a new attempt is not refused, nor a stream paused, for them.
+TEST_CASE("AttemptTable lets finished answers make way for new attempts") {
+  auto options = Fixture::MakeOptions();
+  options.max_buffer_bytes = 8000;
+  Fixture f(options);
+  for (std::uint64_t n = 1; n <= 20; ++n) {
+    f.Start(n);
+    f.Answer(n, {std::string(500, 'x'), std::string(500, 'y')});
+    f.End(n, CallOutcome::kComplete);
+  }
+  f.Start(21);
+  for (int i = 0; i < 6; ++i) {
+    f.table_.OnCallBody(AttemptId{{1, 21}}, std::string(500, 'z'));
+  }
+  CHECK(f.refusals_.empty());
+  CHECK(f.pauses_.empty());
+  CHECK(f.table_.buffered_bytes() < 8000);
+}
+
 TEST_CASE("AttemptTable keeps its memory within its bounds") {
   auto options = Fixture::MakeOptions();
   options.max_finished = 2;
