--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -133,6 +133,16 @@
   done
 }
 
+# Waits until an entry knows the status, which it asks for after its start.
+wait_until_status() {
+  for _ in $(seq 100); do
+    ! curl -sf -m 5 -o /dev/null "http://$1/admin/status" || return 0
+    sleep 0.1
+  done
+  echo "demo: entry $1 gives no status after 10 s" >&2
+  exit 1
+}
+
 # Waits until an entry has heard of the declarations and of its targets.
 wait_until_serving() {
   for _ in $(seq 300); do
@@ -174,12 +184,10 @@
 
 cp -r "$example" "$work/declarations"
 "$indigolead" check "$work/declarations"
-wait_flags=()
-if curl -sf -o /dev/null "http://$http_1/admin/status"; then
-  wait_flags=(--wait "--entry=$http_1,$http_2" --timeout=30s)
-fi
+wait_until_status "$http_1"
+wait_until_status "$http_2"
 "$indigolead" apply "$work/declarations" --store="$store" --author=demo \
-  --note="demo" "${wait_flags[@]}"
+  --note="demo" --wait --entry="$http_1,$http_2" --timeout=30s
 wait_until_serving "$http_1"
 wait_until_serving "$http_2"
 
@@ -210,6 +218,6 @@
   save_runs "$target"
 done
 echo
-"$indigolead" status --entry="$http_1,$http_2" || true
+"$indigolead" status --entry="$http_1,$http_2"
 echo
 python3 scripts/demo_count.py "$requests" "$work/answers" "$work/runs"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,6 +8,8 @@
 mapfile -t sources < <(git ls-files '*.cc' '*.h' | grep -v '/generated/')
 clang-format --dry-run -Werror "${sources[@]}"
 shellcheck scripts/*.sh .ci/run
+# The lists of events and metrics must be those of the sources.
+python3 scripts/catalogue.py --check
 [ "${1:-}" = "--format-only" ] && exit 0
 
 scripts/setup.sh
--- a/src/cli/in_force.cc
+++ b/src/cli/in_force.cc
@@ -74,8 +74,10 @@
   return missing;
 }
 
-double SecondsBetween(TimePoint from, TimePoint to) {
-  return std::chrono::duration<double>(to - from).count();
+/// Returns the time since `start` in whole milliseconds, as text.
+std::string TimeSince(TimePoint start) {
+  return FormatDuration(std::chrono::duration_cast<std::chrono::milliseconds>(
+      BootTimeNow() - start));
 }
 
 }  // namespace
@@ -103,8 +105,7 @@
     }
     return kExitNotInForce;
   }
-  *context.out << "in force everywhere after "
-               << FormatNumber(SecondsBetween(start, BootTimeNow())) << " s\n";
+  *context.out << "in force everywhere after " << TimeSince(start) << "\n";
   return kExitOk;
 }
 
--- a/src/cli/status_view.cc
+++ b/src/cli/status_view.cc
@@ -1,5 +1,6 @@
 #include "cli/status_view.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
@@ -13,7 +14,8 @@
 
 std::string AgeText(double seconds) {
   char buf[32];
-  std::snprintf(buf, sizeof(buf), "%.1fs ago", seconds);
+  // A clock that is read twice may give an age just below 0.
+  std::snprintf(buf, sizeof(buf), "%.1fs ago", std::max(seconds, 0.0));
   return buf;
 }
 
@@ -47,6 +49,9 @@
            WallTimeText(it->at("unknown_since").get<WallMicros>());
   }
   const Json& value = it->at("value");
+  if (value == "") {
+    return "-";
+  }
   return (value.is_object() ? LoadText(value) : PlainText(value)) + " (" +
          AgeText(it->at("age_s").get<double>()) + ")";
 }
--- a/src/core/config/deployment_builder.cc
+++ b/src/core/config/deployment_builder.cc
@@ -78,6 +78,9 @@
   std::vector<std::string> names;
   for (const auto& [file, templates] : index_.templates) {
     for (const auto& [name, sections] : templates) {
+      if (sections.main.file.empty()) {
+        continue;  // Only its parts are there, which the index reports.
+      }
       names.push_back(name);
       if (name == entry->value && file == deployment.file) {
         return &sections;
--- a/tests/core/config/declarations_test.cc
+++ b/tests/core/config/declarations_test.cc
@@ -164,6 +164,8 @@
        "d.ini:10: [deployment b] adapters: gives adapters in t.ini:9"},
       {"[template x model m]\nversion = 1\n",
        "belongs to [template x], which this file lacks"},
+      {"[template x model m]\nversion = 1\n[deployment b]\ntemplate = x\n",
+       "d.ini:11: [deployment b] template: \"x\" is not a template"},
       {"[template x]\nkind = model\n[deployment b]\ntemplate = x\n",
        "[deployment b] serves no model"},
       {"[template x]\nkind = service\n[deployment b]\ntemplate = x\n",
