--- a/src/cli/status_view.cc
+++ b/src/cli/status_view.cc
@@ -49,7 +49,7 @@
            WallTimeText(it->at("unknown_since").get<WallMicros>());
   }
   const Json& value = it->at("value");
-  if (value == "") {
+  if (!value.is_object() && PlainText(value).empty()) {
     return "-";
   }
   return (value.is_object() ? LoadText(value) : PlainText(value)) + " (" +
