--- a/src/core/control/lease.cc
+++ b/src/core/control/lease.cc
@@ -192,7 +192,10 @@
 
 Lease::Actions Lease::Resign(TimePoint now) {
   Actions actions;
-  resigned_ = true;
+  if (!resigned_) {
+    resigned_ = true;
+    next_take_ = now;
+  }
   if (held_) {
     Drop(LeaseLoss::kResigned, &actions);
   }
--- a/src/core/control/lease.h
+++ b/src/core/control/lease.h
@@ -141,7 +141,9 @@
   /// A watch reported the lease.
   Actions OnWatched(const LeaseView& view, TimePoint now);
 
-  /// Gives the lease up so that another entry need not wait for its end.
+  /// Gives the lease up so that another entry need not wait for its end. Call
+  /// again until `newest` no longer names this holder: a renewal in flight goes
+  /// first.
   Actions Resign(TimePoint now);
 
   /// Returns the number to give orders under, or nothing. `now` must be read
--- /dev/null
+++ b/src/entry/control_duty.cc
@@ -0,0 +1,203 @@
+#include "entry/control_duty.h"
+
+#include <boost/asio/post.hpp>
+#include <map>
+
+#include "core/config/revision_json.h"
+#include "platform/run_after.h"
+#include "runtime/clock.h"
+
+namespace indigolead {
+namespace {
+
+constexpr std::size_t kRingPlaces = 4096;
+constexpr std::chrono::milliseconds kTickInterval{100};
+constexpr std::chrono::milliseconds kSnapshotInterval{500};
+
+double RandomShare() {
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(RandomId().lo) / kRange;
+}
+
+RevisionExchange::Options ExchangeOptions(const Settings& settings,
+                                          const Incarnation& incarnation) {
+  RevisionExchange::Options options;
+  options.instance = settings.instance.name;
+  options.incarnation = incarnation;
+  return options;
+}
+
+ControlService::Options ServiceOptions(const Settings& settings,
+                                       const Incarnation& incarnation) {
+  ControlService::Options options;
+  options.instance = settings.instance.name;
+  options.incarnation = incarnation;
+  options.failure_domain = settings.instance.failure_domain;
+  options.call_deadline = settings.store.call_deadline;
+  options.audit.entry = settings.instance.name;
+  options.controller.enabled = settings.entry.run_controller;
+  options.controller.call_deadline = settings.store.call_deadline;
+  options.controller.lease.holder = settings.instance.name;
+  options.controller.lease.incarnation = incarnation;
+  options.controller.reconciler.actor = settings.instance.name;
+  return options;
+}
+
+}  // namespace
+
+ControlDuty::ControlDuty(boost::asio::io_context* platform_io,
+                         boost::asio::io_context* dispatch_io,
+                         ObjectStore* store, const Settings& settings,
+                         const Incarnation& incarnation, Hooks hooks,
+                         EventLog log)
+    : platform_io_(platform_io),
+      hooks_(std::move(hooks)),
+      log_(std::move(log)),
+      to_platform_(platform_io, kRingPlaces,
+                   [this](ToPlatform&& it) { OnToPlatform(std::move(it)); }),
+      to_send_(dispatch_io, kRingPlaces,
+               [this](ToSend&& it) { hooks_.send(it.link, it.message); }),
+      platform_outbox_(&to_platform_),
+      send_outbox_(&to_send_),
+      exchange_(ExchangeOptions(settings, incarnation), ExchangeHooks(), log_),
+      service_(store, ServiceOptions(settings, incarnation), ServiceHooks(),
+               BootTimeNow, WallTimeNow, RandomId, MakeRunAfter(platform_io),
+               log_),
+      tick_timer_(*platform_io) {}
+
+RevisionExchange::Hooks ControlDuty::ExchangeHooks() {
+  return {[this](LinkId link, const wire::Envelope& message) {
+            return hooks_.send(link, message);
+          },
+          [this](const Revision& revision) {
+            const RevisionRecord* record =
+                exchange_.book().Find(revision.spec.name);
+            hooks_.apply(*record);
+            platform_outbox_.Push(Applied{record->value});
+          }};
+}
+
+ControlService::Hooks ControlDuty::ServiceHooks() {
+  return {[this](LinkId link, const wire::Envelope& message) {
+            send_outbox_.Push(ToSend{link, message});
+            return true;
+          },
+          hooks_.role_plan, RandomShare};
+}
+
+EntryService ControlDuty::Service() {
+  EntryService service;
+  service.handle_message = [this](LinkId link, const wire::Envelope& message) {
+    return OnMessage(link, message);
+  };
+  service.on_link_up = [this](LinkId link, const wire::Hello& hello) {
+    exchange_.OnLinkUp(link, hello, BootTimeNow());
+    platform_outbox_.Push(LinkUp{link, hello});
+  };
+  service.on_link_down = [this](LinkId link) {
+    exchange_.OnLinkDown(link, BootTimeNow());
+    platform_outbox_.Push(LinkDown{link});
+  };
+  service.on_revision = [this](const RevisionRecord& record) {
+    exchange_.OfferFromStore(record.value, BootTimeNow());
+  };
+  service.tick = [this](TimePoint now) { DispatchTick(now); };
+  return service;
+}
+
+void ControlDuty::Start() {
+  service_.Start();
+  ArmTick();
+}
+
+void ControlDuty::Stop() {
+  stopped_ = true;
+  tick_timer_.cancel();
+  service_.Stop();
+}
+
+bool ControlDuty::Stopped() {
+  service_.Stop();
+  return !service_.named_in_lease();
+}
+
+void ControlDuty::OnPlatformEvent(const PlatformEvent& event) {
+  if (const auto* drains = std::get_if<DrainsSeen>(&event)) {
+    std::map<std::string, std::string> causes;
+    for (const std::string& instance : drains->instances) {
+      causes.emplace(instance, "drained by an operator");
+    }
+    service_.OnDrains(causes);
+  } else if (const auto* instances = std::get_if<InstancesSeen>(&event)) {
+    service_.OnInstances(instances->list);
+  }
+}
+
+void ControlDuty::AskStatus(std::function<void(std::string)> done) {
+  boost::asio::post(*platform_io_, [this, done = std::move(done)] {
+    done(service_.StatusJson());
+  });
+}
+
+bool ControlDuty::OnMessage(LinkId link, const wire::Envelope& message) {
+  const bool taken = exchange_.HandleMessage(link, message, BootTimeNow());
+  // A heartbeat that finds no room is dropped: the next one says the same.
+  const bool room = platform_outbox_.waiting() == 0;
+  if (message.has_order_status() || (message.has_heartbeat() && room)) {
+    platform_outbox_.Push(Received{link, message});
+  }
+  return taken || message.has_order_status();
+}
+
+void ControlDuty::OnToPlatform(ToPlatform&& event) {
+  if (stopped_) {
+    return;
+  }
+  if (const auto* up = std::get_if<LinkUp>(&event)) {
+    service_.OnLinkUp(up->link, up->hello);
+  } else if (const auto* down = std::get_if<LinkDown>(&event)) {
+    service_.OnLinkDown(down->link);
+  } else if (const auto* received = std::get_if<Received>(&event)) {
+    service_.HandleMessage(received->link, received->message);
+  } else if (const auto* applied = std::get_if<Applied>(&event)) {
+    if (const auto revision = RevisionFromJson(applied->value);
+        IsOk(revision)) {
+      service_.OnRevision(ValueOf(revision));
+    }
+  } else if (auto* snapshot = std::get_if<ConfigSnapshot>(&event)) {
+    service_.OnConfig(std::move(*snapshot));
+  }
+}
+
+void ControlDuty::DispatchTick(TimePoint now) {
+  platform_outbox_.Flush();
+  if (now < next_snapshot_ || platform_outbox_.waiting() > 0) {
+    return;
+  }
+  next_snapshot_ = now + kSnapshotInterval;
+  exchange_.Tick(now);
+  ConfigSnapshot snapshot;
+  for (const auto& [deployment, number] : exchange_.book().Known()) {
+    snapshot.in_force.emplace(deployment,
+                              exchange_.book().InForceOf(deployment));
+  }
+  for (const RevisionPeer& peer : exchange_.book().Peers()) {
+    snapshot.by_peer.emplace(peer.instance,
+                             exchange_.book().AppliedBy(peer.instance));
+  }
+  platform_outbox_.Push(std::move(snapshot));
+}
+
+void ControlDuty::ArmTick() {
+  tick_timer_.expires_after(kTickInterval);
+  tick_timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (ec || stopped_) {
+      return;
+    }
+    send_outbox_.Flush();
+    service_.Tick(BootTimeNow());
+    ArmTick();
+  });
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/entry/control_duty.h
@@ -0,0 +1,106 @@
+#ifndef INDIGOLEAD_ENTRY_CONTROL_DUTY_H_
+#define INDIGOLEAD_ENTRY_CONTROL_DUTY_H_
+
+#include <utility>
+// Asio of Boost 1.74 needs <utility> before it.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "core/config/settings.h"
+#include "entry/control_service.h"
+#include "entry/dispatcher.h"
+#include "entry/messages.h"
+#include "runtime/mailbox.h"
+#include "runtime/outbox.h"
+#include "wire/revision_exchange.h"
+
+namespace indigolead {
+
+/// Joins control to an entry's threads: revisions pass between peers on the
+/// dispatch thread, everything that waits for the store runs on the platform
+/// thread, and bounded rings join the two.
+class ControlDuty {
+ public:
+  struct Hooks {
+    /// Sends on a link. Called on the dispatch thread.
+    std::function<bool(LinkId, const wire::Envelope&)> send;
+    /// Puts a revision from a peer into force. Called on the dispatch thread.
+    std::function<void(RevisionRecord)> apply;
+    RolePlan role_plan;  ///< Unset: the roles that the declaration fixes.
+  };
+
+  /// The io_contexts and `store` must outlive this object.
+  ControlDuty(boost::asio::io_context* platform_io,
+              boost::asio::io_context* dispatch_io, ObjectStore* store,
+              const Settings& settings, const Incarnation& incarnation,
+              Hooks hooks, EventLog log);
+  ControlDuty(const ControlDuty&) = delete;
+  ControlDuty& operator=(const ControlDuty&) = delete;
+
+  /// Returns the part that runs on the dispatch thread.
+  EntryService Service();
+
+  /// Starts and stops the part on the platform thread; call there. Stopping
+  /// gives the lease up, if it is held here.
+  void Start();
+  void Stop();
+  /// Returns true once the store no longer names this entry as the holder;
+  /// call on the platform thread, again and again after `Stop`.
+  bool Stopped();
+
+  /// Sees what the platform said. Called on the platform thread.
+  void OnPlatformEvent(const PlatformEvent& event);
+
+  /// Calls `done` with the status as JSON, on the platform thread. Safe from
+  /// any thread.
+  void AskStatus(std::function<void(std::string)> done);
+
+ private:
+  struct LinkUp {
+    LinkId link;
+    wire::Hello hello;
+  };
+  struct LinkDown {
+    LinkId link;
+  };
+  struct Received {
+    LinkId link;
+    wire::Envelope message;
+  };
+  struct Applied {
+    std::string value;
+  };
+  struct ToSend {
+    LinkId link;
+    wire::Envelope message;
+  };
+  using ToPlatform = std::variant<std::monostate, LinkUp, LinkDown, Received,
+                                  Applied, ConfigSnapshot>;
+
+  RevisionExchange::Hooks ExchangeHooks();
+  ControlService::Hooks ServiceHooks();
+  void OnToPlatform(ToPlatform&& event);
+  bool OnMessage(LinkId link, const wire::Envelope& message);
+  void DispatchTick(TimePoint now);
+  void ArmTick();
+
+  boost::asio::io_context* platform_io_;
+  Hooks hooks_;
+  EventLog log_;
+  Mailbox<ToPlatform> to_platform_;
+  Mailbox<ToSend> to_send_;
+  Outbox<ToPlatform> platform_outbox_;
+  Outbox<ToSend> send_outbox_;
+  RevisionExchange exchange_;
+  ControlService service_;
+  boost::asio::steady_timer tick_timer_;
+  TimePoint next_snapshot_;
+  bool stopped_ = false;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_CONTROL_DUTY_H_
--- a/src/entry/control_service.cc
+++ b/src/entry/control_service.cc
@@ -305,6 +305,12 @@
   });
 }
 
+bool ControlService::named_in_lease() const {
+  const auto& record = controller_.lease().newest().record;
+  return record && record->holder == options_.instance &&
+         record->incarnation == options_.incarnation;
+}
+
 bool ControlService::holds_lease() const {
   return controller_.lease().Authority(clock_()).has_value();
 }
--- a/src/entry/control_service.h
+++ b/src/entry/control_service.h
@@ -95,6 +95,8 @@
 
   /// True while this entry acts as the controller.
   bool holds_lease() const;
+  /// True while the newest lease seen names this entry, in force or not.
+  bool named_in_lease() const;
 
  private:
   struct Peer {
--- a/tests/core/control/lease_test.cc
+++ b/tests/core/control/lease_test.cc
@@ -117,6 +117,23 @@
     CHECK(Find<Lease::Write>(actions)->record.holder.empty());
     CHECK(Find<Lease::Write>(actions)->record.fencing_number == 7);
   }
+
+  // The write that took the lease is the newest of its kind; its pause before
+  // the next try must not hold the resignation back.
+  SECTION("resigning at once after winning works too") {
+    CHECK(Find<Lease::Write>(lease.Resign(At(0.5))));
+  }
+
+  SECTION("a renewal in flight goes first, then the lease is given up") {
+    const auto renewal = Find<Lease::Write>(TickUntil(&lease, 0.75, 2));
+    REQUIRE(renewal);
+    CHECK_FALSE(Find<Lease::Write>(lease.Resign(At(2))));
+    lease.OnWritten(renewal->record.nonce, std::uint64_t{9}, At(2.1));
+    CHECK_FALSE(lease.Authority(At(2.1)));
+    const auto resigned = Find<Lease::Write>(lease.Resign(At(2.2)));
+    REQUIRE(resigned);
+    CHECK(resigned->expected == 9);
+  }
 }
 
 // The holder sleeps between its decision and its act. It still believes that
