Serve the status of the system from every entry

Cause: operators read the state back at GET /admin/status, and it must answer with the store down. Change: the platform thread publishes the status twice a second; the callers' thread hands out the last one and never waits for the platform thread.

--- a/src/entry/control_duty.cc
+++ b/src/entry/control_duty.cc
@@ -1,6 +1,5 @@
 #include "entry/control_duty.h"
 
-#include <boost/asio/post.hpp>
 #include <map>
 
 #include "core/config/revision_json.h"
@@ -50,8 +49,7 @@
                          ObjectStore* store, const Settings& settings,
                          const Incarnation& incarnation, Hooks hooks,
                          EventLog log)
-    : platform_io_(platform_io),
-      hooks_(std::move(hooks)),
+    : hooks_(std::move(hooks)),
       log_(std::move(log)),
       to_platform_(platform_io, kRingPlaces,
                    [this](ToPlatform&& it) { OnToPlatform(std::move(it)); }),
@@ -133,10 +131,19 @@
   }
 }
 
-void ControlDuty::AskStatus(std::function<void(std::string)> done) {
-  boost::asio::post(*platform_io_, [this, done = std::move(done)] {
-    done(service_.StatusJson());
-  });
+std::string ControlDuty::StatusJson() const {
+  const std::lock_guard<std::mutex> lock(status_mutex_);
+  return status_;
+}
+
+void ControlDuty::PublishStatus(TimePoint now) {
+  if (now < next_status_) {
+    return;
+  }
+  next_status_ = now + kStatusInterval;
+  std::string status = service_.StatusJson();
+  const std::lock_guard<std::mutex> lock(status_mutex_);
+  status_ = std::move(status);
 }
 
 bool ControlDuty::OnMessage(LinkId link, const wire::Envelope& message) {
@@ -196,6 +203,7 @@
     }
     send_outbox_.Flush();
     service_.Tick(BootTimeNow());
+    PublishStatus(BootTimeNow());
     ArmTick();
   });
 }
--- a/src/entry/control_duty.h
+++ b/src/entry/control_duty.h
@@ -5,7 +5,9 @@
 // Asio of Boost 1.74 needs <utility> before it.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <variant>
 
@@ -54,9 +56,11 @@
   /// Sees what the platform said. Called on the platform thread.
   void OnPlatformEvent(const PlatformEvent& event);
 
-  /// Calls `done` with the status as JSON, on the platform thread. Safe from
-  /// any thread.
-  void AskStatus(std::function<void(std::string)> done);
+  /// Returns the status as JSON, at most `kStatusInterval` old; empty before
+  /// the first one. Safe from any thread: it never waits for the platform
+  /// thread.
+  std::string StatusJson() const;
+  static constexpr std::chrono::milliseconds kStatusInterval{500};
 
  private:
   struct LinkUp {
@@ -85,9 +89,9 @@
   void OnToPlatform(ToPlatform&& event);
   bool OnMessage(LinkId link, const wire::Envelope& message);
   void DispatchTick(TimePoint now);
+  void PublishStatus(TimePoint now);
   void ArmTick();
 
-  boost::asio::io_context* platform_io_;
   Hooks hooks_;
   EventLog log_;
   Mailbox<ToPlatform> to_platform_;
@@ -98,6 +102,9 @@
   ControlService service_;
   boost::asio::steady_timer tick_timer_;
   TimePoint next_snapshot_;
+  TimePoint next_status_;
+  mutable std::mutex status_mutex_;
+  std::string status_;  ///< Guarded by `status_mutex_`.
   bool stopped_ = false;
 };
 
