Show the answering entry, and keep apart two kinds of load

Cause: the status left out the entry that answers, could show an age below 0, and its TargetLoad had the name of the router's class. Change: the entry lists itself; the clock is read after the figures; the status value is TargetLoadFigures. The status view's test follows the new name.

--- a/src/core/control/status.cc
+++ b/src/core/control/status.cc
@@ -14,7 +14,7 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-void to_json(Json& json, const TargetLoad& load) {
+void to_json(Json& json, const TargetLoadFigures& load) {
   json = Json{{"running", load.running},
               {"waiting", load.waiting},
               {"queued_prefill_tokens", load.queued_prefill_tokens},
@@ -43,7 +43,7 @@
       return nullptr;
     }
     Json value;
-    if constexpr (std::is_same_v<T, TargetLoad>) {
+    if constexpr (std::is_same_v<T, TargetLoadFigures>) {
       to_json(value, *figure.value);
     } else {
       value = *figure.value;
--- a/src/core/control/status.h
+++ b/src/core/control/status.h
@@ -30,14 +30,15 @@
 };
 
 /// Load of one target, as its side reported it.
-struct TargetLoad {
+struct TargetLoadFigures {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint64_t queued_prefill_tokens = 0;
   std::uint64_t kv_used_bytes = 0;
   std::uint64_t kv_capacity_bytes = 0;
 
-  friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
+  friend bool operator==(const TargetLoadFigures&,
+                         const TargetLoadFigures&) = default;
 };
 
 /// One target.
@@ -55,7 +56,7 @@
   std::string order_detail;
   bool out_of_service = false;
   Aged<std::uint64_t> revision;
-  Aged<TargetLoad> load;
+  Aged<TargetLoadFigures> load;
   std::string drain_cause;  ///< Empty: not drained.
 
   friend bool operator==(const TargetStatus&, const TargetStatus&) = default;
--- a/src/entry/control_records.cc
+++ b/src/entry/control_records.cc
@@ -159,6 +159,14 @@
   for (const auto& [name, revision] : revisions_) {
     status.deployments.push_back(StatusOf(revision));
   }
+  EntryStatus own;
+  own.name = options_.instance;
+  own.failure_domain = options_.failure_domain;
+  own.up = Aged<bool>::Seen(true, now);
+  for (const auto& [name, revision] : revisions_) {
+    own.revisions.emplace(name, revision.number);
+  }
+  status.entries.push_back(std::move(own));
   for (const auto& [name, peer] : peers_) {
     if (peer.is_entry) {
       status.entries.push_back(EntryStatusOf(name, peer));
@@ -171,7 +179,8 @@
 }
 
 std::string ControlService::StatusJson() const {
-  return EncodeStatus(Status(), clock_(), wall_clock_());
+  const SystemStatus status = Status();  // Before the clock: no age below 0.
+  return EncodeStatus(status, clock_(), wall_clock_());
 }
 
 DeploymentStatus ControlService::StatusOf(const Revision& revision) const {
@@ -223,10 +232,11 @@
     const wire::LoadReport& load = *peer.load;
     const TimePoint measured =
         peer.load_at - std::chrono::microseconds(load.measured_ago_us());
-    status.load = aged(
-        TargetLoad{load.running(), load.waiting(), load.queued_prefill_tokens(),
-                   load.kv_used_bytes(), load.kv_capacity_bytes()},
-        measured);
+    status.load =
+        aged(TargetLoadFigures{load.running(), load.waiting(),
+                               load.queued_prefill_tokens(),
+                               load.kv_used_bytes(), load.kv_capacity_bytes()},
+             measured);
   }
   const auto applied = config_.by_peer.find(name);
   if (applied != config_.by_peer.end()) {
--- a/tests/shell/status_view_test.cc
+++ b/tests/shell/status_view_test.cc
@@ -25,7 +25,7 @@
   target.health = Aged<std::string>::Seen("up", kNow);
   target.role =
       Aged<std::string>::Seen("mixed", kNow - std::chrono::milliseconds(1500));
-  target.load = Aged<TargetLoad>::Seen({3, 2, 0, 0, 0}, kNow);
+  target.load = Aged<TargetLoadFigures>::Seen({3, 2, 0, 0, 0}, kNow);
   return target;
 }
 
