Join control to the entry as it is now

Cause: the dispatcher has taken the revision exchange in, and the store belongs to PlatformDuty; the join of control was made for the arrangement before. Change: ControlDuty reads the dispatcher's book and is told of each revision; the entry starts, stops and feeds it; the side keeps its deployment's newest revision again.

--- a/src/entry/control_duty.cc
+++ b/src/entry/control_duty.cc
@@ -2,7 +2,6 @@
 
 #include <map>
 
-#include "core/config/revision_json.h"
 #include "platform/run_after.h"
 #include "runtime/clock.h"
 
@@ -18,14 +17,6 @@
   return static_cast<double>(RandomId().lo) / kRange;
 }
 
-RevisionExchange::Options ExchangeOptions(const Settings& settings,
-                                          const Incarnation& incarnation) {
-  RevisionExchange::Options options;
-  options.instance = settings.instance.name;
-  options.incarnation = incarnation;
-  return options;
-}
-
 ControlService::Options ServiceOptions(const Settings& settings,
                                        const Incarnation& incarnation) {
   ControlService::Options options;
@@ -46,10 +37,12 @@
 
 ControlDuty::ControlDuty(boost::asio::io_context* platform_io,
                          boost::asio::io_context* dispatch_io,
-                         ObjectStore* store, const Settings& settings,
+                         ObjectStore* store, const RevisionBook* book,
+                         const Settings& settings,
                          const Incarnation& incarnation, Hooks hooks,
                          EventLog log)
-    : hooks_(std::move(hooks)),
+    : book_(book),
+      hooks_(std::move(hooks)),
       log_(std::move(log)),
       to_platform_(platform_io, kRingPlaces,
                    [this](ToPlatform&& it) { OnToPlatform(std::move(it)); }),
@@ -57,24 +50,11 @@
                [this](ToSend&& it) { hooks_.send(it.link, it.message); }),
       platform_outbox_(&to_platform_),
       send_outbox_(&to_send_),
-      exchange_(ExchangeOptions(settings, incarnation), ExchangeHooks(), log_),
       service_(store, ServiceOptions(settings, incarnation), ServiceHooks(),
                BootTimeNow, WallTimeNow, RandomId, MakeRunAfter(platform_io),
                log_),
       tick_timer_(*platform_io) {}
 
-RevisionExchange::Hooks ControlDuty::ExchangeHooks() {
-  return {[this](LinkId link, const wire::Envelope& message) {
-            return hooks_.send(link, message);
-          },
-          [this](const Revision& revision) {
-            const RevisionRecord* record =
-                exchange_.book().Find(revision.spec.name);
-            hooks_.apply(*record);
-            platform_outbox_.Push(Applied{record->value});
-          }};
-}
-
 ControlService::Hooks ControlDuty::ServiceHooks() {
   return {[this](LinkId link, const wire::Envelope& message) {
             send_outbox_.Push(ToSend{link, message});
@@ -89,20 +69,19 @@
     return OnMessage(link, message);
   };
   service.on_link_up = [this](LinkId link, const wire::Hello& hello) {
-    exchange_.OnLinkUp(link, hello, BootTimeNow());
     platform_outbox_.Push(LinkUp{link, hello});
   };
   service.on_link_down = [this](LinkId link) {
-    exchange_.OnLinkDown(link, BootTimeNow());
     platform_outbox_.Push(LinkDown{link});
   };
-  service.on_revision = [this](const RevisionRecord& record) {
-    exchange_.OfferFromStore(record.value, BootTimeNow());
-  };
   service.tick = [this](TimePoint now) { DispatchTick(now); };
   return service;
 }
 
+void ControlDuty::OnRevision(const Revision& revision) {
+  platform_outbox_.Push(std::make_shared<const Revision>(revision));
+}
+
 void ControlDuty::Start() {
   service_.Start();
   ArmTick();
@@ -147,13 +126,12 @@
 }
 
 bool ControlDuty::OnMessage(LinkId link, const wire::Envelope& message) {
-  const bool taken = exchange_.HandleMessage(link, message, BootTimeNow());
   // A heartbeat that finds no room is dropped: the next one says the same.
   const bool room = platform_outbox_.waiting() == 0;
   if (message.has_order_status() || (message.has_heartbeat() && room)) {
     platform_outbox_.Push(Received{link, message});
   }
-  return taken || message.has_order_status();
+  return message.has_order_status();
 }
 
 void ControlDuty::OnToPlatform(ToPlatform&& event) {
@@ -166,11 +144,9 @@
     service_.OnLinkDown(down->link);
   } else if (const auto* received = std::get_if<Received>(&event)) {
     service_.HandleMessage(received->link, received->message);
-  } else if (const auto* applied = std::get_if<Applied>(&event)) {
-    if (const auto revision = RevisionFromJson(applied->value);
-        IsOk(revision)) {
-      service_.OnRevision(ValueOf(revision));
-    }
+  } else if (const auto* revision =
+                 std::get_if<std::shared_ptr<const Revision>>(&event)) {
+    service_.OnRevision(**revision);
   } else if (auto* snapshot = std::get_if<ConfigSnapshot>(&event)) {
     service_.OnConfig(std::move(*snapshot));
   }
@@ -182,15 +158,12 @@
     return;
   }
   next_snapshot_ = now + kSnapshotInterval;
-  exchange_.Tick(now);
   ConfigSnapshot snapshot;
-  for (const auto& [deployment, number] : exchange_.book().Known()) {
-    snapshot.in_force.emplace(deployment,
-                              exchange_.book().InForceOf(deployment));
+  for (const auto& [deployment, number] : book_->Known()) {
+    snapshot.in_force.emplace(deployment, book_->InForceOf(deployment));
   }
-  for (const RevisionPeer& peer : exchange_.book().Peers()) {
-    snapshot.by_peer.emplace(peer.instance,
-                             exchange_.book().AppliedBy(peer.instance));
+  for (const RevisionPeer& peer : book_->Peers()) {
+    snapshot.by_peer.emplace(peer.instance, book_->AppliedBy(peer.instance));
   }
   platform_outbox_.Push(std::move(snapshot));
 }
--- a/src/entry/control_duty.h
+++ b/src/entry/control_duty.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <variant>
@@ -17,11 +18,10 @@
 #include "entry/messages.h"
 #include "runtime/mailbox.h"
 #include "runtime/outbox.h"
-#include "wire/revision_exchange.h"
 
 namespace indigolead {
 
-/// Joins control to an entry's threads: revisions pass between peers on the
+/// Joins control to an entry's threads: links and revisions live on the
 /// dispatch thread, everything that waits for the store runs on the platform
 /// thread, and bounded rings join the two.
 class ControlDuty {
@@ -29,22 +29,24 @@
   struct Hooks {
     /// Sends on a link. Called on the dispatch thread.
     std::function<bool(LinkId, const wire::Envelope&)> send;
-    /// Puts a revision from a peer into force. Called on the dispatch thread.
-    std::function<void(RevisionRecord)> apply;
     RolePlan role_plan;  ///< Unset: the roles that the declaration fixes.
   };
 
-  /// The io_contexts and `store` must outlive this object.
+  /// The io_contexts, `store` and `book` must outlive this object; `book` is
+  /// read on the dispatch thread.
   ControlDuty(boost::asio::io_context* platform_io,
               boost::asio::io_context* dispatch_io, ObjectStore* store,
-              const Settings& settings, const Incarnation& incarnation,
-              Hooks hooks, EventLog log);
+              const RevisionBook* book, const Settings& settings,
+              const Incarnation& incarnation, Hooks hooks, EventLog log);
   ControlDuty(const ControlDuty&) = delete;
   ControlDuty& operator=(const ControlDuty&) = delete;
 
   /// Returns the part that runs on the dispatch thread.
   EntryService Service();
 
+  /// A revision is in force here. Called on the dispatch thread.
+  void OnRevision(const Revision& revision);
+
   /// Starts and stops the part on the platform thread; call there. Stopping
   /// gives the lease up, if it is held here.
   void Start();
@@ -74,17 +76,14 @@
     LinkId link;
     wire::Envelope message;
   };
-  struct Applied {
-    std::string value;
-  };
   struct ToSend {
     LinkId link;
     wire::Envelope message;
   };
-  using ToPlatform = std::variant<std::monostate, LinkUp, LinkDown, Received,
-                                  Applied, ConfigSnapshot>;
+  using ToPlatform =
+      std::variant<std::monostate, LinkUp, LinkDown, Received,
+                   std::shared_ptr<const Revision>, ConfigSnapshot>;
 
-  RevisionExchange::Hooks ExchangeHooks();
   ControlService::Hooks ServiceHooks();
   void OnToPlatform(ToPlatform&& event);
   bool OnMessage(LinkId link, const wire::Envelope& message);
@@ -92,13 +91,13 @@
   void PublishStatus(TimePoint now);
   void ArmTick();
 
+  const RevisionBook* book_;
   Hooks hooks_;
   EventLog log_;
   Mailbox<ToPlatform> to_platform_;
   Mailbox<ToSend> to_send_;
   Outbox<ToPlatform> platform_outbox_;
   Outbox<ToSend> send_outbox_;
-  RevisionExchange exchange_;
   ControlService service_;
   boost::asio::steady_timer tick_timer_;
   TimePoint next_snapshot_;
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -86,6 +86,7 @@
   Links& links() { return links_; }
   const MembershipService& membership() const { return membership_; }
   RevisionExchange& revisions() { return revisions_; }
+  const Incarnation& incarnation() const { return options_.incarnation; }
 
  private:
   Links::Hooks LinkHooks();
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "entry/callers_server.h"
+#include "entry/control_duty.h"
 #include "entry/dispatcher.h"
 #include "entry/events.h"
 #include "entry/load_control.h"
@@ -26,6 +27,7 @@
 constexpr std::size_t kRingPlaces = 16384;
 constexpr std::size_t kPlatformRingPlaces = 1024;
 constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::chrono::milliseconds kResignWait{500};
 
 /// One duty's thread and the io_context that it runs.
 class DutyThread {
@@ -140,9 +142,13 @@
         platform_(
             platform_thread_.io(), settings_.store,
             [this](PlatformEvent&& it) {
+              control_.OnPlatformEvent(it);
               platform_outbox_.Push(std::move(it));
             },
-            BootTimeNow, log_, &metrics_) {
+            BootTimeNow, log_, &metrics_),
+        control_(platform_thread_.io(), dispatch_thread_.io(),
+                 platform_.store(), &dispatcher_.revisions().book(), settings_,
+                 dispatcher_.incarnation(), ControlHooks(), log_) {
     if (stop_fd_ < 0) {
       throw std::system_error(errno, std::generic_category(), "eventfd");
     }
@@ -168,6 +174,7 @@
     }
     // Nothing else runs yet, so the duties may be set up on this thread.
     dispatcher_.AddService(load_control_.Service(BootTimeNow));
+    dispatcher_.AddService(control_.Service());
     if (Status status = dispatcher_.Start(); !IsOk(status)) {
       return status;
     }
@@ -181,6 +188,10 @@
     dispatch_thread_.Start();
     callers_thread_.Start();
     platform_thread_.Start();
+    // Without a store there is nothing to hold a lease in.
+    if (!settings_.store.address.empty()) {
+      platform_thread_.Call([this] { control_.Start(); });
+    }
     log_(kEntryStarted, {{"http", http_address_}, {"links", link_address_}});
     return Unit{};
   }
@@ -228,6 +239,7 @@
     load_control_.Install(&hooks.flow);
     hooks.on_revision = [this](const Revision& revision) {
       load_control_.OnRevision(revision);
+      control_.OnRevision(revision);
     };
     hooks.to_callers = [this](ToCallers&& it) {
       if (std::holds_alternative<CatalogueChanged>(it)) {
@@ -243,6 +255,27 @@
     return hooks;
   }
 
+  ControlDuty::Hooks ControlHooks() {
+    ControlDuty::Hooks hooks;
+    hooks.send = [this](LinkId link, const wire::Envelope& message) {
+      return dispatcher_.links().Send(link, message);
+    };
+    return hooks;
+  }
+
+  /// Answers the paths that are the entry's own, on the callers' thread.
+  std::optional<WholeAnswer> LocalAnswer(std::string_view path) const {
+    if (path != "/admin/status") {
+      return std::nullopt;
+    }
+    std::string status = control_.StatusJson();
+    if (status.empty()) {
+      return WholeAnswer{503, {}, "not known yet: the entry has just started"};
+    }
+    return WholeAnswer{
+        200, {{"Content-Type", "application/json"}}, std::move(status)};
+  }
+
   CallersServer::Hooks CallersHooks() {
     CallersServer::Hooks hooks;
     hooks.submit = [this](std::shared_ptr<const CallerRequest> request) {
@@ -257,6 +290,7 @@
       return configured_.load(std::memory_order_relaxed);
     };
     hooks.on_sweep = [this] { dispatch_outbox_.Flush(); };
+    hooks.local = [this](std::string_view path) { return LocalAnswer(path); };
     return hooks;
   }
 
@@ -278,11 +312,23 @@
          {{"open_requests", std::to_string(open_requests_.load())}});
   }
 
+  /// Gives the control lease up. Waits for the store only briefly: a lease
+  /// that was not given up lapses by itself.
+  void StopControl() {
+    platform_thread_.Call([this] { control_.Stop(); });
+    const TimePoint limit = BootTimeNow() + kResignWait;
+    for (bool stopped = false; !stopped && BootTimeNow() < limit;) {
+      platform_thread_.Call([&] { stopped = control_.Stopped(); });
+      std::this_thread::sleep_for(stopped ? Duration{} : Duration(kDrainPoll));
+    }
+  }
+
   void Shutdown() {
     if (!started_) {
       return;
     }
     started_ = false;
+    StopControl();
     platform_thread_.Join();
     callers_thread_.Call([this] { callers_.Stop(); });
     dispatch_thread_.Call([this] { dispatcher_.Stop("planned stop"); });
@@ -312,6 +358,7 @@
   Dispatcher dispatcher_;
   CallersServer callers_;
   PlatformDuty platform_;
+  ControlDuty control_;
 };
 
 EntryProcess::EntryProcess(Settings settings, EventLog log)
--- a/src/side/side_process.cc
+++ b/src/side/side_process.cc
@@ -23,6 +23,7 @@
 #include "target/http_target_client.h"
 #include "wire/links.h"
 #include "wire/membership_service.h"
+#include "wire/revision_exchange.h"
 
 namespace indigolead {
 namespace {
@@ -101,6 +102,15 @@
   return options;
 }
 
+RevisionExchange::Options MakeRevisionOptions(const Settings& settings,
+                                              const Incarnation& incarnation) {
+  RevisionExchange::Options options;
+  options.instance = settings.instance.name;
+  options.incarnation = incarnation;
+  options.deployment = settings.side.deployment;
+  return options;
+}
+
 wire::TargetHealth ToWire(TargetCondition state) {
   switch (state) {
     case TargetCondition::kUp:
@@ -152,7 +162,11 @@
                BootTimeNow, RandomId, log_, &metrics_),
         membership_(
             MakeMembershipOptions(settings_, MemberKind::kSide, RandomId().lo),
-            MakeMembershipHooks(), BootTimeNow, log_) {}
+            MakeMembershipHooks(), BootTimeNow, log_),
+        revisions_(MakeRevisionOptions(settings_, incarnation_),
+                   MakeRevisionHooks(), log_) {
+    services_.push_back(RevisionService());
+  }
 
   int Run() {
     const Status started = links_.Start();
@@ -312,6 +326,30 @@
     return hooks;
   }
 
+  /// The side itself needs nothing of a revision; it keeps the newest for
+  /// entries that start while the store is down.
+  RevisionExchange::Hooks MakeRevisionHooks() {
+    return {[this](LinkId link, const wire::Envelope& message) {
+              return links_.Send(link, message);
+            },
+            [](const Revision&) {}};
+  }
+
+  DispatchService RevisionService() {
+    DispatchService service;
+    service.handle_message = [this](LinkId link, const wire::Envelope& it) {
+      return revisions_.HandleMessage(link, it, BootTimeNow());
+    };
+    service.on_link_up = [this](LinkId link, const wire::Hello& hello) {
+      revisions_.OnLinkUp(link, hello, BootTimeNow());
+    };
+    service.on_link_down = [this](LinkId link) {
+      revisions_.OnLinkDown(link, BootTimeNow());
+    };
+    service.tick = [this](TimePoint now) { revisions_.Tick(now); };
+    return service;
+  }
+
   void OnMessage(LinkId link, wire::Envelope&& message) {
     if (message.body_case() == wire::Envelope::kDrain) {
       OnDrainNotice(message.drain());
@@ -347,6 +385,7 @@
     hello.set_link_address(links_.bound_address());
     hello.set_leaving(signs_.leaving());
     FillTarget(hello.mutable_target());
+    revisions_.FillKnown(hello.mutable_revisions());
     return hello;
   }
 
@@ -461,6 +500,7 @@
   OrderService orders_;
   Links links_;
   MembershipService membership_;
+  RevisionExchange revisions_;
   SuspectService suspects_{MakeSuspectHooks(), BootTimeNow};
   ClaimHomeService claims_{MakeClaimOptions(settings_),
                            &store_,
