--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -131,7 +131,7 @@
  private:
   void Take(const http::request<http::string_body>& message) {
     request_ = HttpRequest{};
-    request_.method = std::string(message.method_string());
+    request_.method = message.method_string().to_string();
     const std::string target(message.target());
     const auto mark = target.find('?');
     request_.path = target.substr(0, mark);
@@ -139,8 +139,8 @@
       request_.query = target.substr(mark + 1);
     }
     for (const auto& field : message) {
-      request_.headers.emplace_back(std::string(field.name_string()),
-                                    std::string(field.value()));
+      request_.headers.emplace_back(field.name_string().to_string(),
+                                    field.value().to_string());
     }
     request_.body = message.body();
   }
--- a/tests/support/http_call.cc
+++ b/tests/support/http_call.cc
@@ -38,8 +38,8 @@
     io_.run();
     HttpAnswer answer;
     for (const auto& field : parser_.get()) {
-      answer.headers.emplace_back(std::string(field.name_string()),
-                                  std::string(field.value()));
+      answer.headers.emplace_back(field.name_string().to_string(),
+                                  field.value().to_string());
     }
     answer.body = parser_.get().body();
     answer.status = whole_ ? static_cast<int>(parser_.get().result_int()) : 0;
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -41,6 +41,7 @@
                                     binary};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (auto& word : words) {
     argv.push_back(word.data());
   }
