Let the bench's target speak as an engine

Cause: since routing is joined, a model request goes only to an engine that reports the model, and the bench's plain target got none: every request was refused with no_target. Change: the target answers /state and /load.

--- a/bench/bench_target.h
+++ b/bench/bench_target.h
@@ -51,7 +51,9 @@
     }
     const std::string request = input_.substr(0, body + length);
     input_.erase(0, body + length);
-    if (request.find("\"stream\":true") != std::string::npos) {
+    if (request.compare(0, 4, "GET ") == 0) {
+      WriteWhole(Report(request));
+    } else if (request.find("\"stream\":true") != std::string::npos) {
       hold_ = request.find("\"hold\":true") != std::string::npos;
       tokens_ =
           std::atoi(request.c_str() + request.find("\"max_tokens\":") + 13);
@@ -60,11 +62,7 @@
           "Transfer-Encoding: chunked\r\n\r\n",
           [this] { NextToken(); });
     } else {
-      Write(
-          "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-          "Content-Length: 39\r\n\r\n"
-          "{\"choices\":[{\"text\":\"gel 22\",\"index\":0}]}",
-          [this] { Read(); });
+      WriteWhole("{\"choices\":[{\"text\":\"gel 22\",\"index\":0}]}");
     }
   }
 
@@ -78,6 +76,28 @@
     return 0;
   }
 
+  /// What an engine says of itself to the process beside it.
+  static std::string Report(const std::string& request) {
+    if (request.compare(4, 5, "/load") == 0) {
+      return R"({"boot_id":"1","measured_ago_ms":0,"running":0,"waiting":0,)"
+             R"("queued_prefill_tokens":0,"kv_used_bytes":0,)"
+             R"("kv_capacity_bytes":1000000000000,"slots":20000,)"
+             R"("prefill_tokens_per_s":1000000000,)"
+             R"("decode_tokens_per_s":1000000000})";
+    }
+    return R"({"boot_id":"1","role":"mixed","model":"bench","version":"1",)"
+           R"("adapters":[],"fencing_number":0,"generation":0,)"
+           R"("changing":false,"checks_fencing":true})";
+  }
+
+  void WriteWhole(const std::string& body) {
+    Write(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body,
+        [this] { Read(); });
+  }
+
   void NextToken() {
     if (tokens_-- > 0) {
       WriteToken();
--- a/bench/path_bench.cc
+++ b/bench/path_bench.cc
@@ -100,7 +100,6 @@
     side.instance.name = "bench-target-" + std::to_string(i);
     side.links.seeds = {entry_->link_address()};
     side.side.deployment = "bench-llm";
-    side.side.target_kind = "service";
     side.side.target_address = targets_.back()->address();
     side.side.max_attempts = 20000;
     side.side.max_buffer_bytes = 1ULL << 30;
