--- /dev/null
+++ b/src/entry/guard_duty.h
@@ -0,0 +1,77 @@
+#ifndef INDIGOLEAD_ENTRY_GUARD_DUTY_H_
+#define INDIGOLEAD_ENTRY_GUARD_DUTY_H_
+
+#include <utility>
+// Asio of Boost 1.74 needs <utility> before it.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/config/settings.h"
+#include "entry/guard_keepers.h"
+#include "entry/messages.h"
+#include "entry/request_guards.h"
+#include "runtime/mailbox.h"
+#include "runtime/outbox.h"
+
+namespace indigolead {
+
+/// Joins the request guards to an entry's threads: claims and quarantine on
+/// the dispatch thread, slot maps and kept quarantines on the platform thread,
+/// with a bounded ring each way.
+class GuardDuty {
+ public:
+  struct Hooks {
+    /// Called on the dispatch thread.
+    std::function<bool(LinkId, const wire::Envelope&)> send;
+    std::function<RequestFlow&()> flow;
+    /// Carries out what the flow decided on an event of the platform thread.
+    std::function<void()> flush;
+    /// Returns the fencing number while the control lease is held here. Called
+    /// on the platform thread.
+    std::function<std::optional<FencingNumber>()> held_number;
+  };
+
+  /// The io_contexts, `store` and `metrics` must outlive this object.
+  GuardDuty(boost::asio::io_context* platform_io,
+            boost::asio::io_context* dispatch_io, ObjectStore* store,
+            const Settings& settings, const Incarnation& incarnation,
+            Hooks hooks, EventLog log, MetricsRegistry* metrics);
+  GuardDuty(const GuardDuty&) = delete;
+  GuardDuty& operator=(const GuardDuty&) = delete;
+
+  /// Puts the guards before what `hooks` already does.
+  void AddTo(RequestFlowHooks* hooks) { guards_.AddTo(hooks); }
+  /// Returns the part that runs on the dispatch thread.
+  EntryService Service();
+
+  /// Starts and stops the part on the platform thread; call there.
+  void Start();
+  void Stop();
+  /// Sees what the platform said. Called on the platform thread.
+  void OnPlatformEvent(const PlatformEvent& event);
+
+ private:
+  RequestGuards::Hooks GuardHooks();
+  GuardKeepers::Hooks KeeperHooks();
+  void OnRevision(const RevisionRecord& record);
+  void ArmTick();
+
+  Hooks hooks_;
+  std::map<std::string, Quarantine::Policy> policies_;
+  Mailbox<GuardMessage> to_platform_;
+  Mailbox<GuardEvent> to_dispatch_;
+  Outbox<GuardMessage> platform_outbox_;
+  Outbox<GuardEvent> dispatch_outbox_;
+  RequestGuards guards_;
+  GuardKeepers keepers_;
+  boost::asio::steady_timer tick_timer_;
+  bool stopped_ = false;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_GUARD_DUTY_H_
