Ask the home of a key before every keyed run; pace second chances

Change: GuardDuty runs the guards on the dispatch thread and their keepers on the platform thread; after every known target has refused, the next round starts 200 ms later, so several rounds outlast a heartbeat. Ruled out: more forwards (they would be used up as fast); waiting for the heartbeat alone (nothing orders it before the next refusal).

--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -180,8 +180,13 @@
     return;
   }
   // Every target is gone or tried: wait a moment for one to come up, and give
-  // the tried ones a second chance then.
-  it.tried.clear();
+  // the tried ones a second chance then. Without the pause, a request would
+  // use up its forwards within milliseconds on targets whose change of state
+  // this entry has not heard of yet, and be refused while another serves.
+  if (!it.tried.empty()) {
+    it.tried.clear();
+    it.route_after = now + options_.second_chance_delay;
+  }
   if (it.route_until == TimePoint{}) {
     it.route_until = now + options_.no_target_wait;
   }
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -71,6 +71,9 @@
   Duration absence_grace = std::chrono::seconds(1);
   /// Longest wait for any target to come up.
   Duration no_target_wait = std::chrono::seconds(1);
+  /// Pause after every known target has refused; several of them outlast the
+  /// heartbeat that tells of a changed target.
+  Duration second_chance_delay = std::chrono::milliseconds(200);
   /// Silence of an attempt after which its side is asked about it.
   Duration probe_interval = std::chrono::seconds(1);
 };
@@ -222,7 +225,8 @@
     bool keep_answer = false;     ///< Still small enough to be stored.
     WholeAnswer answer;           ///< Held or stored part of the answer.
     TimePoint route_until;
-    TimePoint held_since;  ///< Time of the head that is held back.
+    TimePoint route_after;  ///< Earliest second chance of tried targets.
+    TimePoint held_since;   ///< Time of the head that is held back.
   };
 
   using Requests = std::unordered_map<RequestId, Request>;
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -399,7 +399,9 @@
     return;
   }
   if (it.stage == Stage::kRoute) {
-    Route(it, now);
+    if (now >= it.route_after) {
+      Route(it, now);
+    }
     return;
   }
   if (it.head_taken && !it.head_delivered &&
--- a/src/entry/control_duty.h
+++ b/src/entry/control_duty.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -55,6 +56,12 @@
   /// call on the platform thread, again and again after `Stop`.
   bool Stopped();
 
+  /// Returns the fencing number while the control lease is held here; call on
+  /// the platform thread.
+  std::optional<FencingNumber> HeldNumber() const {
+    return service_.HeldNumber();
+  }
+
   /// Sees what the platform said. Called on the platform thread.
   void OnPlatformEvent(const PlatformEvent& event);
 
--- a/src/entry/control_service.cc
+++ b/src/entry/control_service.cc
@@ -311,8 +311,12 @@
          record->incarnation == options_.incarnation;
 }
 
+std::optional<FencingNumber> ControlService::HeldNumber() const {
+  return controller_.lease().Authority(clock_());
+}
+
 bool ControlService::holds_lease() const {
-  return controller_.lease().Authority(clock_()).has_value();
+  return HeldNumber().has_value();
 }
 
 }  // namespace indigolead
--- a/src/entry/control_service.h
+++ b/src/entry/control_service.h
@@ -93,6 +93,8 @@
   /// Returns `Status()` as JSON.
   std::string StatusJson() const;
 
+  /// Returns the number under which this entry acts, or nothing.
+  std::optional<FencingNumber> HeldNumber() const;
   /// True while this entry acts as the controller.
   bool holds_lease() const;
   /// True while the newest lease seen names this entry, in force or not.
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -16,6 +16,7 @@
 #include "entry/control_duty.h"
 #include "entry/dispatcher.h"
 #include "entry/events.h"
+#include "entry/guard_duty.h"
 #include "entry/load_control.h"
 #include "entry/platform_duty.h"
 #include "runtime/clock.h"
@@ -88,10 +89,11 @@
   return options;
 }
 
-Dispatcher::Options DispatcherOptions(const Settings& settings) {
+Dispatcher::Options DispatcherOptions(const Settings& settings,
+                                      const Incarnation& incarnation) {
   Dispatcher::Options options;
   options.instance = settings.instance;
-  options.incarnation = Incarnation{RandomId()};
+  options.incarnation = incarnation;
   options.links = LinkOptions(settings);
   options.membership =
       MakeMembershipOptions(settings, MemberKind::kEntry, RandomId().lo);
@@ -134,18 +136,22 @@
         platform_outbox_(&from_platform_),
         load_control_(LoadOptions(settings_), LoadOutputs(),
                       MakeSeededRandom(RandomId().lo), &metrics_),
-        dispatcher_(dispatch_thread_.io(), DispatcherOptions(settings_),
-                    DispatcherHooks(), BootTimeNow, MakeRandomIdSource(), log_,
-                    &metrics_),
-        callers_(callers_thread_.io(), &settings_.entry, CallersHooks(),
-                 BootTimeNow, MakeRandomIdSource(), log_, &metrics_),
         platform_(
             platform_thread_.io(), settings_.store,
             [this](PlatformEvent&& it) {
               control_.OnPlatformEvent(it);
+              guards_.OnPlatformEvent(it);
               platform_outbox_.Push(std::move(it));
             },
             BootTimeNow, log_, &metrics_),
+        guards_(platform_thread_.io(), dispatch_thread_.io(), platform_.store(),
+                settings_, incarnation_, GuardHooks(), log_, &metrics_),
+        dispatcher_(dispatch_thread_.io(),
+                    DispatcherOptions(settings_, incarnation_),
+                    DispatcherHooks(), BootTimeNow, MakeRandomIdSource(), log_,
+                    &metrics_),
+        callers_(callers_thread_.io(), &settings_.entry, CallersHooks(),
+                 BootTimeNow, MakeRandomIdSource(), log_, &metrics_),
         control_(platform_thread_.io(), dispatch_thread_.io(),
                  platform_.store(), &dispatcher_.revisions().book(), settings_,
                  dispatcher_.incarnation(), ControlHooks(), log_) {
@@ -175,6 +181,7 @@
     // Nothing else runs yet, so the duties may be set up on this thread.
     dispatcher_.AddService(load_control_.Service(BootTimeNow));
     dispatcher_.AddService(control_.Service());
+    dispatcher_.AddService(guards_.Service());
     if (Status status = dispatcher_.Start(); !IsOk(status)) {
       return status;
     }
@@ -190,7 +197,10 @@
     platform_thread_.Start();
     // Without a store there is nothing to hold a lease in.
     if (!settings_.store.address.empty()) {
-      platform_thread_.Call([this] { control_.Start(); });
+      platform_thread_.Call([this] {
+        control_.Start();
+        guards_.Start();
+      });
     }
     log_(kEntryStarted, {{"http", http_address_}, {"links", link_address_}});
     return Unit{};
@@ -237,9 +247,11 @@
   Dispatcher::Hooks DispatcherHooks() {
     Dispatcher::Hooks hooks;
     load_control_.Install(&hooks.flow);
+    guards_.AddTo(&hooks.flow);
     hooks.on_revision = [this](const Revision& revision) {
       load_control_.OnRevision(revision);
       control_.OnRevision(revision);
+      guards_.OnRevision(revision);
     };
     hooks.to_callers = [this](ToCallers&& it) {
       if (std::holds_alternative<CatalogueChanged>(it)) {
@@ -263,6 +275,17 @@
     return hooks;
   }
 
+  GuardDuty::Hooks GuardHooks() {
+    GuardDuty::Hooks hooks;
+    hooks.send = [this](LinkId link, const wire::Envelope& message) {
+      return dispatcher_.links().Send(link, message);
+    };
+    hooks.flow = [this]() -> RequestFlow& { return dispatcher_.flow(); };
+    hooks.flush = [this] { dispatcher_.Flush(); };
+    hooks.held_number = [this] { return control_.HeldNumber(); };
+    return hooks;
+  }
+
   /// Answers the paths that are the entry's own, on the callers' thread.
   std::optional<WholeAnswer> LocalAnswer(std::string_view path) const {
     if (path != "/admin/status") {
@@ -315,7 +338,10 @@
   /// Gives the control lease up. Waits for the store only briefly: a lease
   /// that was not given up lapses by itself.
   void StopControl() {
-    platform_thread_.Call([this] { control_.Stop(); });
+    platform_thread_.Call([this] {
+      control_.Stop();
+      guards_.Stop();
+    });
     const TimePoint limit = BootTimeNow() + kResignWait;
     for (bool stopped = false; !stopped && BootTimeNow() < limit;) {
       platform_thread_.Call([&] { stopped = control_.Stopped(); });
@@ -354,10 +380,12 @@
   Outbox<ToCallers> callers_outbox_;
   Outbox<ToDispatch> dispatch_outbox_;
   Outbox<PlatformEvent> platform_outbox_;
+  const Incarnation incarnation_{RandomId()};
   LoadControl load_control_;
+  PlatformDuty platform_;
+  GuardDuty guards_;
   Dispatcher dispatcher_;
   CallersServer callers_;
-  PlatformDuty platform_;
   ControlDuty control_;
 };
 
--- a/src/entry/guard_duty.cc
+++ b/src/entry/guard_duty.cc
@@ -2,7 +2,6 @@
 
 #include <chrono>
 
-#include "core/config/revision_json.h"
 #include "platform/run_after.h"
 #include "runtime/clock.h"
 
@@ -69,16 +68,12 @@
     tick(now);
     platform_outbox_.Flush();
   };
-  service.on_revision = [this](const RevisionRecord& it) { OnRevision(it); };
   return service;
 }
 
-void GuardDuty::OnRevision(const RevisionRecord& record) {
-  const auto revision = RevisionFromJson(record.value);
-  if (IsOk(revision)) {
-    const DeploymentSpec& spec = ValueOf(revision).spec;
-    policies_[spec.name] = {spec.quarantine_kills, spec.quarantine_time};
-  }
+void GuardDuty::OnRevision(const Revision& revision) {
+  const DeploymentSpec& spec = revision.spec;
+  policies_[spec.name] = {spec.quarantine_kills, spec.quarantine_time};
 }
 
 void GuardDuty::Start() {
--- a/src/entry/guard_duty.h
+++ b/src/entry/guard_duty.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "core/config/deployment.h"
 #include "core/config/settings.h"
 #include "entry/guard_keepers.h"
 #include "entry/messages.h"
@@ -48,6 +49,9 @@
   /// Returns the part that runs on the dispatch thread.
   EntryService Service();
 
+  /// A revision is in force here. Called on the dispatch thread.
+  void OnRevision(const Revision& revision);
+
   /// Starts and stops the part on the platform thread; call there.
   void Start();
   void Stop();
@@ -57,7 +61,6 @@
  private:
   RequestGuards::Hooks GuardHooks();
   GuardKeepers::Hooks KeeperHooks();
-  void OnRevision(const RevisionRecord& record);
   void ArmTick();
 
   Hooks hooks_;
--- a/tests/process/path_faults_test.cc
+++ b/tests/process/path_faults_test.cc
@@ -166,7 +166,10 @@
   std::this_thread::sleep_for(std::chrono::seconds(2));
   const std::size_t before = total();
   for (int n = 0; n < 30; ++n) {
-    CHECK(fleet.Complete(n % 2, "later " + std::to_string(n)).status == 200);
+    const HttpAnswer answer =
+        fleet.Complete(n % 2, "later " + std::to_string(n));
+    INFO("entry " << n % 2 << " answered " << answer.body);
+    CHECK(answer.status == 200);
   }
   CHECK(total() == before);
 }
@@ -193,6 +196,11 @@
         },
         kPatience));
   }
+  SECTION("an entry that is replaced learns the configuration from peers") {
+    fleet.entry(1).Kill();
+    fleet.RestartEntry(1);
+    CHECK(fleet.WaitUntilServing(1));
+  }
 }
 
 }  // namespace
