--- a/src/core/control/lease.cc
+++ b/src/core/control/lease.cc
@@ -55,7 +55,8 @@
     record.incarnation = Incarnation{*incarnation};
     record.nonce = *nonce;
     record.fencing_number = parsed.at("fencing_number").get<FencingNumber>();
-    record.duration = milliseconds(parsed.at("duration_ms").get<long>());
+    record.duration =
+        milliseconds(parsed.at("duration_ms").get<std::int64_t>());
     parsed.at("earlier").get_to(record.earlier);
     if (record.earlier.size() > kMaxEarlierNumbers) {
       return Malformed("too many earlier numbers");
--- a/src/core/control/reconciler.cc
+++ b/src/core/control/reconciler.cc
@@ -115,7 +115,7 @@
   }
   if (!list_sent_at_ || now - *list_sent_at_ > options_.call_timeout) {
     list_sent_at_ = now;
-    actions->emplace_back(std::in_place_type<ReadOrders>);
+    actions->emplace_back(ReadOrders{});
   }
   return false;
 }
@@ -277,8 +277,7 @@
     write.record = Describe(*slot, order);
   }
   write.order = std::move(order);
-  pass->actions->emplace_back(std::in_place_type<WriteOrder>, write.order,
-                              write.expected);
+  pass->actions->emplace_back(WriteOrder{write.order, write.expected});
   slot->write = std::move(write);
 }
 
--- a/src/core/control/reconciler_state.cc
+++ b/src/core/control/reconciler_state.cc
@@ -96,12 +96,11 @@
       write.may_repeat = false;
       write.read_sent = false;
       write.sent_at = now;
-      actions->emplace_back(std::in_place_type<WriteOrder>, write.order,
-                            write.expected);
+      actions->emplace_back(WriteOrder{write.order, write.expected});
     } else if (write.settle && !write.read_sent) {
       write.read_sent = true;
       write.sent_at = now;
-      actions->emplace_back(std::in_place_type<ReadOrder>, target);
+      actions->emplace_back(ReadOrder{target});
     }
   }
 }
--- a/src/entry/control_service.cc
+++ b/src/entry/control_service.cc
@@ -315,8 +315,6 @@
   return controller_.lease().Authority(clock_());
 }
 
-bool ControlService::holds_lease() const {
-  return HeldNumber().has_value();
-}
+bool ControlService::holds_lease() const { return HeldNumber().has_value(); }
 
 }  // namespace indigolead
--- a/src/replay/measurement.cc
+++ b/src/replay/measurement.cc
@@ -92,6 +92,7 @@
   }
   // Water filling: what small accounts leave is shared by the others.
   std::vector<std::pair<double, std::string>> by_size;
+  by_size.reserve(asked.size());
   for (const auto& [name, tokens] : asked) {
     by_size.emplace_back(tokens, name);
   }
--- a/src/side/target_worker.cc
+++ b/src/side/target_worker.cc
@@ -71,8 +71,7 @@
                            TargetClient* client, Clock clock,
                            std::function<bool(TargetEvent&&)> emit,
                            EventLog log)
-    : io_(io),
-      options_(options),
+    : options_(options),
       client_(client),
       clock_(std::move(clock)),
       emit_(std::move(emit)),
@@ -100,7 +99,7 @@
 
 void TargetWorker::Handle(TargetCommand&& command) {
   std::visit(
-      [this](auto&& it) {
+      [this](auto& it) {
         using T = std::decay_t<decltype(it)>;
         if constexpr (std::is_same_v<T, StartCallCommand>) {
           StartCall(std::move(it));
@@ -114,7 +113,7 @@
           monitor_.PollSoon();
         }
       },
-      std::move(command));
+      command);
 }
 
 void TargetWorker::StartCall(StartCallCommand command) {
@@ -310,10 +309,11 @@
 }
 
 void TargetWorker::Emit(TargetEvent event) {
+  // A refused event is left as it was, so it may be kept for later.
   if (outbox_.empty() && emit_(std::move(event))) {
     return;
   }
-  outbox_.push_back(std::move(event));
+  outbox_.push_back(std::move(event));  // NOLINT(bugprone-use-after-move)
   if (outbox_.size() == 1) {
     for (auto& [id, call] : calls_) {
       if (call.call) {
--- a/src/side/target_worker.h
+++ b/src/side/target_worker.h
@@ -84,7 +84,6 @@
   void Emit(TargetEvent event);
   void FlushOutbox();
 
-  boost::asio::io_context* io_;
   Options options_;
   TargetClient* client_;
   Clock clock_;
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -285,7 +285,7 @@
     for (const auto& it : parser_->get()) {
       if (!IsHopByHop(it.name())) {
         headers.push_back(
-            {std::string(it.name_string()), std::string(it.value())});
+            {it.name_string().to_string(), it.value().to_string()});
       }
     }
     return headers;
--- a/tests/core/membership/membership_test.cc
+++ b/tests/core/membership/membership_test.cc
@@ -253,6 +253,7 @@
   options.plan.entries_per_region = 1000;
   Membership membership(options, {});
   std::vector<ListedInstance> list;
+  list.reserve(1000);
   for (int n = 0; n < 1000; ++n) {
     list.push_back(Entry("entry-" + std::to_string(n)));
   }
--- a/tests/core/membership/rendezvous_test.cc
+++ b/tests/core/membership/rendezvous_test.cc
@@ -105,6 +105,7 @@
 
 TEST_CASE("Processes plan their connections from the list") {
   std::vector<ListedInstance> list;
+  list.reserve(6);
   for (int n = 0; n < 6; ++n) {
     list.push_back({"entry-" + std::to_string(n), MemberKind::kEntry,
                     n % 2 == 0 ? "a" : "b", n < 4 ? "north" : "south",
