Choose the engine that answers once the prompt is read; count arrivals

The runner is now chosen when the prompt has been read, the flow moves the attempt there, and a retry is charged by its arrivals. A reader whose caches twice in a row could not be taken over is left alone for 1.5 s.

--- a/src/core/admission/retry_budget.cc
+++ b/src/core/admission/retry_budget.cc
@@ -9,13 +9,13 @@
   level_ = std::min(level_ + options_.share, options_.burst);
 }
 
-bool RetryBudget::TryTake() {
+bool RetryBudget::TryTake(double arrivals) {
   // Sums of a share such as 0.1 fall short of a whole by rounding.
-  constexpr double kWhole = 1.0 - 1e-9;
-  if (level_ < kWhole) {
+  constexpr double kRounding = 1e-9;
+  if (level_ < arrivals - kRounding) {
     return false;
   }
-  level_ = std::max(0.0, level_ - 1.0);
+  level_ = std::max(0.0, level_ - arrivals);
   ++retries_;
   return true;
 }
--- a/src/core/admission/retry_budget.h
+++ b/src/core/admission/retry_budget.h
@@ -32,9 +32,10 @@
   /// Records a first attempt, which earns its share of a retry.
   void OnFirstAttempt();
 
-  /// Takes one retry from the budget. Returns false if there is none; the
-  /// caller then gets the outcome of the attempt that it had.
-  bool TryTake();
+  /// Takes a retry that makes `arrivals` at targets from the budget. Returns
+  /// false if there is not enough; the caller then gets the outcome of the
+  /// attempt that it had.
+  bool TryTake(double arrivals = 1);
 
   std::uint64_t first_attempts() const { return first_attempts_; }
   std::uint64_t retries() const { return retries_; }
--- a/src/core/placement/engine_placement.cc
+++ b/src/core/placement/engine_placement.cc
@@ -163,6 +163,28 @@
   return best;
 }
 
+std::optional<std::string> EnginePlacement::PlaceDecode(
+    const AttemptId& attempt, const std::vector<PlacementEngine>& engines,
+    TimePoint now) {
+  const auto sent = sent_.find(attempt);
+  const auto decoders = Usable(engines, EngineRole::kDecode, now);
+  if (sent == sent_.end() || decoders.empty()) {
+    return std::nullopt;
+  }
+  EnginePlace& place = sent->second.place;
+  const auto reader = std::find_if(
+      engines.begin(), engines.end(),
+      [&](const auto& it) { return it.instance == place.prefill; });
+  if (EngineState* state = BusyState(place.decode)) {
+    state->streams -= state->streams > 0 ? 1 : 0;
+  }
+  const PlacementEngine* chosen = PickDecode(
+      decoders, reader == engines.end() ? "" : reader->failure_domain);
+  place.decode = chosen->instance;
+  ++engines_[place.decode].streams;
+  return place.decode;
+}
+
 void EnginePlacement::OnSent(const AttemptId& attempt,
                              const CallerRequest& request,
                              const EnginePlace& place) {
@@ -212,6 +234,21 @@
       state->avoid_until = now + options_.avoid_after_refusal;
     }
   }
+  if (!sent.place.prefill.empty() && !sent.reading) {
+    CountHandle(sent, refused, now);
+  }
+}
+
+void EnginePlacement::CountHandle(const Sent& sent, bool lost, TimePoint now) {
+  EngineState* reader = BusyState(sent.place.prefill);
+  if (!reader) {
+    return;
+  }
+  reader->lost_handles = lost ? reader->lost_handles + 1 : 0;
+  if (reader->lost_handles >= options_.max_lost_handles) {
+    reader->lost_handles = 0;
+    reader->avoid_until = now + options_.avoid_lost_handles;
+  }
 }
 
 void EnginePlacement::Forget(const std::string& instance) {
--- a/src/core/placement/engine_placement.h
+++ b/src/core/placement/engine_placement.h
@@ -22,7 +22,6 @@
   std::string instance;
   std::string failure_domain;
   EngineRole role = EngineRole::kMixed;
-  std::uint32_t slots = 1;
   bool tried = false;  ///< An earlier attempt of this request went there.
 
   friend bool operator==(const PlacementEngine&,
@@ -90,6 +89,11 @@
     /// its full queue lasts longer than the way to it.
     Duration avoid_after_refusal = std::chrono::milliseconds(250);
     std::size_t max_known_prefixes = 4096;  ///< For each engine.
+    /// Prompts read in a row whose cache no engine could take over, after
+    /// which the reader is left alone: its handles lapse, or its links fail.
+    /// One alone may be the taker's fault.
+    std::uint32_t max_lost_handles = 2;
+    Duration avoid_lost_handles = std::chrono::milliseconds(1500);
   };
 
   EnginePlacement(Options options, RandomSource random);
@@ -99,6 +103,13 @@
                           const std::vector<PlacementEngine>& engines,
                           TimePoint now);
 
+  /// Decides anew which engine makes the answer, now that the prompt of
+  /// `attempt` has been read: the engine chosen before may be leaving, full or
+  /// in change by now. Returns nothing if no engine can.
+  std::optional<std::string> PlaceDecode(
+      const AttemptId& attempt, const std::vector<PlacementEngine>& engines,
+      TimePoint now);
+
   /// The attempt was sent as decided.
   void OnSent(const AttemptId& attempt, const CallerRequest& request,
               const EnginePlace& place);
@@ -116,6 +127,7 @@
   struct EngineState {
     double backlog = 0;
     std::uint32_t streams = 0;
+    std::uint32_t lost_handles = 0;  ///< In a row.
     TimePoint avoid_until{};
     std::unordered_map<std::uint64_t, std::uint64_t> prefixes;  ///< Tokens.
   };
@@ -139,6 +151,7 @@
   EnginesBusy Busy(double least_backlog, double work);
   const EngineState* Find(const std::string& instance) const;
   EngineState* BusyState(const std::string& instance);
+  void CountHandle(const Sent& sent, bool lost, TimePoint now);
 
   Options options_;
   RandomSource random_;
--- a/src/core/request/attempt.h
+++ b/src/core/request/attempt.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "core/base/ids.h"
 #include "core/base/time.h"
@@ -54,6 +55,12 @@
   /// Notes that `bytes` more may be sent by the side.
   void Grant(std::uint64_t bytes) { granted_bytes_ += bytes; }
 
+  /// Binds the attempt to another target. Only before any frame has come.
+  void MoveTo(const AttemptRef& ref, std::string instance) {
+    ref_ = ref;
+    instance_ = std::move(instance);
+  }
+
   /// Time of the last sign of life from the side about this attempt.
   TimePoint heard_at;
   /// Time at which the side was last asked to resume.
--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -227,6 +227,28 @@
   }
 }
 
+std::optional<SideLink> RequestFlow::MoveAttempt(const AttemptId& id,
+                                                 const std::string& instance) {
+  const auto found = attempts_.find(id);
+  SideTable::Side* to = sides_.Find(instance);
+  if (found == attempts_.end() || to == nullptr || !SideTable::TakesWork(*to)) {
+    return std::nullopt;
+  }
+  Request& it = requests_.at(found->second);
+  if (it.attempt->started()) {
+    return std::nullopt;
+  }
+  if (SideTable::Side* from = sides_.Find(it.attempt->instance())) {
+    from->attempts.erase(id);
+  }
+  to->attempts.insert(id);
+  it.tried.back() = instance;
+  AttemptRef ref = it.attempt->ref();
+  ref.side_incarnation = to->info.incarnation;
+  it.attempt->MoveTo(ref, instance);
+  return to->link;
+}
+
 RequestFlow::Request* RequestFlow::FindAttempt(SideLink link,
                                                const AttemptId& id) {
   const auto found = attempts_.find(id);
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -201,6 +201,12 @@
   /// A cancel could not be queued; it is sent again later.
   void OnCancelNotSent(SideLink link, const AttemptRef& ref);
 
+  /// Moves an attempt that has provably not started to `instance`, which its
+  /// carrier knows to be better now. Returns the link to go on with, or nothing
+  /// if the attempt is not held, has started, or the instance takes no work.
+  std::optional<SideLink> MoveAttempt(const AttemptId& id,
+                                      const std::string& instance);
+
   /// Returns what the connected side of `link` says of itself, or null.
   const SideInfo* FindSide(SideLink link) const;
 
--- a/src/core/request/side_table.cc
+++ b/src/core/request/side_table.cc
@@ -82,14 +82,17 @@
   }
 }
 
+bool SideTable::TakesWork(const Side& side) {
+  return side.link && side.info.target_up && !side.info.leaving &&
+         !side.told_to_leave && !side.drained;
+}
+
 std::vector<Candidate> SideTable::CandidatesFor(
     const std::string& deployment,
     const std::vector<std::string>& tried) const {
   std::vector<Candidate> candidates;
   for (const auto& [name, side] : sides_) {
-    if (!side.link || side.info.deployment != deployment ||
-        !side.info.target_up || side.info.leaving || side.told_to_leave ||
-        side.drained) {
+    if (side.info.deployment != deployment || !TakesWork(side)) {
       continue;
     }
     const bool was_tried =
--- a/src/core/request/side_table.h
+++ b/src/core/request/side_table.h
@@ -55,6 +55,9 @@
   /// Records the instances that operators drain, all of them.
   void SetDrains(const std::vector<std::string>& instances);
 
+  /// Returns true if new attempts may go to the side's target.
+  static bool TakesWork(const Side& side);
+
   /// Returns the connected, serving targets of `deployment`.
   std::vector<Candidate> CandidatesFor(
       const std::string& deployment,
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -182,7 +182,25 @@
   }
   run->handle = ValueOf(handle);
   hooks_.on_prefilled(id);
-  StartRun(id);
+  if (MoveToRunner(id, run)) {
+    StartRun(id);
+  } else {
+    RefuseRun(id, "no_runner", true, "no engine can make the answer now");
+  }
+}
+
+bool DirectCarrier::MoveToRunner(const AttemptId& id, Run* run) {
+  const auto runner = hooks_.choose_runner(id, *run->request);
+  if (!runner) {
+    return false;
+  }
+  const auto link = flow_->MoveAttempt(id, *runner);
+  if (!link) {
+    return false;
+  }
+  run->link = *link;
+  run->instance = *runner;
+  return true;
 }
 
 void DirectCarrier::StartRun(const AttemptId& id) {
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -44,6 +44,11 @@
   struct Hooks {
     /// The prompt of an attempt has been read.
     std::function<void(const AttemptId&)> on_prefilled;
+    /// Returns the target that makes the answer, now that the prompt has been
+    /// read; nothing if none can.
+    std::function<std::optional<std::string>(const AttemptId&,
+                                             const CallerRequest&)>
+        choose_runner;
     /// Called after the flow was told something.
     std::function<void()> flush;
   };
@@ -98,6 +103,7 @@
   void Add(const TargetRecord& record);
   void StartPrefill(const AttemptId& id, const std::string& at);
   void StartRun(const AttemptId& id);
+  bool MoveToRunner(const AttemptId& id, Run* run);
   void OnHandle(const AttemptId& id, const std::string& reader,
                 const Result<TargetAnswer>& answer);
   void OnHead(const AttemptId& id, int status, std::vector<HttpHeader> headers);
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -38,6 +38,17 @@
   return "removed";
 }
 
+std::vector<PlacementEngine> EnginesOf(
+    const std::vector<Candidate>& candidates) {
+  std::vector<PlacementEngine> engines;
+  engines.reserve(candidates.size());
+  for (const Candidate& it : candidates) {
+    engines.push_back({it.side->instance, it.side->failure_domain,
+                       RoleOf(*it.side), it.tried});
+  }
+  return engines;
+}
+
 Refusal NoTarget(const std::string& service) {
   // Lost engines are replaced, or change their role, within seconds.
   return {503, RunState::kNotRun, "no_target",
@@ -107,6 +118,10 @@
       placement.OnPrefilled(id);
     }
   };
+  hooks.choose_runner = [this](const AttemptId& id,
+                               const CallerRequest& request) {
+    return ChooseRunner(id, request);
+  };
   hooks.flush = [this] { Flush(); };
   return hooks;
 }
@@ -206,17 +221,28 @@
   return RouteToService(candidates);
 }
 
+std::optional<std::string> DirectDispatcher::ChooseRunner(
+    const AttemptId& id, const CallerRequest& request) {
+  const auto engines =
+      EnginesOf(flow_.sides().CandidatesFor(request.deployment, {}));
+  auto runner =
+      PlacementOf(request.deployment).PlaceDecode(id, engines, clock_());
+  log_(kRunnerChosen,
+       {{"request", request.caller_id},
+        {"target", runner.value_or("none")},
+        {"after_ms", Milliseconds(clock_() - request.received_at)}});
+  if (const auto it = open_.find(request.id); runner && it != open_.end()) {
+    it->second.last_target = *runner;
+  }
+  return runner;
+}
+
 RouteResult DirectDispatcher::RouteToEngine(
     const CallerRequest& request, const std::vector<Candidate>& candidates,
     TimePoint now) {
-  std::vector<PlacementEngine> engines;
-  engines.reserve(candidates.size());
-  for (const Candidate& it : candidates) {
-    engines.push_back({it.side->instance, it.side->failure_domain,
-                       RoleOf(*it.side), 1, it.tried});
-  }
   const PlacementDecision decision =
-      PlacementOf(request.deployment).Place(request, engines, now);
+      PlacementOf(request.deployment)
+          .Place(request, EnginesOf(candidates), now);
   if (const auto* busy = std::get_if<EnginesBusy>(&decision)) {
     return Refusal{503, RunState::kNotRun, "engines_busy",
                    "Every engine that could read the prompt in time has " +
@@ -284,7 +310,9 @@
 }
 
 bool DirectDispatcher::SpendRetry(const CallerRequest& request) {
-  const bool granted = BudgetOf(request.deployment).TryTake();
+  // A prompt that is read apart arrives at two targets, and both count.
+  const double arrivals = request.prompt_parts.empty() ? 1 : 2;
+  const bool granted = BudgetOf(request.deployment).TryTake(arrivals);
   retries_denied_.Add(granted ? 0 : 1);
   return granted;
 }
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -86,6 +86,8 @@
   RouteResult RouteToEngine(const CallerRequest& request,
                             const std::vector<Candidate>& candidates,
                             TimePoint now);
+  std::optional<std::string> ChooseRunner(const AttemptId& id,
+                                          const CallerRequest& request);
   RouteResult RouteToService(const std::vector<Candidate>& candidates) const;
   void OnSent(const CallerRequest& request, const AttemptId& id,
               const SideInfo& side, TimePoint now);
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -30,6 +30,9 @@
 inline constexpr EventInfo kRequestPlaced{
     1020, "request-placed", EventSeverity::kInfo,
     "An attempt was sent: where, why there, and with how much time left."};
+inline constexpr EventInfo kRunnerChosen{
+    1032, "runner-chosen", EventSeverity::kInfo,
+    "The prompt has been read; an engine was chosen to make the answer."};
 inline constexpr EventInfo kRequestRefused{
     1021, "request-refused", EventSeverity::kInfo,
     "A request got no answer of a target: why, and what is known of its run."};
