--- a/src/core/control/stage_control.cc
+++ b/src/core/control/stage_control.cc
@@ -40,10 +40,14 @@
   }
 }
 
-std::size_t StageControl::Wanted(std::size_t engines) const {
+std::size_t StageControl::Wanted(std::size_t engines,
+                                 std::size_t domains) const {
   const auto share = static_cast<std::size_t>(
       std::lround(static_cast<double>(engines) * options_.decode_share));
-  const std::size_t wanted = std::max<std::size_t>(share, options_.min_decode);
+  // Only where that leaves most engines to read.
+  const std::size_t one_each = 3 * domains <= engines ? domains : 0;
+  const std::size_t wanted =
+      std::max({share, std::size_t{options_.min_decode}, one_each});
   // A fleet of two or three keeps all its engines able to do both.
   return engines <= options_.min_decode + 1 ? engines : wanted;
 }
@@ -55,8 +59,11 @@
       usable.push_back(&it);
     }
   }
-  const std::size_t wanted = Wanted(usable.size());
   std::map<std::string, std::size_t> by_domain;
+  for (const StagedEngine* it : usable) {
+    by_domain[it->failure_domain] = 0;
+  }
+  const std::size_t wanted = Wanted(usable.size(), by_domain.size());
   std::vector<std::string> planned;
   std::set<std::string> taken;
   // Domains in turn, so that the loss of one leaves engines in the others; and
@@ -108,7 +115,8 @@
 std::vector<StageOrder> StageControl::Tick(std::optional<FencingNumber> number,
                                            TimePoint now) {
   std::vector<StageOrder> orders;
-  if (!number || engines_.empty() || now - changed_at_ < options_.settle_time) {
+  const bool settled = reached_ || now - changed_at_ >= options_.settle_time;
+  if (!number || engines_.empty() || !settled) {
     return orders;
   }
   const std::vector<std::string> planned = PlanDecode();
--- a/src/core/control/stage_control.h
+++ b/src/core/control/stage_control.h
@@ -56,10 +56,13 @@
     /// few engines busy: of 18 engines 3 served most in measurements with a
     /// forwarder (4 less, 2 less still on one of two deployments).
     double decode_share = 1.0 / 6;
-    /// Below this one loss would leave a single engine for all answers.
+    /// Below this one loss would leave a single engine for all answers. Where
+    /// there are more failure domains, each has one: a domain's loss, or the
+    /// seconds in which no entry may give orders, must not stop all answers.
     std::uint32_t min_decode = 2;
-    /// The list of engines must have stood still for so long first: engines
-    /// register one after the other, and a part of them is no measure.
+    /// The list of engines must have stood still for so long before the first
+    /// orders: engines register one after the other, and a part of them is no
+    /// measure. Later the list may change all the time.
     Duration settle_time = std::chrono::milliseconds(1500);
     /// An accepted order that does not show in the list by then is sent again:
     /// twice the time of a change and of the list's lag.
@@ -99,7 +102,7 @@
     bool waiting = true;      ///< In change, or its answer is outstanding.
   };
 
-  std::size_t Wanted(std::size_t engines) const;
+  std::size_t Wanted(std::size_t engines, std::size_t domains) const;
   std::vector<std::string> PlanDecode() const;
   bool MayOrder(const StagedEngine& engine, EngineRole role, TimePoint now);
   bool Matches(const std::set<std::string>& decode) const;
--- a/src/core/placement/engine_placement.cc
+++ b/src/core/placement/engine_placement.cc
@@ -62,6 +62,10 @@
   if (decoders.empty()) {
     return NoEngine{};
   }
+  if (AllFull(decoders, now)) {
+    // Its prompt would be read in vain.
+    return Busy(options_.max_backlog_tokens, 0);
+  }
   if (readers.empty()) {
     return PlaceWhole(request, decoders);
   }
@@ -123,12 +127,40 @@
       continue;
     }
     const EngineState* state = Find(it.instance);
-    const bool avoided = it.tried || (state && now < state->avoid_until);
+    const bool avoided = it.tried || (state && (now < state->avoid_until ||
+                                                now < state->full_until ||
+                                                IsStalled(*state, now)));
     (avoided ? second_choice : usable).push_back(&it);
   }
   return usable.empty() ? second_choice : usable;
 }
 
+bool EnginePlacement::IsStalled(const EngineState& state, TimePoint now) const {
+  return state.owed > 0 && now - state.progress_at >= options_.stall_after;
+}
+
+bool EnginePlacement::AllFull(
+    const std::vector<const PlacementEngine*>& engines, TimePoint now) const {
+  return std::all_of(engines.begin(), engines.end(), [&](const auto* it) {
+    const EngineState* state = Find(it->instance);
+    return state && now < state->full_until;
+  });
+}
+
+void EnginePlacement::Owe(const std::string& instance, TimePoint now) {
+  EngineState& state = engines_[instance];
+  if (state.owed++ == 0) {
+    state.progress_at = now;
+  }
+}
+
+void EnginePlacement::Pay(const std::string& instance, TimePoint now) {
+  if (EngineState* state = BusyState(instance)) {
+    state->owed -= state->owed > 0 ? 1 : 0;
+    state->progress_at = now;
+  }
+}
+
 double EnginePlacement::WorkAt(const CallerRequest& request,
                                const std::string& instance,
                                bool is_home) const {
@@ -182,21 +214,33 @@
       decoders, reader == engines.end() ? "" : reader->failure_domain);
   place.decode = chosen->instance;
   ++engines_[place.decode].streams;
+  Owe(place.decode, now);
   return place.decode;
 }
 
 void EnginePlacement::OnSent(const AttemptId& attempt,
                              const CallerRequest& request,
-                             const EnginePlace& place) {
+                             const EnginePlace& place, TimePoint now) {
   Sent sent{place, SharedPrefixHash(request.prompt_parts),
             SharedTokens(request), true};
   engines_[place.prefill.empty() ? place.decode : place.prefill].backlog +=
       place.prefill_work;
   ++engines_[place.decode].streams;
+  Owe(place.prefill.empty() ? place.decode : place.prefill, now);
   sent_[attempt] = std::move(sent);
 }
 
-void EnginePlacement::OnPrefilled(const AttemptId& attempt) {
+void EnginePlacement::OnAnswering(const AttemptId& attempt, TimePoint now) {
+  const auto it = sent_.find(attempt);
+  if (it != sent_.end() && !std::exchange(it->second.answering, true)) {
+    OnPrefilled(attempt, now);
+    if (!it->second.place.prefill.empty()) {
+      Pay(it->second.place.decode, now);
+    }
+  }
+}
+
+void EnginePlacement::OnPrefilled(const AttemptId& attempt, TimePoint now) {
   const auto it = sent_.find(attempt);
   if (it == sent_.end() || !std::exchange(it->second.reading, false)) {
     return;
@@ -204,6 +248,7 @@
   const Sent& sent = it->second;
   const std::string& reader =
       sent.place.prefill.empty() ? sent.place.decode : sent.place.prefill;
+  Pay(reader, now);
   EngineState& state = engines_[reader];
   state.backlog = std::max(0.0, state.backlog - sent.place.prefill_work);
   if (state.prefixes.size() >= options_.max_known_prefixes) {
@@ -224,14 +269,15 @@
       sent.place.prefill.empty() ? sent.place.decode : sent.place.prefill;
   if (EngineState* state = BusyState(reader); state && sent.reading) {
     state->backlog = std::max(0.0, state->backlog - sent.place.prefill_work);
-    if (refused) {
-      state->avoid_until = now + options_.avoid_after_refusal;
-    }
+    Settle(state, refused, now);
   }
   if (EngineState* state = BusyState(sent.place.decode)) {
     state->streams -= state->streams > 0 ? 1 : 0;
-    if (refused && !sent.reading) {
-      state->avoid_until = now + options_.avoid_after_refusal;
+    if (!sent.reading && !sent.answering && !sent.place.prefill.empty()) {
+      Settle(state, refused, now);
+      if (refused) {
+        state->full_until = now + options_.avoid_after_refusal;
+      }
     }
   }
   if (!sent.place.prefill.empty() && !sent.reading) {
@@ -239,6 +285,18 @@
   }
 }
 
+void EnginePlacement::Settle(EngineState* state, bool refused, TimePoint now) {
+  // An engine that says no is alive; one whose call ran out may not be.
+  const bool stalled = IsStalled(*state, now);
+  state->owed -= state->owed > 0 ? 1 : 0;
+  if (stalled) {
+    state->avoid_until = now + options_.avoid_stalled;
+  } else if (refused) {
+    state->progress_at = now;
+    state->avoid_until = now + options_.avoid_after_refusal;
+  }
+}
+
 void EnginePlacement::CountHandle(const Sent& sent, bool lost, TimePoint now) {
   EngineState* reader = BusyState(sent.place.prefill);
   if (!reader) {
--- a/src/core/placement/engine_placement.h
+++ b/src/core/placement/engine_placement.h
@@ -88,6 +88,13 @@
     /// An engine that refused is left alone that long; its change of role or
     /// its full queue lasts longer than the way to it.
     Duration avoid_after_refusal = std::chrono::milliseconds(250);
+    /// An engine that owes an answer and has given none for so long gets no
+    /// new work: dark, frozen or cut off, it would keep requests until their
+    /// deadline. A sound one under full backlogs answers several times in this.
+    Duration stall_after = std::chrono::milliseconds(900);
+    /// Time for which a stalled engine that let a call run out is left alone:
+    /// it is back seconds after a crash.
+    Duration avoid_stalled = std::chrono::seconds(2);
     std::size_t max_known_prefixes = 4096;  ///< For each engine.
     /// Prompts read in a row whose cache no engine could take over, after
     /// which the reader is left alone: its handles lapse, or its links fail.
@@ -112,9 +119,11 @@
 
   /// The attempt was sent as decided.
   void OnSent(const AttemptId& attempt, const CallerRequest& request,
-              const EnginePlace& place);
+              const EnginePlace& place, TimePoint now);
   /// The prompt has been read.
-  void OnPrefilled(const AttemptId& attempt);
+  void OnPrefilled(const AttemptId& attempt, TimePoint now);
+  /// The answer has begun.
+  void OnAnswering(const AttemptId& attempt, TimePoint now);
   /// The attempt is over; `refused` if the engine did not take it.
   void OnEnded(const AttemptId& attempt, bool refused, TimePoint now);
   /// The engine's run is over; what it held is gone.
@@ -128,7 +137,10 @@
     double backlog = 0;
     std::uint32_t streams = 0;
     std::uint32_t lost_handles = 0;  ///< In a row.
+    std::uint32_t owed = 0;   ///< Calls that wait for their first answer.
+    TimePoint progress_at{};  ///< Of the last such answer, or the first call.
     TimePoint avoid_until{};
+    TimePoint full_until{};  ///< It refused an answer for want of room.
     std::unordered_map<std::uint64_t, std::uint64_t> prefixes;  ///< Tokens.
   };
   struct Sent {
@@ -136,6 +148,7 @@
     std::uint64_t prefix = 0;
     std::uint64_t prefix_tokens = 0;
     bool reading = true;
+    bool answering = false;
   };
 
   double WorkAt(const CallerRequest& request, const std::string& instance,
@@ -151,6 +164,12 @@
   EnginesBusy Busy(double least_backlog, double work);
   const EngineState* Find(const std::string& instance) const;
   EngineState* BusyState(const std::string& instance);
+  void Owe(const std::string& instance, TimePoint now);
+  void Pay(const std::string& instance, TimePoint now);
+  bool IsStalled(const EngineState& state, TimePoint now) const;
+  bool AllFull(const std::vector<const PlacementEngine*>& engines,
+               TimePoint now) const;
+  void Settle(EngineState* state, bool refused, TimePoint now);
   void CountHandle(const Sent& sent, bool lost, TimePoint now);
 
   Options options_;
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -150,14 +150,20 @@
     RefuseRun(id, "prefill_gone", false, "the engine chosen to read is gone");
     return;
   }
-  run.call = FetchAnswer(
-      client,
-      dialect_.prefill(*run.request, *FindTarget(at), run.deadline - clock_()),
-      options_.max_handle_bytes,
-      [this, id, at](const Result<TargetAnswer>& answer) {
-        OnHandle(id, at, answer);
-        Flush();
-      });
+  run.call = FetchAnswer(client,
+                         dialect_.prefill(*run.request, *FindTarget(at),
+                                          PrefillWait(run.deadline - clock_())),
+                         options_.max_handle_bytes,
+                         [this, id, at](const Result<TargetAnswer>& answer) {
+                           OnHandle(id, at, answer);
+                           Flush();
+                         });
+}
+
+Duration DirectCarrier::PrefillWait(Duration left) const {
+  const auto share =
+      std::chrono::duration_cast<Duration>(left * options_.max_prefill_share);
+  return std::min(left, std::max(share, options_.max_prefill_wait));
 }
 
 void DirectCarrier::OnHandle(const AttemptId& id, const std::string& reader,
@@ -245,8 +251,8 @@
     return;
   }
   run->handle.reset();
-  if (run->next_sequence == 0 && run->request->prompt_parts.size() > 0) {
-    hooks_.on_prefilled(id);
+  if (run->next_sequence == 0) {
+    hooks_.on_answering(id);
   }
   const std::uint64_t sequence = run->next_sequence++;
   flow_->OnHead(run->link, id, sequence, status, ToFields(std::move(headers)),
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -38,12 +38,19 @@
     HttpTargetClient::Options client;  ///< Without the address.
     /// Longest answer to the call that reads a prompt.
     std::size_t max_handle_bytes = 4096;
+    /// Longest wait for a prompt to be read, and the share of the time left
+    /// that it may take: a reader that has gone dark must leave time for
+    /// another. The longest prompts take 0.7 s at a full backlog.
+    Duration max_prefill_wait = std::chrono::milliseconds(1600);
+    double max_prefill_share = 0.4;
     /// Bound on calls about handles.
     Duration release_deadline = std::chrono::seconds(2);
   };
   struct Hooks {
     /// The prompt of an attempt has been read.
     std::function<void(const AttemptId&)> on_prefilled;
+    /// The head of an attempt's answer came.
+    std::function<void(const AttemptId&)> on_answering;
     /// Returns the target that makes the answer, now that the prompt has been
     /// read; nothing if none can.
     std::function<std::optional<std::string>(const AttemptId&,
@@ -102,6 +109,7 @@
   static SideInfo InfoOf(const TargetRecord& record);
   void Add(const TargetRecord& record);
   void StartPrefill(const AttemptId& id, const std::string& at);
+  Duration PrefillWait(Duration left) const;
   void StartRun(const AttemptId& id);
   bool MoveToRunner(const AttemptId& id, Run* run);
   void OnHandle(const AttemptId& id, const std::string& reader,
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -115,7 +115,12 @@
   DirectCarrier::Hooks hooks;
   hooks.on_prefilled = [this](const AttemptId& id) {
     for (auto& [service, placement] : placements_) {
-      placement.OnPrefilled(id);
+      placement.OnPrefilled(id, clock_());
+    }
+  };
+  hooks.on_answering = [this](const AttemptId& id) {
+    for (auto& [service, placement] : placements_) {
+      placement.OnAnswering(id, clock_());
     }
   };
   hooks.choose_runner = [this](const AttemptId& id,
@@ -280,7 +285,7 @@
   std::string prefill;
   std::string work;
   if (decided_) {
-    PlacementOf(request.deployment).OnSent(id, request, *decided_);
+    PlacementOf(request.deployment).OnSent(id, request, *decided_, now);
     prefill = decided_->prefill;
     work = std::to_string(static_cast<long>(decided_->prefill_work));
     decided_.reset();
--- a/tests/core/control/stage_control_test.cc
+++ b/tests/core/control/stage_control_test.cc
@@ -72,10 +72,10 @@
   }
   SECTION("all at once, as none serves yet") {
     const auto orders = fleet.Order(9);
-    REQUIRE(orders.size() == 15);
+    REQUIRE(orders.size() == 14);
     CHECK(orders[0].fencing_number == 9);
     fleet.CarryOut(orders);
-    CHECK(fleet.Roles()[EngineRole::kDecode] == 3);
+    CHECK(fleet.Roles()[EngineRole::kDecode] == 4);
     CHECK(fleet.Order().empty());
 
     SECTION("and the answers are made in different failure domains") {
@@ -84,7 +84,7 @@
         domains[it.failure_domain] += it.role == EngineRole::kDecode;
       }
       CHECK(std::all_of(domains.begin(), domains.end(),
-                        [](const auto& it) { return it.second <= 1; }));
+                        [](const auto& it) { return it.second == 1; }));
     }
     SECTION("a lost engine for answers is replaced") {
       std::erase_if(fleet.engines(), [](const auto& it) {
--- a/tests/core/placement/engine_placement_test.cc
+++ b/tests/core/placement/engine_placement_test.cc
@@ -82,7 +82,7 @@
     const PlacementDecision decision = placement.Place(request, fleet, kNow);
     if (const auto* place = std::get_if<EnginePlace>(&decision)) {
       ++placed[place->prefill];
-      placement.OnSent(Attempt(n), request, *place);
+      placement.OnSent(Attempt(n), request, *place, kNow);
     } else {
       ++refused;
       const auto& busy = std::get<EnginesBusy>(decision);
@@ -95,7 +95,7 @@
 
   SECTION("what has been read makes room again") {
     for (std::uint64_t n = 0; n < 40; ++n) {
-      placement.OnPrefilled(Attempt(n));
+      placement.OnPrefilled(Attempt(n), kNow);
     }
     CHECK(std::holds_alternative<EnginePlace>(
         placement.Place(Request(7, 99), fleet, kNow)));
@@ -125,8 +125,8 @@
   for (std::uint64_t n = 0; n < 90; ++n) {
     const CallerRequest request = Request(n, n);
     const EnginePlace place = PlaceOf(placement.Place(request, fleet, kNow));
-    placement.OnSent(Attempt(n), request, place);
-    placement.OnPrefilled(Attempt(n));
+    placement.OnSent(Attempt(n), request, place, kNow);
+    placement.OnPrefilled(Attempt(n), kNow);
     ++streams[place.decode];
   }
   for (const auto& [instance, n] : streams) {
@@ -144,8 +144,8 @@
   EnginePlacement placement = MakePlacement(1);
   const CallerRequest request = Request(7, 1);
   const EnginePlace place = PlaceOf(placement.Place(request, fleet, kNow));
-  placement.OnSent(Attempt(1), request, place);
-  placement.OnPrefilled(Attempt(1));
+  placement.OnSent(Attempt(1), request, place, kNow);
+  placement.OnPrefilled(Attempt(1), kNow);
   std::erase_if(fleet,
                 [&](const auto& it) { return it.instance == place.decode; });
   const auto runner = placement.PlaceDecode(Attempt(1), fleet, kNow);
@@ -180,8 +180,8 @@
     const CallerRequest request = Request(7, n);
     const EnginePlace place = PlaceOf(placement.Place(request, fleet, kNow));
     REQUIRE(place.prefill == home);
-    placement.OnSent(Attempt(n), request, place);
-    placement.OnPrefilled(Attempt(n));
+    placement.OnSent(Attempt(n), request, place, kNow);
+    placement.OnPrefilled(Attempt(n), kNow);
     placement.OnEnded(Attempt(n), /*refused=*/true, kNow);
   }
   CHECK(PlaceOf(placement.Place(Request(7, 9), fleet, kNow)).prefill != home);
@@ -189,5 +189,52 @@
             .prefill == home);
 }
 
+// A reader goes dark: it takes connections and answers nothing. Requests that
+// it holds run out one after the other; new ones must not join them.
+TEST_CASE("An engine that owes answers and gives none gets no more work") {
+  const auto fleet = Fleet(6, 3);
+  EnginePlacement placement = MakePlacement(1);
+  const CallerRequest request = Request(7, 0);
+  const EnginePlace place = PlaceOf(placement.Place(request, fleet, kNow));
+  placement.OnSent(Attempt(0), request, place, kNow);
+  const TimePoint later = kNow + seconds(1);
+
+  SECTION("while it owes them") {
+    CHECK(PlaceOf(placement.Place(Request(7, 1), fleet, later)).prefill !=
+          place.prefill);
+  }
+  SECTION("and for a while after a call has run out") {
+    placement.OnEnded(Attempt(0), /*refused=*/true, later);
+    CHECK(PlaceOf(placement.Place(Request(7, 1), fleet, later)).prefill !=
+          place.prefill);
+    CHECK(PlaceOf(placement.Place(Request(7, 1), fleet, later + seconds(2)))
+              .prefill == place.prefill);
+  }
+  SECTION("but one that has answered is as good as before") {
+    placement.OnPrefilled(Attempt(0), later);
+    CHECK(PlaceOf(placement.Place(Request(7, 1), fleet, later)).prefill ==
+          place.prefill);
+  }
+}
+
+// Every engine that makes answers is full. Reading further prompts would only
+// take the readers' time; the callers are told at once when to come back.
+TEST_CASE("Nothing is read while every engine for answers is full") {
+  const auto fleet = Fleet(6, 2);
+  EnginePlacement placement = MakePlacement(1);
+  for (std::uint64_t n = 0; n < 2; ++n) {
+    const CallerRequest request = Request(n, n);
+    placement.OnSent(Attempt(n), request,
+                     PlaceOf(placement.Place(request, fleet, kNow)), kNow);
+    placement.OnPrefilled(Attempt(n), kNow);
+    REQUIRE(placement.PlaceDecode(Attempt(n), fleet, kNow));
+    placement.OnEnded(Attempt(n), /*refused=*/true, kNow);
+  }
+  CHECK(std::holds_alternative<EnginesBusy>(
+      placement.Place(Request(7, 1), fleet, kNow)));
+  CHECK(std::holds_alternative<EnginePlace>(
+      placement.Place(Request(7, 1), fleet, kNow + seconds(1))));
+}
+
 }  // namespace
 }  // namespace indigolead
