Go on with a broken resumable stream at another engine

The flow now passes events on whole, keeps the last id, and starts another attempt after it within the route's attempts and the retry budget; the caller keeps the first head.

--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -8,6 +8,8 @@
 namespace indigolead {
 namespace {
 
+constexpr int kOk = 200;
+
 /// Least time between two resume requests for one attempt.
 constexpr Duration kLeastAskInterval = std::chrono::milliseconds(100);
 
@@ -221,7 +223,8 @@
   const Duration left = it.request->deadline - now;
   actions_.push_back(SendStart{*side.link, id, it.request, left, left,
                                options_.stream_window_bytes, ref.start_sequence,
-                               to.prefill_at});
+                               to.prefill_at,
+                               it.cursor ? it.cursor->last_id() : ""});
   if (hooks_.on_sent) {
     hooks_.on_sent(*it.request, id, side.info, now);
   }
@@ -300,15 +303,37 @@
   if (hooks_.on_first_frame) {
     hooks_.on_first_frame(id, now);
   }
+  if (it->cursor) {
+    OnResumedHead(*it, status, headers, now);
+    return;
+  }
   it->head_taken = true;
   it->held_since = now;
   it->answer.status = status;
   it->answer.headers = std::move(headers);
   if (IsEventStream(it->answer.headers)) {
+    if (it->request->may_resume && status == kOk) {
+      it->cursor.emplace();
+    }
     DeliverHead(*it);
   }
 }
 
+void RequestFlow::OnResumedHead(Request& it, int status,
+                                const std::vector<HeaderField>& headers,
+                                TimePoint now) {
+  if (status == kOk && IsEventStream(headers)) {
+    // The caller keeps the head of the first target.
+    it.head_taken = true;
+    return;
+  }
+  SideRefusal why;
+  why.code = "resume_failed";
+  why.detail = "another target did not go on with the stream";
+  FinishAttempt(it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed, why,
+                /*retry=*/false, now);
+}
+
 void RequestFlow::OnChunk(SideLink link, const AttemptId& id,
                           std::uint64_t sequence, std::string data,
                           TimePoint now) {
@@ -330,6 +355,12 @@
     }
     return;
   }
+  if (it.cursor) {
+    data = it.cursor->Take(data);
+    if (data.empty()) {
+      return;
+    }
+  }
   if (it.keep_answer) {
     it.keep_answer =
         it.answer.body.size() + data.size() <= options_.max_stored_answer_bytes;
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -15,6 +15,7 @@
 #include "core/base/ids.h"
 #include "core/base/time.h"
 #include "core/request/attempt.h"
+#include "core/request/event_cursor.h"
 #include "core/request/request_types.h"
 #include "core/request/side_table.h"
 
@@ -240,6 +241,8 @@
     TimePoint route_until;
     TimePoint route_after;  ///< Earliest second chance of tried targets.
     TimePoint held_since;   ///< Time of the head that is held back.
+    /// Of an answer being delivered that may go on at another target.
+    std::optional<EventCursor> cursor;
   };
 
   using Requests = std::unordered_map<RequestId, Request>;
@@ -253,6 +256,8 @@
                    TimePoint now);
   void Deliver(Request& it, std::string data, TimePoint now);
   void DeliverHead(Request& it);
+  void OnResumedHead(Request& it, int status,
+                     const std::vector<HeaderField>& headers, TimePoint now);
   void GrantCredit(Request& it, std::uint64_t bytes);
   void AskAgain(Request& it, SideLink link, TimePoint now);
 
@@ -267,6 +272,7 @@
   RetryBudget& BudgetOf(const CallerRequest& request);
   bool MayRetry(const Request& it, Ending ending, TimePoint now);
   bool IsFailedAnswer(const Request& it) const;
+  void DeliverRest(Request& it);
   void CompleteAnswer(Request& it, TimePoint now);
   void Refuse(Request& it, Refusal refusal, TimePoint now);
   void Settle(Request& it, ClaimSettlement settlement,
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -172,7 +172,8 @@
 }
 
 bool RequestFlow::MayRetry(const Request& it, Ending ending, TimePoint now) {
-  if (it.head_delivered || now >= it.request->deadline ||
+  const bool resumable = it.cursor && !it.caller_gone;
+  if ((it.head_delivered && !resumable) || now >= it.request->deadline ||
       it.forwards >= options_.max_forwards) {
     return false;
   }
@@ -188,7 +189,8 @@
 }
 
 bool RequestFlow::IsFailedAnswer(const Request& it) const {
-  return options_.retry_failed_answers && it.answer.status >= 500;
+  return !it.head_delivered && options_.retry_failed_answers &&
+         it.answer.status >= 500;
 }
 
 void RequestFlow::EndAttempt(Request& it, Ending ending, AttemptOutcome outcome,
@@ -210,6 +212,9 @@
   }
   if (retry) {
     ++counts_.retries;
+    if (it.cursor) {
+      it.cursor->DropPartial();
+    }
     Route(it, now);
     return;
   }
@@ -237,12 +242,23 @@
     if (whole) {
       actions_.push_back(AnswerWhole{it.request->id, std::move(it.answer)});
     } else {
+      DeliverRest(it);
       actions_.push_back(AnswerEnd{it.request->id});
     }
   }
   Forget(it, now);
 }
 
+void RequestFlow::DeliverRest(Request& it) {
+  if (!it.cursor) {
+    return;
+  }
+  std::string rest = it.cursor->TakePartial();
+  if (!rest.empty()) {
+    actions_.push_back(AnswerData{it.request->id, std::move(rest)});
+  }
+}
+
 void RequestFlow::Refuse(Request& it, Refusal refusal, TimePoint now) {
   // Only what is provable may be said: one earlier attempt that may have run
   // makes the whole request unknown.
--- a/src/core/request/request_types.h
+++ b/src/core/request/request_types.h
@@ -124,6 +124,9 @@
   std::uint64_t start_sequence = 0;
   /// Target that reads the prompt first; empty if the addressed one does.
   std::string prefill_at;
+  /// Id of the event after which a broken stream goes on; empty: from where
+  /// the caller asked for it.
+  std::string resume_after;
 };
 
 /// Lets a side send more of an answer.
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -134,6 +134,7 @@
   run.instance = side->instance;
   run.request = action.request;
   run.deadline = clock_() + action.finish_within;
+  run.resume_after = action.resume_after;
   run.credit = action.initial_credit_bytes;
   run.checksum = std::make_shared<Run::Checksum>();
   if (action.prefill_at.empty()) {
@@ -152,7 +153,8 @@
   }
   run.call = FetchAnswer(client,
                          dialect_.prefill(*run.request, *FindTarget(at),
-                                          PrefillWait(run.deadline - clock_())),
+                                          {PrefillWait(run.deadline - clock_()),
+                                           std::nullopt, run.resume_after}),
                          options_.max_handle_bytes,
                          [this, id, at](const Result<TargetAnswer>& answer) {
                            OnHandle(id, at, answer);
@@ -232,9 +234,10 @@
     OnEnd(id, status);
     Flush();
   };
-  run.call = client->Start(dialect_.run(*run.request, *FindTarget(run.instance),
-                                        run.handle, run.deadline - clock_()),
-                           std::move(hooks));
+  run.call = client->Start(
+      dialect_.run(*run.request, *FindTarget(run.instance),
+                   {run.deadline - clock_(), run.handle, run.resume_after}),
+      std::move(hooks));
 }
 
 void DirectCarrier::OnHead(const AttemptId& id, int status,
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -92,6 +92,7 @@
     std::string instance;
     std::shared_ptr<const CallerRequest> request;
     TimePoint deadline;
+    std::string resume_after;
     std::unique_ptr<TargetClient::Call> call;
     std::optional<KvHandle> handle;  ///< Read, and not handed over yet.
     bool written = false;            ///< The call that runs it.
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -249,11 +249,12 @@
       PlacementOf(request.deployment)
           .Place(request, EnginesOf(candidates), now);
   if (const auto* busy = std::get_if<EnginesBusy>(&decision)) {
-    return Refusal{503, RunState::kNotRun, "engines_busy",
-                   "Every engine that could read the prompt in time has " +
-                       std::to_string(static_cast<std::int64_t>(busy->least_backlog)) +
-                       " tokens or more to read.",
-                   busy->retry_after};
+    return Refusal{
+        503, RunState::kNotRun, "engines_busy",
+        "Every engine that could read the prompt in time has " +
+            std::to_string(static_cast<std::int64_t>(busy->least_backlog)) +
+            " tokens or more to read.",
+        busy->retry_after};
   }
   if (const auto* place = std::get_if<EnginePlace>(&decision)) {
     decided_ = *place;
--- a/src/entry/target_dialect.h
+++ b/src/entry/target_dialect.h
@@ -22,6 +22,15 @@
   friend bool operator==(const KvHandle&, const KvHandle&) = default;
 };
 
+/// How one attempt is made.
+struct RunOptions {
+  Duration left{0};                ///< Until the caller's deadline.
+  std::optional<KvHandle> source;  ///< KV cache to go on from.
+  std::string resume_after;        ///< Event after which to go on, if any.
+
+  friend bool operator==(const RunOptions&, const RunOptions&) = default;
+};
+
 /// What an answer's head says of the request.
 enum class AnswerMeaning {
   kAnswer,       ///< The target's answer, good or bad: it has run.
@@ -32,14 +41,15 @@
 /// How targets are spoken to where no side stands before them. The attempt's
 /// course is decided by the request flow; only the words are here.
 struct TargetDialect {
-  /// Makes the call that runs `request`, from the KV cache `source` if given.
-  std::function<TargetRequest(
-      const CallerRequest& request, const TargetRecord& target,
-      const std::optional<KvHandle>& source, Duration left)>
+  /// Makes the call that runs `request`.
+  std::function<TargetRequest(const CallerRequest& request,
+                              const TargetRecord& target,
+                              const RunOptions& options)>
       run;
   /// Makes the call that only reads the prompt.
   std::function<TargetRequest(const CallerRequest& request,
-                              const TargetRecord& target, Duration left)>
+                              const TargetRecord& target,
+                              const RunOptions& options)>
       prefill;
   /// Reads the answer to that call, made by `target`.
   std::function<Result<KvHandle>(const TargetRecord& target,
--- /dev/null
+++ b/tests/core/request/stream_resume_test.cc
@@ -0,0 +1,123 @@
+#include <catch2/catch.hpp>
+
+#include "core/request/event_cursor.h"
+#include "tests/support/flow_driver.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("Events are passed on whole, and the last id is kept") {
+  EventCursor cursor;
+  CHECK(cursor.Take("id: 1\ndata: gel\n\nid: 2\nda") == "id: 1\ndata: gel\n\n");
+  CHECK(cursor.last_id() == "1");
+
+  SECTION("a part is joined to what follows") {
+    CHECK(cursor.Take("ta: 22\n\n") == "id: 2\ndata: 22\n\n");
+    CHECK(cursor.last_id() == "2");
+  }
+  SECTION("or dropped when its target has broken off") {
+    cursor.DropPartial();
+    CHECK(cursor.Take("id: 2\ndata: 22\n\n") == "id: 2\ndata: 22\n\n");
+  }
+  SECTION("or given out at the regular end") {
+    CHECK(cursor.TakePartial() == "id: 2\nda");
+  }
+  SECTION("line ends of both kinds end an event") {
+    CHECK(cursor.Take("ta: x\r\n\r\n") == "id: 2\ndata: x\r\n\r\n");
+  }
+}
+
+/// One resumable stream at two targets.
+class Scene {
+ public:
+  explicit Scene(bool may_resume = true) {
+    driver.Up("oviedo-1");
+    driver.Up("oviedo-2");
+    CallerRequest request;
+    request.id = id;
+    request.deployment = "tarifa-llm";
+    request.repeatability =
+        may_resume ? Repeatability::kIdempotent : Repeatability::kOnce;
+    request.streamed = true;
+    request.may_resume = may_resume;
+    request.max_attempts = 2;
+    request.deadline = driver.now() + seconds(8);
+    driver.flow().OnRequest(std::make_shared<const CallerRequest>(request),
+                            driver.now());
+    driver.Collect();
+    driver.Head(driver.starts[0], /*event_stream=*/true);
+    driver.Chunk(driver.starts[0], 1, "id: 1\ndata: a\n\nid: 2\nda");
+  }
+
+  void Break(std::size_t start, std::uint64_t sequence) {
+    driver.End(driver.starts[start], sequence, "",
+               AttemptOutcome::kTargetFailed);
+  }
+
+  FlowDriver driver;
+  const RequestId id{{5, 5}};
+};
+
+// The engine that answers crashes in the middle of an event. The caller sees
+// one stream, each event once and whole, although two engines made it.
+TEST_CASE("A broken stream goes on at another target") {
+  Scene scene;
+  scene.Break(0, 2);
+  REQUIRE(scene.driver.starts.size() == 2);
+  const SendStart& next = scene.driver.starts[1];
+  CHECK(next.resume_after == "1");
+  CHECK(scene.driver.seen(scene.id).body == "id: 1\ndata: a\n\n");
+  CHECK(scene.driver.seen(scene.id).finals == 0);
+
+  SECTION("to its end") {
+    scene.driver.Head(next, /*event_stream=*/true);
+    scene.driver.Chunk(next, 1, "id: 2\ndata: b\n\n");
+    scene.driver.End(next, 2, "id: 2\ndata: b\n\n");
+    CHECK(scene.driver.seen(scene.id).whole);
+    CHECK(scene.driver.seen(scene.id).body ==
+          "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(scene.driver.seen(scene.id).finals == 1);
+  }
+  SECTION("or breaks off visibly if that target answers something else") {
+    scene.driver.Head(next, /*event_stream=*/false);
+    REQUIRE(scene.driver.seen(scene.id).refusal);
+    CHECK(scene.driver.seen(scene.id).refusal->run == RunState::kUnknown);
+    CHECK_FALSE(scene.driver.seen(scene.id).whole);
+  }
+  SECTION("or if that one breaks too, as often as the route allows") {
+    scene.driver.Head(next, /*event_stream=*/true);
+    scene.Break(1, 1);
+    CHECK(scene.driver.starts.size() == 2);
+    CHECK(scene.driver.seen(scene.id).refusal);
+  }
+  SECTION("and is not gone on with for a caller that has left") {
+    scene.driver.flow().OnCallerGone(scene.id, scene.driver.now());
+    scene.driver.Collect();
+    CHECK(scene.driver.cancels.size() == 1);
+    CHECK(scene.driver.flow().open_requests() == 0);
+  }
+}
+
+TEST_CASE("A stream that may not be resumed breaks off") {
+  Scene scene(/*may_resume=*/false);
+  scene.Break(0, 2);
+  CHECK(scene.driver.starts.size() == 1);
+  REQUIRE(scene.driver.seen(scene.id).refusal);
+  CHECK(scene.driver.seen(scene.id).refusal->run == RunState::kUnknown);
+}
+
+TEST_CASE("A whole stream is passed on byte by byte") {
+  Scene scene;
+  scene.driver.Chunk(scene.driver.starts[0], 2, "ta: b\n\ntail");
+  scene.driver.End(scene.driver.starts[0], 3,
+                   "id: 1\ndata: a\n\nid: 2\ndata: b\n\ntail");
+  CHECK(scene.driver.seen(scene.id).whole);
+  CHECK(scene.driver.seen(scene.id).body ==
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\ntail");
+}
+
+}  // namespace
+}  // namespace indigolead
--- a/tests/platform/target_words_test.cc
+++ b/tests/platform/target_words_test.cc
@@ -38,7 +38,7 @@
 TEST_CASE("A run names its target, its time left and its answer's id") {
   const TargetDialect dialect = MakePlatformDialect();
   const TargetRequest call =
-      dialect.run(Request(), Target(), std::nullopt, milliseconds(1234));
+      dialect.run(Request(), Target(), {milliseconds(1234), std::nullopt, ""});
   CHECK(call.method == "POST");
   CHECK(call.path == "/audit/2f");
   CHECK(call.body == "prices");
@@ -51,12 +51,21 @@
 
   SECTION("from a cache that another engine holds") {
     const TargetRequest from =
-        dialect.run(Request(), Target(), KvHandle{"10.1.64.9:8080", "3fa0"},
-                    milliseconds(1));
+        dialect.run(Request(), Target(),
+                    {milliseconds(1), KvHandle{"10.1.64.9:8080", "3fa0"}, ""});
     CHECK(HeaderOf(from, "X-Kv-Source") == "10.1.64.9:8080/3fa0");
   }
+  SECTION("after an event that the caller already has") {
+    CallerRequest request = Request();
+    request.headers.push_back({"last-event-id", "3"});
+    const TargetRequest on =
+        dialect.run(request, Target(), {milliseconds(1), std::nullopt, "12"});
+    CHECK(HeaderOf(on, "Last-Event-Id") == "12");
+    CHECK(HeaderOf(on, "last-event-id").empty());
+  }
   SECTION("only to read the prompt") {
-    CHECK(HeaderOf(dialect.prefill(Request(), Target(), milliseconds(9)),
+    CHECK(HeaderOf(dialect.prefill(Request(), Target(),
+                                   {milliseconds(9), std::nullopt, ""}),
                    "X-Stage") == "prefill");
   }
 }
