Run the platform's entry between stand-ins; answer in the entry's domain

Stand-ins of the platform's store and targets, and process tests: the whole path, roles ordered by the entry, a request that may have run, the store away in three ways, a planned stop, unusable settings.

--- a/src/core/control/lease.h
+++ b/src/core/control/lease.h
@@ -151,6 +151,13 @@
   /// process that slept between the decision and the act gets nothing.
   std::optional<FencingNumber> Authority(TimePoint now) const;
 
+  /// Returns true if the next read must show the newest state: it settles a
+  /// write, ends a pause, or is the first. Otherwise it only watches another
+  /// holder; a late view makes a taker wait longer, and taking is conditional.
+  bool needs_newest() const {
+    return write_.has_value() || suspended_ || !seen_at_;
+  }
+
   /// Returns the newest lease seen.
   const LeaseView& newest() const { return seen_; }
   /// Returns when the newest lease was seen, if one was.
--- a/src/core/placement/engine_placement.cc
+++ b/src/core/placement/engine_placement.cc
@@ -185,8 +185,13 @@
   double best_cost = std::numeric_limits<double>::infinity();
   for (const PlacementEngine* it : engines) {
     const EngineState* state = Find(it->instance);
-    const double far =
-        it->failure_domain == near_domain ? 0 : options_.domain_streams;
+    double far = 0;
+    if (it->failure_domain != options_.failure_domain) {
+      far += options_.own_domain_streams;
+    }
+    if (it->failure_domain != near_domain) {
+      far += options_.reader_domain_streams;
+    }
     const double cost =
         (state ? state->streams : 0) + far + ToUnitInterval(random_()) * 0.5;
     if (cost < best_cost) {
--- a/src/core/placement/engine_placement.h
+++ b/src/core/placement/engine_placement.h
@@ -81,10 +81,13 @@
     double max_spill_tokens = 20000;
     /// Homes of one shared prefix; more of them hold the same copies.
     std::size_t max_homes = 3;
-    /// Streams by which an engine in the prefill's own failure domain may be
-    /// busier and still be preferred: a copy within the domain takes half as
+    std::string failure_domain;  ///< Where the entry itself runs.
+    /// Streams by which an engine for the answer may be busier and still be
+    /// preferred: in the entry's failure domain, since the whole request goes
+    /// to it once more, and in the reader's, from which a copy takes half as
     /// long.
-    double domain_streams = 4;
+    double own_domain_streams = 4;
+    double reader_domain_streams = 2;
     /// Rate assumed for the time after which a refused caller may come back.
     double read_tokens_per_s = 50000;
     Duration min_retry_after = std::chrono::milliseconds(200);
--- a/src/entry/lease_keeper.cc
+++ b/src/entry/lease_keeper.cc
@@ -50,7 +50,9 @@
 }
 
 void LeaseKeeper::Read() {
-  store_->Get(kLeaseKey, {CallPriority::kLease, options_.call_deadline},
+  const CallOptions call{CallPriority::kLease, options_.call_deadline,
+                         !lease_.needs_newest()};
+  store_->Get(kLeaseKey, call,
               [this, alive = alive_](
                   const Result<std::optional<StoredObject>>& result) {
                 if (!*alive) {
--- a/src/entry/status_server.cc
+++ b/src/entry/status_server.cc
@@ -58,8 +58,8 @@
     }
     const auto& request = parser_->get();
     const std::string target(request.target().data(), request.target().size());
-    WholeAnswer answer =
-        shared_->answer(std::string_view(target).substr(0, target.find('?')));
+    const std::string_view path = target;
+    WholeAnswer answer = shared_->answer(path.substr(0, path.find('?')));
     response_ = {};
     response_.result(static_cast<unsigned>(answer.status));
     response_.version(request.version());
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -53,6 +53,9 @@
 struct CallOptions {
   CallPriority priority = CallPriority::kStatus;
   Duration deadline = std::chrono::seconds(2);
+  /// A read may show the state of seconds ago, where that costs the store
+  /// less. Without effect on a store that knows no such reads.
+  bool may_be_stale = false;
 };
 
 /// Change seen by a watch. A deleted object has no value.
--- /dev/null
+++ b/tests/platform/support/metadata_store.h
@@ -0,0 +1,81 @@
+#ifndef INDIGOLEAD_TESTS_PLATFORM_SUPPORT_METADATA_STORE_H_
+#define INDIGOLEAD_TESTS_PLATFORM_SUPPORT_METADATA_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "standins/http_server.h"
+
+namespace indigolead::testing {
+
+/// Stand-in of the platform's metadata store: objects by kind and name,
+/// conditional writes, and watches that wait, with faults set from outside.
+class MetadataStore {
+ public:
+  MetadataStore();
+  ~MetadataStore();
+  MetadataStore(const MetadataStore&) = delete;
+  MetadataStore& operator=(const MetadataStore&) = delete;
+
+  std::string address() const { return server_.address(); }
+
+  /// Writes the object, whatever its revision, as an operator or a target.
+  void Put(const std::string& kind, const std::string& name,
+           const nlohmann::json& spec);
+  void Remove(const std::string& kind, const std::string& name);
+
+  /// Returns the object's `spec`; null if there is none.
+  nlohmann::json Get(const std::string& kind, const std::string& name);
+
+  /// What becomes of every call until it is set again.
+  enum class Fault { kNone, kRefuse, kSilent, kReset };
+  void SetFault(Fault fault);
+  /// The next `n` writes take effect and are not answered.
+  void LoseAnswers(int n);
+  /// Forgets the history: watches from before are told so.
+  void Compact();
+
+ private:
+  struct Object {
+    nlohmann::json spec;
+    std::uint64_t revision = 0;
+  };
+  struct Event {
+    std::uint64_t revision = 0;
+    std::string kind;
+    std::string name;
+    nlohmann::json object;
+    bool deleted = false;
+  };
+  using Objects = std::map<std::string, Object>;
+
+  standins::Task Handle(standins::HttpExchange& exchange);
+  standins::Task List(standins::HttpExchange& exchange,
+                      const std::string& kind);
+  standins::Task Watch(standins::HttpExchange& exchange,
+                       const std::string& kind);
+  standins::Task Write(standins::HttpExchange& exchange,
+                       const std::string& kind, std::string name);
+  void Store(const std::string& kind, const std::string& name,
+             const nlohmann::json& spec);
+  nlohmann::json JsonOf(const std::string& name, const Object& object) const;
+  nlohmann::json EventsSince(const std::string& kind,
+                             std::uint64_t revision) const;
+
+  std::map<std::string, Objects> kinds_;
+  std::vector<Event> history_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t compacted_ = 0;
+  Fault fault_ = Fault::kNone;
+  int lose_answers_ = 0;
+  standins::HttpServer server_;
+  std::unique_ptr<standins::Notifier> changed_;
+};
+
+}  // namespace indigolead::testing
+
+#endif  // INDIGOLEAD_TESTS_PLATFORM_SUPPORT_METADATA_STORE_H_
