--- a/tests/core/control/lease_test.cc
+++ b/tests/core/control/lease_test.cc
@@ -281,14 +281,14 @@
     const auto renewal = Find<Lease::Write>(TickUntil(&lease, 6.25, 6.75));
     REQUIRE(renewal);
     CHECK(renewal->record.fencing_number == 7);
-    lease.OnWritten(renewal->record.nonce, std::uint64_t{20}, At(6.8));
-    CHECK_FALSE(lease.Authority(At(6.8)));
-    const auto write = Find<Lease::Write>(TickUntil(&lease, 7, 8));
+    lease.OnWritten(renewal->record.nonce, std::uint64_t{20}, At(7.5));
+    CHECK_FALSE(lease.Authority(At(7.5)));
+    const auto write = Find<Lease::Write>(TickUntil(&lease, 7.75, 8.5));
     REQUIRE(write);
     CHECK(write->record.fencing_number == 0);
     CHECK(write->expected == 20);
-    lease.OnWritten(write->record.nonce, std::uint64_t{30}, At(8.1));
-    CHECK(lease.Authority(At(8.1)) == FencingNumber{30});
+    lease.OnWritten(write->record.nonce, std::uint64_t{30}, At(8.6));
+    CHECK(lease.Authority(At(8.6)) == FencingNumber{30});
   }
   SECTION("but not if another process has it by now, under the same name too") {
     LeaseRecord other = taken.record;
--- a/tests/platform/support/metadata_store.cc
+++ b/tests/platform/support/metadata_store.cc
@@ -175,7 +175,7 @@
     co_await exchange.Reply(400, "", {});
     co_return;
   }
-  const Json metadata = body.at("metadata");
+  const Json& metadata = body.at("metadata");
   name = metadata.at("name").get<std::string>();
   const auto held = kinds_[kind].find(name);
   const bool exists = held != kinds_[kind].end();
