--- a/src/store/http_object_store.cc
+++ b/src/store/http_object_store.cc
@@ -1,8 +1,6 @@
 #include "store/http_object_store.h"
 
-#include <algorithm>
-#include <cctype>
-
+#include "store/object_limits.h"
 #include "store/store_calls.h"
 #include "store/store_connection.h"
 #include "store/store_json.h"
@@ -10,12 +8,10 @@
 namespace indigolead {
 namespace {
 
+using internal::IsWriteStep;
 using internal::StoreReply;
 using internal::StoreRequest;
 
-constexpr std::size_t kMaxValueBytes = 1U << 20;
-constexpr std::size_t kMaxKeyBytes = 512;
-
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -25,18 +21,6 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
-bool IsKeyText(const std::string& key) {
-  return key.size() <= kMaxKeyBytes &&
-         std::all_of(key.begin(), key.end(), [](char c) {
-           return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-                  c == '-' || c == '_' || c == '.' || c == '/';
-         });
-}
-
-bool IsWrite(const std::string& step) {
-  return step == "store.put" || step == "store.delete";
-}
-
 /// Returns the error of an answer whose status is not one of success.
 Error ErrorOfStatus(const std::string& step, const std::string& peer,
                     const StoreReply& reply) {
@@ -58,12 +42,13 @@
   }
   // Only 429 and 503 promise that nothing was done; any other answer of a
   // server in trouble says nothing about a write.
-  return {IsWrite(step) ? ErrorCode::kUnknownEffect : ErrorCode::kUnavailable,
-          step, peer, status};
+  return {
+      IsWriteStep(step) ? ErrorCode::kUnknownEffect : ErrorCode::kUnavailable,
+      step, peer, status};
 }
 
 Error BadAnswer(const std::string& step, const std::string& peer) {
-  return {IsWrite(step) ? ErrorCode::kUnknownEffect : ErrorCode::kProtocol,
+  return {IsWriteStep(step) ? ErrorCode::kUnknownEffect : ErrorCode::kProtocol,
           step, peer, "the answer does not follow the object API"};
 }
 
@@ -136,8 +121,7 @@
 
 bool HttpObjectStore::Accepts(const StoreRequest& request,
                               const std::string& key) {
-  return !key.empty() && IsKeyText(key) &&
-         request.body.size() <= kMaxValueBytes;
+  return IsObjectKey(key) && request.body.size() <= kMaxObjectBytes;
 }
 
 void HttpObjectStore::Get(const std::string& key, const CallOptions& options,
@@ -225,10 +209,9 @@
                            const CallOptions& options,
                            std::function<void(Result<StoreReply>)> done) {
   if (!Accepts(request, key)) {
-    calls_->Refuse(
-        Error{ErrorCode::kInvalidInput, request.step, address_,
-              "expected a key of a-z A-Z 0-9 - _ . / and at most 1 MiB"},
-        std::move(done));
+    calls_->Refuse(Error{ErrorCode::kInvalidInput, request.step, address_,
+                         kObjectLimitsText},
+                   std::move(done));
     return;
   }
   calls_->Submit(std::move(request), options, std::move(done));
--- a/src/store/store_connection.cc
+++ b/src/store/store_connection.cc
@@ -163,8 +163,9 @@
       return MakeError(ErrorCode::kTimeout, step,
                        "no answer before the deadline");
     }
-    return MakeError(ErrorCode::kUnknownEffect, step,
-                     "connection broke: " + ec.message());
+    return MakeError(
+        IsWriteStep(step) ? ErrorCode::kUnknownEffect : ErrorCode::kUnavailable,
+        step, "connection broke: " + ec.message());
   }
 
   /// Returns true if an idle connection can still be written to.
--- a/src/store/store_connection.h
+++ b/src/store/store_connection.h
@@ -30,6 +30,12 @@
   std::string content_type = {};  ///< Of the body; empty: not stated.
 };
 
+/// Returns true if a call of this step may change the store, so that its
+/// outcome is open when it breaks. A read that breaks has simply failed.
+inline bool IsWriteStep(const std::string& step) {
+  return step == "store.put" || step == "store.delete";
+}
+
 /// HTTP answer of the object API.
 struct StoreReply {
   int status = 0;
--- a/standins/platform_server.cc
+++ b/standins/platform_server.cc
@@ -156,6 +156,9 @@
   if (faults_.stall) {
     *served = false;
     co_await Stall(exchange);
+  } else if (faults_.reset) {
+    *served = false;
+    exchange.Abort();
   } else if (faults_.refuse) {
     *served = false;
     co_await exchange.Reply(503, "", {});
--- a/standins/platform_server.h
+++ b/standins/platform_server.h
@@ -19,6 +19,7 @@
   std::uint32_t slow_ms = 0;  ///< Each answer is held back that long.
   bool refuse = false;        ///< 503, without effect.
   bool stall = false;         ///< No effect and no answer, for good.
+  bool reset = false;         ///< No effect; the connection is cut.
   /// Number of writes that take effect and whose answer is then lost.
   std::uint32_t lose_answers = 0;
   /// Lost answers leave the connection open and silent instead of cutting it.
--- a/tests/platform/platform_entry_process_test.cc
+++ b/tests/platform/platform_entry_process_test.cc
@@ -230,16 +230,21 @@
 // The store goes away in each of its ways. Callers notice nothing; what changes
 // meanwhile is in force soon after its return.
 TEST_CASE("Requests are served while the store is away") {
-  using Fault = MetadataStore::Fault;
-  const Fault fault = GENERATE(Fault::kRefuse, Fault::kReset, Fault::kSilent);
+  standins::PlatformFaults refusing;
+  refusing.refuse = true;
+  standins::PlatformFaults resetting;
+  resetting.reset = true;
+  standins::PlatformFaults silent;
+  silent.stall = true;
+  const auto faults = GENERATE_COPY(refusing, resetting, silent);
   Scene scene;
-  scene.store.SetFault(fault);
+  scene.store.SetFaults(faults);
   std::this_thread::sleep_for(milliseconds(400));
   CHECK(scene.Ask("GET", "/desk/1", "r-1").status == 200);
   CHECK(scene.Ready());
   scene.store.Put("config", "main", Configuration(12));
   scene.store.Compact();
-  scene.store.SetFault(Fault::kNone);
+  scene.store.SetFaults({});
   auto next = Configuration(20);
   next["routes"].push_back(Route("print", "/print/", "safe", "app"));
   scene.store.Put("config", "main", next);
--- a/tests/platform/support/metadata_store.cc
+++ b/tests/platform/support/metadata_store.cc
@@ -14,7 +14,7 @@
 
 constexpr char kPrefix[] = "/api/objects/";
 constexpr std::size_t kPage = 4;  // Small, so that tests turn pages.
-constexpr milliseconds kSilence{20000};
+constexpr milliseconds kStallStep{50};
 
 const standins::HttpHeaders& JsonType() {
   static const standins::HttpHeaders headers = {
@@ -38,12 +38,14 @@
 }
 
 void MetadataStore::Remove(const std::string& kind, const std::string& name) {
-  server_.Invoke([&] {
-    const Json object = JsonOf(name, kinds_[kind][name]);
-    kinds_[kind].erase(name);
-    history_.push_back({++revision_, kind, name, object, true});
-    changed_->NotifyAll();
-  });
+  server_.Invoke([&] { Erase(kind, name); });
+}
+
+void MetadataStore::Erase(const std::string& kind, const std::string& name) {
+  const Json object = JsonOf(name, kinds_[kind][name]);
+  kinds_[kind].erase(name);
+  history_.push_back({++revision_, kind, name, object, true});
+  changed_->NotifyAll();
 }
 
 Json MetadataStore::Get(const std::string& kind, const std::string& name) {
@@ -55,12 +57,35 @@
   return spec;
 }
 
-void MetadataStore::SetFault(Fault fault) {
-  server_.Invoke([&] { fault_ = fault; });
+std::uint64_t MetadataStore::RevisionOf(const std::string& kind,
+                                        const std::string& name) {
+  std::uint64_t revision = 0;
+  server_.Invoke([&] {
+    const auto it = kinds_[kind].find(name);
+    revision = it == kinds_[kind].end() ? 0 : it->second.revision;
+  });
+  return revision;
 }
 
-void MetadataStore::LoseAnswers(int n) {
-  server_.Invoke([&] { lose_answers_ = n; });
+void MetadataStore::SetFaults(const standins::PlatformFaults& faults) {
+  server_.Invoke([&] {
+    if (faults.stale_reads && !faults_.stale_reads) {
+      stale_kinds_ = kinds_;
+    }
+    faults_ = faults;
+  });
+}
+
+void MetadataStore::DropWatches() {
+  server_.Invoke([&] {
+    ++watch_epoch_;
+    drop_next_watch_ = waiting_watches_ == 0;
+    changed_->NotifyAll();
+  });
+}
+
+MetadataStore::Objects& MetadataStore::Readable(const std::string& kind) {
+  return faults_.stale_reads ? stale_kinds_[kind] : kinds_[kind];
 }
 
 void MetadataStore::Compact() {
@@ -98,45 +123,74 @@
   return events;
 }
 
-Task MetadataStore::Handle(HttpExchange& exchange) {
-  const HttpRequest& request = exchange.request();
-  if (fault_ == Fault::kReset) {
-    exchange.Abort();
-    co_return;
+Task MetadataStore::Stall(HttpExchange& exchange) {
+  while (exchange.open() && (faults_.stall || faults_.lose_by_silence)) {
+    co_await exchange.Sleep(kStallStep);
   }
-  if (fault_ == Fault::kSilent) {
-    co_await exchange.Sleep(kSilence);
-    exchange.Abort();
-    co_return;
+  exchange.Abort();
+}
+
+Task MetadataStore::Misbehave(HttpExchange& exchange, bool* served) {
+  *served = false;
+  if (faults_.slow_ms > 0) {
+    co_await exchange.Sleep(milliseconds(faults_.slow_ms));
   }
-  if (fault_ == Fault::kRefuse) {
+  if (faults_.reset) {
+    exchange.Abort();
+  } else if (faults_.stall) {
+    co_await Stall(exchange);
+  } else if (faults_.refuse) {
     co_await exchange.Reply(503, "", {});
-    co_return;
+  } else {
+    *served = true;
   }
-  std::string rest = request.path.substr(sizeof(kPrefix) - 1);
+}
+
+Task MetadataStore::Handle(HttpExchange& exchange) {
+  bool served = false;
+  co_await Misbehave(exchange, &served);
+  if (served) {
+    co_await Serve(exchange);
+  }
+}
+
+Task MetadataStore::Serve(HttpExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  const std::string rest = request.path.substr(sizeof(kPrefix) - 1);
   const auto slash = rest.find('/');
   const std::string kind = rest.substr(0, slash);
   const std::string name =
       slash == std::string::npos ? "" : rest.substr(slash + 1);
-  if (request.method != "GET") {
+  if (request.method == "DELETE") {
+    co_await Delete(exchange, kind, name);
+  } else if (request.method != "GET") {
     co_await Write(exchange, kind, name);
   } else if (!request.Query("watch").empty()) {
     co_await Watch(exchange, kind);
   } else if (name.empty()) {
     co_await List(exchange, kind);
-  } else if (kinds_[kind].count(name) == 0) {
-    co_await exchange.Reply(404, "", {});
   } else {
-    std::string body = JsonOf(name, kinds_[kind][name]).dump();
-    co_await exchange.Reply(200, std::move(body), JsonType());
+    co_await Read(exchange, kind, name);
+  }
+}
+
+Task MetadataStore::Read(HttpExchange& exchange, const std::string& kind,
+                         std::string name) {
+  const Objects& objects = Readable(kind);
+  const auto it = objects.find(name);
+  if (it == objects.end()) {
+    co_await exchange.Reply(404, "", {});
+    co_return;
   }
+  std::string body = JsonOf(name, it->second).dump();
+  co_await exchange.Reply(200, std::move(body), JsonType());
 }
 
 Task MetadataStore::List(HttpExchange& exchange, const std::string& kind) {
   const std::string after = exchange.request().Query("after");
   Json items = Json::array();
   bool more = false;
-  for (const auto& [name, object] : kinds_[kind]) {
+  for (const auto& [name, object] : Readable(kind)) {
     if (name <= after) {
       continue;
     }
@@ -154,11 +208,22 @@
 Task MetadataStore::Watch(HttpExchange& exchange, const std::string& kind) {
   const std::uint64_t from = exchange.request().QueryNumber("watch", 0);
   const milliseconds wait(exchange.request().QueryNumber("wait-ms", 0));
-  if (from >= compacted_ && EventsSince(kind, from).empty()) {
+  const std::uint64_t epoch = watch_epoch_;
+  if (from >= compacted_ && from <= revision_ &&
+      EventsSince(kind, from).empty()) {
     // Woken by changes of other kinds too: then the watch ends empty, early.
+    ++waiting_watches_;
     co_await changed_->Wait(wait);
+    --waiting_watches_;
+  }
+  while (faults_.silence_watches && exchange.open()) {
+    co_await exchange.Sleep(kStallStep);
   }
-  if (from < compacted_) {
+  if (std::exchange(drop_next_watch_, false) || epoch != watch_epoch_) {
+    exchange.Abort();
+    co_return;
+  }
+  if (from < compacted_ || from > revision_) {
     co_await exchange.Reply(410, "", {});
     co_return;
   }
@@ -184,16 +249,44 @@
       request.method == "POST"
           ? !exists
           : exists && (expected == 0 || expected == held->second.revision);
-  if (fits) {
-    Store(kind, name, body.at("spec"));
-    if (lose_answers_ > 0) {
-      --lose_answers_;
-      exchange.Abort();
-      co_return;
-    }
+  if (!fits) {
+    std::string held_now = JsonOf(name, kinds_[kind][name]).dump();
+    co_await exchange.Reply(409, std::move(held_now), JsonType());
+    co_return;
   }
+  Store(kind, name, body.at("spec"));
   std::string reply = JsonOf(name, kinds_[kind][name]).dump();
-  co_await exchange.Reply(fits ? 200 : 409, std::move(reply), JsonType());
+  co_await Confirm(exchange, std::move(reply));
+}
+
+Task MetadataStore::Delete(HttpExchange& exchange, const std::string& kind,
+                           std::string name) {
+  const auto held = kinds_[kind].find(name);
+  if (held == kinds_[kind].end()) {
+    co_await exchange.Reply(404, "", {});
+    co_return;
+  }
+  std::string object = JsonOf(name, held->second).dump();
+  const std::uint64_t expected =
+      exchange.request().QueryNumber("revision", held->second.revision);
+  if (expected != held->second.revision) {
+    co_await exchange.Reply(409, std::move(object), JsonType());
+    co_return;
+  }
+  Erase(kind, name);
+  co_await Confirm(exchange, std::move(object));
+}
+
+Task MetadataStore::Confirm(HttpExchange& exchange, std::string body) {
+  if (faults_.lose_answers > 0) {
+    --faults_.lose_answers;
+    if (faults_.lose_by_silence) {
+      co_await Stall(exchange);
+    }
+    exchange.Abort();
+    co_return;
+  }
+  co_await exchange.Reply(200, std::move(body), JsonType());
 }
 
 }  // namespace indigolead::testing
--- a/tests/platform/support/metadata_store.h
+++ b/tests/platform/support/metadata_store.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "standins/http_server.h"
+#include "standins/platform_server.h"
 
 namespace indigolead::testing {
 
@@ -31,11 +32,16 @@
   /// Returns the object's `spec`; null if there is none.
   nlohmann::json Get(const std::string& kind, const std::string& name);
 
+  /// Returns the object's revision; 0 if there is none.
+  std::uint64_t RevisionOf(const std::string& kind, const std::string& name);
+
   /// What becomes of every call until it is set again.
-  enum class Fault { kNone, kRefuse, kSilent, kReset };
-  void SetFault(Fault fault);
-  /// The next `n` writes take effect and are not answered.
-  void LoseAnswers(int n);
+  void SetFaults(const standins::PlatformFaults& faults);
+  /// Refuses connections and cuts the open ones, or serves again.
+  void SetDown(bool down) { server_.SetDown(down); }
+  /// Cuts every waiting watch once, or the next call of one if a client is
+  /// between two of its calls.
+  void DropWatches();
   /// Forgets the history: watches from before are told so.
   void Compact();
 
@@ -54,14 +60,25 @@
   using Objects = std::map<std::string, Object>;
 
   standins::Task Handle(standins::HttpExchange& exchange);
+  standins::Task Misbehave(standins::HttpExchange& exchange, bool* served);
+  standins::Task Stall(standins::HttpExchange& exchange);
+  standins::Task Serve(standins::HttpExchange& exchange);
+  standins::Task Read(standins::HttpExchange& exchange, const std::string& kind,
+                      std::string name);
   standins::Task List(standins::HttpExchange& exchange,
                       const std::string& kind);
   standins::Task Watch(standins::HttpExchange& exchange,
                        const std::string& kind);
   standins::Task Write(standins::HttpExchange& exchange,
                        const std::string& kind, std::string name);
+  standins::Task Delete(standins::HttpExchange& exchange,
+                        const std::string& kind, std::string name);
+  /// Answers a write that was done, or loses its answer.
+  standins::Task Confirm(standins::HttpExchange& exchange, std::string body);
   void Store(const std::string& kind, const std::string& name,
              const nlohmann::json& spec);
+  void Erase(const std::string& kind, const std::string& name);
+  Objects& Readable(const std::string& kind);
   nlohmann::json JsonOf(const std::string& name, const Object& object) const;
   nlohmann::json EventsSince(const std::string& kind,
                              std::uint64_t revision) const;
@@ -70,8 +87,11 @@
   std::vector<Event> history_;
   std::uint64_t revision_ = 1;
   std::uint64_t compacted_ = 0;
-  Fault fault_ = Fault::kNone;
-  int lose_answers_ = 0;
+  std::map<std::string, Objects> stale_kinds_;
+  standins::PlatformFaults faults_;
+  int waiting_watches_ = 0;
+  std::uint64_t watch_epoch_ = 0;
+  bool drop_next_watch_ = false;
   standins::HttpServer server_;
   std::unique_ptr<standins::Notifier> changed_;
 };
--- a/tests/shell/object_store_contract_test.cc
+++ b/tests/shell/object_store_contract_test.cc
@@ -57,7 +57,7 @@
 };
 
 TEST_CASE("ObjectStore keeps objects, versions and conditions") {
-  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const auto world = MakeStoreWorld(GENERATE("fake", "http", "platform"));
 
   SECTION("an absent object is nothing, not an error") {
     CHECK(ValueOf(Get(world.get())) == std::nullopt);
@@ -117,20 +117,21 @@
     world->SetDown(false);
     CHECK(Outcome(Put(world.get(), "two", first)) == "ok");
   }
+}
 
-  SECTION("the instance list tells leaving from live") {
-    world->PutInstance(
-        {"t1", "target", "bilbao-a", "norte", "", InstanceState::kLeaving});
-    const auto list = world->Ask<InstanceList>(
-        [&](auto done) { world->store().ListInstances(LongCall(), done); });
-    REQUIRE(ValueOf(list).instances.size() == 1);
-    CHECK(ValueOf(list).instances[0].state == InstanceState::kLeaving);
-    CHECK(ValueOf(list).instances[0].failure_domain == "bilbao-a");
-  }
+TEST_CASE("ObjectStore's instance list tells leaving from live") {
+  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  world->PutInstance(
+      {"t1", "target", "bilbao-a", "norte", "", InstanceState::kLeaving});
+  const auto list = world->Ask<InstanceList>(
+      [&](auto done) { world->store().ListInstances(LongCall(), done); });
+  REQUIRE(ValueOf(list).instances.size() == 1);
+  CHECK(ValueOf(list).instances[0].state == InstanceState::kLeaving);
+  CHECK(ValueOf(list).instances[0].failure_domain == "bilbao-a");
 }
 
 TEST_CASE("ObjectStore watches tell each change once and in order") {
-  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const auto world = MakeStoreWorld(GENERATE("fake", "http", "platform"));
   const auto first = world->Poke("a/b", "one", 0);
   Watched watched(world.get(), first);
   const auto second = world->Poke("a/b", "two", first);
@@ -203,6 +204,12 @@
   return faults;
 }
 
+PlatformFaults Resetting() {
+  PlatformFaults faults;
+  faults.reset = true;
+  return faults;
+}
+
 PlatformFaults Stalled() {
   PlatformFaults faults;
   faults.stall = true;
@@ -215,11 +222,13 @@
   // one answer. "Unavailable" is said only of a write that had no effect;
   // "timeout" and "unknown-effect" leave it open, because a slow store does
   // the write after its caller has gone, and a lost answer says nothing.
-  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const auto world = MakeStoreWorld(GENERATE("fake", "http", "platform"));
   const FaultCase fault = GENERATE(values<FaultCase>({
       {"down", true, {}, "unavailable", "unavailable", "unavailable", false},
       {"refusing", false, Refusing(), "unavailable", "unavailable",
        "unavailable", false},
+      {"resetting", false, Resetting(), "unknown-effect", "unavailable",
+       "unavailable", false},
       {"stalled", false, Stalled(), "timeout", "timeout", "timeout", false},
       {"slow", false, Slow(), "timeout", "timeout", "timeout", true},
       {"answer lost", false, Losing(false), "unknown-effect", "ok", "ok", true},
@@ -252,7 +261,7 @@
   // The caller follows a prefix. Something between the two ends loses the
   // connection, or the store goes: no change arrives any more, and without an
   // end the caller would keep an old state for good.
-  const auto world = MakeStoreWorld(GENERATE("fake", "http"));
+  const auto world = MakeStoreWorld(GENERATE("fake", "http", "platform"));
   const auto version = world->Poke("a/b", "one", 0);
   Watched watched(world.get(), version);
   const auto second = world->Poke("a/b", "two", version);
--- a/tests/support/fake_object_store.cc
+++ b/tests/support/fake_object_store.cc
@@ -226,6 +226,11 @@
     fail(ErrorCode::kTimeout, options.deadline);
     return;
   }
+  if (affected && faults.reset) {
+    fail(writes ? ErrorCode::kUnknownEffect : ErrorCode::kUnavailable,
+         Duration::zero());
+    return;
+  }
   const Duration slow = affected ? milliseconds(faults.slow_ms) : Duration();
   const bool late = slow >= options.deadline;
   if (late) {
--- a/tests/support/store_world.cc
+++ b/tests/support/store_world.cc
@@ -1,7 +1,11 @@
 #include "tests/support/store_world.h"
 
+#include <nlohmann/json.hpp>
+
+#include "platform/object_store.h"
 #include "runtime/clock.h"
 #include "store/http_object_store.h"
+#include "tests/platform/support/metadata_store.h"
 #include "tests/support/fake_object_store.h"
 
 namespace indigolead::testing {
@@ -66,6 +70,60 @@
   HttpObjectStore store_{&io_, Options(), BootTimeNow, &metrics_};
 };
 
+class PlatformWorld : public StoreWorld {
+ public:
+  ObjectStore& store() override { return store_; }
+  void SetFaults(const standins::PlatformFaults& faults) override {
+    platform_.SetFaults(faults);
+  }
+  void SetDown(bool down) override { platform_.SetDown(down); }
+  void DropWatches() override { platform_.DropWatches(); }
+  void PutInstance(const InstanceRecord& /*record*/) override {}
+  std::optional<StoredObject> Peek(const std::string& key) override {
+    const Key it = Split(key);
+    const auto spec = platform_.Get(it.kind, it.name);
+    if (spec.is_null()) {
+      return std::nullopt;
+    }
+    return StoredObject{key, spec.get<std::string>(),
+                        platform_.RevisionOf(it.kind, it.name)};
+  }
+  std::uint64_t Poke(const std::string& key, const std::string& value,
+                     ExpectedVersion expected) override {
+    const Key it = Split(key);
+    if (platform_.RevisionOf(it.kind, it.name) != expected) {
+      return 0;
+    }
+    platform_.Put(it.kind, it.name, value);
+    return platform_.RevisionOf(it.kind, it.name);
+  }
+
+ private:
+  struct Key {
+    std::string kind;
+    std::string name;
+  };
+
+  static Key Split(const std::string& key) {
+    const auto slash = key.find('/');
+    return slash == std::string::npos
+               ? Key{key, "main"}
+               : Key{key.substr(0, slash), key.substr(slash + 1)};
+  }
+
+  platform::PlatformObjectStore::Options Options() {
+    platform::PlatformObjectStore::Options options;
+    options.address = platform_.address();
+    options.watch_wait = kWatchSilence / 2;
+    options.watch_slack = kWatchSilence / 2;
+    return options;
+  }
+
+  MetadataStore platform_;
+  MetricsRegistry metrics_;
+  platform::PlatformObjectStore store_{&io_, Options(), BootTimeNow, &metrics_};
+};
+
 }  // namespace
 
 bool StoreWorld::RunUntil(const std::function<bool()>& condition) {
@@ -84,6 +142,9 @@
   if (kind == "http") {
     return std::make_unique<HttpWorld>();
   }
+  if (kind == "platform") {
+    return std::make_unique<PlatformWorld>();
+  }
   return std::make_unique<FakeWorld>();
 }
 
--- a/tests/support/store_world.h
+++ b/tests/support/store_world.h
@@ -54,7 +54,8 @@
   boost::asio::io_context io_{1};
 };
 
-/// Returns a world of the kind "fake" or "http".
+/// Returns a world of the kind "fake", "http", or "platform": the users'
+/// platform, whose store speaks another protocol.
 std::unique_ptr<StoreWorld> MakeStoreWorld(const std::string& kind);
 
 }  // namespace indigolead::testing
