Serve latency histograms on a metrics port that the deploy file names

Cause: percentiles of one process cannot be added up over entries, and the deploy file named no metrics address.

--- a/scripts/catalogue.py
+++ b/scripts/catalogue.py
@@ -18,9 +18,10 @@
     r'inline constexpr EventInfo (k\w+)\s*\{\s*(\d+)\s*,\s*' + STRINGS +
     r',\s*EventSeverity::k(\w+)\s*,\s*' + STRINGS + r',?\s*\}')
 METRIC = re.compile(
-    r'(?:\.|->)\s*Add(Counter|Gauge|Summary)\(\s*' + STRINGS + r',\s*' +
+    r'(?:\.|->)\s*Add(Counter|Gauge|Summary|Histogram)\(\s*' + STRINGS + r',\s*' +
     STRINGS)
-TYPES = {'Counter': 'counter', 'Gauge': 'gauge', 'Summary': 'summary'}
+TYPES = {'Counter': 'counter', 'Gauge': 'gauge', 'Summary': 'summary',
+         'Histogram': 'histogram'}
 FAMILIES = {1: 'Entry', 2: 'Side', 3: 'Platform', 4: 'Control',
             5: 'Links and membership', 6: 'Claims',
             7: 'Command line and settings', 8: 'Routing'}
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -72,7 +72,7 @@
        "Serve callers on the users' platform.",
        "Reads the settings file that the platform names in the environment. "
        "SIGTERM stops it\nafter the requests in work have ended.",
-       {},
+       {"metrics_port"},
        0,
        0,
        platform::RunPlatformEntry});
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -23,6 +23,7 @@
 DECLARE_string(since);
 DECLARE_string(timeout);
 DECLARE_bool(wait);
+DECLARE_int32(metrics_port);
 
 namespace indigolead::cli {
 
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -15,6 +15,10 @@
   return std::to_string(duration_cast<milliseconds>(length).count());
 }
 
+double Seconds(Duration length) {
+  return std::chrono::duration<double>(length).count();
+}
+
 EngineRole RoleOf(const SideInfo& side) {
   if (side.role == "prefill") {
     return EngineRole::kPrefill;
@@ -86,9 +90,13 @@
                               "Further attempts that the budget denied.")),
       targets_(metrics->AddGauge("indigolead_targets_known",
                                  "Targets in the directory.")),
-      answer_seconds_(metrics->AddSummary(
+      answer_seconds_(metrics->AddHistogram(
           "indigolead_answer_seconds",
-          "Time from taking a request to the head of its answer.")) {}
+          "Time from taking a request to the head of its answer.")),
+      refusal_seconds_(metrics->AddHistogram(
+          "indigolead_refusal_seconds",
+          "Time from taking a request to telling its caller that there is no "
+          "answer.")) {}
 
 RequestFlowHooks DirectDispatcher::FlowHooks() {
   RequestFlowHooks hooks;
@@ -373,9 +381,8 @@
     const auto it = open_.find(head->request);
     if (it != open_.end()) {
       it->second.streaming = true;
-      answer_seconds_.Record(std::chrono::duration<double>(
-                                 clock_() - it->second.request->received_at)
-                                 .count());
+      answer_seconds_.Record(
+          Seconds(clock_() - it->second.request->received_at));
     }
   } else if (const auto* end = std::get_if<AnswerEnd>(&action)) {
     LogAnswered(end->request, 200);
@@ -397,7 +404,7 @@
   const Duration after = clock_() - open.request->received_at;
   answered_.Add();
   if (!open.streaming) {
-    answer_seconds_.Record(std::chrono::duration<double>(after).count());
+    answer_seconds_.Record(Seconds(after));
   }
   log_(kRequestAnswered, {{"request", open.request->caller_id},
                           {"route", open.request->route},
@@ -414,17 +421,18 @@
     return;
   }
   const Open& open = it->second;
+  const Duration after = clock_() - open.request->received_at;
   (refusal.run == RunState::kNotRun ? refused_ : broken_).Add();
-  log_(kRequestRefused,
-       {{"request", open.request->caller_id},
-        {"route", open.request->route},
-        {"code", refusal.code},
-        {"run", std::string(RunStateName(refusal.run))},
-        {"target", open.last_target},
-        {"attempts", std::to_string(open.attempts)},
-        {"retry_after_ms", Milliseconds(refusal.retry_after)},
-        {"after_ms", Milliseconds(clock_() - open.request->received_at)},
-        {"detail", refusal.message}});
+  refusal_seconds_.Record(Seconds(after));
+  log_(kRequestRefused, {{"request", open.request->caller_id},
+                         {"route", open.request->route},
+                         {"code", refusal.code},
+                         {"run", std::string(RunStateName(refusal.run))},
+                         {"target", open.last_target},
+                         {"attempts", std::to_string(open.attempts)},
+                         {"retry_after_ms", Milliseconds(refusal.retry_after)},
+                         {"after_ms", Milliseconds(after)},
+                         {"detail", refusal.message}});
   CloseRequest(id);
 }
 
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -126,7 +126,8 @@
   Counter& abandoned_;
   Counter& retries_denied_;
   Gauge& targets_;
-  Summary& answer_seconds_;
+  Histogram& answer_seconds_;
+  Histogram& refusal_seconds_;
 };
 
 }  // namespace indigolead
--- a/src/entry/status_server.cc
+++ b/src/entry/status_server.cc
@@ -94,6 +94,9 @@
 StatusServer::~StatusServer() { Stop(); }
 
 Status StatusServer::Start() {
+  if (options_.address.empty()) {
+    return Unit{};
+  }
   const auto endpoint = ParseEndpoint(options_.address);
   if (!IsOk(endpoint)) {
     return ErrorOf(endpoint);
--- a/src/entry/status_server.h
+++ b/src/entry/status_server.h
@@ -23,7 +23,7 @@
 class StatusServer {
  public:
   struct Options {
-    std::string address;  ///< "IP:port".
+    std::string address;  ///< "IP:port"; empty: nothing is served.
     std::size_t max_connections = 32;
     Duration idle_timeout = std::chrono::seconds(10);
   };
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -1,5 +1,6 @@
 #include "observe/metrics.h"
 
+#include <algorithm>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
@@ -30,6 +31,24 @@
   os << " " << value << "\n";
 }
 
+void PrintHistogram(std::ostream& os, const std::string& name,
+                    const std::string& labels,
+                    const Histogram::Snapshot& snapshot) {
+  for (std::size_t n = 0; n < snapshot.cumulative.size(); ++n) {
+    std::ostringstream bound;
+    if (n < Histogram::kBounds.size()) {
+      bound << Histogram::kBounds[n];
+    } else {
+      bound << "+Inf";
+    }
+    PrintSample(os, name + "_bucket", labels, "le=\"" + bound.str() + "\"",
+                static_cast<double>(snapshot.cumulative[n]));
+  }
+  PrintSample(os, name + "_sum", labels, "", snapshot.sum);
+  PrintSample(os, name + "_count", labels, "",
+              static_cast<double>(snapshot.cumulative.back()));
+}
+
 // Prints the HELP and TYPE lines once for each run of metrics with one name.
 void PrintHeader(std::ostream& os, std::string* last, const std::string& name,
                  const std::string& help, std::string_view type) {
@@ -71,6 +90,28 @@
   return snapshot;
 }
 
+void Histogram::Record(double seconds) {
+  const double value = std::max(seconds, 0.0);
+  const auto bound = std::lower_bound(kBounds.begin(), kBounds.end(), value);
+  const auto bucket = static_cast<std::size_t>(bound - kBounds.begin());
+  counts_[bucket].fetch_add(1, std::memory_order_relaxed);
+  sum_microseconds_.fetch_add(static_cast<std::uint64_t>(value * 1e6),
+                              std::memory_order_relaxed);
+}
+
+Histogram::Snapshot Histogram::snapshot() const {
+  Snapshot snapshot;
+  std::uint64_t so_far = 0;
+  for (std::size_t n = 0; n < counts_.size(); ++n) {
+    so_far += counts_[n].load(std::memory_order_relaxed);
+    snapshot.cumulative[n] = so_far;
+  }
+  snapshot.sum =
+      static_cast<double>(sum_microseconds_.load(std::memory_order_relaxed)) /
+      1e6;
+  return snapshot;
+}
+
 Counter& MetricsRegistry::AddCounter(std::string name, std::string help,
                                      std::string labels) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -95,6 +136,14 @@
       .metric;
 }
 
+Histogram& MetricsRegistry::AddHistogram(std::string name, std::string help,
+                                         std::string labels) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return histograms_
+      .emplace_back(std::move(name), std::move(help), std::move(labels))
+      .metric;
+}
+
 std::string MetricsRegistry::ToPrometheusText() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::ostringstream os;
@@ -119,6 +168,10 @@
     PrintSample(os, it.name + "_count", it.labels, "",
                 static_cast<double>(snapshot.count));
   }
+  for (const auto& it : histograms_) {
+    PrintHeader(os, &last, it.name, it.help, "histogram");
+    PrintHistogram(os, it.name, it.labels, it.metric.snapshot());
+  }
   return os.str();
 }
 
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -1,6 +1,7 @@
 #ifndef INDIGOLEAD_OBSERVE_METRICS_H_
 #define INDIGOLEAD_OBSERVE_METRICS_H_
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <deque>
@@ -64,6 +65,33 @@
   std::unique_ptr<State> state_;
 };
 
+/// Counts durations in buckets with fixed bounds. Safe from any thread.
+///
+/// For latencies that an operator adds up over processes, which estimated
+/// percentiles do not allow; Boost.Accumulators' histograms choose their own
+/// bounds in each process, so they do not either.
+class Histogram {
+ public:
+  /// Upper bounds in seconds: fine where callers' aims lie (0.1 to 1.5 s),
+  /// coarse up to their deadlines (8 s).
+  static constexpr std::array<double, 12> kBounds = {
+      0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8};
+
+  /// Records one duration in seconds.
+  void Record(double seconds);
+
+  struct Snapshot {
+    /// Of values up to each bound; the last has all.
+    std::array<std::uint64_t, kBounds.size() + 1> cumulative{};
+    double sum = 0;
+  };
+  Snapshot snapshot() const;
+
+ private:
+  std::array<std::atomic<std::uint64_t>, kBounds.size() + 1> counts_{};
+  std::atomic<std::uint64_t> sum_microseconds_{0};
+};
+
 /// Owns a process's metrics and prints them as Prometheus text.
 ///
 /// Metrics live as long as the registry; the references returned stay valid.
@@ -76,6 +104,8 @@
   Gauge& AddGauge(std::string name, std::string help, std::string labels = "");
   Summary& AddSummary(std::string name, std::string help,
                       std::string labels = "");
+  Histogram& AddHistogram(std::string name, std::string help,
+                          std::string labels = "");
 
   /// Returns every metric in the Prometheus text format.
   std::string ToPrometheusText() const;
@@ -98,6 +128,7 @@
   std::deque<Entry<Counter>> counters_;
   std::deque<Entry<Gauge>> gauges_;
   std::deque<Entry<Summary>> summaries_;
+  std::deque<Entry<Histogram>> histograms_;
 };
 
 }  // namespace indigolead
--- a/tests/platform/fault_table_process_test.cc
+++ b/tests/platform/fault_table_process_test.cc
@@ -219,7 +219,7 @@
 /// Returns the value of a counter of the entry's metrics.
 std::string CounterOf(PlatformScene* scene, const std::string& name) {
   const std::string text =
-      HttpCall(scene->ready_address, "GET", "/metrics").body;
+      HttpCall(scene->metrics_address, "GET", "/metrics").body;
   const auto at = text.find("\n" + name + " ");
   const auto end = text.find('\n', at + 1);
   return at == std::string::npos
--- a/tests/platform/platform_entry_process_test.cc
+++ b/tests/platform/platform_entry_process_test.cc
@@ -44,6 +44,15 @@
     CHECK(answer.Header("X-Response-Signature").substr(0, 4) == "sig-");
     CHECK(scene.Runs("r-1") == 1);
   }
+  SECTION("metrics count it, by the time that it took") {
+    scene.Ask("GET", "/desk/1", "r-1");
+    const std::string text =
+        HttpCall(scene.metrics_address, "GET", "/metrics").body;
+    CHECK(text.find("indigolead_requests_answered_total 1\n") !=
+          std::string::npos);
+    CHECK(text.find("indigolead_answer_seconds_bucket{le=\"+Inf\"} 1\n") !=
+          std::string::npos);
+  }
   SECTION("engines are given roles, and a prompt is read by another one") {
     REQUIRE(WaitUntil([&] { return scene.Staged("prefill") == 4; }));
     scene.Register();
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -61,7 +61,10 @@
   store.Put("config", "main", MakeConfiguration(3));
   WriteSettings();
   setenv("INDIGOLEAD_BOOT", settings_.c_str(), 1);
-  entry.emplace("indigolead", std::vector<std::string>{"platform-entry"});
+  const std::string port =
+      metrics_address.substr(metrics_address.rfind(':') + 1);
+  entry.emplace("indigolead", std::vector<std::string>{
+                                  "platform-entry", "--metrics_port=" + port});
   REQUIRE(WaitUntil([&] { return Ready(); }));
 }
 
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -57,6 +57,7 @@
   std::deque<ModelWorker> workers;
   std::string callers_address = FreeAddress();
   std::string ready_address = FreeAddress();
+  std::string metrics_address = FreeAddress();
   std::optional<Process> entry;
 
  private:
