--- a/src/core/admission/retry_budget.cc
+++ b/src/core/admission/retry_budget.cc
@@ -14,6 +14,10 @@
   level_ = std::min(level_, burst);
 }
 
+void RetryBudget::Grant(double arrivals) {
+  level_ = std::min(level_ + arrivals, options_.burst);
+}
+
 bool RetryBudget::TryTake(double arrivals) {
   // Sums of a share such as 0.1 fall short of a whole by rounding.
   constexpr double kRounding = 1e-9;
--- a/src/core/admission/retry_budget.h
+++ b/src/core/admission/retry_budget.h
@@ -32,6 +32,9 @@
   /// Sets the most retries that are saved up; more of them are lost.
   void SetBurst(double burst);
 
+  /// Adds retries, up to the most that are saved up.
+  void Grant(double arrivals);
+
   /// Records a first attempt, which earns its share of a retry.
   void OnFirstAttempt();
 
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -198,10 +198,13 @@
   directory_.OnStoreFollowed(clock_());
 }
 
-void DirectDispatcher::SetSavedArrivals(double arrivals) {
-  options_.retry_budget.burst = arrivals;
+void DirectDispatcher::SetSavedArrivals(double saved, double at_start) {
+  options_.retry_budget.burst = saved;
+  options_.retry_budget.initial = at_start;
+  const double grant = std::exchange(start_granted_, true) ? 0 : at_start;
   for (auto& [service, budget] : budgets_) {
     budget.SetBurst(BurstOf(service));
+    budget.Grant(grant);
   }
 }
 
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -62,8 +62,9 @@
   void OnStoreLost();
   void OnStoreFollowed();
   /// Sets this entry's part of the arrivals that all entries may save up for
-  /// further attempts at one service.
-  void SetSavedArrivals(double arrivals);
+  /// further attempts at one service, and what it begins with. The latter is
+  /// granted once.
+  void SetSavedArrivals(double saved, double at_start);
 
   /// Acts on what time alone decides. Call every 20 to 50 ms.
   void Tick();
@@ -119,6 +120,7 @@
   std::shared_ptr<const RouteTable> routes_;
   std::map<std::string, EnginePlacement> placements_;
   std::map<std::string, RetryBudget> budgets_;
+  bool start_granted_ = false;
   std::unordered_map<RequestId, Open> open_;
   /// Decided by `Route` for the `OnSent` that follows it.
   std::optional<EnginePlace> decided_;
--- a/src/entry/roster_keeper.cc
+++ b/src/entry/roster_keeper.cc
@@ -62,6 +62,9 @@
   renewing_ = false;
   if (IsOk(result)) {
     own_version_ = ValueOf(result);
+    if (!roster_.listed()) {
+      list_at_ = clock_();
+    }
     renew_at_ = Later(options_.renew_interval);
     return;
   }
--- a/tests/platform/platform_entry_process_test.cc
+++ b/tests/platform/platform_entry_process_test.cc
@@ -60,6 +60,8 @@
       return scene.Ask("POST", "/audit/1", "warm").status == 200 &&
              scene.Prefills() > 0;
     }));
+    // The entry hears of all roles within the gap between a watch's calls.
+    std::this_thread::sleep_for(seconds(1));
     const int before = scene.Prefills();
     const HttpAnswer answer = scene.Ask("POST", "/audit/1", "r-2");
     CHECK(answer.status == 200);
@@ -167,6 +169,27 @@
   CHECK(scene.entry->WaitForExit(seconds(8)) == 0);
 }
 
+// Targets register in swarms. Each entry hears of them in a few calls of its
+// watch, not in one for each, and of the last of them soon.
+TEST_CASE("A swarm of changes costs a few calls, and is seen soon") {
+  PlatformScene scene;
+  const auto before = scene.store.watch_calls();
+  for (int n = 0; n < 100; ++n) {
+    auto registration = scene.workers.back().Registration();
+    registration["service"] = "other";
+    scene.store.Put("servers", "swarm-" + std::to_string(n), registration);
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  auto next = MakeConfiguration(9);
+  next["routes"].push_back(MakeRoute("print", "/print/", "safe", "app"));
+  scene.store.Put("config", "main", next);
+  CHECK(
+      WaitUntil([&] { return scene.Ask("GET", "/print/1", "r").status == 200; },
+                seconds(1)));
+  // Two watches, each with a call in 400 ms at most, over 2 s.
+  CHECK(scene.store.watch_calls() - before <= 12);
+}
+
 TEST_CASE("Unusable settings end the start with a clear line") {
   const std::string path =
       (std::filesystem::temp_directory_path() / "indigolead-bad-settings")
--- a/tests/platform/support/metadata_store.cc
+++ b/tests/platform/support/metadata_store.cc
@@ -76,6 +76,12 @@
   });
 }
 
+int MetadataStore::watch_calls() {
+  int n = 0;
+  server_.Invoke([&] { n = watch_calls_; });
+  return n;
+}
+
 void MetadataStore::DropWatches() {
   server_.Invoke([&] {
     ++watch_epoch_;
@@ -211,6 +217,7 @@
   const std::uint64_t from = exchange.request().QueryNumber("watch", 0);
   const milliseconds wait(exchange.request().QueryNumber("wait-ms", 0));
   const std::uint64_t epoch = watch_epoch_;
+  ++watch_calls_;
   if (from >= compacted_ && from <= revision_ &&
       EventsSince(kind, from).empty()) {
     // Woken by changes of other kinds too: then the watch ends empty, early.
--- a/tests/platform/support/metadata_store.h
+++ b/tests/platform/support/metadata_store.h
@@ -39,6 +39,8 @@
   void SetFaults(const standins::PlatformFaults& faults);
   /// Refuses connections and cuts the open ones, or serves again.
   void SetDown(bool down) { server_.SetDown(down); }
+  /// Returns how many calls of watches came so far.
+  int watch_calls();
   /// Cuts every waiting watch once, or the next call of one if a client is
   /// between two of its calls.
   void DropWatches();
@@ -90,6 +92,7 @@
   std::map<std::string, Objects> stale_kinds_;
   standins::PlatformFaults faults_;
   int waiting_watches_ = 0;
+  int watch_calls_ = 0;
   std::uint64_t watch_epoch_ = 0;
   bool drop_next_watch_ = false;
   standins::HttpServer server_;
