Play the whole direct path in random worlds

Dispatcher, request flow, placement, directory, budget and carrier of entries run as they are, over simulated calls, in time of their own; targets, calls, lists, the store, entries and callers fail by a seed. The promises that are checked stand with the test. The carrier takes its clients from a factory, so that it runs without a network.

--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -67,16 +67,24 @@
 }
 
 void DirectCarrier::Add(const TargetRecord& record) {
-  HttpTargetClient::Options options = options_.client;
-  options.address = record.address;
   Target& target = targets_[record.id];
   target.record = record;
   target.link = SideLink{++next_link_};
-  target.client = std::make_unique<HttpTargetClient>(io_, std::move(options));
+  target.client = MakeClient(record.address);
   flow_->OnSideUp(target.link, InfoOf(record), clock_());
   flow_->OnLeaving(record.id, record.leaving, clock_());
 }
 
+std::unique_ptr<TargetClient> DirectCarrier::MakeClient(
+    const std::string& address) {
+  if (options_.make_client) {
+    return options_.make_client(address);
+  }
+  HttpTargetClient::Options options = options_.client;
+  options.address = address;
+  return std::make_unique<HttpTargetClient>(io_, std::move(options));
+}
+
 void DirectCarrier::OnTarget(const TargetChange& change) {
   const TargetRecord& record = change.target;
   const TimePoint now = clock_();
@@ -107,7 +115,7 @@
   Flush();
 }
 
-HttpTargetClient* DirectCarrier::ClientOf(const std::string& instance) {
+TargetClient* DirectCarrier::ClientOf(const std::string& instance) {
   const auto it = targets_.find(instance);
   return it == targets_.end() ? nullptr : it->second.client.get();
 }
@@ -146,7 +154,7 @@
 
 void DirectCarrier::StartPrefill(const AttemptId& id, const std::string& at) {
   Run& run = runs_.at(id);
-  HttpTargetClient* client = ClientOf(at);
+  TargetClient* client = ClientOf(at);
   if (!client) {
     RefuseRun(id, "prefill_gone", false, "the engine chosen to read is gone");
     return;
@@ -213,7 +221,7 @@
 
 void DirectCarrier::StartRun(const AttemptId& id) {
   Run& run = runs_.at(id);
-  HttpTargetClient* client = ClientOf(run.instance);
+  TargetClient* client = ClientOf(run.instance);
   if (!client) {
     RefuseRun(id, "target_gone", false, "the target has been removed");
     return;
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -36,6 +36,9 @@
  public:
   struct Options {
     HttpTargetClient::Options client;  ///< Without the address.
+    /// Returns a client of the target at "IP:port"; empty: one as above.
+    std::function<std::unique_ptr<TargetClient>(const std::string& address)>
+        make_client;
     /// Longest answer to the call that reads a prompt.
     std::size_t max_handle_bytes = 4096;
     /// Longest wait for a prompt to be read, and the share of the time left
@@ -77,7 +80,7 @@
   void Act(const SendResume& action);
 
   /// Returns the client of a target, for calls beside the attempts, or null.
-  HttpTargetClient* ClientOf(const std::string& instance);
+  TargetClient* ClientOf(const std::string& instance);
   const TargetRecord* FindTarget(const std::string& instance) const;
   std::size_t running() const { return runs_.size(); }
 
@@ -85,7 +88,7 @@
   struct Target {
     TargetRecord record;
     SideLink link;
-    std::unique_ptr<HttpTargetClient> client;
+    std::unique_ptr<TargetClient> client;
   };
   struct Run {
     SideLink link;
@@ -109,6 +112,7 @@
 
   static SideInfo InfoOf(const TargetRecord& record);
   void Add(const TargetRecord& record);
+  std::unique_ptr<TargetClient> MakeClient(const std::string& address);
   void StartPrefill(const AttemptId& id, const std::string& at);
   Duration PrefillWait(Duration left) const;
   void StartRun(const AttemptId& id);
--- a/src/entry/stage_service.cc
+++ b/src/entry/stage_service.cc
@@ -98,7 +98,7 @@
 }
 
 void StageService::Send(const std::string& service, const StageOrder& order) {
-  HttpTargetClient* client = carrier_->ClientOf(order.instance);
+  TargetClient* client = carrier_->ClientOf(order.instance);
   if (!client) {
     Finish(service, order, StageOrderOutcome::kRefused, "the engine is gone");
     return;
@@ -115,7 +115,7 @@
                             const Result<TargetAnswer>& answer) {
   ended_.push_back(std::move(calls_[order.instance]));
   const TargetRecord* target = carrier_->FindTarget(order.instance);
-  HttpTargetClient* client = carrier_->ClientOf(order.instance);
+  TargetClient* client = carrier_->ClientOf(order.instance);
   if (!IsOk(answer) || !target || !client) {
     Finish(service, order, StageOrderOutcome::kRefused,
            IsOk(answer) ? "the engine is gone" : ToString(ErrorOf(answer)));
--- /dev/null
+++ b/tests/support/direct_world.h
@@ -0,0 +1,35 @@
+#ifndef INDIGOLEAD_TESTS_SUPPORT_DIRECT_WORLD_H_
+#define INDIGOLEAD_TESTS_SUPPORT_DIRECT_WORLD_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace indigolead::testing {
+
+/// What came of one random world.
+struct DirectWorldReport {
+  std::vector<std::string> violations;  ///< Broken promises, in words.
+  int requests = 0;
+  int answered = 0;
+  int refused = 0;  ///< Told that they have not run.
+  int unknown = 0;  ///< Told that they may have run.
+  int cut = 0;      ///< Their entry was killed.
+  int retries = 0;  ///< Further attempts sent.
+  int resumed = 0;  ///< Streams that went on at another target.
+};
+
+/// Plays entries before targets in time of its own, without a network: the
+/// dispatcher of an entry that speaks to its targets itself, with request flow,
+/// placement, directory, budget and carrier as they run, over simulated calls.
+///
+/// By `seed`: targets crash, freeze, leave, change their role, refuse, reset
+/// connections, lose answers, break streams off, and get the addresses of
+/// others; calls are late, hang, arrive after they were given up; lists of
+/// targets are late and the store goes; entries freeze and are killed; callers
+/// leave. Promises that are checked are listed with the test.
+DirectWorldReport PlayDirectWorld(std::uint64_t seed);
+
+}  // namespace indigolead::testing
+
+#endif  // INDIGOLEAD_TESTS_SUPPORT_DIRECT_WORLD_H_
