Say of a request whose time ran out unsent that it has not run

Cause: random worlds with a new check ('doubt') found callers told 504, may have run, for requests of which nothing was ever written to a target that runs them: the prompt was still being read, or a connection awaited.

Change: at the deadline the flow asks its carrier whether the attempt may have started; if not, the refusal is 'not run', and the platform's words make it a 503 with when to come back. The attempt is cancelled in the same step, so it never runs.

--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -113,6 +113,9 @@
   std::function<void(const CallerRequest&, const AttemptId&, const SideInfo&,
                      TimePoint)>
       on_sent;
+  /// Returns false if the attempt has provably not been written to its target
+  /// and, once cancelled, never will be. Default: it may have been.
+  std::function<bool(const AttemptId&)> may_have_started;
   /// The first frame of an attempt came.
   std::function<void(const AttemptId&, TimePoint)> on_first_frame;
   /// An attempt at a target is over.
@@ -279,6 +282,7 @@
               const WholeAnswer* answer, TimePoint now);
   void Forget(Request& it, TimePoint now);
   void LoseAttempts(const std::vector<AttemptId>& ids, TimePoint now);
+  bool MayHaveStarted(const Request& it) const;
   void TickRequest(Request& it, TimePoint now);
   void TickAttempt(Request& it, TimePoint now);
   void SendPendingCancels(SideTable::Side& side);
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -412,13 +412,21 @@
   sides_.DropAbsent(kForgetSideAfter, now);
 }
 
+bool RequestFlow::MayHaveStarted(const Request& it) const {
+  if (!it.attempt) {
+    return false;
+  }
+  return !hooks_.may_have_started ||
+         hooks_.may_have_started(it.attempt->ref().attempt);
+}
+
 void RequestFlow::TickRequest(Request& it, TimePoint now) {
   if (now >= it.request->deadline) {
     // Of a key whose home has not answered yet, an earlier request may have
     // run, so "not-run" would be a guess.
     const bool unasked = it.stage == Stage::kClaim &&
                          it.request->repeatability == Repeatability::kKeyed;
-    it.may_have_run = it.may_have_run || unasked || it.attempt.has_value();
+    it.may_have_run = it.may_have_run || unasked || MayHaveStarted(it);
     ReleaseAttempt(it, AttemptOutcome::kDeadline, true, now);
     Refuse(it,
            {504, RunState::kNotRun, "deadline",
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -131,6 +131,11 @@
   return it == runs_.end() ? nullptr : &it->second;
 }
 
+bool DirectCarrier::MayHaveStarted(const AttemptId& attempt) const {
+  const auto it = runs_.find(attempt);
+  return it == runs_.end() || it->second.written;
+}
+
 void DirectCarrier::Act(const SendStart& action) {
   const SideInfo* side = flow_->FindSide(action.link);
   if (!side || !ClientOf(side->instance)) {
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -83,6 +83,8 @@
   TargetClient* ClientOf(const std::string& instance);
   const TargetRecord* FindTarget(const std::string& instance) const;
   std::size_t running() const { return runs_.size(); }
+  /// Returns false if nothing of the call that runs the attempt was written.
+  bool MayHaveStarted(const AttemptId& attempt) const;
 
  private:
   struct Target {
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -113,6 +113,9 @@
   hooks.spend_retry = [this](const CallerRequest& request, TimePoint) {
     return SpendRetry(request);
   };
+  hooks.may_have_started = [this](const AttemptId& id) {
+    return carrier_.MayHaveStarted(id);
+  };
   hooks.on_sent = [this](const CallerRequest& request, const AttemptId& id,
                          const SideInfo& side,
                          TimePoint now) { OnSent(request, id, side, now); };
--- a/tests/platform/caller_words_test.cc
+++ b/tests/platform/caller_words_test.cc
@@ -125,6 +125,18 @@
     CHECK(answer.status == 503);
     CHECK(FindHeader(answer.headers, "Retry-After") == "0.350");
   }
+  SECTION("time that ran out before it was sent: not run, and may come back") {
+    const WholeAnswer answer = callers.render_refusal(
+        {504, RunState::kNotRun, "deadline", "", Duration{0}}, "id");
+    CHECK(answer.status == 503);
+    CHECK(FindHeader(answer.headers, "Retry-After") == "0.400");
+  }
+  SECTION("time that ran out afterwards: nothing") {
+    const WholeAnswer answer = callers.render_refusal(
+        {504, RunState::kUnknown, "deadline", "", Duration{0}}, "id");
+    CHECK(answer.status == 504);
+    CHECK(FindHeader(answer.headers, "Retry-After").empty());
+  }
   for (const int status : {408, 421, 429, 503}) {
     INFO(status);
     refusal.status = status;
--- a/tests/platform/direct_prompt_test.cc
+++ b/tests/platform/direct_prompt_test.cc
@@ -82,6 +82,9 @@
     return *status_;
   }
 
+  /// Returns what the caller was told of its run, if it was refused.
+  std::optional<RunState> run_state() const { return run_; }
+
   std::size_t reads() const { return reader_.requests().size(); }
   std::size_t near_runs() const { return near_.requests().size(); }
   std::size_t far_runs() const { return far_.requests().size(); }
@@ -120,6 +123,7 @@
         status_ = whole->answer.status;
       } else if (const auto* refusal = std::get_if<AnswerRefusal>(&message)) {
         status_ = refusal->refusal.status;
+        run_ = refusal->refusal.run;
       }
     };
     return hooks;
@@ -131,6 +135,7 @@
   ScriptedServer near_;
   ScriptedServer far_;
   std::optional<int> status_;
+  std::optional<RunState> run_;
   DirectDispatcher dispatcher_;
 };
 
@@ -156,6 +161,18 @@
   }
 }
 
+// The time of a request runs out while its prompt is read, or while it waits
+// for a connection. Nothing has been sent that runs it, and nothing will be:
+// its caller must learn that, or it could not repeat what may run once only.
+TEST_CASE("A request whose time runs out before it is sent has not run") {
+  Scene scene({{Kind::kSleep, ""}});
+  scene.Ask();
+  scene.AwaitStatus();
+  CHECK(scene.reads() >= 1);
+  CHECK(scene.near_runs() + scene.far_runs() == 0);
+  CHECK(scene.run_state() == RunState::kNotRun);
+}
+
 // A reader fails every prompt. A further attempt arrives at a reader and at an
 // engine for the answer, and where arrivals are counted both count: charged
 // one, a fleet with a broken reader sends twice what its budget allows.
--- a/tests/shell/direct_world_test.cc
+++ b/tests/shell/direct_world_test.cc
@@ -15,12 +15,13 @@
 
 // What callers and operators are promised, whatever fails and in what order:
 // - a request that may run once runs once at most, and is never told that it
-//   has not run, or never will, if it has or does;
+//   has not run, or never will, if it has or does; nor that it may have run if
+//   it was not sent;
 // - an answer is that of its request and whole; a stream's events come in
 //   order, each once, and a stream that ends as whole is;
 // - each caller gets one final answer, by its deadline;
 // - nothing goes to a target that the entry knows to be leaving, or for a
-//   caller that has left;
+//   caller that has left, and no target goes on working for one;
 // - attempts keep to the route's number and to the retry budget;
 // - nothing stays behind.
 // More worlds by hand: INDIGOLEAD_FIRST_WORLD and INDIGOLEAD_WORLDS.
--- a/tests/support/direct_world.cc
+++ b/tests/support/direct_world.cc
@@ -164,6 +164,8 @@
   std::set<std::string> handles;
 };
 
+struct Call;
+
 /// One request, as its caller and the targets see it.
 struct Ledger {
   Kind kind = Kind::kSafe;
@@ -179,6 +181,7 @@
   bool cut = false;
   std::optional<TimePoint> gone_at;
   std::string body;
+  std::vector<std::weak_ptr<Call>> calls;
 };
 
 /// One call on its way.
@@ -230,6 +233,7 @@
                  const std::string& address);
   void StartEntry(int number);
   void CheckBudget(const Entry& entry);
+  void CheckClosed(const std::string& id);
   void TickEntry(int number);
   void TellTargets(int number);
   void ToEntry(int number, std::uint64_t life, std::function<void()> function);
@@ -412,6 +416,15 @@
   }
 }
 
+void World::CheckClosed(const std::string& id) {
+  for (const auto& it : ledgers_[id].calls) {
+    const auto call = it.lock();
+    if (call && call->open && !call->ended) {
+      Violate("gone: a target still works for the caller of " + id);
+    }
+  }
+}
+
 void World::CheckBudget(const Entry& entry) {
   for (const auto& [service, further] : entry.further) {
     const auto requests = entry.requests.find(service);
@@ -437,6 +450,10 @@
         ledger->kind == Kind::kSafe || ledger->kind == Kind::kUnsafe
             ? WholeAnswerText(id)
             : WholeStream(id);
+    if (whole->answer.status == 421 || whole->answer.status == 503) {
+      Violate("refusal: a target's " + std::to_string(whole->answer.status) +
+              " is passed on as an answer to " + id);
+    }
     if (whole->answer.status == 200 && whole->answer.body != expected) {
       Violate("mixed: " + id + " got \"" + whole->answer.body + "\"");
     }
@@ -482,6 +499,10 @@
   Finish(ledger);
   if (refusal.run != RunState::kNotRun) {
     ++report_.unknown;
+    if (ledger->sends == 0) {
+      Violate("doubt: " + id + " is told that it may have run (" +
+              refusal.code + "), and was not sent");
+    }
     return;
   }
   ++report_.refused;
@@ -538,6 +559,7 @@
             if (gone.finals == 0) {
               gone.gone_at = time_.now();
               entries_[number].dispatcher->OnCallerGone(request->id);
+              CheckClosed(id);
             }
           });
         });
@@ -643,7 +665,8 @@
   const std::string instance = FieldOf(call->request, kInstance);
   const std::string id = FieldOf(call->request, kId);
   if (!id.empty()) {
-    const Ledger& ledger = ledgers_[id];
+    Ledger& ledger = ledgers_[id];
+    ledger.calls.push_back(call);
     if (entries_[call->entry].told_leaving.count(instance) > 0) {
       Violate("drain: " + id + " is sent to " + instance + ", which leaves");
     }
