--- a/tests/platform/fault_table_process_test.cc
+++ b/tests/platform/fault_table_process_test.cc
@@ -216,17 +216,6 @@
          "X-Prefix-Hash: 5c:80,91:20\r\nContent-Length: 6\r\n\r\n";
 }
 
-/// Returns the value of a counter of the entry's metrics.
-std::string CounterOf(PlatformScene* scene, const std::string& name) {
-  const std::string text =
-      HttpCall(scene->metrics_address, "GET", "/metrics").body;
-  const auto at = text.find("\n" + name + " ");
-  const auto end = text.find('\n', at + 1);
-  return at == std::string::npos
-             ? ""
-             : text.substr(at + name.size() + 2, end - at - name.size() - 2);
-}
-
 // A caller misbehaves. It harms itself only: nothing runs that was not asked
 // for whole, and the entry serves the next one.
 TEST_CASE("Faults of a caller, by kind of request") {
@@ -276,8 +265,7 @@
     }
     CHECK(WaitUntil(
         [&] {
-          return CounterOf(&scene, "indigolead_requests_abandoned_total") ==
-                 "1";
+          return scene.Metric("indigolead_requests_abandoned_total") == "1";
         },
         seconds(2)));
     CHECK(scene.Runs("r-1") == 1);
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -66,6 +66,9 @@
   entry.emplace("indigolead", std::vector<std::string>{
                                   "platform-entry", "--metrics_port=" + port});
   REQUIRE(WaitUntil([&] { return Ready(); }));
+  // Until it has counted the entries it makes next to no further attempts.
+  REQUIRE(
+      WaitUntil([&] { return Metric("indigolead_entries_counted") == "1"; }));
 }
 
 PlatformScene::~PlatformScene() { std::filesystem::remove(settings_); }
@@ -74,6 +77,15 @@
   return HttpCall(ready_address, "GET", "/api/readyz").status == 200;
 }
 
+std::string PlatformScene::Metric(const std::string& name) {
+  const std::string text = HttpCall(metrics_address, "GET", "/metrics").body;
+  const auto at = text.find("\n" + name + " ");
+  const auto end = text.find('\n', at + 1);
+  return at == std::string::npos
+             ? ""
+             : text.substr(at + name.size() + 2, end - at - name.size() - 2);
+}
+
 HttpAnswer PlatformScene::Ask(const std::string& method,
                               const std::string& path, const std::string& id,
                               int deadline_ms) {
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -39,6 +39,9 @@
 
   bool Ready();
 
+  /// Returns the value of a counter or gauge of the entry; empty if absent.
+  std::string Metric(const std::string& name);
+
   HttpAnswer Ask(const std::string& method, const std::string& path,
                  const std::string& id, int deadline_ms = 4000);
 
