--- /dev/null
+++ b/src/core/request/request_flow_time.cc
@@ -0,0 +1,179 @@
+// What sides that come and go, and time alone, do to requests.
+
+#include <algorithm>
+#include <utility>
+
+#include "core/request/header_fields.h"
+#include "core/request/request_flow.h"
+
+namespace indigolead {
+namespace {
+
+/// Absence after which a side without attempts is forgotten.
+constexpr Duration kForgetSideAfter = std::chrono::minutes(5);
+
+bool StatesLength(const std::vector<HeaderField>& headers) {
+  return !FindHeader(headers, "content-length").empty();
+}
+
+}  // namespace
+
+void RequestFlow::OnSideUp(SideLink link, SideInfo info, TimePoint now) {
+  const SideTable::UpResult up = sides_.Up(link, std::move(info));
+  if (up.side == nullptr) {
+    return;
+  }
+  LoseAttempts(up.lost, now);
+  SendPendingCancels(*up.side);
+  if (!up.lost.empty()) {
+    return;
+  }
+  for (const AttemptId& id : up.side->attempts) {
+    Request& it = requests_.at(attempts_.at(id));
+    it.attempt->heard_at = now;
+    AskAgain(it, link, now);
+  }
+}
+
+void RequestFlow::SendPendingCancels(SideTable::Side& side) {
+  for (const AttemptRef& ref : side.pending_cancels) {
+    actions_.push_back(SendCancel{*side.link, ref});
+  }
+  side.pending_cancels.clear();
+}
+
+void RequestFlow::OnCancelNotSent(SideLink link, const AttemptRef& ref) {
+  SideTable::Side* side = sides_.FindByLink(link);
+  if (side != nullptr &&
+      side->pending_cancels.size() < options_.max_pending_cancels) {
+    side->pending_cancels.push_back(ref);
+  }
+}
+
+void RequestFlow::LoseAttempts(const std::vector<AttemptId>& ids,
+                               TimePoint now) {
+  for (const AttemptId& id : ids) {
+    const auto found = attempts_.find(id);
+    if (found != attempts_.end()) {
+      EndAttempt(requests_.at(found->second), Ending::kAmbiguous,
+                 AttemptOutcome::kTargetFailed,
+                 Because("side_lost", "The side beside the target restarted."),
+                 now);
+    }
+  }
+}
+
+void RequestFlow::OnSideDown(SideLink link, TimePoint now) {
+  sides_.Down(link, now);
+}
+
+void RequestFlow::OnSideChanged(SideLink link, const SideInfo& info,
+                                TimePoint /*now*/) {
+  if (SideTable::Side* side = sides_.FindByLink(link)) {
+    side->info = info;
+  }
+}
+
+void RequestFlow::OnLeaving(const std::string& instance, bool leaving,
+                            TimePoint /*now*/) {
+  sides_.SetLeaving(instance, leaving);
+}
+
+void RequestFlow::OnDrains(const std::vector<std::string>& instances,
+                           TimePoint /*now*/) {
+  sides_.SetDrains(instances);
+}
+
+const SideInfo* RequestFlow::FindSide(SideLink link) const {
+  const SideTable::Side* side = sides_.FindByLink(link);
+  return side == nullptr ? nullptr : &side->info;
+}
+
+void RequestFlow::Tick(TimePoint now) {
+  for (auto& [name, side] : sides_.sides()) {
+    if (side.link) {
+      SendPendingCancels(side);
+    }
+  }
+  tick_ids_.clear();
+  for (const auto& [id, it] : requests_) {
+    tick_ids_.push_back(id);
+  }
+  for (const RequestId& id : tick_ids_) {
+    const auto found = requests_.find(id);
+    if (found != requests_.end()) {
+      TickRequest(found->second, now);
+    }
+  }
+  sides_.DropAbsent(kForgetSideAfter, now);
+}
+
+bool RequestFlow::MayHaveStarted(const Request& it) const {
+  if (!it.attempt) {
+    return false;
+  }
+  return !hooks_.may_have_started ||
+         hooks_.may_have_started(it.attempt->ref().attempt);
+}
+
+void RequestFlow::TickRequest(Request& it, TimePoint now) {
+  if (now >= it.request->deadline) {
+    // Of a key whose home has not answered yet, an earlier request may have
+    // run, so "not-run" would be a guess.
+    const bool unasked = it.stage == Stage::kClaim &&
+                         it.request->repeatability == Repeatability::kKeyed;
+    it.may_have_run = it.may_have_run || unasked || MayHaveStarted(it);
+    ReleaseAttempt(it, AttemptOutcome::kDeadline, true, now);
+    Refuse(it,
+           {504, RunState::kNotRun, "deadline",
+            "The answer was not whole before the request's deadline."},
+           now);
+    return;
+  }
+  if (it.stage == Stage::kRoute) {
+    if (now >= it.route_after) {
+      Route(it, now);
+    }
+    return;
+  }
+  if (it.head_taken && !it.head_delivered &&
+      now - it.held_since >= options_.max_hold &&
+      !StatesLength(it.answer.headers)) {
+    DeliverHead(it);
+  }
+  if (it.attempt) {
+    TickAttempt(it, now);
+  }
+}
+
+void RequestFlow::TickAttempt(Request& it, TimePoint now) {
+  Attempt& attempt = *it.attempt;
+  const SideTable::Side* side = sides_.Find(attempt.instance());
+  if (!side->link) {
+    const Duration absent = now - side->absent_since;
+    // Waiting costs an idempotent request time and sending it elsewhere costs
+    // nothing but work, so it does not wait for the side's return.
+    const bool retry = absent >= options_.absence_grace &&
+                       MayRetry(it, Ending::kAmbiguous, now);
+    if (retry || absent >= options_.resume_timeout) {
+      FinishAttempt(
+          it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
+          Because("side_absent", "The target's side is out of reach."), retry,
+          now);
+    }
+    return;
+  }
+  GrantCredit(it, 0);  // Credit that a full queue refused earlier.
+  if (now - attempt.heard_at < options_.probe_interval) {
+    return;
+  }
+  if (now - attempt.heard_at >= options_.resume_timeout) {
+    EndAttempt(it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
+               Because("side_silent", "The side says nothing of the request."),
+               now);
+  } else if (now - attempt.asked_at >= options_.probe_interval) {
+    AskAgain(it, *side->link, now);
+  }
+}
+
+}  // namespace indigolead
--- a/src/core/request/request_types.h
+++ b/src/core/request/request_types.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -234,6 +235,14 @@
   std::string detail;
 };
 
+/// Returns a refusal with its code and what an operator reads of it.
+inline SideRefusal Because(std::string code, std::string detail) {
+  SideRefusal why;
+  why.code = std::move(code);
+  why.detail = std::move(detail);
+  return why;
+}
+
 }  // namespace indigolead
 
 #endif  // INDIGOLEAD_CORE_REQUEST_REQUEST_TYPES_H_
