--- /dev/null
+++ b/src/entry/direct_dispatcher_log.cc
@@ -0,0 +1,78 @@
+// What an entry's dispatcher tells of its requests' ends: lines and metrics.
+
+#include "entry/direct_dispatcher.h"
+#include "entry/event_fields.h"
+#include "entry/events.h"
+
+namespace indigolead {
+namespace {
+
+double Seconds(Duration length) {
+  return std::chrono::duration<double>(length).count();
+}
+
+}  // namespace
+
+void DirectDispatcher::LogEnd(const RequestAction& action) {
+  if (const auto* head = std::get_if<AnswerHead>(&action)) {
+    const auto it = open_.find(head->request);
+    if (it != open_.end()) {
+      it->second.streaming = true;
+      answer_seconds_.Record(
+          Seconds(clock_() - it->second.request->received_at));
+    }
+  } else if (const auto* end = std::get_if<AnswerEnd>(&action)) {
+    LogAnswered(end->request, 200);
+  } else if (const auto* whole = std::get_if<AnswerWhole>(&action)) {
+    LogAnswered(whole->request, whole->answer.status);
+  } else if (const auto* refusal = std::get_if<AnswerRefusal>(&action)) {
+    LogRefused(refusal->request, refusal->refusal);
+  } else if (const auto* abort = std::get_if<AnswerAbort>(&action)) {
+    LogRefused(abort->request, abort->refusal);
+  }
+}
+
+void DirectDispatcher::LogAnswered(const RequestId& id, int status) {
+  const auto it = open_.find(id);
+  if (it == open_.end()) {
+    return;
+  }
+  const Open& open = it->second;
+  const Duration after = clock_() - open.request->received_at;
+  answered_.Add();
+  if (!open.streaming) {
+    answer_seconds_.Record(Seconds(after));
+  }
+  log_(kRequestAnswered, {{"request", open.request->caller_id},
+                          {"route", open.request->route},
+                          {"status", std::to_string(status)},
+                          {"target", open.last_target},
+                          {"attempts", std::to_string(open.attempts)},
+                          {"after_ms", Milliseconds(after)}});
+  CloseRequest(id);
+}
+
+void DirectDispatcher::LogRefused(const RequestId& id, const Refusal& refusal) {
+  const auto it = open_.find(id);
+  if (it == open_.end()) {
+    return;
+  }
+  const Open& open = it->second;
+  const Duration after = clock_() - open.request->received_at;
+  (refusal.run == RunState::kNotRun ? refused_ : broken_).Add();
+  refusal_seconds_.Record(Seconds(after));
+  log_(kRequestRefused, {{"request", open.request->caller_id},
+                         {"route", open.request->route},
+                         {"code", refusal.code},
+                         {"run", std::string(RunStateName(refusal.run))},
+                         {"target", open.last_target},
+                         {"attempts", std::to_string(open.attempts)},
+                         {"retry_after_ms", Milliseconds(refusal.retry_after)},
+                         {"after_ms", Milliseconds(after)},
+                         {"detail", refusal.message}});
+  CloseRequest(id);
+}
+
+void DirectDispatcher::CloseRequest(const RequestId& id) { open_.erase(id); }
+
+}  // namespace indigolead
--- a/src/entry/target_dialect.h
+++ b/src/entry/target_dialect.h
@@ -10,7 +10,8 @@
 #include "core/base/time.h"
 #include "core/membership/target_directory.h"
 #include "core/request/request_types.h"
-#include "target/http_target_client.h"
+#include "target/fetch_answer.h"
+#include "target/target_client.h"
 
 namespace indigolead {
 
--- a/src/side/target_monitor.cc
+++ b/src/side/target_monitor.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "target/fetch_answer.h"
 #include "target/http_target_client.h"
 
 namespace indigolead {
--- /dev/null
+++ b/tests/support/direct_world/targets.cc
@@ -0,0 +1,247 @@
+#include "tests/support/direct_world/words.h"
+#include "tests/support/direct_world/world.h"
+
+namespace indigolead::testing::direct_world {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Target* World::At(const std::string& address) {
+  for (const auto& it : targets_) {
+    if (it->alive && it->record.address == address) {
+      return it.get();
+    }
+  }
+  return nullptr;
+}
+
+void World::StartCall(const std::shared_ptr<Call>& call) {
+  const std::string instance = FieldOf(call->request, kInstance);
+  const std::string id = FieldOf(call->request, kId);
+  if (!id.empty()) {
+    Ledger& ledger = ledgers_[id];
+    ledger.calls.push_back(call);
+    if (entries_[call->entry].told_leaving.count(instance) > 0) {
+      Violate("drain: " + id + " is sent to " + instance + ", which leaves");
+    }
+    if (ledger.gone_at) {
+      Violate("gone: " + id + " is sent after its caller has left");
+    }
+  }
+  time_.After(call->request.deadline,
+              [this, call] { End(call, ErrorCode::kTimeout); });
+  const Target* target = At(call->address);
+  if (!target || Chance(0.03)) {
+    // Nobody answers there, or the connection is refused.
+    const bool hangs = Chance(0.5);
+    time_.After(hangs ? kConnectTimeout : microseconds(300),
+                [this, call] { End(call, ErrorCode::kUnavailable); });
+    return;
+  }
+  time_.After(Between(microseconds(100), milliseconds(3)), [this, call] {
+    ToEntry(call->entry, call->life, [this, call] {
+      if (!call->open || call->ended) {
+        return;
+      }
+      if (call->hooks.on_before_write && !call->hooks.on_before_write()) {
+        return;
+      }
+      call->written = true;
+      const std::string id = FieldOf(call->request, kId);
+      if (!id.empty()) {
+        Ledger& ledger = ledgers_[id];
+        Entry& entry = entries_[call->entry];
+        const bool prefill = FieldOf(call->request, kOperation) == "prefill";
+        int& count = prefill ? ledger.prefills : ledger.sends;
+        const bool further = ++count > 1;
+        entry.further[ledger.service] += further ? 1 : 0;
+        report_.retries += further && !prefill ? 1 : 0;
+      }
+      time_.After(Chance(0.02) ? Between(milliseconds(100), seconds(1))
+                               : Between(microseconds(100), milliseconds(2)),
+                  [this, call] { Arrive(call); });
+    });
+  });
+}
+
+void World::End(const std::shared_ptr<Call>& call, ErrorCode code) {
+  ToEntry(call->entry, call->life, [call, code] {
+    if (call->open && !call->ended) {
+      call->ended = true;
+      call->hooks.on_end(Error{code, "target.call", call->address, "world"});
+    }
+  });
+}
+
+void World::Body(const std::shared_ptr<Call>& call, std::string data) {
+  ToEntry(call->entry, call->life, [call, data = std::move(data)] {
+    if (call->open && !call->ended) {
+      call->hooks.on_body(data);
+    }
+  });
+}
+
+void World::Answer(const std::shared_ptr<Call>& call, int status,
+                   std::string body) {
+  ToEntry(call->entry, call->life, [call, status, body = std::move(body)] {
+    if (call->open && !call->ended) {
+      call->hooks.on_head(status,
+                          {{"Content-Length", std::to_string(body.size())}});
+    }
+    if (call->open && !call->ended && !body.empty()) {
+      call->hooks.on_body(body);
+    }
+    if (call->open && !call->ended) {
+      call->ended = true;
+      call->hooks.on_end(Unit{});
+    }
+  });
+}
+
+void World::Arrive(const std::shared_ptr<Call>& call) {
+  if (!call->open && Chance(0.5)) {
+    return;  // Its close overtook it.
+  }
+  Target* target = At(call->address);
+  if (!target) {
+    End(call, ErrorCode::kUnknownEffect);
+    return;
+  }
+  if (target->frozen) {
+    // Read once it wakes, if it does, whether or not anybody waits.
+    time_.After(milliseconds(50), [this, call] { Arrive(call); });
+    return;
+  }
+  const std::string operation = FieldOf(call->request, kOperation);
+  if (operation == "release") {
+    target->handles.erase(FieldOf(call->request, kSource));
+    Answer(call, 200, "");
+  } else if (FieldOf(call->request, kInstance) != target->record.id) {
+    Answer(call, 421, "");
+  } else if (operation == "prefill") {
+    Prefill(call, target);
+  } else {
+    Run(call, target);
+  }
+}
+
+void World::Prefill(const std::shared_ptr<Call>& call, Target* target) {
+  if (target->record.role != EngineRole::kPrefill) {
+    Answer(call, 421, "");
+    return;
+  }
+  if (Chance(0.04)) {
+    Answer(call, Chance(0.5) ? 503 : 500, "");
+    return;
+  }
+  if (Chance(0.03)) {
+    End(call, ErrorCode::kUnknownEffect);
+    return;
+  }
+  if (Chance(0.02)) {
+    return;  // Silent.
+  }
+  const std::string handle = "h" + std::to_string(++target->handles_made);
+  target->handles.insert(handle);
+  time_.After(Between(milliseconds(5), milliseconds(200)),
+              [this, call, handle] { Answer(call, 200, handle); });
+}
+
+bool World::TakeSource(const std::string& source) {
+  const auto slash = source.find('/');
+  Target* from = At(source.substr(0, slash));
+  return from && from->handles.erase(source.substr(slash + 1)) > 0;
+}
+
+void World::CountRun(const std::string& id) {
+  Ledger& ledger = ledgers_[id];
+  ++ledger.runs;
+  const bool may_run_once =
+      ledger.kind == Kind::kUnsafe || ledger.kind == Kind::kStream;
+  if (may_run_once && ledger.runs > 1) {
+    Violate("twice: " + id + " runs " + std::to_string(ledger.runs) + " times");
+  }
+  if (may_run_once && ledger.told_not_run) {
+    Violate("denied: " + id + " runs after it was told that it never will");
+  }
+  if (ledger.runs > static_cast<int>(kMaxAttempts)) {
+    Violate("attempts: " + id + " runs " + std::to_string(ledger.runs) +
+            " times");
+  }
+}
+
+void World::Run(const std::shared_ptr<Call>& call, Target* target) {
+  const std::string id = FieldOf(call->request, kId);
+  const bool is_engine = target->record.service == "llm";
+  if (is_engine && target->record.role == EngineRole::kPrefill) {
+    Answer(call, 421, "");
+    return;
+  }
+  const std::string source = FieldOf(call->request, kSource);
+  if (Chance(0.04) || (!source.empty() && !TakeSource(source))) {
+    Answer(call, 503, "");
+    return;
+  }
+  CountRun(id);
+  const double fault = ToUnitInterval(random_());
+  if (fault < 0.03) {
+    End(call, ErrorCode::kUnknownEffect);  // The answer is lost.
+    return;
+  }
+  if (fault < 0.05) {
+    return;  // Silent for good.
+  }
+  if (fault < 0.07) {
+    time_.After(milliseconds(10), [this, call] { Answer(call, 500, "oops"); });
+    return;
+  }
+  if (!is_engine) {
+    time_.After(Between(milliseconds(1), milliseconds(60)),
+                [this, call, id] { Answer(call, 200, WholeAnswerText(id)); });
+    return;
+  }
+  const std::string resume = FieldOf(call->request, kResume);
+  const int first = resume.empty() ? 1 : std::stoi(resume) + 1;
+  report_.resumed += resume.empty() ? 0 : 1;
+  const int breaks_at =
+      Chance(0.1) ? first + static_cast<int>(Below(4)) : 1000000;
+  time_.After(Between(milliseconds(1), milliseconds(80)), [this, call, id,
+                                                           first, breaks_at] {
+    ToEntry(call->entry, call->life, [call] {
+      if (call->open && !call->ended) {
+        call->hooks.on_head(200, {{"Content-Type", "text/event-stream"}});
+      }
+    });
+    StreamEvent(call, id, first, breaks_at);
+  });
+}
+
+void World::StreamEvent(const std::shared_ptr<Call>& call,
+                        const std::string& id, int number, int breaks_at) {
+  if (!call->open || call->ended) {
+    return;
+  }
+  if (number > EventsOf(id)) {
+    ToEntry(call->entry, call->life, [call] {
+      if (call->open && !call->ended) {
+        call->ended = true;
+        call->hooks.on_end(Unit{});
+      }
+    });
+    return;
+  }
+  const std::string event = EventText(id, number);
+  if (number == breaks_at) {
+    Body(call, event.substr(0, Below(event.size())));
+    End(call, ErrorCode::kUnknownEffect);
+    return;
+  }
+  Body(call, event);
+  time_.After(Between(milliseconds(2), milliseconds(30)),
+              [this, call, id, number, breaks_at] {
+                StreamEvent(call, id, number + 1, breaks_at);
+              });
+}
+
+}  // namespace indigolead::testing::direct_world
--- /dev/null
+++ b/tests/support/direct_world/words.cc
@@ -0,0 +1,92 @@
+#include "tests/support/direct_world/words.h"
+
+#include <functional>
+
+namespace indigolead::testing::direct_world {
+
+std::string FieldOf(const TargetRequest& request, const char* name) {
+  for (const HttpHeader& it : request.headers) {
+    if (it.name == name) {
+      return it.value;
+    }
+  }
+  return "";
+}
+
+int EventsOf(const std::string& id) {
+  return 3 + static_cast<int>(std::hash<std::string>{}(id) % 6);
+}
+
+std::string EventText(const std::string& id, int number) {
+  const std::string n = std::to_string(number);
+  return "id: " + n + "\ndata: " + id + "-" + n + "\n\n";
+}
+
+std::string WholeStream(const std::string& id) {
+  std::string text;
+  for (int n = 1; n <= EventsOf(id); ++n) {
+    text += EventText(id, n);
+  }
+  return text;
+}
+
+std::string WholeAnswerText(const std::string& id) { return "answer of " + id; }
+
+namespace {
+
+TargetRequest MakeCall(const CallerRequest& request, const TargetRecord& target,
+                       const RunOptions& options, const char* operation) {
+  TargetRequest call;
+  call.headers = {{kInstance, target.id},
+                  {kId, request.caller_id},
+                  {kOperation, operation},
+                  {kResume, options.resume_after}};
+  call.deadline = options.left;
+  return call;
+}
+
+}  // namespace
+
+TargetDialect MakeWorldDialect() {
+  TargetDialect dialect;
+  dialect.run = [](const CallerRequest& request, const TargetRecord& target,
+                   const RunOptions& options) {
+    TargetRequest call = MakeCall(request, target, options, "run");
+    if (options.source) {
+      call.headers.push_back({kSource, options.source->source_address + "/" +
+                                           options.source->name});
+    }
+    return call;
+  };
+  dialect.prefill = [](const CallerRequest& request, const TargetRecord& target,
+                       const RunOptions& options) {
+    return MakeCall(request, target, options, "prefill");
+  };
+  dialect.read_handle = [](const TargetRecord& target,
+                           const TargetAnswer& answer) -> Result<KvHandle> {
+    if (answer.status != 200) {
+      return Error{answer.status == 503 ? ErrorCode::kOverloaded
+                                        : ErrorCode::kUnavailable,
+                   "prefill", target.id, std::to_string(answer.status)};
+    }
+    return KvHandle{target.address, answer.body};
+  };
+  dialect.release = [](const KvHandle& handle) {
+    TargetRequest call;
+    call.headers = {{kOperation, "release"}, {kSource, handle.name}};
+    return call;
+  };
+  dialect.meaning = [](int status, const std::vector<HttpHeader>& /*headers*/) {
+    switch (status) {
+      case 421:
+        return AnswerMeaning::kWrongTarget;
+      case 503:
+        return AnswerMeaning::kNotRun;
+      default:
+        return AnswerMeaning::kAnswer;
+    }
+  };
+  return dialect;
+}
+
+}  // namespace indigolead::testing::direct_world
--- /dev/null
+++ b/tests/support/direct_world/world.h
@@ -0,0 +1,159 @@
+#ifndef INDIGOLEAD_TESTS_SUPPORT_DIRECT_WORLD_WORLD_H_
+#define INDIGOLEAD_TESTS_SUPPORT_DIRECT_WORLD_WORLD_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "entry/direct_dispatcher.h"
+#include "tests/support/direct_world.h"
+#include "tests/support/direct_world/timeline.h"
+
+namespace indigolead::testing::direct_world {
+
+inline constexpr Duration kTick = std::chrono::milliseconds(25);
+inline constexpr Duration kTraffic =
+    std::chrono::seconds(12);  ///< Requests come that long.
+inline constexpr Duration kRest =
+    std::chrono::seconds(12);  ///< Longer than any deadline.
+/// A final answer may come that much after its deadline: two ticks.
+inline constexpr Duration kSlack = std::chrono::milliseconds(60);
+inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
+inline constexpr std::uint32_t kMaxAttempts = 2;
+inline constexpr double kRetryShare = 0.14;
+inline constexpr double kRetryBurst = 6;
+inline constexpr double kRetriesAtStart = 4;
+
+enum class Kind { kSafe, kUnsafe, kStream, kResumable };
+
+/// One target, as it truly is.
+struct Target {
+  TargetRecord record;
+  bool alive = true;
+  bool frozen = false;
+  bool listed = true;
+  std::uint32_t running = 0;
+  std::uint64_t handles_made = 0;
+  std::set<std::string> handles;
+};
+
+struct Call;
+
+/// One request, as its caller and the targets see it.
+struct Ledger {
+  Kind kind = Kind::kSafe;
+  std::string service;
+  TimePoint deadline;
+  int entry = 0;
+  std::uint64_t life = 0;  ///< Of the entry's process that took it.
+  int runs = 0;
+  int sends = 0;     ///< Calls that run it, written.
+  int prefills = 0;  ///< Calls that read its prompt, written.
+  int finals = 0;
+  bool told_not_run = false;
+  bool cut = false;
+  std::optional<TimePoint> gone_at;
+  std::string body;
+  std::vector<std::weak_ptr<Call>> calls;
+};
+
+/// One call on its way.
+struct Call {
+  int entry = 0;
+  std::uint64_t life = 0;
+  std::string address;
+  TargetRequest request;
+  TargetClient::Hooks hooks;
+  bool open = true;  ///< The entry still waits for it.
+  bool written = false;
+  bool ended = false;
+};
+
+/// Entries, callers and targets of one random world.
+class World {
+ public:
+  explicit World(std::uint64_t seed) : random_(MakeSeededRandom(seed)) {}
+
+  DirectWorldReport Play();
+
+  /// Starts a call that an entry makes to `address`.
+  void StartCall(const std::shared_ptr<Call>& call);
+
+ private:
+  struct Entry {
+    std::unique_ptr<DirectDispatcher> dispatcher;
+    std::unique_ptr<MetricsRegistry> metrics;
+    std::uint64_t life = 0;
+    TimePoint frozen_until{};
+    std::vector<std::function<void()>> waiting;  ///< While it is frozen.
+    std::set<std::string> told_leaving;
+    std::map<std::string, int> requests;  ///< Of this life, by service.
+    std::map<std::string, int> further;
+  };
+
+  bool Chance(double p) { return ToUnitInterval(random_()) < p; }
+  std::uint64_t Below(std::uint64_t n) { return random_() % n; }
+  Duration Between(Duration least, Duration most) {
+    return least + std::chrono::duration_cast<Duration>(
+                       (most - least) * ToUnitInterval(random_()));
+  }
+  void Violate(std::string what) {
+    if (report_.violations.size() < 10) {
+      report_.violations.push_back(std::move(what));
+    }
+  }
+
+  void AddTarget(const std::string& service, EngineRole role,
+                 const std::string& address);
+  void StartEntry(int number);
+  void CheckBudget(const Entry& entry);
+  void CheckClosed(const std::string& id);
+  void TickEntry(int number);
+  void TellTargets(int number);
+  void ToEntry(int number, std::uint64_t life, std::function<void()> function);
+  void Freeze(int number, Duration length);
+  void Thaw(int number, std::uint64_t life);
+  void OnToCaller(int number, const ToCallers& message);
+  void Finish(Ledger* ledger);
+  void Refused(const std::string& id, Ledger* ledger, const Refusal& refusal);
+
+  void NextRequest();
+  void NextTrouble();
+  void CrashTarget(Target* target);
+
+  Target* At(const std::string& address);
+  Target* RandomTarget();
+  void End(const std::shared_ptr<Call>& call, ErrorCode code);
+  void Answer(const std::shared_ptr<Call>& call, int status, std::string body);
+  void Arrive(const std::shared_ptr<Call>& call);
+  void Prefill(const std::shared_ptr<Call>& call, Target* target);
+  void Run(const std::shared_ptr<Call>& call, Target* target);
+  bool TakeSource(const std::string& source);
+  void CountRun(const std::string& id);
+  void StreamEvent(const std::shared_ptr<Call>& call, const std::string& id,
+                   int number, int breaks_at);
+  void Body(const std::shared_ptr<Call>& call, std::string data);
+
+  RandomSource random_;
+  Timeline time_;
+  boost::asio::io_context io_;
+  std::vector<std::unique_ptr<Target>> targets_;
+  std::map<int, Entry> entries_;
+  std::map<std::string, Ledger> ledgers_;
+  std::map<RequestId, std::string> names_;
+  std::uint64_t next_target_ = 0;
+  std::uint64_t next_request_ = 0;
+  std::uint64_t next_life_ = 0;
+  std::uint64_t next_id_ = 0;
+  bool store_down_ = false;
+  DirectWorldReport report_;
+};
+
+}  // namespace indigolead::testing::direct_world
+
+#endif  // INDIGOLEAD_TESTS_SUPPORT_DIRECT_WORLD_WORLD_H_
