Leave targets alone whose calls break one after the other

Change: FailureGuard, on what the carrier sees of calls: two broken ones in a row, none good between, and the target gets work for a second only where no other can; doubled up to 4 s. A call that ran out of time counts as neither (engines that say nothing have a bound of their own), nor does a target's own 5xx.

--- a/src/core/placement/engine_placement.cc
+++ b/src/core/placement/engine_placement.cc
@@ -133,9 +133,10 @@
       continue;
     }
     const EngineState* state = Find(it.instance);
-    const bool avoided = it.tried || (state && (now < state->avoid_until ||
-                                                now < state->full_until ||
-                                                IsStalled(*state, now)));
+    const bool avoided =
+        it.tried || it.avoided ||
+        (state && (now < state->avoid_until || now < state->full_until ||
+                   IsStalled(*state, now)));
     (avoided ? second_choice : usable).push_back(&it);
   }
   return usable.empty() ? second_choice : usable;
--- a/src/core/placement/engine_placement.h
+++ b/src/core/placement/engine_placement.h
@@ -22,7 +22,8 @@
   std::string instance;
   std::string failure_domain;
   EngineRole role = EngineRole::kMixed;
-  bool tried = false;  ///< An earlier attempt of this request went there.
+  bool tried = false;    ///< An earlier attempt of this request went there.
+  bool avoided = false;  ///< Its calls have broken one after the other.
 
   friend bool operator==(const PlacementEngine&,
                          const PlacementEngine&) = default;
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -187,6 +187,7 @@
   if (!run) {
     return;
   }
+  TellCallEnd(reader, IsOk(answer) ? Status(Unit{}) : Status(ErrorOf(answer)));
   if (!IsOk(answer)) {
     RefuseRun(id, "prefill_failed", false, ToString(ErrorOf(answer)));
     return;
@@ -299,6 +300,7 @@
   if (!run) {
     return;
   }
+  TellCallEnd(run->instance, status);
   if (run->refused) {
     const bool full = *run->refused == AnswerMeaning::kNotRun;
     RefuseRun(id, full ? "target_full" : "wrong_target", full,
@@ -328,6 +330,15 @@
   flow_->OnEnd(link, id, end, clock_());
 }
 
+void DirectCarrier::TellCallEnd(const std::string& instance,
+                                const Status& status) {
+  const bool ran_out =
+      !IsOk(status) && ErrorOf(status).code == ErrorCode::kTimeout;
+  if (hooks_.on_call_end && !ran_out) {
+    hooks_.on_call_end(instance, !IsOk(status));
+  }
+}
+
 void DirectCarrier::RefuseRun(const AttemptId& id, std::string code,
                               bool overloaded, std::string detail) {
   const auto node = runs_.extract(id);
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -59,6 +59,9 @@
     std::function<std::optional<std::string>(const AttemptId&,
                                              const CallerRequest&)>
         choose_runner;
+    /// A call to a target ended as it should, or broke: its connection was
+    /// lost or could not be made. A call that ran out of time is neither.
+    std::function<void(const std::string& instance, bool broke)> on_call_end;
     /// Called after the flow was told something.
     std::function<void()> flush;
   };
@@ -124,6 +127,7 @@
   void OnHead(const AttemptId& id, int status, std::vector<HttpHeader> headers);
   void OnBody(const AttemptId& id, std::string_view data);
   void OnEnd(const AttemptId& id, const Status& status);
+  void TellCallEnd(const std::string& instance, const Status& status);
   void RefuseRun(const AttemptId& id, std::string code, bool overloaded,
                  std::string detail);
   void FreeHandle(const KvHandle& handle);
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -39,17 +39,6 @@
   return "removed";
 }
 
-std::vector<PlacementEngine> EnginesOf(
-    const std::vector<Candidate>& candidates) {
-  std::vector<PlacementEngine> engines;
-  engines.reserve(candidates.size());
-  for (const Candidate& it : candidates) {
-    engines.push_back({it.side->instance, it.side->failure_domain,
-                       RoleOf(*it.side), it.tried});
-  }
-  return engines;
-}
-
 Refusal NoTarget(const std::string& service) {
   // Lost engines are replaced, or change their role, within seconds.
   return {503, RunState::kNotRun, "no_target",
@@ -73,6 +62,7 @@
       carrier_(io, &flow_, options_.carrier, std::move(dialect), CarrierHooks(),
                clock, log),
       directory_(options_.directory),
+      guard_(options_.guard),
       answered_(metrics->AddCounter("indigolead_requests_answered_total",
                                     "Requests answered by a target.")),
       refused_(metrics->AddCounter("indigolead_requests_refused_total",
@@ -135,6 +125,9 @@
                                const CallerRequest& request) {
     return ChooseRunner(id, request);
   };
+  hooks.on_call_end = [this](const std::string& instance, bool broke) {
+    OnCallEnd(instance, broke);
+  };
   hooks.flush = [this] { Flush(); };
   return hooks;
 }
@@ -215,6 +208,7 @@
     carrier_.OnTarget(it);
     if (it.kind == TargetChange::Kind::kRemoved) {
       PlacementOf(it.target.service).Forget(it.target.id);
+      guard_.Forget(it.target.id);
     }
     if (hooks_.on_target) {
       hooks_.on_target(it);
@@ -241,13 +235,13 @@
   if (traits && traits->engine) {
     return RouteToEngine(request, candidates, now);
   }
-  return RouteToService(candidates);
+  return RouteToService(candidates, now);
 }
 
 std::optional<std::string> DirectDispatcher::ChooseRunner(
     const AttemptId& id, const CallerRequest& request) {
   const auto engines =
-      EnginesOf(flow_.sides().CandidatesFor(request.deployment, {}));
+      EnginesOf(flow_.sides().CandidatesFor(request.deployment, {}), clock_());
   auto runner =
       PlacementOf(request.deployment).PlaceDecode(id, engines, clock_());
   log_(kRunnerChosen,
@@ -260,12 +254,36 @@
   return runner;
 }
 
+std::vector<PlacementEngine> DirectDispatcher::EnginesOf(
+    const std::vector<Candidate>& candidates, TimePoint now) const {
+  std::vector<PlacementEngine> engines;
+  engines.reserve(candidates.size());
+  for (const Candidate& it : candidates) {
+    const std::string& instance = it.side->instance;
+    engines.push_back({instance, it.side->failure_domain, RoleOf(*it.side),
+                       it.tried, guard_.IsAvoided(instance, now)});
+  }
+  return engines;
+}
+
+void DirectDispatcher::OnCallEnd(const std::string& instance, bool broke) {
+  if (!broke) {
+    guard_.OnGood(instance);
+    return;
+  }
+  const Duration avoided = guard_.OnBroken(instance, clock_());
+  if (avoided > Duration{0}) {
+    log_(kTargetAvoided,
+         {{"target", instance}, {"for_ms", Milliseconds(avoided)}});
+  }
+}
+
 RouteResult DirectDispatcher::RouteToEngine(
     const CallerRequest& request, const std::vector<Candidate>& candidates,
     TimePoint now) {
   const PlacementDecision decision =
       PlacementOf(request.deployment)
-          .Place(request, EnginesOf(candidates), now);
+          .Place(request, EnginesOf(candidates, now), now);
   if (const auto* busy = std::get_if<EnginesBusy>(&decision)) {
     return Refusal{
         503, RunState::kNotRun, "engines_busy",
@@ -282,15 +300,16 @@
 }
 
 RouteResult DirectDispatcher::RouteToService(
-    const std::vector<Candidate>& candidates) const {
+    const std::vector<Candidate>& candidates, TimePoint now) const {
   const Candidate* best = nullptr;
   std::uint64_t best_cost = 0;
   for (const Candidate& it : candidates) {
     const bool far = it.side->failure_domain != options_.failure_domain;
     // A target that was tried comes last: it may be the reason for the retry.
+    const bool last = it.tried || guard_.IsAvoided(it.side->instance, now);
     const std::uint64_t cost = it.outstanding +
                                (far ? options_.domain_attempts : 0) +
-                               (it.tried ? 1'000'000 : 0);
+                               (last ? 1'000'000 : 0);
     if (!best || cost < best_cost) {
       best = &it;
       best_cost = cost;
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/base/random.h"
 #include "core/membership/target_directory.h"
 #include "core/placement/engine_placement.h"
+#include "core/placement/failure_guard.h"
 #include "core/request/request_flow.h"
 #include "core/request/route_table.h"
 #include "entry/direct_carrier.h"
@@ -34,6 +35,7 @@
     DirectCarrier::Options carrier;
     TargetDirectory::Options directory;
     EnginePlacement::Options placement;
+    FailureGuard::Options guard;
     RetryBudget::Options retry_budget;  ///< Of each service.
     /// Plain services: attempts by which a target in the entry's own failure
     /// domain may be busier and still be preferred.
@@ -92,7 +94,11 @@
                             TimePoint now);
   std::optional<std::string> ChooseRunner(const AttemptId& id,
                                           const CallerRequest& request);
-  RouteResult RouteToService(const std::vector<Candidate>& candidates) const;
+  RouteResult RouteToService(const std::vector<Candidate>& candidates,
+                             TimePoint now) const;
+  std::vector<PlacementEngine> EnginesOf(
+      const std::vector<Candidate>& candidates, TimePoint now) const;
+  void OnCallEnd(const std::string& instance, bool broke);
   void OnSent(const CallerRequest& request, const AttemptId& id,
               const SideInfo& side, TimePoint now);
   void OnAttemptEnd(const CallerRequest& request, const AttemptId& id,
@@ -117,6 +123,7 @@
   RequestFlow flow_;
   DirectCarrier carrier_;
   TargetDirectory directory_;
+  FailureGuard guard_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<std::string, EnginePlacement> placements_;
   std::map<std::string, RetryBudget> budgets_;
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -74,6 +74,10 @@
 inline constexpr EventInfo kRosterCallFailed{
     1035, "roster-call-failed", EventSeverity::kWarning,
     "A registration could not be written or read; it is tried again."};
+inline constexpr EventInfo kTargetAvoided{
+    1036, "target-avoided", EventSeverity::kWarning,
+    "A target's calls break one after the other; it gets work only where no "
+    "other can."};
 
 }  // namespace indigolead
 
--- a/tests/platform/direct_carrier_test.cc
+++ b/tests/platform/direct_carrier_test.cc
@@ -52,6 +52,7 @@
   }
 
   Outcome Ask(Repeatability repeatability) {
+    outcome_.reset();
     auto request = std::make_shared<CallerRequest>();
     request->id = RequestId{RandomId()};
     request->caller_id = "r-1";
@@ -192,6 +193,21 @@
   }
 }
 
+// One of two targets resets every connection. It always has the fewest attempts
+// in flight, and would draw most requests for as long as it is registered.
+TEST_CASE("A target that resets its connections is soon left alone") {
+  for (const bool swapped : {false, true}) {
+    const Script broken = {{Kind::kReset, ""}};
+    const Script sound = Send(kAnswer);
+    Scene scene(swapped ? sound : broken, swapped ? broken : sound);
+    int lost = 0;
+    for (int n = 0; n < 12; ++n) {
+      lost += scene.Ask(Repeatability::kOnce) == Outcome::kUnknown ? 1 : 0;
+    }
+    CHECK(lost <= 2);
+  }
+}
+
 TEST_CASE("Targets that all refuse give a refusal that is true") {
   Scene scene(Send(kNotExecuted), Send(kNotExecuted));
   CHECK(scene.Ask(Repeatability::kOnce) == Outcome::kNotRun);
