--- /dev/null
+++ b/src/target/fetch_answer.cc
@@ -0,0 +1,36 @@
+#include "target/fetch_answer.h"
+
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace indigolead {
+
+std::unique_ptr<TargetClient::Call> FetchAnswer(
+    TargetClient* client, TargetRequest request, std::size_t max_bytes,
+    std::function<void(Result<TargetAnswer>)> done) {
+  auto answer = std::make_shared<TargetAnswer>();
+  auto too_long = std::make_shared<bool>(false);
+  TargetClient::Hooks hooks;
+  hooks.on_head = [answer](int status, std::vector<HttpHeader>) {
+    answer->status = status;
+  };
+  hooks.on_body = [answer, too_long, max_bytes](std::string_view data) {
+    *too_long = *too_long || answer->body.size() + data.size() > max_bytes;
+    if (!*too_long) {
+      answer->body.append(data);
+    }
+  };
+  hooks.on_end = [answer, too_long, done = std::move(done)](Status status) {
+    if (!IsOk(status)) {
+      done(ErrorOf(status));
+    } else if (*too_long) {
+      done(Error{ErrorCode::kProtocol, "target.fetch", "", "answer too long"});
+    } else {
+      done(std::move(*answer));
+    }
+  };
+  return client->Start(std::move(request), std::move(hooks));
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/target/fetch_answer.h
@@ -0,0 +1,31 @@
+#ifndef INDIGOLEAD_TARGET_FETCH_ANSWER_H_
+#define INDIGOLEAD_TARGET_FETCH_ANSWER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/base/result.h"
+#include "target/target_client.h"
+
+namespace indigolead {
+
+/// Answer of a short call, read whole.
+struct TargetAnswer {
+  int status = 0;
+  std::string body;
+
+  friend bool operator==(const TargetAnswer&, const TargetAnswer&) = default;
+};
+
+/// Starts `request` and hands its whole answer to `done`, once, unless the
+/// returned call is destroyed first. An answer longer than `max_bytes` ends
+/// with `kProtocol`.
+std::unique_ptr<TargetClient::Call> FetchAnswer(
+    TargetClient* client, TargetRequest request, std::size_t max_bytes,
+    std::function<void(Result<TargetAnswer>)> done);
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_TARGET_FETCH_ANSWER_H_
