--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -145,6 +145,7 @@
   Run& run = runs_[action.attempt];
   run.link = action.link;
   run.instance = side->instance;
+  run.reader = action.prefill_at;
   run.request = action.request;
   run.deadline = clock_() + action.finish_within;
   run.resume_after = action.resume_after;
@@ -348,6 +349,7 @@
   }
   log_(kAttemptRefused, {{"request", run.request->caller_id},
                          {"target", run.instance},
+                         {"reader", run.reader},
                          {"cause", code},
                          {"detail", detail}});
   SideRefusal refusal;
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -98,6 +98,7 @@
   struct Run {
     SideLink link;
     std::string instance;
+    std::string reader;  ///< Reads the prompt; empty: `instance` does.
     std::shared_ptr<const CallerRequest> request;
     TimePoint deadline;
     std::string resume_after;
--- a/tests/platform/direct_prompt_test.cc
+++ b/tests/platform/direct_prompt_test.cc
@@ -1,4 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <string>
+#include <vector>
 
 #include "entry/direct_dispatcher.h"
 #include "platform/target_words.h"
@@ -36,8 +39,8 @@
         far_({Send(kAnswer)}),
         dispatcher_(&io_, Options(saved_retries),
                     platform::MakePlatformDialect(), Hooks(), BootTimeNow,
-                    MakeRandomIdSource(), MakeSeededRandom(1),
-                    MakeNullEventLog(), &metrics_) {
+                    MakeRandomIdSource(), MakeSeededRandom(1), Log(),
+                    &metrics_) {
     RouteConfiguration routes;
     routes.version = 1;
     routes.services = {{"llm", 100, EngineTraits{}}};
@@ -85,6 +88,15 @@
   /// Returns what the caller was told of its run, if it was refused.
   std::optional<RunState> run_state() const { return run_; }
 
+  /// Returns true if some logged line has all of `parts`.
+  bool Logged(const std::vector<std::string>& parts) const {
+    return std::any_of(lines_.begin(), lines_.end(), [&](const auto& line) {
+      return std::all_of(parts.begin(), parts.end(), [&](const auto& it) {
+        return line.find(it) != std::string::npos;
+      });
+    });
+  }
+
   std::size_t reads() const { return reader_.requests().size(); }
   std::size_t near_runs() const { return near_.requests().size(); }
   std::size_t far_runs() const { return far_.requests().size(); }
@@ -116,6 +128,12 @@
     return options;
   }
 
+  EventLog Log() {
+    return [this](const EventInfo& event, const EventFields& fields) {
+      lines_.push_back(FormatEvent(event, fields));
+    };
+  }
+
   DirectDispatcher::Hooks Hooks() {
     DirectDispatcher::Hooks hooks;
     hooks.to_callers = [this](const ToCallers& message) {
@@ -134,6 +152,7 @@
   ScriptedServer reader_;
   ScriptedServer near_;
   ScriptedServer far_;
+  std::vector<std::string> lines_;
   std::optional<int> status_;
   std::optional<RunState> run_;
   DirectDispatcher dispatcher_;
@@ -182,6 +201,8 @@
     scene.Ask();
     CHECK(scene.AwaitStatus() == 503);
     CHECK(scene.reads() == 1);
+    // The line names the engine that failed, not only the one that was to run.
+    CHECK(scene.Logged({"attempt-refused", "reader=reader"}));
   }
   SECTION("with three left one is made, not three") {
     Scene scene(Send(kFailure), 3);
