--- a/tests/platform/direct_prompt_test.cc
+++ b/tests/platform/direct_prompt_test.cc
@@ -226,6 +226,15 @@
   CHECK(scene.reads() == 3);
 }
 
+// Where there is another, prompts go to it; here the line tells the belief.
+TEST_CASE("An engine that resets prompts is told to be avoided") {
+  Scene scene(Reset());
+  scene.Ask();
+  scene.AwaitStatus();
+  CHECK(scene.reads() >= 2);
+  CHECK(scene.Logged({"target-avoided", "target=reader"}));
+}
+
 // The nearer of two engines resets every stream before its head, and so never
 // has any in flight.
 TEST_CASE("An engine that resets its streams is soon left alone") {
