Test the deadline of an unsent request in the order that the fault had

Cause: a mutant (an unsent attempt may have started) survived the test written for it: there the reader's call ends before the request's deadline is noticed.

--- a/tests/platform/direct_prompt_test.cc
+++ b/tests/platform/direct_prompt_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "entry/direct_dispatcher.h"
@@ -57,7 +58,7 @@
     });
   }
 
-  void Ask() {
+  void Ask(Duration time = milliseconds(1500)) {
     status_.reset();
     run_.reset();
     auto request = std::make_shared<CallerRequest>();
@@ -71,10 +72,22 @@
     request->repeatability = Repeatability::kOnce;
     request->max_attempts = 3;
     request->received_at = BootTimeNow();
-    request->deadline = BootTimeNow() + milliseconds(1500);
+    request->deadline = BootTimeNow() + time;
     dispatcher_.OnRequest(request);
   }
 
+  /// Waits until the prompt is at the reader, then stands still for `length`,
+  /// and wakes to the time that has passed before any answer is read.
+  void FreezeWhileReading(Duration length) {
+    const auto limit = std::chrono::steady_clock::now() + seconds(10);
+    while (reads() == 0 && std::chrono::steady_clock::now() < limit) {
+      io_.run_for(milliseconds(5));
+      io_.restart();
+    }
+    std::this_thread::sleep_for(length);
+    dispatcher_.Tick();
+  }
+
   /// Returns the status that the caller gets in the end.
   int AwaitStatus() {
     const auto limit = std::chrono::steady_clock::now() + seconds(10);
@@ -187,8 +200,16 @@
 // its caller must learn that, or it could not repeat what may run once only.
 TEST_CASE("A request whose time runs out before it is sent has not run") {
   Scene scene({{Kind::kSleep, ""}});
-  scene.Ask();
-  scene.AwaitStatus();
+
+  SECTION("its call to the reader ends first") {
+    scene.Ask();
+    scene.AwaitStatus();
+  }
+  SECTION("its own deadline is noticed first") {
+    scene.Ask(milliseconds(250));
+    scene.FreezeWhileReading(milliseconds(300));
+    scene.AwaitStatus();
+  }
   CHECK(scene.reads() >= 1);
   CHECK(scene.near_runs() + scene.far_runs() == 0);
   CHECK(scene.run_state() == RunState::kNotRun);
