Tell runs of a target apart, and take no target from what cannot be read

Cause: a target may start again under its id; all that was believed of the run before stayed (prefixes, unread tokens, failures, an unanswered order, kept connections). A registration that could not be read left its target in use, an unknown stage passed for an engine of both roles, an unknown state for leaving, and bytes that are no text made the whole list unreadable.

Change: TargetRun, decoded once; the directory tells kRestarted, and placement, guard, orders and kept connections begin anew. Open calls end by themselves, since nobody can tell to which run they went.

Two tests said otherwise and are replaced: 'damage does not lose a target' (now: out of use until it can be read) and 'any state but ready is leaving' (now: a state that is not known names no target).

--- a/src/core/control/stage_control.h
+++ b/src/core/control/stage_control.h
@@ -85,6 +85,12 @@
   /// Takes the engines of the service, all of them.
   void OnEngines(const std::vector<StagedEngine>& engines, TimePoint now);
 
+  /// The engine has started anew. An order to the run before has no effect on
+  /// this one: what names the count of orders of the old run is refused here,
+  /// and where the counts agree the registration shows the role and it is
+  /// ordered back.
+  void OnRestarted(const std::string& instance) { sent_.erase(instance); }
+
   /// Returns the orders to send now under `number`; none without one.
   std::vector<StageOrder> Tick(std::optional<FencingNumber> number,
                                TimePoint now);
--- a/src/core/membership/target_directory.cc
+++ b/src/core/membership/target_directory.cc
@@ -4,6 +4,15 @@
 #include <utility>
 
 namespace indigolead {
+namespace {
+
+/// Returns true if `now` is of another run than `before`. A registration that
+/// does not name its run is no proof of a restart.
+bool IsOtherRun(const TargetRecord& before, const TargetRecord& now) {
+  return before.run && now.run && *before.run != *now.run;
+}
+
+}  // namespace
 
 std::vector<TargetChange> TargetDirectory::OnListed(
     const std::vector<TargetRecord>& listed, TimePoint now) {
@@ -36,8 +45,11 @@
   Entry& entry = found->second;
   entry.missing_since.reset();
   const bool updated = entry.record != record;
+  const bool restarted = IsOtherRun(entry.record, record);
   entry.record = record;
-  if (updated) {
+  if (restarted) {
+    changes->push_back({TargetChange::Kind::kRestarted, record});
+  } else if (updated) {
     changes->push_back({TargetChange::Kind::kUpdated, record});
   }
   if (record.leaving) {
--- a/src/core/membership/target_directory.h
+++ b/src/core/membership/target_directory.h
@@ -13,15 +13,26 @@
 
 namespace indigolead {
 
-/// One run of one target, as it registers itself.
+/// Names one run of a target that may start again under the id that it had.
+///
+/// Only compared for equality: the clock it was read from may jump, so a later
+/// run can bear a smaller number.
+struct TargetRun {
+  std::int64_t started_ms = 0;  ///< Unix time of the start, by its own clock.
+
+  friend bool operator==(const TargetRun&, const TargetRun&) = default;
+};
+
+/// One target, as it registers itself.
 struct TargetRecord {
-  std::string id;  ///< Of this run; a restarted target has another.
+  std::string id;
   std::string service;
   std::string address;  ///< "IP:port"; used again by others once it is gone.
   std::string failure_domain;
   std::uint32_t slots = 1;
   bool leaving = false;
   EngineRole role = EngineRole::kMixed;
+  std::optional<TargetRun> run = std::nullopt;  ///< Unset if it does not say.
 
   friend bool operator==(const TargetRecord&, const TargetRecord&) = default;
 };
@@ -29,11 +40,12 @@
 /// What changed for one target.
 struct TargetChange {
   enum class Kind {
-    kAdded,     ///< May get work.
-    kUpdated,   ///< Other facts of it changed.
-    kLeaving,   ///< Gets no new work; what runs there goes on.
-    kReturned,  ///< May get work again.
-    kRemoved,   ///< Nothing of it is of use any more.
+    kAdded,      ///< May get work.
+    kUpdated,    ///< Other facts of it changed.
+    kRestarted,  ///< A new run, which knows nothing of the one before.
+    kLeaving,    ///< Gets no new work; what runs there goes on.
+    kReturned,   ///< May get work again.
+    kRemoved,    ///< Nothing of it is of use any more.
   };
   Kind kind = Kind::kAdded;
   TargetRecord target;
--- a/src/core/placement/engine_placement.cc
+++ b/src/core/placement/engine_placement.cc
@@ -21,6 +21,11 @@
 /// have been taken off again; an engine with such a rest is idle.
 bool IsIdle(double backlog) { return backlog < 1; }
 
+/// Returns the engine that reads the prompt of a request so placed.
+const std::string& ReaderOf(const EnginePlace& place) {
+  return place.prefill.empty() ? place.decode : place.prefill;
+}
+
 std::uint64_t SharedTokens(const CallerRequest& request) {
   const auto& parts = request.prompt_parts;
   const auto end =
@@ -155,17 +160,15 @@
 }
 
 void EnginePlacement::Owe(const std::string& instance, TimePoint now) {
-  EngineState& state = engines_[instance];
+  EngineState& state = StateOf(instance);
   if (state.owed++ == 0) {
     state.progress_at = now;
   }
 }
 
-void EnginePlacement::Pay(const std::string& instance, TimePoint now) {
-  if (EngineState* state = BusyState(instance)) {
-    state->owed -= state->owed > 0 ? 1 : 0;
-    state->progress_at = now;
-  }
+void EnginePlacement::Pay(EngineState* state, TimePoint now) {
+  state->owed -= state->owed > 0 ? 1 : 0;
+  state->progress_at = now;
 }
 
 double EnginePlacement::WorkAt(const CallerRequest& request,
@@ -219,13 +222,15 @@
   const auto reader = std::find_if(
       engines.begin(), engines.end(),
       [&](const auto& it) { return it.instance == place.prefill; });
-  if (EngineState* state = BusyState(place.decode)) {
+  if (EngineState* state = BusyState(place.decode, sent->second.decode_epoch)) {
     state->streams -= state->streams > 0 ? 1 : 0;
   }
   const PlacementEngine* chosen = PickDecode(
       decoders, reader == engines.end() ? "" : reader->failure_domain);
   place.decode = chosen->instance;
-  ++engines_[place.decode].streams;
+  EngineState& decode = StateOf(place.decode);
+  sent->second.decode_epoch = decode.epoch;
+  ++decode.streams;
   Owe(place.decode, now);
   return place.decode;
 }
@@ -233,12 +238,13 @@
 void EnginePlacement::OnSent(const AttemptId& attempt,
                              const CallerRequest& request,
                              const EnginePlace& place, TimePoint now) {
+  EngineState& reader = StateOf(ReaderOf(place));
+  EngineState& decode = StateOf(place.decode);
   Sent sent{place, SharedPrefixHash(request.prompt_parts),
-            SharedTokens(request), true};
-  engines_[place.prefill.empty() ? place.decode : place.prefill].backlog +=
-      place.prefill_work;
-  ++engines_[place.decode].streams;
-  Owe(place.prefill.empty() ? place.decode : place.prefill, now);
+            SharedTokens(request), reader.epoch, decode.epoch};
+  reader.backlog += place.prefill_work;
+  ++decode.streams;
+  Owe(ReaderOf(place), now);
   sent_[attempt] = std::move(sent);
 }
 
@@ -246,8 +252,10 @@
   const auto it = sent_.find(attempt);
   if (it != sent_.end() && !std::exchange(it->second.answering, true)) {
     OnPrefilled(attempt, now);
-    if (!it->second.place.prefill.empty()) {
-      Pay(it->second.place.decode, now);
+    const Sent& sent = it->second;
+    EngineState* decode = BusyState(sent.place.decode, sent.decode_epoch);
+    if (decode && !sent.place.prefill.empty()) {
+      Pay(decode, now);
     }
   }
 }
@@ -258,15 +266,16 @@
     return;
   }
   const Sent& sent = it->second;
-  const std::string& reader =
-      sent.place.prefill.empty() ? sent.place.decode : sent.place.prefill;
+  EngineState* reader = BusyState(ReaderOf(sent.place), sent.reader_epoch);
+  if (!reader) {
+    return;
+  }
   Pay(reader, now);
-  EngineState& state = engines_[reader];
-  state.backlog = std::max(0.0, state.backlog - sent.place.prefill_work);
-  if (state.prefixes.size() >= options_.max_known_prefixes) {
-    state.prefixes.clear();
+  reader->backlog = std::max(0.0, reader->backlog - sent.place.prefill_work);
+  if (reader->prefixes.size() >= options_.max_known_prefixes) {
+    reader->prefixes.clear();
   }
-  state.prefixes[sent.prefix] = sent.prefix_tokens;
+  reader->prefixes[sent.prefix] = sent.prefix_tokens;
 }
 
 void EnginePlacement::OnEnded(const AttemptId& attempt, bool refused,
@@ -277,13 +286,12 @@
   }
   const Sent sent = std::move(it->second);
   sent_.erase(it);
-  const std::string& reader =
-      sent.place.prefill.empty() ? sent.place.decode : sent.place.prefill;
-  if (EngineState* state = BusyState(reader); state && sent.reading) {
+  if (EngineState* state = BusyState(ReaderOf(sent.place), sent.reader_epoch);
+      state && sent.reading) {
     state->backlog = std::max(0.0, state->backlog - sent.place.prefill_work);
     Settle(state, refused, now);
   }
-  if (EngineState* state = BusyState(sent.place.decode)) {
+  if (EngineState* state = BusyState(sent.place.decode, sent.decode_epoch)) {
     state->streams -= state->streams > 0 ? 1 : 0;
     if (!sent.reading && !sent.answering && !sent.place.prefill.empty()) {
       Settle(state, refused, now);
@@ -310,7 +318,7 @@
 }
 
 void EnginePlacement::CountHandle(const Sent& sent, bool lost, TimePoint now) {
-  EngineState* reader = BusyState(sent.place.prefill);
+  EngineState* reader = BusyState(sent.place.prefill, sent.reader_epoch);
   if (!reader) {
     return;
   }
@@ -336,10 +344,20 @@
   return it == engines_.end() ? nullptr : &it->second;
 }
 
-EnginePlacement::EngineState* EnginePlacement::BusyState(
+EnginePlacement::EngineState& EnginePlacement::StateOf(
     const std::string& instance) {
+  const auto [it, added] = engines_.try_emplace(instance);
+  if (added) {
+    it->second.epoch = ++last_epoch_;
+  }
+  return it->second;
+}
+
+EnginePlacement::EngineState* EnginePlacement::BusyState(
+    const std::string& instance, std::uint64_t epoch) {
   const auto it = engines_.find(instance);
-  return it == engines_.end() ? nullptr : &it->second;
+  const bool same = it != engines_.end() && it->second.epoch == epoch;
+  return same ? &it->second : nullptr;
 }
 
 }  // namespace indigolead
--- a/src/core/placement/engine_placement.h
+++ b/src/core/placement/engine_placement.h
@@ -134,7 +134,8 @@
   void OnAnswering(const AttemptId& attempt, TimePoint now);
   /// The attempt is over; `refused` if the engine did not take it.
   void OnEnded(const AttemptId& attempt, bool refused, TimePoint now);
-  /// The engine's run is over; what it held is gone.
+  /// The engine's run is over; what it held is gone. Attempts sent to it that
+  /// end later count nothing against a run that follows under the same id.
   void Forget(const std::string& instance);
 
   /// Returns the tokens that wait to be read at `instance`, as counted here.
@@ -142,6 +143,7 @@
 
  private:
   struct EngineState {
+    std::uint64_t epoch = 0;  ///< Of the engine's run, as counted here.
     double backlog = 0;
     std::uint32_t streams = 0;
     std::uint32_t lost_handles = 0;  ///< In a row.
@@ -155,6 +157,8 @@
     EnginePlace place;
     std::uint64_t prefix = 0;
     std::uint64_t prefix_tokens = 0;
+    std::uint64_t reader_epoch = 0;
+    std::uint64_t decode_epoch = 0;
     bool reading = true;
     bool answering = false;
   };
@@ -171,9 +175,10 @@
                                const std::vector<const PlacementEngine*>& from);
   EnginesBusy Busy(double least_backlog, double work);
   const EngineState* Find(const std::string& instance) const;
-  EngineState* BusyState(const std::string& instance);
+  EngineState& StateOf(const std::string& instance);
+  EngineState* BusyState(const std::string& instance, std::uint64_t epoch);
   void Owe(const std::string& instance, TimePoint now);
-  void Pay(const std::string& instance, TimePoint now);
+  static void Pay(EngineState* state, TimePoint now);
   bool IsStalled(const EngineState& state, TimePoint now) const;
   bool AllFull(const std::vector<const PlacementEngine*>& engines,
                TimePoint now) const;
@@ -183,6 +188,7 @@
   Options options_;
   RandomSource random_;
   std::map<std::string, EngineState> engines_;
+  std::uint64_t last_epoch_ = 0;
   std::unordered_map<AttemptId, Sent> sent_;
 };
 
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -98,6 +98,9 @@
         flow_->OnSideChanged(it->second.link, InfoOf(record), now);
       }
       break;
+    case TargetChange::Kind::kRestarted:
+      Restart(record);
+      break;
     case TargetChange::Kind::kLeaving:
       flow_->OnLeaving(record.id, true, now);
       break;
@@ -115,6 +118,20 @@
   Flush();
 }
 
+void DirectCarrier::Restart(const TargetRecord& record) {
+  const auto it = targets_.find(record.id);
+  if (it == targets_.end()) {
+    return;
+  }
+  it->second.record = record;
+  // The kept connections lead to the run before: a request written to one is
+  // lost with it, and may not be repeated. A new client begins without any.
+  // Calls that are open end by themselves, since nobody can tell here to which
+  // of the runs they went; the new run may be answering them.
+  it->second.client = MakeClient(record.address);
+  flow_->OnSideChanged(it->second.link, InfoOf(record), clock_());
+}
+
 TargetClient* DirectCarrier::ClientOf(const std::string& instance) {
   const auto it = targets_.find(instance);
   return it == targets_.end() ? nullptr : it->second.client.get();
@@ -165,6 +182,7 @@
     RefuseRun(id, "prefill_gone", false, "the engine chosen to read is gone");
     return;
   }
+  run.called = FindTarget(at)->run;
   run.call = FetchAnswer(client,
                          dialect_.prefill(*run.request, *FindTarget(at),
                                           {PrefillWait(run.deadline - clock_()),
@@ -188,7 +206,8 @@
   if (!run) {
     return;
   }
-  TellCallEnd(reader, IsOk(answer) ? Status(Unit{}) : Status(ErrorOf(answer)));
+  TellCallEnd(reader, run->called,
+              IsOk(answer) ? Status(Unit{}) : Status(ErrorOf(answer)));
   if (!IsOk(answer)) {
     RefuseRun(id, "prefill_failed", false, ToString(ErrorOf(answer)));
     return;
@@ -249,6 +268,7 @@
     OnEnd(id, status);
     Flush();
   };
+  run.called = FindTarget(run.instance)->run;
   run.call = client->Start(
       dialect_.run(*run.request, *FindTarget(run.instance),
                    {run.deadline - clock_(), run.handle, run.resume_after}),
@@ -301,7 +321,7 @@
   if (!run) {
     return;
   }
-  TellCallEnd(run->instance, status);
+  TellCallEnd(run->instance, run->called, status);
   if (run->refused) {
     const bool full = *run->refused == AnswerMeaning::kNotRun;
     RefuseRun(id, full ? "target_full" : "wrong_target", full,
@@ -332,7 +352,12 @@
 }
 
 void DirectCarrier::TellCallEnd(const std::string& instance,
+                                const std::optional<TargetRun>& called,
                                 const Status& status) {
+  const TargetRecord* target = FindTarget(instance);
+  if (target && target->run != called) {
+    return;  // Of the run before, which says nothing of this one.
+  }
   const bool ran_out =
       !IsOk(status) && ErrorOf(status).code == ErrorCode::kTimeout;
   if (hooks_.on_call_end && !ran_out) {
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -103,8 +103,9 @@
     TimePoint deadline;
     std::string resume_after;
     std::unique_ptr<TargetClient::Call> call;
-    std::optional<KvHandle> handle;  ///< Read, and not handed over yet.
-    bool written = false;            ///< The call that runs it.
+    std::optional<TargetRun> called;  ///< Known run of its target, at the call.
+    std::optional<KvHandle> handle;   ///< Read, and not handed over yet.
+    bool written = false;             ///< The call that runs it.
     bool paused = false;
     /// Set if its answer's head says that it was not run.
     std::optional<AnswerMeaning> refused;
@@ -118,6 +119,7 @@
 
   static SideInfo InfoOf(const TargetRecord& record);
   void Add(const TargetRecord& record);
+  void Restart(const TargetRecord& record);
   std::unique_ptr<TargetClient> MakeClient(const std::string& address);
   void StartPrefill(const AttemptId& id, const std::string& at);
   Duration PrefillWait(Duration left) const;
@@ -128,7 +130,9 @@
   void OnHead(const AttemptId& id, int status, std::vector<HttpHeader> headers);
   void OnBody(const AttemptId& id, std::string_view data);
   void OnEnd(const AttemptId& id, const Status& status);
-  void TellCallEnd(const std::string& instance, const Status& status);
+  void TellCallEnd(const std::string& instance,
+                   const std::optional<TargetRun>& called,
+                   const Status& status);
   void RefuseRun(const AttemptId& id, std::string code, bool overloaded,
                  std::string detail);
   void FreeHandle(const KvHandle& handle);
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -29,6 +29,8 @@
       return "added";
     case TargetChange::Kind::kUpdated:
       return "updated";
+    case TargetChange::Kind::kRestarted:
+      return "restarted";
     case TargetChange::Kind::kLeaving:
       return "leaving";
     case TargetChange::Kind::kReturned:
@@ -206,7 +208,8 @@
           {"failure_domain", it.target.failure_domain},
           {"role", std::to_string(static_cast<int>(it.target.role))}});
     carrier_.OnTarget(it);
-    if (it.kind == TargetChange::Kind::kRemoved) {
+    if (it.kind == TargetChange::Kind::kRemoved ||
+        it.kind == TargetChange::Kind::kRestarted) {
       PlacementOf(it.target.service).Forget(it.target.id);
       guard_.Forget(it.target.id);
     }
--- a/src/entry/stage_service.cc
+++ b/src/entry/stage_service.cc
@@ -65,6 +65,10 @@
     service.engines[target.id] = {target.id, target.failure_domain, target.role,
                                   target.leaving};
   }
+  if (change.kind == TargetChange::Kind::kRestarted) {
+    service.control.OnRestarted(target.id);
+    calls_.erase(target.id);
+  }
   std::vector<StagedEngine> engines;
   engines.reserve(service.engines.size());
   for (const auto& [id, engine] : service.engines) {
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -12,6 +12,8 @@
 #include <limits>
 #include <optional>
 
+#include "runtime/address.h"
+
 namespace indigolead {
 namespace {
 
@@ -91,18 +93,9 @@
   }
 }
 
-std::optional<Tcp::endpoint> ParseEndpoint(const std::string& address) {
-  const auto colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  boost::system::error_code ec;
-  const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-  const int port = std::atoi(address.c_str() + colon + 1);
-  if (ec || port <= 0 || port > 65535) {
-    return std::nullopt;
-  }
-  return Tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+std::optional<Tcp::endpoint> EndpointOf(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  return IsOk(endpoint) ? std::optional(ValueOf(endpoint)) : std::nullopt;
 }
 
 }  // namespace
@@ -114,7 +107,7 @@
   Pool(asio::io_context* io, Options options)
       : io_(io),
         options_(std::move(options)),
-        endpoint_(ParseEndpoint(options_.address)) {}
+        endpoint_(EndpointOf(options_.address)) {}
 
   std::unique_ptr<Connection> Take() {
     while (!idle_.empty()) {
--- a/tests/core/control/stage_control_test.cc
+++ b/tests/core/control/stage_control_test.cc
@@ -152,5 +152,28 @@
   CHECK(fleet.Order().empty());
 }
 
+// An order gets no answer, and nothing that differs may follow it for seconds.
+// The engine starts again: the order was to the run before, so that the new one
+// need not wait for its role.
+TEST_CASE("An engine that starts anew is ordered anew") {
+  Fleet fleet(4);
+  fleet.List();
+  fleet.now += seconds(2);
+  const auto orders = fleet.Order();
+  REQUIRE(orders.size() == 2);
+  fleet.control.OnOutcome(orders[0], StageOrderOutcome::kUnknown, fleet.now);
+  fleet.control.OnOutcome(orders[1], StageOrderOutcome::kAccepted, fleet.now);
+  REQUIRE(fleet.Order().empty());
+  fleet.control.OnRestarted(orders[0].instance);
+  const auto again = fleet.Order();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0] == orders[0]);
+  SECTION("and the late outcome of the first order counts no more") {
+    fleet.control.OnRestarted(orders[0].instance);
+    fleet.control.OnOutcome(orders[0], StageOrderOutcome::kRefused, fleet.now);
+    CHECK(fleet.Order().size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/core/membership/target_directory_test.cc
+++ b/tests/core/membership/target_directory_test.cc
@@ -40,6 +40,31 @@
           std::vector<Kind>{Kind::kUpdated, Kind::kLeaving});
     CHECK(directory.OnListed({Target("a", true), Target("b")}, now).empty());
   }
+  SECTION("one that names another run has restarted") {
+    TargetRecord first = Target("a");
+    first.run = TargetRun{1000};
+    REQUIRE(KindsOf(directory.OnListed({first, Target("b")}, now)) ==
+            std::vector<Kind>{Kind::kUpdated});
+    TargetRecord second = first;
+    // Its clock was set back, so a smaller number can be the later run.
+    second.run = TargetRun{400};
+    CHECK(KindsOf(directory.OnListed({second, Target("b")}, now)) ==
+          std::vector<Kind>{Kind::kRestarted});
+    CHECK(directory.OnListed({second, Target("b")}, now).empty());
+    SECTION("also if it was leaving, or off the list, before") {
+      second.leaving = true;
+      directory.OnListed({second, Target("b")}, now);
+      CHECK(KindsOf(directory.OnListed({first, Target("b")}, now)) ==
+            std::vector<Kind>{Kind::kRestarted, Kind::kReturned});
+      directory.OnListed({Target("b")}, now);
+      CHECK(KindsOf(directory.OnListed({second, Target("b")}, now)) ==
+            std::vector<Kind>{Kind::kRestarted});
+    }
+    SECTION("one that names none has only changed") {
+      CHECK(KindsOf(directory.OnListed({Target("a"), Target("b")}, now)) ==
+            std::vector<Kind>{Kind::kUpdated});
+    }
+  }
   SECTION("one that is off the list is leaving at once") {
     CHECK(KindsOf(directory.OnListed({Target("b")}, now)) ==
           std::vector<Kind>{Kind::kLeaving});
--- a/tests/core/placement/engine_placement_test.cc
+++ b/tests/core/placement/engine_placement_test.cc
@@ -261,5 +261,36 @@
       placement.Place(Request(7, 1), fleet, kNow + seconds(1))));
 }
 
+// An engine starts again while requests are on their way to it. They end one
+// after the other; each must count against the run that it was sent to, or the
+// new run seems idle while it reads, and holds prefixes that it never saw.
+TEST_CASE("What is believed of a run goes with it, and nothing more") {
+  const auto fleet = Fleet(6, 3);
+  EnginePlacement placement = MakePlacement(1);
+  const CallerRequest request = Request(7, 0);
+  const EnginePlace place = PlaceOf(placement.Place(request, fleet, kNow));
+  placement.OnSent(Attempt(0), request, place, kNow);
+  placement.Forget(place.prefill);
+  CHECK(placement.BacklogOf(place.prefill) == 0);
+
+  placement.OnSent(Attempt(1), request, place, kNow);
+  const double backlog = placement.BacklogOf(place.prefill);
+  REQUIRE(backlog > 0);
+  SECTION("a read of the run before frees nothing and leaves no prefix") {
+    placement.OnPrefilled(Attempt(0), kNow);
+    CHECK(placement.BacklogOf(place.prefill) == backlog);
+    CHECK(PlaceOf(placement.Place(Request(7, 2), fleet, kNow)).prefill_work >=
+          13300);
+  }
+  SECTION("nor does its failure") {
+    placement.OnEnded(Attempt(0), /*refused=*/true, kNow);
+    CHECK(placement.BacklogOf(place.prefill) == backlog);
+  }
+  SECTION("what the new run reads counts") {
+    placement.OnPrefilled(Attempt(1), kNow);
+    CHECK(placement.BacklogOf(place.prefill) == 0);
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/platform/direct_carrier_test.cc
+++ b/tests/platform/direct_carrier_test.cc
@@ -55,15 +55,21 @@
     routes.version = 1;
     routes.services = {{"app", 100, std::nullopt}};
     dispatcher_.OnRoutes(routes);
-    std::vector<TargetRecord> targets;
     for (const std::vector<Script>& it : scripts) {
       servers_.emplace_back(it);
-      targets.push_back(
+      targets_.push_back(
           Target("t" + std::to_string(servers_.size()), servers_.back()));
     }
-    dispatcher_.OnTargets(targets);
+    dispatcher_.OnTargets(targets_);
   }
 
+  /// The target of that number, from 0, registers that it has started anew.
+  void Restart(std::size_t n) {
+    targets_[n].run = TargetRun{++starts_};
+    dispatcher_.OnTargets(targets_);
+  }
+  int connections_to(std::size_t n) const { return servers_[n].connections(); }
+
   Outcome Ask(Repeatability repeatability) {
     outcome_.reset();
     auto request = std::make_shared<CallerRequest>();
@@ -110,6 +116,7 @@
     record.service = "app";
     record.address = server.address();
     record.failure_domain = "oviedo";
+    record.run = TargetRun{0};
     return record;
   }
 
@@ -142,6 +149,8 @@
   boost::asio::io_context io_;
   MetricsRegistry metrics_;
   std::deque<ScriptedServer> servers_;
+  std::vector<TargetRecord> targets_;
+  std::int64_t starts_ = 0;
   std::optional<Outcome> outcome_;
   DirectDispatcher dispatcher_;
 };
@@ -211,6 +220,47 @@
   }
 }
 
+// A target starts again under its id and address. What was kept open leads to
+// the run before, where a request would be lost and could not be repeated.
+TEST_CASE("No request goes to a kept connection of a run that is over") {
+  Scene scene({{Send(kAnswer)}});
+  REQUIRE(scene.Ask(Repeatability::kOnce) == Outcome::kAnswered);
+  REQUIRE(scene.Ask(Repeatability::kOnce) == Outcome::kAnswered);
+  REQUIRE(scene.connections_to(0) == 1);
+  scene.Restart(0);
+  CHECK(scene.Ask(Repeatability::kOnce) == Outcome::kAnswered);
+  CHECK(scene.connections_to(0) == 2);
+}
+
+// A target breaks two calls and is left alone for a second. It starts again,
+// which mended it; its callers must not wait for the rest of that second.
+TEST_CASE("What a run broke is not held against the next one") {
+  Scene scene({{Reset(), Reset(), Send(kAnswer)}, {Send(kAnswer)}});
+  int lost = 0;
+  while (lost < 2) {
+    lost += scene.Ask(Repeatability::kOnce) == Outcome::kUnknown ? 1 : 0;
+  }
+  const std::size_t before = scene.arrivals_at(0);
+  SECTION("it is left alone without a restart") {
+    CHECK(scene.Ask(Repeatability::kOnce) == Outcome::kAnswered);
+    CHECK(scene.arrivals_at(0) == before);
+  }
+  SECTION("and is used at once after one") {
+    scene.Restart(0);
+    CHECK(scene.Ask(Repeatability::kOnce) == Outcome::kAnswered);
+    CHECK(scene.arrivals_at(0) == before + 1);
+  }
+}
+
+// The target takes a request, starts again and refuses what comes next, because
+// the new run is another to it. The caller must not hear "not run": the run
+// before may have done the work.
+TEST_CASE("A restart does not make a request that may have run unrun") {
+  Scene scene({{Reset(), Send(kWrongTarget)}});
+  CHECK(scene.Ask(Repeatability::kIdempotent) == Outcome::kUnknown);
+  CHECK(scene.arrivals() >= 2);
+}
+
 // One of two targets resets every connection. It always has the fewest attempts
 // in flight, and would draw most requests for as long as it is registered.
 TEST_CASE("A target that resets its connections is soon left alone") {
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -1,6 +1,7 @@
 #include "platform/documents.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 namespace indigolead::platform {
 namespace {
@@ -71,27 +72,78 @@
   }
 }
 
-TEST_CASE("A registration tells where a target is and whether it leaves") {
-  const auto decoded = DecodeTarget(
-      "i-7",
+nlohmann::json Registration() {
+  return nlohmann::json::parse(
       R"({"service":"llm","address":"10.128.0.9:8080","zone":"bilbao-a",
           "version":"v1","slots":128,"state":"ready","stage":"decode",
           "models":[],"seq":4})");
+}
+
+/// Returns the registration above with one field of another value.
+std::string Changed(const char* field, const nlohmann::json& value) {
+  auto document = Registration();
+  document[field] = value;
+  return document.dump();
+}
+
+TEST_CASE("A registration tells where a target is and whether it leaves") {
+  const auto decoded = DecodeTarget("i-7", Registration().dump());
   REQUIRE(IsOk(decoded));
   CHECK(ValueOf(decoded).id == "i-7");
   CHECK(ValueOf(decoded).failure_domain == "bilbao-a");
   CHECK(ValueOf(decoded).role == EngineRole::kDecode);
   CHECK_FALSE(ValueOf(decoded).leaving);
 
-  SECTION("any state but ready is leaving") {
-    const auto leaving = DecodeTarget(
-        "i-7",
-        R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"gone"})");
+  SECTION("one that is draining is leaving") {
+    const auto leaving = DecodeTarget("i-7", Changed("state", "draining"));
     REQUIRE(IsOk(leaving));
     CHECK(ValueOf(leaving).leaving);
   }
-  SECTION("one without an address is none") {
-    CHECK_FALSE(IsOk(DecodeTarget("i-7", R"({"service":"s","zone":"z"})")));
+  SECTION("it may name its run") {
+    CHECK_FALSE(ValueOf(decoded).run);
+    const auto named = DecodeTarget("i-7", Changed("born", 1796087303123));
+    REQUIRE(IsOk(named));
+    CHECK(ValueOf(named).run == TargetRun{1796087303123});
+  }
+  SECTION("a plain service's has no stage") {
+    auto plain = Registration();
+    plain.erase("stage");
+    plain.erase("models");
+    const auto target = DecodeTarget("i-7", plain.dump());
+    REQUIRE(IsOk(target));
+    CHECK(ValueOf(target).role == EngineRole::kMixed);
+  }
+}
+
+// A registration of another writer: used, it would send callers to an address
+// where nobody answers, or a prompt to an engine that cannot take it.
+TEST_CASE("A registration with a field missing or strange names no target") {
+  for (const char* field :
+       {"service", "address", "zone", "slots", "state", "stage"}) {
+    INFO(field);
+    auto document = Registration();
+    document.erase(field);
+    CHECK_FALSE(IsOk(DecodeTarget("i-7", document.dump())));
+    for (const nlohmann::json& strange :
+         {nlohmann::json(nullptr), nlohmann::json(1.5), nlohmann::json(-3),
+          nlohmann::json::array(), nlohmann::json::object(),
+          nlohmann::json("half-ready")}) {
+      INFO(strange.dump());
+      const bool text_holds =
+          strange.is_string() &&
+          (std::string(field) == "service" || std::string(field) == "zone");
+      CHECK(IsOk(DecodeTarget("i-7", Changed(field, strange))) == text_holds);
+    }
+  }
+  for (const nlohmann::json& strange :
+       {nlohmann::json(nullptr), nlohmann::json(1.5), nlohmann::json("1"),
+        nlohmann::json(std::uint64_t{1} << 63U), nlohmann::json(true)}) {
+    INFO(strange.dump());
+    CHECK_FALSE(IsOk(DecodeTarget("i-7", Changed("born", strange))));
+  }
+  for (const char* other : {"", "null", "7", "[]", "\"text\"", "{", "\xff"}) {
+    INFO(other);
+    CHECK_FALSE(IsOk(DecodeTarget("i-7", other)));
   }
 }
 
--- a/tests/platform/target_words_test.cc
+++ b/tests/platform/target_words_test.cc
@@ -129,5 +129,19 @@
   CHECK(ReadOrderOutcome({500, ""}) == StageOrderOutcome::kUnknown);
 }
 
+// The engine has started again, and the registration that says so is still on
+// its way. Its count of orders is that of a run that this entry does not know.
+TEST_CASE("A report of another run is no ground for an order") {
+  TargetRecord target = Target();
+  const TargetAnswer report{200, R"({"seq":2,"born":1000})"};
+  CHECK(ValueOf(ReadOrderCount(target, report)) == 2);
+  target.run = TargetRun{1000};
+  CHECK(ValueOf(ReadOrderCount(target, report)) == 2);
+  target.run = TargetRun{999};
+  REQUIRE_FALSE(IsOk(ReadOrderCount(target, report)));
+  CHECK(ErrorOf(ReadOrderCount(target, report)).code == ErrorCode::kConflict);
+  CHECK_FALSE(IsOk(ReadOrderCount(target, {200, R"({"seq":2,"born":"x"})"})));
+}
+
 }  // namespace
 }  // namespace indigolead::platform
