Share engines between reading and answering by what binds each half

Cause: a fifth of the engines made answers on every deployment.

Hypothesis: the share follows from how long an answer is at work for each prompt read, and from what an engine can hold at once (places, memory, link), which the configuration tells. A plan corrected by the load seen must be slow: the mix turns for 3 s and 15 s, a change takes 3 s.

--- a/src/core/control/stage_control.cc
+++ b/src/core/control/stage_control.cc
@@ -40,16 +40,63 @@
   }
 }
 
-std::size_t StageControl::Wanted(std::size_t engines,
+std::size_t StageControl::Usable() const {
+  return static_cast<std::size_t>(
+      std::count_if(engines_.begin(), engines_.end(),
+                    [](const auto& it) { return !it.leaving; }));
+}
+
+std::optional<double> StageControl::OnLoad(const RoleLoad& load,
+                                           TimePoint now) {
+  const double wanted = AnsweringShare(load);
+  if (!share_) {
+    share_ = wanted;
+    return share_;
+  }
+  const auto engines = static_cast<double>(Usable());
+  const double least = std::max(options_.least_shift_engines,
+                                options_.least_shift_share * engines);
+  if (std::abs(wanted - *share_) * engines < least) {
+    shift_since_.reset();
+    return std::nullopt;
+  }
+  if (!shift_since_) {
+    shift_since_ = now;
+  }
+  if (now - *shift_since_ < options_.shift_after) {
+    return std::nullopt;
+  }
+  share_ = wanted;
+  shift_since_.reset();
+  return share_;
+}
+
+void StageControl::AdoptRoles() {
+  const std::size_t usable = Usable();
+  if (usable == 0) {
+    return;
+  }
+  const auto answering =
+      std::count_if(engines_.begin(), engines_.end(), [](const auto& it) {
+        return !it.leaving && it.role == EngineRole::kDecode;
+      });
+  share_ = static_cast<double>(answering) / static_cast<double>(usable);
+}
+
+std::size_t StageControl::Wanted(const std::vector<const StagedEngine*>& usable,
                                  std::size_t domains) const {
-  const auto share = static_cast<std::size_t>(
-      std::lround(static_cast<double>(engines) * options_.decode_share));
+  const std::size_t engines = usable.size();
+  // A fleet of two or three keeps all its engines able to do both.
+  if (engines <= options_.min_decode + 1) {
+    return engines;
+  }
+  const auto by_load = static_cast<std::size_t>(
+      std::lround(share_.value_or(0) * static_cast<double>(engines)));
   // Only where that leaves most engines to read.
   const std::size_t one_each = 3 * domains <= engines ? domains : 0;
   const std::size_t wanted =
-      std::max({share, std::size_t{options_.min_decode}, one_each});
-  // A fleet of two or three keeps all its engines able to do both.
-  return engines <= options_.min_decode + 1 ? engines : wanted;
+      std::max({by_load, std::size_t{options_.min_decode}, one_each});
+  return std::min(wanted, engines - options_.min_prefill);
 }
 
 std::vector<std::string> StageControl::PlanDecode() const {
@@ -63,7 +110,7 @@
   for (const StagedEngine* it : usable) {
     by_domain[it->failure_domain] = 0;
   }
-  const std::size_t wanted = Wanted(usable.size(), by_domain.size());
+  const std::size_t wanted = Wanted(usable, by_domain.size());
   std::vector<std::string> planned;
   std::set<std::string> taken;
   // Domains in turn, so that the loss of one leaves engines in the others; and
@@ -116,7 +163,7 @@
                                            TimePoint now) {
   std::vector<StageOrder> orders;
   const bool settled = reached_ || now - changed_at_ >= options_.settle_time;
-  if (!number || engines_.empty() || !settled) {
+  if (!number || engines_.empty() || !settled || !share_) {
     return orders;
   }
   const std::vector<std::string> planned = PlanDecode();
--- a/src/core/control/stage_control.h
+++ b/src/core/control/stage_control.h
@@ -11,6 +11,7 @@
 #include "core/base/ids.h"
 #include "core/base/time.h"
 #include "core/config/deployment.h"
+#include "core/placement/role_load.h"
 
 namespace indigolead {
 
@@ -45,22 +46,26 @@
 ///
 /// Only the holder of the control lease may call `Tick` with a fencing number.
 /// What engines do comes from their registrations, so a new holder continues
-/// where the last one stopped. An order takes the engine away for seconds and
-/// the mix of prompts and answers turns faster than that; so the plan follows
-/// the number of engines, and replaces those that are lost, but does not chase
-/// the mix.
+/// where the last one stopped. The plan follows the load, averaged over several
+/// turns of the mix of prompts and answers, and the number of engines: an order
+/// takes an engine away for seconds, and the mix turns faster than that.
 class StageControl {
  public:
   struct Options {
-    /// Share of the engines that make answers. Answers of tens of tokens keep
-    /// few engines busy: of 18 engines 3 or 4 served most in measurements. The
-    /// larger number: when all of them are lost at once nothing is answered
-    /// until others have changed, and every further one makes that rarer.
-    double decode_share = 0.2;
+    /// A plan that is off by less is kept: of the engines, and in engines. The
+    /// load of an entry that sees a twentieth of the traffic is known to a
+    /// tenth, and each change takes an engine away for seconds.
+    double least_shift_share = 0.1;
+    double least_shift_engines = 1;
+    /// For so long the load must ask for another plan: longer than the bursts
+    /// of one kind, which placing carries.
+    Duration shift_after = std::chrono::seconds(3);
     /// Below this one loss would leave a single engine for all answers. Where
     /// there are more failure domains, each has one: a domain's loss, or the
     /// seconds in which no entry may give orders, must not stop all answers.
     std::uint32_t min_decode = 2;
+    /// Below this one loss would leave a single engine for all prompts.
+    std::uint32_t min_prefill = 2;
     /// The list of engines must have stood still for so long before the first
     /// orders: engines register one after the other, and a part of them is no
     /// measure. Later the list may change all the time.
@@ -91,6 +96,13 @@
   /// ordered back.
   void OnRestarted(const std::string& instance) { sent_.erase(instance); }
 
+  /// Takes the load that the engines' work puts on both halves. Returns the
+  /// share of the engines planned for answers if it is another one now.
+  std::optional<double> OnLoad(const RoleLoad& load, TimePoint now);
+  /// Takes the roles that the engines have now for the plan, as a holder does
+  /// that takes over from another one, which may have seen more than it.
+  void AdoptRoles();
+
   /// Returns the orders to send now under `number`; none without one.
   std::vector<StageOrder> Tick(std::optional<FencingNumber> number,
                                TimePoint now);
@@ -109,13 +121,18 @@
     bool waiting = true;      ///< In change, or its answer is outstanding.
   };
 
-  std::size_t Wanted(std::size_t engines, std::size_t domains) const;
+  std::size_t Wanted(const std::vector<const StagedEngine*>& usable,
+                     std::size_t domains) const;
   std::vector<std::string> PlanDecode() const;
   bool MayOrder(const StagedEngine& engine, EngineRole role, TimePoint now);
   bool Matches(const std::set<std::string>& decode) const;
   std::uint32_t Changing(TimePoint now) const;
 
+  std::size_t Usable() const;
+
   Options options_;
+  std::optional<double> share_;  ///< Of the engines, planned for answers.
+  std::optional<TimePoint> shift_since_;
   std::vector<StagedEngine> engines_;  ///< By name.
   TimePoint changed_at_{};
   bool reached_ = false;  ///< The engines have been as planned.
--- a/src/core/placement/engine_placement.cc
+++ b/src/core/placement/engine_placement.cc
@@ -61,7 +61,15 @@
 }
 
 EnginePlacement::EnginePlacement(Options options, RandomSource random)
-    : options_(options), random_(std::move(random)) {}
+    : options_(options),
+      random_(std::move(random)),
+      read_time_(options_.read_time),
+      load_(options_.load) {}
+
+RoleLoad EnginePlacement::Load(TimePoint now) const {
+  return load_.Load(limits_, read_time_, now)
+      .value_or(AssumedRoleLoad(limits_));
+}
 
 PlacementDecision EnginePlacement::Place(
     const CallerRequest& request, const std::vector<PlacementEngine>& engines,
@@ -83,7 +91,8 @@
   double least = std::numeric_limits<double>::infinity();
   for (std::size_t it = 0; it < n; ++it) {
     const std::string& instance = readers[it]->instance;
-    const double work = WorkAt(request, instance, it == 0);
+    const bool cached = IsCached(request, instance, it == 0);
+    const double work = WorkOf(request, cached);
     const double backlog = BacklogOf(instance);
     least = std::min(least, backlog);
     // An idle engine takes any request, however long.
@@ -92,10 +101,10 @@
     if (IsIdle(backlog) || backlog + work <= limit) {
       const PlacementEngine* decode =
           PickDecode(decoders, readers[it]->failure_domain);
-      return EnginePlace{instance, decode->instance, work};
+      return EnginePlace{instance, decode->instance, work, cached};
     }
   }
-  return Busy(least, WorkAt(request, readers.front()->instance, true));
+  return Busy(least, WorkOf(request, true));
 }
 
 PlacementDecision EnginePlacement::PlaceWhole(
@@ -105,14 +114,15 @@
   SortByRendezvous(SharedPrefixHash(request.prompt_parts), &engines);
   double least = std::numeric_limits<double>::infinity();
   for (const PlacementEngine* it : engines) {
-    const double work = WorkAt(request, it->instance, it == engines.front());
+    const bool cached = IsCached(request, it->instance, it == engines.front());
+    const double work = WorkOf(request, cached);
     const double backlog = BacklogOf(it->instance);
     least = std::min(least, backlog);
     if (IsIdle(backlog) || backlog + work <= options_.max_backlog_tokens) {
-      return EnginePlace{"", it->instance, work};
+      return EnginePlace{"", it->instance, work, cached};
     }
   }
-  return Busy(least, WorkAt(request, engines.front()->instance, true));
+  return Busy(least, WorkOf(request, true));
 }
 
 EnginesBusy EnginePlacement::Busy(double least_backlog, double work) {
@@ -171,17 +181,20 @@
   state->progress_at = now;
 }
 
-double EnginePlacement::WorkAt(const CallerRequest& request,
+bool EnginePlacement::IsCached(const CallerRequest& request,
                                const std::string& instance,
                                bool is_home) const {
+  const EngineState* state = Find(instance);
+  // At its home a prefix is taken for cached: other entries send it there too.
+  return is_home || (state && state->prefixes.count(
+                                  SharedPrefixHash(request.prompt_parts)) > 0);
+}
+
+double EnginePlacement::WorkOf(const CallerRequest& request,
+                               bool cached) const {
   const std::uint64_t shared = SharedTokens(request);
   const std::uint64_t own =
       request.prompt_tokens > shared ? request.prompt_tokens - shared : 0;
-  const EngineState* state = Find(instance);
-  // At its home a prefix is taken for cached: other entries send it there too.
-  const bool cached =
-      is_home || (state && state->prefixes.count(
-                               SharedPrefixHash(request.prompt_parts)) > 0);
   return static_cast<double>(own) +
          static_cast<double>(shared) * (cached ? options_.cached_weight : 1.0);
 }
@@ -230,6 +243,7 @@
   place.decode = chosen->instance;
   EngineState& decode = StateOf(place.decode);
   sent->second.decode_epoch = decode.epoch;
+  sent->second.asked_at = now;
   ++decode.streams;
   Owe(place.decode, now);
   return place.decode;
@@ -242,6 +256,10 @@
   EngineState& decode = StateOf(place.decode);
   Sent sent{place, SharedPrefixHash(request.prompt_parts),
             SharedTokens(request), reader.epoch, decode.epoch};
+  sent.tokens = request.prompt_tokens;
+  sent.read_alone = IsIdle(reader.backlog) && place.cached;
+  sent.sent_at = now;
+  sent.asked_at = now;
   reader.backlog += place.prefill_work;
   ++decode.streams;
   Owe(ReaderOf(place), now);
@@ -252,7 +270,11 @@
   const auto it = sent_.find(attempt);
   if (it != sent_.end() && !std::exchange(it->second.answering, true)) {
     OnPrefilled(attempt, now);
-    const Sent& sent = it->second;
+    Sent& sent = it->second;
+    sent.answering_at = now;
+    if (!sent.place.prefill.empty()) {
+      load_.OnFirstEvent(now - sent.asked_at);
+    }
     EngineState* decode = BusyState(sent.place.decode, sent.decode_epoch);
     if (decode && !sent.place.prefill.empty()) {
       Pay(decode, now);
@@ -266,6 +288,12 @@
     return;
   }
   const Sent& sent = it->second;
+  if (!sent.place.prefill.empty()) {
+    if (sent.read_alone) {
+      read_time_.OnRead(sent.place.prefill_work, now - sent.sent_at);
+    }
+    load_.OnRead(sent.place.prefill_work, now);
+  }
   EngineState* reader = BusyState(ReaderOf(sent.place), sent.reader_epoch);
   if (!reader) {
     return;
@@ -286,6 +314,10 @@
   }
   const Sent sent = std::move(it->second);
   sent_.erase(it);
+  if (sent.answering) {
+    load_.OnAnswered(now - sent.answering_at, static_cast<double>(sent.tokens),
+                     now);
+  }
   if (EngineState* state = BusyState(ReaderOf(sent.place), sent.reader_epoch);
       state && sent.reading) {
     state->backlog = std::max(0.0, state->backlog - sent.place.prefill_work);
--- a/src/core/placement/engine_placement.h
+++ b/src/core/placement/engine_placement.h
@@ -13,6 +13,9 @@
 #include "core/base/random.h"
 #include "core/base/time.h"
 #include "core/config/deployment.h"
+#include "core/placement/read_time_model.h"
+#include "core/placement/role_load.h"
+#include "core/placement/role_load_meter.h"
 #include "core/request/request_types.h"
 
 namespace indigolead {
@@ -34,6 +37,7 @@
   std::string prefill;  ///< Empty: `decode` reads the prompt as well.
   std::string decode;
   double prefill_work = 0;  ///< Tokens still to be read, as counted here.
+  bool cached = false;      ///< The shared part is taken to be cached there.
 
   friend bool operator==(const EnginePlace&, const EnginePlace&) = default;
 };
@@ -103,6 +107,8 @@
     /// Time for which a stalled engine that let a call run out is left alone:
     /// it is back seconds after a crash.
     Duration avoid_stalled = std::chrono::seconds(2);
+    ReadTimeModel::Options read_time;
+    RoleLoadMeter::Options load;
     std::size_t max_known_prefixes = 4096;  ///< For each engine.
     /// Prompts read in a row whose cache no engine could take over, after
     /// which the reader is left alone: its handles lapse, or its links fail.
@@ -138,6 +144,13 @@
   /// end later count nothing against a run that follows under the same id.
   void Forget(const std::string& instance);
 
+  /// Takes what the operator tells of the service's engines.
+  void SetLimits(const EngineLimits& limits) { limits_ = limits; }
+
+  /// Returns the load that the service's work puts on both kinds of engines:
+  /// as seen, or as assumed while too little was seen.
+  RoleLoad Load(TimePoint now) const;
+
   /// Returns the tokens that wait to be read at `instance`, as counted here.
   double BacklogOf(const std::string& instance) const;
 
@@ -159,12 +172,18 @@
     std::uint64_t prefix_tokens = 0;
     std::uint64_t reader_epoch = 0;
     std::uint64_t decode_epoch = 0;
+    std::uint64_t tokens = 0;  ///< Of the whole prompt.
+    bool read_alone = false;   ///< Nothing of ours was before it at its reader.
+    TimePoint sent_at{};
+    TimePoint asked_at{};  ///< When an engine was asked for the answer.
+    TimePoint answering_at{};
     bool reading = true;
     bool answering = false;
   };
 
-  double WorkAt(const CallerRequest& request, const std::string& instance,
+  bool IsCached(const CallerRequest& request, const std::string& instance,
                 bool is_home) const;
+  double WorkOf(const CallerRequest& request, bool cached) const;
   const PlacementEngine* PickDecode(
       const std::vector<const PlacementEngine*>& engines,
       const std::string& near_domain);
@@ -189,6 +208,9 @@
   RandomSource random_;
   std::map<std::string, EngineState> engines_;
   std::uint64_t last_epoch_ = 0;
+  EngineLimits limits_;
+  ReadTimeModel read_time_;
+  RoleLoadMeter load_;
   std::unordered_map<AttemptId, Sent> sent_;
 };
 
--- /dev/null
+++ b/src/core/placement/read_time_model.cc
@@ -0,0 +1,103 @@
+#include "core/placement/read_time_model.h"
+
+#include <algorithm>
+#include <array>
+
+namespace indigolead {
+namespace {
+
+/// Groups of samples of like size, each of which gives one point of the line.
+constexpr std::size_t kGroups = 4;
+
+/// One in so many samples is taken for one that found its engine idle. Where
+/// engines are busy four fifths of the time every fifth call does; a few that
+/// had more cached than believed must not count as the quickest.
+constexpr std::size_t kQuickShare = 16;
+
+/// One point that the line should pass.
+struct Point {
+  double tokens = 0;
+  double seconds = 0;
+};
+
+/// Returns the middle one of `values`, which must not be empty.
+double Median(std::vector<double> values) {
+  const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+Duration ToDuration(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+ReadTimeModel::ReadTimeModel(Options options)
+    : options_(options), s_per_token_(1 / options.assumed_tokens_per_s) {}
+
+void ReadTimeModel::OnRead(double tokens, Duration took) {
+  const Sample sample{tokens, std::chrono::duration<double>(took).count()};
+  if (samples_.size() < options_.window) {
+    samples_.push_back(sample);
+  } else {
+    samples_[next_] = sample;
+    next_ = (next_ + 1) % options_.window;
+  }
+  if (learned() && ++since_fit_ >= options_.refit_every) {
+    since_fit_ = 0;
+    Refit();
+  }
+}
+
+void ReadTimeModel::Refit() {
+  std::vector<Sample> sorted = samples_;
+  std::sort(sorted.begin(), sorted.end(),
+            [](const auto& a, const auto& b) { return a.tokens < b.tokens; });
+  std::array<Point, kGroups> points;
+  const std::size_t n = sorted.size() / kGroups;
+  for (std::size_t it = 0; it < kGroups; ++it) {
+    const auto begin = sorted.begin() + static_cast<std::ptrdiff_t>(it * n);
+    const auto end = begin + static_cast<std::ptrdiff_t>(n);
+    // The faster quarter is that of the same size, so compare what is left
+    // when the tokens' part is taken off.
+    std::sort(begin, end, [this](const auto& a, const auto& b) {
+      return a.seconds - a.tokens * s_per_token_ <
+             b.seconds - b.tokens * s_per_token_;
+    });
+    const Sample& quick =
+        *(begin + static_cast<std::ptrdiff_t>(n / kQuickShare));
+    points[it] = {quick.tokens, quick.seconds};
+  }
+  std::vector<double> slopes;
+  for (std::size_t a = 0; a < kGroups; ++a) {
+    for (std::size_t b = a + 1; b < kGroups; ++b) {
+      const double apart = points[b].tokens - points[a].tokens;
+      if (apart > 0) {
+        slopes.push_back((points[b].seconds - points[a].seconds) / apart);
+      }
+    }
+  }
+  if (slopes.empty()) {
+    return;
+  }
+  s_per_token_ = std::max(0.0, Median(slopes));
+  std::vector<double> rests;
+  for (const Point& it : points) {
+    rests.push_back(it.seconds - it.tokens * s_per_token_);
+  }
+  fixed_s_ = std::max(0.0, Median(rests));
+}
+
+Duration ReadTimeModel::Predict(double tokens) const {
+  return ToDuration(fixed_s_ + tokens * s_per_token_);
+}
+
+Duration ReadTimeModel::Occupied(double reads, double tokens) const {
+  return ToDuration(reads * fixed_s_ * options_.fixed_occupancy +
+                    tokens * s_per_token_);
+}
+
+}  // namespace indigolead
--- a/src/core/request/route_table.h
+++ b/src/core/request/route_table.h
@@ -44,6 +44,8 @@
   std::uint32_t slots = 1;  ///< Requests that run at once.
   std::uint64_t kv_capacity_tokens = 0;
   Duration stage_change_time{0};  ///< A changing engine is away that long.
+  double kv_bytes_per_token = 0;  ///< Size of its KV cache; 0: not told.
+  double link_bits_per_s = 0;  ///< For KV cache, of each engine; 0: not told.
 
   friend bool operator==(const EngineTraits&, const EngineTraits&) = default;
 };
--- a/src/entry/control_events.h
+++ b/src/entry/control_events.h
@@ -30,6 +30,10 @@
 inline constexpr EventInfo kStageOrdered{
     4110, "stage-ordered", EventSeverity::kInfo,
     "An engine was told to take a role: what became of the order."};
+inline constexpr EventInfo kRolesPlanned{
+    4111, "roles-planned", EventSeverity::kInfo,
+    "Another share of a service's engines should make answers than before; the "
+    "loads are in engines kept busy, as this entry sees them."};
 
 }  // namespace indigolead
 
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -16,6 +16,11 @@
 constexpr double kArrivalsWhole = 1;
 constexpr double kArrivalsReadApart = 2;
 
+constexpr double kBitsPerByte = 8;
+/// KV cache takes twice as long between failure domains, and about half of it
+/// goes there.
+constexpr double kTransferCost = 1.5;
+
 EngineRole RoleOf(const SideInfo& side) {
   if (side.role == "prefill") {
     return EngineRole::kPrefill;
@@ -175,6 +180,9 @@
                         {"before", std::to_string(held)},
                         {"routes", std::to_string(routes.routes.size())}});
   routes_ = std::make_shared<const RouteTable>(std::move(routes));
+  for (auto& [service, placement] : placements_) {
+    placement.SetLimits(LimitsOf(service));
+  }
   return true;
 }
 
@@ -377,8 +385,41 @@
 }
 
 EnginePlacement& DirectDispatcher::PlacementOf(const std::string& service) {
-  return placements_.try_emplace(service, options_.placement, random_)
-      .first->second;
+  const auto [it, added] =
+      placements_.try_emplace(service, options_.placement, random_);
+  if (added) {
+    it->second.SetLimits(LimitsOf(service));
+  }
+  return it->second;
+}
+
+EngineLimits DirectDispatcher::LimitsOf(const std::string& service) const {
+  const ServiceTraits* traits =
+      routes_ ? routes_->FindService(service) : nullptr;
+  if (!traits || !traits->engine) {
+    return {};
+  }
+  const EngineTraits& engine = *traits->engine;
+  const double bits = engine.kv_bytes_per_token * kBitsPerByte * kTransferCost;
+  return {static_cast<double>(engine.slots),
+          static_cast<double>(engine.kv_capacity_tokens),
+          engine.link_bits_per_s > 0 ? bits / engine.link_bits_per_s : 0};
+}
+
+RoleLoad DirectDispatcher::LoadOf(const std::string& service) {
+  return PlacementOf(service).Load(clock_());
+}
+
+std::vector<std::string> DirectDispatcher::EngineServices() const {
+  std::vector<std::string> names;
+  if (routes_) {
+    for (const ServiceTraits& it : routes_->configuration().services) {
+      if (it.engine) {
+        names.push_back(it.name);
+      }
+    }
+  }
+  return names;
 }
 
 RetryBudget& DirectDispatcher::BudgetOf(const std::string& service) {
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -68,6 +68,11 @@
   /// granted once.
   void SetSavedArrivals(double saved, double at_start);
 
+  /// Returns the load that the work of `service` puts on its engines.
+  RoleLoad LoadOf(const std::string& service);
+  /// Returns the services that run on model engines.
+  std::vector<std::string> EngineServices() const;
+
   /// Acts on what time alone decides. Call every 20 to 50 ms.
   void Tick();
 
@@ -107,6 +112,7 @@
                     AttemptOutcome outcome, TimePoint now);
   bool SpendRetry(const CallerRequest& request);
   EnginePlacement& PlacementOf(const std::string& service);
+  EngineLimits LimitsOf(const std::string& service) const;
   RetryBudget& BudgetOf(const std::string& service);
   double BurstOf(const std::string& service) const;
   void Apply(const std::vector<TargetChange>& changes);
--- a/src/entry/stage_service.cc
+++ b/src/entry/stage_service.cc
@@ -47,6 +47,11 @@
     const bool alone = record && (record->earlier.empty() ||
                                   record->earlier.back() == last_number_);
     orders_from_ = clock_() + (alone ? Duration{0} : options_.separation);
+    if (!alone) {
+      for (auto& [name, service] : services_) {
+        service.control.AdoptRoles();
+      }
+    }
     last_number_ = number;
   };
   hooks.on_lost = [this](FencingNumber, LeaseLoss) { orders_from_.reset(); };
@@ -77,6 +82,19 @@
   service.control.OnEngines(engines, clock_());
 }
 
+void StageService::OnLoad(const std::string& service, const RoleLoad& load) {
+  const auto it = services_.find(service);
+  if (it == services_.end()) {
+    return;
+  }
+  if (const auto share = it->second.control.OnLoad(load, clock_())) {
+    log_(kRolesPlanned, {{"service", service},
+                         {"answering_share", std::to_string(*share)},
+                         {"reading_load", std::to_string(load.reading)},
+                         {"answering_load", std::to_string(load.answering)}});
+  }
+}
+
 std::optional<FencingNumber> StageService::Authority() const {
   if (stopped_ || !orders_from_ || clock_() < *orders_from_) {
     return std::nullopt;
--- a/src/entry/stage_service.h
+++ b/src/entry/stage_service.h
@@ -56,6 +56,8 @@
 
   /// Takes over what the directory says of an engine.
   void OnEngine(const TargetChange& change);
+  /// Takes the load that a service's work puts on its engines.
+  void OnLoad(const std::string& service, const RoleLoad& load);
   /// Drives lease and orders; call several times a second.
   void Tick();
   /// Gives no further order and gives the lease up.
--- a/tests/core/control/stage_control_test.cc
+++ b/tests/core/control/stage_control_test.cc
@@ -10,6 +10,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// A load of which a fifth of the engines should make the answers.
+constexpr RoleLoad kFifthAnswers{4, 1};
+
 /// A fleet that carries out what it is told after a change time.
 class Fleet {
  public:
@@ -21,6 +24,7 @@
           "e" + std::string(n < 10 ? "0" : "") + std::to_string(n);
       engines_.push_back({name, domains[n % 4], EngineRole::kDecode, false});
     }
+    control.OnLoad(kFifthAnswers, now);
   }
 
   void List() { control.OnEngines(engines_, now); }
@@ -175,5 +179,78 @@
   }
 }
 
+// Long answers come in place of long prompts. Callers of these wait for places
+// at few engines while readers idle; but the mix also turns back within
+// seconds, and each order takes its engine away for three.
+TEST_CASE("The plan follows a load that lasts, and no other") {
+  Fleet fleet(18);
+  fleet.List();
+  fleet.now += seconds(2);
+  fleet.CarryOut(fleet.Order());
+  REQUIRE(fleet.Roles()[EngineRole::kDecode] == 4);
+  REQUIRE(fleet.Order().empty());
+  const RoleLoad half{1, 1};
+
+  SECTION("not one of two seconds") {
+    CHECK_FALSE(fleet.control.OnLoad(half, fleet.now));
+    CHECK_FALSE(fleet.control.OnLoad(half, fleet.now + seconds(2)));
+    CHECK_FALSE(fleet.control.OnLoad(kFifthAnswers, fleet.now + seconds(3)));
+    CHECK_FALSE(fleet.control.OnLoad(half, fleet.now + seconds(4)));
+    CHECK(fleet.Order().empty());
+  }
+  SECTION("nor one that asks for one engine in eighteen") {
+    const RoleLoad quarter{3, 1};
+    CHECK_FALSE(fleet.control.OnLoad(quarter, fleet.now));
+    CHECK_FALSE(fleet.control.OnLoad(quarter, fleet.now + seconds(60)));
+  }
+  SECTION("but one that lasts, a few engines at a time") {
+    CHECK_FALSE(fleet.control.OnLoad(half, fleet.now));
+    fleet.now += seconds(3);
+    CHECK(fleet.control.OnLoad(half, fleet.now) == 0.5);
+    CHECK(fleet.Order().size() == 2);
+    CHECK(fleet.Order().empty());
+    fleet.now += seconds(30);
+    for (int n = 0; n < 3; ++n) {
+      fleet.CarryOut(fleet.Order());
+    }
+    CHECK(fleet.Roles()[EngineRole::kDecode] == 9);
+  }
+}
+
+// All that readers have to do seems nothing, or all that there is. A half with
+// no engine, or a single one, would serve nobody once that one is lost.
+TEST_CASE("Neither half of the work is left without engines") {
+  for (const RoleLoad& load : {RoleLoad{1, 0}, RoleLoad{0, 1}}) {
+    StageControl control{StageControl::Options{}};
+    const TimePoint now{seconds(100)};
+    control.OnLoad(load, now);
+    for (int engines = 1; engines < 40; ++engines) {
+      std::vector<StagedEngine> fleet;
+      for (int n = 0; n < engines; ++n) {
+        fleet.push_back({"e" + std::to_string(n), "a"});
+      }
+      control.OnEngines(fleet, now);
+      INFO(engines);
+      const std::size_t decode = control.planned_decode();
+      CHECK(decode >= std::min<std::size_t>(engines, 2));
+      CHECK((engines <= 3 || engines - decode >= 2));
+    }
+  }
+}
+
+// The holder of the lease dies; another entry, which has seen less, takes over.
+// It must go on with the roles that it finds instead of its own first guess.
+TEST_CASE("A new holder begins with the roles that the engines have") {
+  Fleet fleet(18);
+  for (int n = 0; n < 18; ++n) {
+    fleet.engines()[n].role =
+        n < 9 ? EngineRole::kDecode : EngineRole::kPrefill;
+  }
+  fleet.List();
+  fleet.now += seconds(2);
+  fleet.control.AdoptRoles();
+  CHECK(fleet.Order().empty());
+}
+
 }  // namespace
 }  // namespace indigolead
