Charge a further attempt only for what reached a target

Cause: when a fifth of the engines crash, their registrations stand for four seconds, and each entry finds each of them by itself.

Change: a refusal says how far the attempt came. Nothing written is free; a prompt that its reader turned away costs one arrival, since the first reading that is accepted is part of a request's first; all else costs two as before.

The new tests fail without the change: the callers get 503.

--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -61,7 +61,8 @@
     hooks_.route = LeastOutstanding;
   }
   if (!hooks_.spend_retry) {
-    hooks_.spend_retry = [this](const CallerRequest& request, TimePoint) {
+    hooks_.spend_retry = [this](const CallerRequest& request, AttemptReach,
+                                TimePoint) {
       return BudgetOf(request).TryTake();
     };
   }
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -108,7 +108,8 @@
       route;
   /// Returns true if one more attempt may be spent on a request that may have
   /// run already. Default: the deployment's retry budget.
-  std::function<bool(const CallerRequest&, TimePoint)> spend_retry;
+  std::function<bool(const CallerRequest&, AttemptReach, TimePoint)>
+      spend_retry;
   /// An attempt was sent to a target.
   std::function<void(const CallerRequest&, const AttemptId&, const SideInfo&,
                      TimePoint)>
@@ -273,7 +274,8 @@
   void FinishAttempt(Request& it, Ending ending, AttemptOutcome outcome,
                      const SideRefusal& why, bool retry, TimePoint now);
   RetryBudget& BudgetOf(const CallerRequest& request);
-  bool MayRetry(const Request& it, Ending ending, TimePoint now);
+  bool MayRetry(const Request& it, Ending ending, AttemptReach reach,
+                TimePoint now);
   bool IsFailedAnswer(const Request& it) const;
   void DeliverRest(Request& it);
   void CompleteAnswer(Request& it, TimePoint now);
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -39,7 +39,8 @@
   }
   if (end.outcome == AttemptOutcome::kComplete && it->head_taken &&
       it->attempt->Matches(end)) {
-    if (IsFailedAnswer(*it) && MayRetry(*it, Ending::kAmbiguous, now)) {
+    if (IsFailedAnswer(*it) &&
+        MayRetry(*it, Ending::kAmbiguous, AttemptReach::kTarget, now)) {
       FinishAttempt(*it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
                     Because("target_failed", "The target answered a failure."),
                     /*retry=*/true, now);
@@ -156,7 +157,8 @@
   return budget;
 }
 
-bool RequestFlow::MayRetry(const Request& it, Ending ending, TimePoint now) {
+bool RequestFlow::MayRetry(const Request& it, Ending ending, AttemptReach reach,
+                           TimePoint now) {
   const bool resumable = it.cursor && !it.caller_gone;
   if ((it.head_delivered && !resumable) || now >= it.request->deadline ||
       it.forwards >= options_.max_forwards) {
@@ -165,12 +167,13 @@
   const bool idempotent =
       it.request->repeatability == Repeatability::kIdempotent;
   if (ending == Ending::kNotStarted) {
+    const bool charged =
+        options_.charge_refused_attempts && reach != AttemptReach::kNothing;
     return (idempotent || !it.may_have_run) &&
-           (!options_.charge_refused_attempts ||
-            hooks_.spend_retry(*it.request, now));
+           (!charged || hooks_.spend_retry(*it.request, reach, now));
   }
   return idempotent && it.starts + 1 < it.request->max_attempts &&
-         hooks_.spend_retry(*it.request, now);
+         hooks_.spend_retry(*it.request, reach, now);
 }
 
 bool RequestFlow::IsFailedAnswer(const Request& it) const {
@@ -180,7 +183,7 @@
 
 void RequestFlow::EndAttempt(Request& it, Ending ending, AttemptOutcome outcome,
                              const SideRefusal& why, TimePoint now) {
-  const bool retry = !why.final && MayRetry(it, ending, now);
+  const bool retry = !why.final && MayRetry(it, ending, why.reach, now);
   FinishAttempt(it, ending, outcome, why, retry, now);
 }
 
--- a/src/core/request/request_flow_time.cc
+++ b/src/core/request/request_flow_time.cc
@@ -153,8 +153,9 @@
     const Duration absent = now - side->absent_since;
     // Waiting costs an idempotent request time and sending it elsewhere costs
     // nothing but work, so it does not wait for the side's return.
-    const bool retry = absent >= options_.absence_grace &&
-                       MayRetry(it, Ending::kAmbiguous, now);
+    const bool retry =
+        absent >= options_.absence_grace &&
+        MayRetry(it, Ending::kAmbiguous, AttemptReach::kTarget, now);
     if (retry || absent >= options_.resume_timeout) {
       FinishAttempt(
           it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
--- a/src/core/request/request_types.h
+++ b/src/core/request/request_types.h
@@ -227,11 +227,22 @@
 /// What a side knows about an attempt that it was asked about.
 enum class AttemptKnowledge { kNotStarted, kRunning, kFinished, kLost };
 
+/// How far an attempt came that did not start its request: what a further one
+/// costs, where the targets' operator counts each arrival beyond a request's
+/// first.
+enum class AttemptReach {
+  kNothing,  ///< Nothing was written to any target; the next is the first.
+  kReader,   ///< An engine that reads prompts was called and did not take it,
+             ///< or took it and nobody was called to answer.
+  kTarget,   ///< The target that was to answer, or may have been.
+};
+
 /// Why a side refused to start an attempt.
 struct SideRefusal {
   std::string code;  ///< Such as "leaving" or "overloaded".
   bool overloaded = false;
   bool final = false;  ///< No other target would take it either.
+  AttemptReach reach = AttemptReach::kTarget;
   Duration retry_after{0};
   std::string detail;
 };
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -179,7 +179,8 @@
   Run& run = runs_.at(id);
   TargetClient* client = ClientOf(at);
   if (!client) {
-    RefuseRun(id, "prefill_gone", false, "the engine chosen to read is gone");
+    RefuseRun(id, {"prefill_gone", AttemptReach::kNothing,
+                   "the engine chosen to read is gone"});
     return;
   }
   run.called = FindTarget(at)->run;
@@ -209,7 +210,11 @@
   TellCallEnd(reader, run->called,
               IsOk(answer) ? Status(Unit{}) : Status(ErrorOf(answer)));
   if (!IsOk(answer)) {
-    RefuseRun(id, "prefill_failed", false, ToString(ErrorOf(answer)));
+    const Error& error = ErrorOf(answer);
+    const bool unsent = error.code == ErrorCode::kUnavailable;
+    RefuseRun(id, {"prefill_failed",
+                   unsent ? AttemptReach::kNothing : AttemptReach::kTarget,
+                   ToString(error)});
     return;
   }
   const TargetRecord* target = FindTarget(reader);
@@ -218,8 +223,12 @@
              : Result<KvHandle>(Error{ErrorCode::kNotFound, "target.prefill",
                                       reader, "the engine has been removed"});
   if (!IsOk(handle)) {
-    const bool full = ErrorOf(handle).code == ErrorCode::kOverloaded;
-    RefuseRun(id, "prefill_refused", full, ToString(ErrorOf(handle)));
+    const ErrorCode code = ErrorOf(handle).code;
+    const bool full = code == ErrorCode::kOverloaded;
+    const bool not_taken = full || code == ErrorCode::kUnavailable;
+    RefuseRun(id, {"prefill_refused",
+                   not_taken ? AttemptReach::kReader : AttemptReach::kTarget,
+                   ToString(ErrorOf(handle)), full});
     return;
   }
   run->handle = ValueOf(handle);
@@ -227,7 +236,8 @@
   if (MoveToRunner(id, run)) {
     StartRun(id);
   } else {
-    RefuseRun(id, "no_runner", true, "no engine can make the answer now");
+    RefuseRun(id, {"no_runner", AttemptReach::kReader,
+                   "no engine can make the answer now", true});
   }
 }
 
@@ -249,7 +259,8 @@
   Run& run = runs_.at(id);
   TargetClient* client = ClientOf(run.instance);
   if (!client) {
-    RefuseRun(id, "target_gone", false, "the target has been removed");
+    RefuseRun(id, {"target_gone", ReachBeforeRun(run),
+                   "the target has been removed"});
     return;
   }
   TargetClient::Hooks hooks;
@@ -324,8 +335,8 @@
   TellCallEnd(run->instance, run->called, status);
   if (run->refused) {
     const bool full = *run->refused == AnswerMeaning::kNotRun;
-    RefuseRun(id, full ? "target_full" : "wrong_target", full,
-              "the target answered " + std::to_string(run->status));
+    RefuseRun(id, {full ? "target_full" : "wrong_target", AttemptReach::kTarget,
+                   "the target answered " + std::to_string(run->status), full});
     return;
   }
   AttemptEnd end;
@@ -335,7 +346,8 @@
   if (!IsOk(status)) {
     const Error& error = ErrorOf(status);
     if (!run->written) {
-      RefuseRun(id, "target_unreachable", false, ToString(error));
+      RefuseRun(id,
+                {"target_unreachable", ReachBeforeRun(*run), ToString(error)});
       return;
     }
     end.outcome = error.code == ErrorCode::kTimeout
@@ -365,8 +377,11 @@
   }
 }
 
-void DirectCarrier::RefuseRun(const AttemptId& id, std::string code,
-                              bool overloaded, std::string detail) {
+AttemptReach DirectCarrier::ReachBeforeRun(const Run& run) {
+  return run.reader.empty() ? AttemptReach::kNothing : AttemptReach::kReader;
+}
+
+void DirectCarrier::RefuseRun(const AttemptId& id, Refused why) {
   const auto node = runs_.extract(id);
   const Run& run = node.mapped();
   if (run.handle) {
@@ -375,12 +390,13 @@
   log_(kAttemptRefused, {{"request", run.request->caller_id},
                          {"target", run.instance},
                          {"reader", run.reader},
-                         {"cause", code},
-                         {"detail", detail}});
+                         {"cause", why.code},
+                         {"detail", why.detail}});
   SideRefusal refusal;
-  refusal.code = std::move(code);
-  refusal.overloaded = overloaded;
-  refusal.detail = std::move(detail);
+  refusal.code = std::move(why.code);
+  refusal.overloaded = why.overloaded;
+  refusal.detail = std::move(why.detail);
+  refusal.reach = why.reach;
   flow_->OnRefused(run.link, id, refusal, clock_());
 }
 
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -130,11 +130,20 @@
   void OnHead(const AttemptId& id, int status, std::vector<HttpHeader> headers);
   void OnBody(const AttemptId& id, std::string_view data);
   void OnEnd(const AttemptId& id, const Status& status);
+  /// Why an attempt did not start its request.
+  struct Refused {
+    std::string code;
+    AttemptReach reach;
+    std::string detail;
+    bool overloaded = false;
+  };
+
   void TellCallEnd(const std::string& instance,
                    const std::optional<TargetRun>& called,
                    const Status& status);
-  void RefuseRun(const AttemptId& id, std::string code, bool overloaded,
-                 std::string detail);
+  /// How far an attempt came whose request was not written to its target.
+  static AttemptReach ReachBeforeRun(const Run& run);
+  void RefuseRun(const AttemptId& id, Refused why);
   void FreeHandle(const KvHandle& handle);
   Run* Find(const AttemptId& id);
   void Flush();
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -99,9 +99,8 @@
                        TimePoint now) {
     return Route(request, candidates, now);
   };
-  hooks.spend_retry = [this](const CallerRequest& request, TimePoint) {
-    return SpendRetry(request);
-  };
+  hooks.spend_retry = [this](const CallerRequest& request, AttemptReach reach,
+                             TimePoint) { return SpendRetry(request, reach); };
   hooks.may_have_started = [this](const AttemptId& id) {
     return carrier_.MayHaveStarted(id);
   };
@@ -375,9 +374,13 @@
   }
 }
 
-bool DirectDispatcher::SpendRetry(const CallerRequest& request) {
-  const double arrivals =
-      request.prompt_parts.empty() ? kArrivalsWhole : kArrivalsReadApart;
+bool DirectDispatcher::SpendRetry(const CallerRequest& request,
+                                  AttemptReach reach) {
+  // One reading is part of a first attempt. If that is all there was, the next
+  // attempt brings one arrival more than a request may make.
+  const bool one =
+      request.prompt_parts.empty() || reach == AttemptReach::kReader;
+  const double arrivals = one ? kArrivalsWhole : kArrivalsReadApart;
   const bool granted = BudgetOf(request.deployment).TryTake(arrivals);
   retries_denied_.Add(granted ? 0 : 1);
   return granted;
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -114,7 +114,7 @@
               const SideInfo& side, TimePoint now);
   void OnAttemptEnd(const CallerRequest& request, const AttemptId& id,
                     AttemptOutcome outcome, TimePoint now);
-  bool SpendRetry(const CallerRequest& request);
+  bool SpendRetry(const CallerRequest& request, AttemptReach reach);
   EnginePlacement& PlacementOf(const std::string& service);
   EngineLimits LimitsOf(const std::string& service) const;
   RetryBudget& BudgetOf(const std::string& service);
--- a/tests/core/request/request_flow_direct_test.cc
+++ b/tests/core/request/request_flow_direct_test.cc
@@ -58,7 +58,7 @@
 TEST_CASE("Refused attempts draw on the retry budget where they are counted") {
   int budget = 1;
   RequestFlowHooks hooks;
-  hooks.spend_retry = [&](const CallerRequest&, TimePoint) {
+  hooks.spend_retry = [&](const CallerRequest&, AttemptReach, TimePoint) {
     return budget-- > 0;
   };
   FlowDriver driver(DirectOptions(), hooks);
--- a/tests/core/request/request_flow_faults_test.cc
+++ b/tests/core/request/request_flow_faults_test.cc
@@ -421,9 +421,8 @@
 TEST_CASE("Retries are bounded") {
   RequestFlowHooks hooks;
   int allowed = 0;
-  hooks.spend_retry = [&allowed](const CallerRequest&, TimePoint) {
-    return allowed-- > 0;
-  };
+  hooks.spend_retry = [&allowed](const CallerRequest&, AttemptReach,
+                                 TimePoint) { return allowed-- > 0; };
   FlowDriver driver({}, hooks);
   driver.Up("bilbao-a-1");
   driver.Up("bilbao-a-2");
--- a/tests/platform/direct_prompt_test.cc
+++ b/tests/platform/direct_prompt_test.cc
@@ -36,7 +36,13 @@
   explicit Scene(Script reader,
                  const RetryBudget::Options& budget = {0, 10, 10},
                  Script near = Send(kAnswer))
-      : reader_({std::move(reader)}),
+      : Scene(std::vector<Script>{std::move(reader)}, budget, std::move(near)) {
+  }
+
+  /// With one script for each prompt, the last one for those after it too.
+  Scene(std::vector<Script> reader, const RetryBudget::Options& budget,
+        Script near = Send(kAnswer))
+      : reader_(std::move(reader)),
         near_({std::move(near)}),
         far_({Send(kAnswer)}),
         dispatcher_(&io_, Options(budget), platform::MakePlatformDialect(),
@@ -51,14 +57,23 @@
 
   /// Tells the entry of its targets, the near one leaving or not.
   void List(bool near_leaves) {
-    dispatcher_.OnTargets({
+    listed_ = {
         Target("reader", reader_, kHere, EngineRole::kPrefill),
         Target("near", near_, kHere, EngineRole::kDecode, near_leaves),
         Target("far", far_, "bilbao", EngineRole::kDecode),
-    });
+    };
+    dispatcher_.OnTargets(listed_);
+  }
+
+  /// Lists a second reader, whose process is gone.
+  void AddUnreachableReader() {
+    const ScriptedServer gone({});
+    listed_.push_back(Target("gone", gone, kHere, EngineRole::kPrefill));
+    dispatcher_.OnTargets(listed_);
   }
 
-  void Ask(Duration time = milliseconds(1500)) {
+  /// `shared_part` names what the prompt shares, which decides its home.
+  void Ask(Duration time = milliseconds(1500), std::uint64_t shared_part = 1) {
     status_.reset();
     run_.reset();
     auto request = std::make_shared<CallerRequest>();
@@ -68,7 +83,7 @@
     request->method = "POST";
     request->path = "/audit";
     request->headers = {{"X-Request-Id", "r-1"}};
-    request->prompt_parts = {{1, 80}, {2, 20}};
+    request->prompt_parts = {{shared_part, 80}, {2, 20}};
     request->repeatability = Repeatability::kOnce;
     request->max_attempts = 3;
     request->received_at = BootTimeNow();
@@ -167,6 +182,7 @@
   ScriptedServer reader_;
   ScriptedServer near_;
   ScriptedServer far_;
+  std::vector<TargetRecord> listed_;
   std::vector<std::string> lines_;
   std::optional<int> status_;
   std::optional<RunState> run_;
@@ -235,6 +251,41 @@
   }
 }
 
+// An engine has crashed and its registration stands for seconds yet. A prompt
+// meant for it never leaves the entry: its target's operator counts nothing, so
+// its caller must not be refused for want of allowance while a second engine
+// reads beside it.
+TEST_CASE("A prompt whose reader cannot be reached goes to another for free") {
+  Scene scene(Send(kRead), /*budget=*/{0, 0, 0});
+  scene.AddUnreachableReader();
+  for (std::uint64_t part = 10; part < 30; ++part) {
+    scene.Ask(milliseconds(1500), part);
+    CHECK(scene.AwaitStatus() == 200);
+  }
+  CHECK(scene.Logged({"attempt-refused", "reader=gone", "prefill_failed"}));
+}
+
+// A reader turns prompts away: it is full, or has started anew under another
+// id. It took nothing, so the attempt after it brings one arrival more than a
+// request may make, and not two.
+TEST_CASE("A prompt that its reader turned away costs one arrival") {
+  const char* const refusal =
+      GENERATE("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+               "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+  SECTION("with one left it is made") {
+    Scene scene({Send(refusal), Send(kRead)}, {0, 1, 1});
+    scene.Ask();
+    CHECK(scene.AwaitStatus() == 200);
+    CHECK(scene.reads() == 2);
+  }
+  SECTION("with none left it is not") {
+    Scene scene({Send(refusal), Send(kRead)}, {0, 0, 0});
+    scene.Ask();
+    CHECK(scene.AwaitStatus() == 503);
+    CHECK(scene.reads() == 1);
+  }
+}
+
 // On a large fleet an entry's part of the allowance is less than one attempt.
 // Its own traffic must still earn one, or no request would ever be tried again.
 TEST_CASE("An entry of a large fleet earns a whole attempt by its traffic") {
