Copy a prompt's shared part from its likely holder, and charge a failed reading once

Cause: homes move when engines leave, crash or come back, and prompts overflow from a busy home; each time the shared part was read anew though another engine held it.

Change: a reader copies from the first engine in the hash's order that is not itself, a leaving one among them for two seconds. A failed reading costs one arrival, a refused run two; what was allowed and not made is given back.

--- a/src/core/placement/engine_placement.cc
+++ b/src/core/placement/engine_placement.cc
@@ -107,7 +107,9 @@
   for (std::size_t it = 0; it < n; ++it) {
     const std::string& instance = readers[it]->instance;
     const bool cached = IsCached(request, instance, it == 0);
-    const double work = WorkOf(request, cached);
+    const std::string copy_from =
+        CopySource(request, engines, readers, instance);
+    const double work = WorkOf(request, cached || !copy_from.empty());
     const Duration wait = WaitAt(instance, read_time_, now);
     const Duration first_event =
         wait + read_time_.Predict(work) + ToDuration(answer_wait_s_);
@@ -116,12 +118,36 @@
     if (wait == Duration{0} || first_event <= limit) {
       const PlacementEngine* decode =
           PickDecode(decoders, readers[it]->failure_domain);
-      return EnginePlace{instance, decode->instance, work, cached};
+      return EnginePlace{instance, decode->instance, work, cached, copy_from};
     }
   }
   return Busy(least, limit);
 }
 
+// Homes move when engines leave, crash or come back, and prompts overflow from
+// a busy home to the next. Each time a shared part that some engine holds would
+// be read anew. In the order of the hash the holder is the first engine other
+// than the reader: the home of an overflow, the leaving home of a new one, and
+// the home of the time in which a reader that came back was away.
+std::string EnginePlacement::CopySource(
+    const CallerRequest& request, const std::vector<PlacementEngine>& engines,
+    const std::vector<const PlacementEngine*>& readers,
+    const std::string& reader) const {
+  auto holders = readers;
+  for (const PlacementEngine& it : engines) {
+    if (it.leaving && it.role == EngineRole::kPrefill) {
+      holders.push_back(&it);
+    }
+  }
+  if (holders.size() > readers.size()) {
+    SortByRendezvous(SharedPrefixHash(request.prompt_parts), &holders);
+  }
+  const auto it = std::find_if(
+      holders.begin(), holders.end(),
+      [&reader](const PlacementEngine* e) { return e->instance != reader; });
+  return it == holders.end() ? "" : (*it)->instance;
+}
+
 PlacementDecision EnginePlacement::PlaceWhole(
     const CallerRequest& request,
     const std::vector<const PlacementEngine*>& from, TimePoint now) {
@@ -193,6 +219,9 @@
   std::vector<const PlacementEngine*> usable;
   std::vector<const PlacementEngine*> second_choice;
   for (const PlacementEngine& it : engines) {
+    if (it.leaving) {
+      continue;
+    }
     const bool fits = it.role == role || (it.role == EngineRole::kMixed &&
                                           role == EngineRole::kDecode);
     if (!fits) {
@@ -311,6 +340,11 @@
   return place.decode;
 }
 
+std::string EnginePlacement::CopySourceOf(const AttemptId& attempt) const {
+  const auto it = sent_.find(attempt);
+  return it == sent_.end() ? "" : it->second.place.copy_from;
+}
+
 void EnginePlacement::OnRunnerRefused(const AttemptId& attempt, TimePoint now) {
   const auto it = sent_.find(attempt);
   if (it == sent_.end()) {
--- a/src/core/placement/engine_placement.h
+++ b/src/core/placement/engine_placement.h
@@ -27,6 +27,7 @@
   EngineRole role = EngineRole::kMixed;
   bool tried = false;    ///< An earlier attempt of this request went there.
   bool avoided = false;  ///< Its calls have broken one after the other.
+  bool leaving = false;  ///< Gets no work; what it holds may be copied yet.
 
   friend bool operator==(const PlacementEngine&,
                          const PlacementEngine&) = default;
@@ -38,6 +39,8 @@
   std::string decode;
   double prefill_work = 0;  ///< Tokens still to be read, as counted here.
   bool cached = false;      ///< The shared part is taken to be cached there.
+  /// Engine from which the reader may copy the shared part; empty: none.
+  std::string copy_from = {};
 
   friend bool operator==(const EnginePlace&, const EnginePlace&) = default;
 };
@@ -158,6 +161,10 @@
   /// as seen, or as assumed while too little was seen.
   RoleLoad Load(TimePoint now) const;
 
+  /// Returns the engine from which the reader of `attempt` may copy what the
+  /// prompt shares with others; empty if there is none.
+  std::string CopySourceOf(const AttemptId& attempt) const;
+
   /// Returns the tokens that wait to be read at `instance`, as counted here.
   double BacklogOf(const std::string& instance) const;
 
@@ -199,6 +206,12 @@
   bool IsCached(const CallerRequest& request, const std::string& instance,
                 bool is_home) const;
   double WorkOf(const CallerRequest& request, bool cached) const;
+  /// Returns the engine most likely to hold what the prompt shares, but for
+  /// `reader`; empty if there is none.
+  std::string CopySource(const CallerRequest& request,
+                         const std::vector<PlacementEngine>& engines,
+                         const std::vector<const PlacementEngine*>& readers,
+                         const std::string& reader) const;
   const PlacementEngine* PickDecode(
       const std::vector<const PlacementEngine*>& engines,
       const std::string& near_domain);
--- a/src/core/request/request_types.h
+++ b/src/core/request/request_types.h
@@ -232,8 +232,8 @@
 /// first.
 enum class AttemptReach {
   kNothing,  ///< Nothing was written to any target; the next is the first.
-  kReader,   ///< An engine that reads prompts was called and did not take it,
-             ///< or took it and nobody was called to answer.
+  kReader,   ///< Only an engine that reads prompts was called. One such call
+             ///< is part of a first attempt.
   kTarget,   ///< The target that was to answer, or may have been.
 };
 
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -184,15 +184,22 @@
     return;
   }
   run.called = FindTarget(at)->run;
-  run.call = FetchAnswer(client,
-                         dialect_.prefill(*run.request, *FindTarget(at),
-                                          {PrefillWait(run.deadline - clock_()),
-                                           std::nullopt, run.resume_after}),
-                         options_.max_handle_bytes,
-                         [this, id, at](const Result<TargetAnswer>& answer) {
-                           OnHandle(id, at, answer);
-                           Flush();
-                         });
+  run.call = FetchAnswer(
+      client,
+      dialect_.prefill(*run.request, *FindTarget(at),
+                       {PrefillWait(run.deadline - clock_()), std::nullopt,
+                        run.resume_after, CopyAddress(id)}),
+      options_.max_handle_bytes,
+      [this, id, at](const Result<TargetAnswer>& answer) {
+        OnHandle(id, at, answer);
+        Flush();
+      });
+}
+
+std::string DirectCarrier::CopyAddress(const AttemptId& id) const {
+  const std::string from = hooks_.copy_source ? hooks_.copy_source(id) : "";
+  const TargetRecord* target = from.empty() ? nullptr : FindTarget(from);
+  return target ? target->address : "";
 }
 
 Duration DirectCarrier::PrefillWait(Duration left) const {
@@ -213,7 +220,7 @@
     const Error& error = ErrorOf(answer);
     const bool unsent = error.code == ErrorCode::kUnavailable;
     RefuseRun(id, {"prefill_failed",
-                   unsent ? AttemptReach::kNothing : AttemptReach::kTarget,
+                   unsent ? AttemptReach::kNothing : AttemptReach::kReader,
                    ToString(error)});
     return;
   }
@@ -223,11 +230,8 @@
              : Result<KvHandle>(Error{ErrorCode::kNotFound, "target.prefill",
                                       reader, "the engine has been removed"});
   if (!IsOk(handle)) {
-    const ErrorCode code = ErrorOf(handle).code;
-    const bool full = code == ErrorCode::kOverloaded;
-    const bool not_taken = full || code == ErrorCode::kUnavailable;
-    RefuseRun(id, {"prefill_refused",
-                   not_taken ? AttemptReach::kReader : AttemptReach::kTarget,
+    const bool full = ErrorOf(handle).code == ErrorCode::kOverloaded;
+    RefuseRun(id, {"prefill_refused", AttemptReach::kReader,
                    ToString(ErrorOf(handle)), full});
     return;
   }
@@ -265,12 +269,16 @@
   if (!run->handle || run->runners >= options_.max_runners) {
     return false;
   }
-  if (run->written && !hooks_.may_arrive_again(*run->request)) {
+  const bool charged = run->written;
+  if (charged && !hooks_.may_arrive_again(*run->request)) {
     return false;
   }
   const std::string before = run->instance;
   hooks_.on_runner_refused(id);
   if (!MoveToRunner(id, run)) {
+    if (charged) {
+      hooks_.on_no_arrival(*run->request);
+    }
     return false;
   }
   log_(kRunnerRefused, {{"request", run->request->caller_id},
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -55,6 +55,9 @@
   struct Hooks {
     /// The prompt of an attempt has been read.
     std::function<void(const AttemptId&)> on_prefilled;
+    /// Returns the engine from which the reader may copy what an attempt's
+    /// prompt shares with others; empty if there is none.
+    std::function<std::string(const AttemptId&)> copy_source;
     /// The head of an attempt's answer came.
     std::function<void(const AttemptId&)> on_answering;
     /// Returns the target that makes the answer, now that the prompt has been
@@ -66,6 +69,8 @@
     std::function<void(const AttemptId&)> on_runner_refused;
     /// Asks whether the request may arrive at one more target.
     std::function<bool(const CallerRequest&)> may_arrive_again;
+    /// What was allowed so was not made after all.
+    std::function<void(const CallerRequest&)> on_no_arrival;
     /// A call to a target ended as it should, or broke: its connection was
     /// lost or could not be made. A call that ran out of time is neither.
     std::function<void(const std::string& instance, bool broke)> on_call_end;
@@ -131,6 +136,7 @@
   std::unique_ptr<TargetClient> MakeClient(const std::string& address);
   void StartPrefill(const AttemptId& id, const std::string& at);
   Duration PrefillWait(Duration left) const;
+  std::string CopyAddress(const AttemptId& id) const;
   void StartRun(const AttemptId& id);
   bool MoveToRunner(const AttemptId& id, Run* run);
   bool RunElsewhere(const AttemptId& id, Run* run, const std::string& why);
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -122,6 +122,15 @@
       placement.OnPrefilled(id, clock_());
     }
   };
+  hooks.copy_source = [this](const AttemptId& id) {
+    for (const auto& [service, placement] : placements_) {
+      std::string from = placement.CopySourceOf(id);
+      if (!from.empty()) {
+        return from;
+      }
+    }
+    return std::string();
+  };
   hooks.on_answering = [this](const AttemptId& id) {
     for (auto& [service, placement] : placements_) {
       placement.OnAnswering(id, clock_());
@@ -139,6 +148,9 @@
   hooks.may_arrive_again = [this](const CallerRequest& request) {
     return SpendRetry(request, AttemptReach::kReader);
   };
+  hooks.on_no_arrival = [this](const CallerRequest& request) {
+    BudgetOf(request.deployment).Grant(kArrivalsWhole);
+  };
   hooks.on_call_end = [this](const std::string& instance, bool broke) {
     OnCallEnd(instance, broke);
   };
@@ -223,6 +235,7 @@
           {"failure_domain", it.target.failure_domain},
           {"role", std::to_string(static_cast<int>(it.target.role))}});
     carrier_.OnTarget(it);
+    NoteLeaving(it);
     if (it.kind == TargetChange::Kind::kRemoved ||
         it.kind == TargetChange::Kind::kRestarted) {
       PlacementOf(it.target.service).Forget(it.target.id);
@@ -259,7 +272,8 @@
 std::optional<std::string> DirectDispatcher::ChooseRunner(
     const AttemptId& id, const CallerRequest& request) {
   const auto engines =
-      EnginesOf(flow_.sides().CandidatesFor(request.deployment, {}), clock_());
+      EnginesOf(request.deployment,
+                flow_.sides().CandidatesFor(request.deployment, {}), clock_());
   auto runner =
       PlacementOf(request.deployment).PlaceDecode(id, engines, clock_());
   log_(kRunnerChosen,
@@ -273,7 +287,8 @@
 }
 
 std::vector<PlacementEngine> DirectDispatcher::EnginesOf(
-    const std::vector<Candidate>& candidates, TimePoint now) const {
+    const std::string& service, const std::vector<Candidate>& candidates,
+    TimePoint now) const {
   const bool believed = GuardIsPlausible(candidates, now);
   std::vector<PlacementEngine> engines;
   engines.reserve(candidates.size());
@@ -282,9 +297,24 @@
     engines.push_back({instance, it.side->failure_domain, RoleOf(*it.side),
                        it.tried, believed && guard_.IsAvoided(instance, now)});
   }
+  for (const auto& [id, it] : leaving_) {
+    if (it.record.service == service && now < it.until) {
+      engines.push_back({id, it.record.failure_domain, it.record.role, false,
+                         false, /*leaving=*/true});
+    }
+  }
   return engines;
 }
 
+void DirectDispatcher::NoteLeaving(const TargetChange& change) {
+  if (change.kind == TargetChange::Kind::kLeaving) {
+    leaving_[change.target.id] = {change.target,
+                                  clock_() + options_.copy_from_leaving};
+  } else {
+    leaving_.erase(change.target.id);
+  }
+}
+
 bool DirectDispatcher::GuardIsPlausible(
     const std::vector<Candidate>& candidates, TimePoint now) const {
   const auto avoided = std::count_if(
@@ -312,7 +342,7 @@
     TimePoint now) {
   const PlacementDecision decision =
       PlacementOf(request.deployment)
-          .Place(request, EnginesOf(candidates, now), now);
+          .Place(request, EnginesOf(request.deployment, candidates, now), now);
   if (const auto* busy = std::get_if<EnginesBusy>(&decision)) {
     return Refusal{
         503, RunState::kNotRun, "engines_busy",
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -38,6 +38,9 @@
     EnginePlacement::Options placement;
     FailureGuard::Options guard;
     EntryRetryBudget::Options retry_budget;  ///< Of each service.
+    /// A target that leaves holds what it has read for so long yet: at least
+    /// the time for which a planned shutdown goes on serving.
+    Duration copy_from_leaving = std::chrono::seconds(2);
     /// Plain services: attempts by which a target in the entry's own failure
     /// domain may be busier and still be preferred.
     std::uint32_t domain_attempts = 2;
@@ -110,7 +113,9 @@
   RouteResult RouteToService(const std::vector<Candidate>& candidates,
                              TimePoint now) const;
   std::vector<PlacementEngine> EnginesOf(
-      const std::vector<Candidate>& candidates, TimePoint now) const;
+      const std::string& service, const std::vector<Candidate>& candidates,
+      TimePoint now) const;
+  void NoteLeaving(const TargetChange& change);
   bool GuardIsPlausible(const std::vector<Candidate>& candidates,
                         TimePoint now) const;
   void OnCallEnd(const std::string& instance, bool broke);
@@ -144,6 +149,12 @@
   std::shared_ptr<const RouteTable> routes_;
   std::map<std::string, EnginePlacement> placements_;
   std::map<std::string, EntryRetryBudget> budgets_;
+  /// Targets that left a moment ago, by id.
+  struct Leaving {
+    TargetRecord record;
+    TimePoint until;  ///< What it holds may be copied until then.
+  };
+  std::map<std::string, Leaving> leaving_;
   bool start_granted_ = false;
   std::unordered_map<RequestId, Open> open_;
   /// Decided by `Route` for the `OnSent` that follows it.
--- a/src/entry/target_dialect.h
+++ b/src/entry/target_dialect.h
@@ -28,6 +28,9 @@
   Duration left{0};                ///< Until the caller's deadline.
   std::optional<KvHandle> source;  ///< KV cache to go on from.
   std::string resume_after;        ///< Event after which to go on, if any.
+  /// "IP:port" of an engine that holds what the prompt shares with others;
+  /// empty: it is read.
+  std::string copy_from = {};
 
   friend bool operator==(const RunOptions&, const RunOptions&) = default;
 };
