--- /dev/null
+++ b/src/core/base/json_problem.cc
@@ -0,0 +1,14 @@
+#include "core/base/json_problem.h"
+
+namespace indigolead {
+
+std::string JsonProblem(const nlohmann::json::exception& problem) {
+  using ParseError = nlohmann::json::parse_error;
+  if (const auto* parse = dynamic_cast<const ParseError*>(&problem)) {
+    return "not JSON from byte " + std::to_string(parse->byte) + " on";
+  }
+  // The others name fields and types.
+  return problem.what();
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/request/api_keys.h
@@ -0,0 +1,77 @@
+#ifndef INDIGOLEAD_CORE_REQUEST_API_KEYS_H_
+#define INDIGOLEAD_CORE_REQUEST_API_KEYS_H_
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/request/request_types.h"
+
+namespace indigolead {
+
+/// SHA-256 of an API key. The key itself is held nowhere longer than it takes
+/// to hash it, so no log line, metric or error can show it.
+using KeyHash = std::array<unsigned char, 32>;
+
+/// Returns the hash of `key` as presented by a caller.
+KeyHash HashKey(std::string_view key);
+
+/// Returns the key that a caller presents as `Authorization: Bearer KEY`; empty
+/// if there is none, or more than one such field: which of two keys a target or
+/// an earlier proxy went by could not be told. Valid as long as `headers`.
+std::string_view FindBearerKey(const std::vector<HeaderField>& headers);
+
+/// Returns the refusal for a missing, malformed or unknown API key. It says
+/// nothing of the key presented.
+Refusal UnknownKeyRefusal();
+
+namespace internal {
+
+/// Picks a bucket by the first bytes of a hash: those of SHA-256 are spread
+/// evenly.
+struct KeyHashBucket {
+  std::size_t operator()(const KeyHash& hash) const;
+};
+
+/// Compares in constant time, so that the time taken does not tell how close a
+/// guess came.
+struct KeyHashEqual {
+  bool operator()(const KeyHash& a, const KeyHash& b) const;
+};
+
+}  // namespace internal
+
+/// What each of a set of API keys stands for, found in a time that does not
+/// grow with their number. One key may stand for several values.
+///
+/// Which bucket is looked into depends on the SHA-256 of the guess alone: its
+/// timing tells a caller nothing about a key that it does not have.
+template <typename T>
+class KeyIndex {
+ public:
+  void Add(const KeyHash& hash, T value) {
+    values_[hash].push_back(std::move(value));
+  }
+
+  /// Returns the values of the key with this hash, in the order in which they
+  /// were added; empty if there is none. Valid until the next `Add`.
+  const std::vector<T>& Find(const KeyHash& hash) const {
+    static const std::vector<T> kNone;
+    const auto it = values_.find(hash);
+    return it == values_.end() ? kNone : it->second;
+  }
+
+  std::size_t size() const { return values_.size(); }
+
+ private:
+  std::unordered_map<KeyHash, std::vector<T>, internal::KeyHashBucket,
+                     internal::KeyHashEqual>
+      values_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_CORE_REQUEST_API_KEYS_H_
--- a/src/core/request/catalogue.cc
+++ b/src/core/request/catalogue.cc
@@ -1,8 +1,5 @@
 #include "core/request/catalogue.h"
 
-#include <openssl/crypto.h>
-#include <openssl/sha.h>
-
 #include <algorithm>
 #include <optional>
 #include <set>
@@ -92,32 +89,20 @@
 
 }  // namespace
 
-KeyHash HashKey(std::string_view key) {
-  KeyHash hash{};
-  SHA256(reinterpret_cast<const unsigned char*>(key.data()), key.size(),
-         hash.data());
-  return hash;
-}
-
 Catalogue::Catalogue(std::map<std::string, Revision> revisions)
     : revisions_(std::move(revisions)) {
   for (const auto& [name, revision] : revisions_) {
     for (const ClientAccountSpec& it : revision.spec.client_accounts) {
       if (const auto hash = KeyHashFromHex(it.api_key_sha256)) {
-        keys_.push_back({*hash, {&revision, &it}});
+        keys_.Add(*hash, {&revision, &it});
       }
     }
   }
 }
 
-std::vector<AccountGrant> Catalogue::FindGrants(const KeyHash& hash) const {
-  std::vector<AccountGrant> grants;
-  for (const KnownKey& it : keys_) {
-    if (CRYPTO_memcmp(it.hash.data(), hash.data(), hash.size()) == 0) {
-      grants.push_back(it.grant);
-    }
-  }
-  return grants;
+const std::vector<AccountGrant>& Catalogue::FindGrants(
+    const KeyHash& hash) const {
+  return keys_.Find(hash);
 }
 
 std::variant<ResolvedRequest, Refusal> Catalogue::ResolveModel(
--- a/src/core/request/catalogue.h
+++ b/src/core/request/catalogue.h
@@ -1,8 +1,6 @@
 #ifndef INDIGOLEAD_CORE_REQUEST_CATALOGUE_H_
 #define INDIGOLEAD_CORE_REQUEST_CATALOGUE_H_
 
-#include <array>
-#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -10,16 +8,11 @@
 #include <vector>
 
 #include "core/config/deployment.h"
+#include "core/request/api_keys.h"
 #include "core/request/request_types.h"
 
 namespace indigolead {
 
-/// SHA-256 of an API key.
-using KeyHash = std::array<unsigned char, 32>;
-
-/// Returns the hash of `key` as presented by a caller.
-KeyHash HashKey(std::string_view key);
-
 /// One client account's entry in one deployment.
 struct AccountGrant {
   const Revision* revision = nullptr;
@@ -44,10 +37,9 @@
   Catalogue(const Catalogue&) = delete;
   Catalogue& operator=(const Catalogue&) = delete;
 
-  /// Returns every grant of the key that hashes to `hash`. Compares with each
-  /// known hash in constant time, so that the time taken tells nothing about
-  /// how close a guess came.
-  std::vector<AccountGrant> FindGrants(const KeyHash& hash) const;
+  /// Returns every grant of the key that hashes to `hash`. Valid as long as the
+  /// catalogue.
+  const std::vector<AccountGrant>& FindGrants(const KeyHash& hash) const;
 
   /// Finds the deployment that serves `model`, which names a model or one of
   /// its adapters, to one of `grants`; else the refusal to send.
@@ -69,13 +61,8 @@
   }
 
  private:
-  struct KnownKey {
-    KeyHash hash;
-    AccountGrant grant;
-  };
-
   std::map<std::string, Revision> revisions_;
-  std::vector<KnownKey> keys_;
+  KeyIndex<AccountGrant> keys_;
 };
 
 }  // namespace indigolead
--- a/src/core/request/request_reader.cc
+++ b/src/core/request/request_reader.cc
@@ -109,13 +109,8 @@
 }  // namespace
 
 std::string_view FindApiKey(const std::vector<HeaderField>& headers) {
-  constexpr std::string_view kBearer = "Bearer ";
-  const std::string_view value = FindHeader(headers, "authorization");
-  if (value.size() > kBearer.size() &&
-      EqualsIgnoringCase(value.substr(0, kBearer.size()), kBearer)) {
-    return value.substr(kBearer.size());
-  }
-  return FindHeader(headers, "x-api-key");
+  const std::string_view key = FindBearerKey(headers);
+  return key.empty() ? FindHeader(headers, "x-api-key") : key;
 }
 
 bool IsCompletionPath(std::string_view target) {
@@ -123,12 +118,6 @@
   return path == "/v1/completions" || path == "/v1/chat/completions";
 }
 
-Refusal UnknownKeyRefusal() {
-  return {401, RunState::kNotRun, "invalid_api_key",
-          "Send a known API key as \"Authorization: Bearer KEY\" or "
-          "\"X-Api-Key: KEY\"."};
-}
-
 std::variant<CallerRequest, Refusal> ReadRequest(
     IncomingRequest incoming, const Catalogue& catalogue,
     const std::vector<AccountGrant>& grants, RequestId id, TimePoint now) {
--- a/src/core/request/request_reader.h
+++ b/src/core/request/request_reader.h
@@ -34,10 +34,6 @@
 std::variant<CallerRequest, Refusal> ReadRequest(
     IncomingRequest incoming, const Catalogue& catalogue,
     const std::vector<AccountGrant>& grants, RequestId id, TimePoint now);
-
-/// Returns the refusal for a missing or unknown API key.
-Refusal UnknownKeyRefusal();
-
 }  // namespace indigolead
 
 #endif  // INDIGOLEAD_CORE_REQUEST_REQUEST_READER_H_
--- a/src/core/request/route_table.cc
+++ b/src/core/request/route_table.cc
@@ -27,6 +27,32 @@
     const ServiceRoute& route = configuration_.routes[it];
     places_[HostKey(route.host)].emplace(route.path_prefix, it);
   }
+  if (!configuration_.accounts) {
+    return;
+  }
+  for (std::size_t it = 0; it < configuration_.accounts->size(); ++it) {
+    for (const KeyHash& key : (*configuration_.accounts)[it].keys) {
+      keys_.Add(key, it);
+    }
+  }
+}
+
+std::variant<const RouteAccount*, Refusal> RouteTable::Admit(
+    const ServiceRoute& route, std::string_view key) const {
+  const RouteAccount* nobody = nullptr;
+  if (!reads_keys()) {
+    return nobody;
+  }
+  if (!key.empty()) {
+    const std::vector<std::size_t>& places = keys_.Find(HashKey(key));
+    if (!places.empty()) {
+      return &(*configuration_.accounts)[places.front()];
+    }
+  }
+  if (route.open_to_all) {
+    return nobody;
+  }
+  return UnknownKeyRefusal();
 }
 
 const ServiceRoute* RouteTable::Find(std::string_view host,
--- a/src/core/request/route_table.h
+++ b/src/core/request/route_table.h
@@ -6,10 +6,12 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 #include "core/base/run_state.h"
 #include "core/base/time.h"
+#include "core/request/api_keys.h"
 
 namespace indigolead {
 
@@ -34,6 +36,7 @@
   Duration answer_target{0};   ///< Within which an answer is worth most.
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   std::uint32_t max_attempts = 1;
+  bool open_to_all = false;               ///< Its requests need no API key.
   std::vector<WeightedService> services;  ///< At least one.
 
   friend bool operator==(const ServiceRoute&, const ServiceRoute&) = default;
@@ -59,6 +62,15 @@
   friend bool operator==(const ServiceTraits&, const ServiceTraits&) = default;
 };
 
+/// A client account of one version of the routes, with what opens it.
+struct RouteAccount {
+  std::string name;
+  std::vector<KeyHash> keys;              ///< None: nobody gets in by it.
+  std::optional<std::uint32_t> priority;  ///< Goes before the route's.
+
+  friend bool operator==(const RouteAccount&, const RouteAccount&) = default;
+};
+
 /// What a caller may send, and how long it may take.
 struct CallerLimits {
   std::uint64_t max_header_bytes = 16U << 10;
@@ -74,6 +86,9 @@
   std::uint64_t version = 0;
   std::vector<ServiceRoute> routes;
   std::vector<ServiceTraits> services;
+  /// Absent: no request needs a key. Empty: none but those of open routes is
+  /// let in.
+  std::optional<std::vector<RouteAccount>> accounts;
   CallerLimits limits;
 
   friend bool operator==(const RouteConfiguration&,
@@ -90,6 +105,17 @@
   /// (query included), or null. Valid as long as the table.
   const ServiceRoute* Find(std::string_view host, std::string_view path) const;
 
+  /// Returns the account by which a request of `route` that presents `key` is
+  /// let in: null if it needs none, or the refusal to send. A key that nobody
+  /// holds is no reason to refuse a request of an open route. Valid as long as
+  /// the table.
+  std::variant<const RouteAccount*, Refusal> Admit(const ServiceRoute& route,
+                                                   std::string_view key) const;
+
+  /// Returns true if callers' keys are this system's to read, and not the
+  /// targets'.
+  bool reads_keys() const { return configuration_.accounts.has_value(); }
+
   /// Returns the traits of `service`, or null.
   const ServiceTraits* FindService(const std::string& service) const;
 
@@ -106,6 +132,8 @@
   /// Places in `configuration_.routes`, by host and prefix.
   std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
       places_;
+  /// Places in `configuration_.accounts`.
+  KeyIndex<std::size_t> keys_;
 };
 
 }  // namespace indigolead
--- /dev/null
+++ b/tests/core/request/api_keys_test.cc
@@ -0,0 +1,106 @@
+#include "core/request/api_keys.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "core/request/route_table.h"
+
+namespace indigolead {
+namespace {
+
+using Headers = std::vector<HeaderField>;
+
+TEST_CASE("A key is read from one Authorization field") {
+  SECTION("as a bearer token, its scheme in any case") {
+    CHECK(FindBearerKey({{"Authorization", "Bearer k-1"}}) == "k-1");
+    CHECK(FindBearerKey({{"authorization", "bEARER k-1"}}) == "k-1");
+  }
+  SECTION("any other form is no key") {
+    CHECK(FindBearerKey(Headers{}).empty());
+    CHECK(FindBearerKey({{"Authorization", "Bearer "}}).empty());
+    CHECK(FindBearerKey({{"Authorization", "Bearer"}}).empty());
+    CHECK(FindBearerKey({{"Authorization", "Basic k-1"}}).empty());
+    CHECK(FindBearerKey({{"Authorization", "k-1"}}).empty());
+  }
+  SECTION("of two keys none can be told to be the caller's") {
+    CHECK(FindBearerKey({{"Authorization", "Bearer k-1"},
+                         {"authorization", "Bearer k-2"}})
+              .empty());
+  }
+}
+
+TEST_CASE("A key's hash is its SHA-256") {
+  // Known answer for "abc".
+  const KeyHash hash = HashKey("abc");
+  CHECK(hash.front() == 0xBA);
+  CHECK(hash.back() == 0xAD);
+}
+
+TEST_CASE("Keys are found by their hash") {
+  KeyIndex<int> index;
+  index.Add(HashKey("k-1"), 1);
+  index.Add(HashKey("k-2"), 2);
+  index.Add(HashKey("k-1"), 3);
+  CHECK(index.size() == 2);
+  CHECK(index.Find(HashKey("k-1")) == std::vector<int>{1, 3});
+  CHECK(index.Find(HashKey("k-2")) == std::vector<int>{2});
+  CHECK(index.Find(HashKey("k-")).empty());
+}
+
+ServiceRoute Route(bool open_to_all) {
+  ServiceRoute route;
+  route.name = open_to_all ? "open" : "keyed";
+  route.open_to_all = open_to_all;
+  return route;
+}
+
+RouteTable TableWith(std::optional<std::vector<RouteAccount>> accounts) {
+  RouteConfiguration configuration;
+  configuration.version = 1;
+  configuration.accounts = std::move(accounts);
+  return RouteTable(configuration);
+}
+
+std::string AdmittedAs(const RouteTable& table, bool open_to_all,
+                       std::string_view key) {
+  const auto admitted = table.Admit(Route(open_to_all), key);
+  if (const auto* refusal = std::get_if<Refusal>(&admitted)) {
+    return "refused with " + std::to_string(refusal->status);
+  }
+  const auto* account = std::get<const RouteAccount*>(admitted);
+  return account ? account->name : "nobody";
+}
+
+TEST_CASE("A request is let in by its key") {
+  const RouteTable table = TableWith(std::vector<RouteAccount>{
+      {"salon", {HashKey("k-1"), HashKey("k-2")}, 1}, {"owner", {}, {}}});
+
+  SECTION("as the account that holds the key") {
+    CHECK(AdmittedAs(table, false, "k-1") == "salon");
+    CHECK(AdmittedAs(table, false, "k-2") == "salon");
+  }
+  SECTION("not without one that is known") {
+    CHECK(AdmittedAs(table, false, "") == "refused with 401");
+    CHECK(AdmittedAs(table, false, "k-3") == "refused with 401");
+  }
+  SECTION("an open route asks for none, and knows one all the same") {
+    CHECK(AdmittedAs(table, true, "") == "nobody");
+    CHECK(AdmittedAs(table, true, "k-3") == "nobody");
+    CHECK(AdmittedAs(table, true, "k-1") == "salon");
+  }
+}
+
+TEST_CASE("Accounts that are listed are asked for, and none if none are") {
+  SECTION("without a list nobody needs a key") {
+    CHECK(AdmittedAs(TableWith(std::nullopt), false, "") == "nobody");
+    CHECK(AdmittedAs(TableWith(std::nullopt), false, "k-1") == "nobody");
+  }
+  SECTION("an empty list lets nobody in") {
+    const RouteTable table = TableWith(std::vector<RouteAccount>{});
+    CHECK(AdmittedAs(table, false, "k-1") == "refused with 401");
+    CHECK(AdmittedAs(table, true, "k-1") == "nobody");
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
