--- /dev/null
+++ b/src/core/usage/usage_meter.cc
@@ -0,0 +1,45 @@
+#include "core/usage/usage_meter.h"
+
+#include <algorithm>
+
+namespace indigolead {
+
+void UsageMeter::Count(const std::string& account, WallMicros at) {
+  Held& held = held_[WindowAt(at, options_.window)];
+  ++held.requests[account];
+  held.whole_at = TimePoint{};
+  ++counted_;
+  if (held_.size() > options_.most_windows) {
+    for (const auto& [name, n] : held_.begin()->second.requests) {
+      lost_ += n;
+    }
+    held_.erase(held_.begin());
+  }
+}
+
+std::vector<WindowCounts> UsageMeter::windows() const {
+  std::vector<WindowCounts> windows;
+  windows.reserve(held_.size());
+  for (const auto& [window, held] : held_) {
+    windows.push_back({window, held.requests});
+  }
+  return windows;
+}
+
+void UsageMeter::OnWritten(std::uint64_t mark, WallMicros counted_until,
+                           TimePoint now) {
+  written_ = std::max(written_, mark);
+  const UsageWindow open = WindowAt(counted_until, options_.window);
+  for (auto it = held_.begin(); it != held_.end() && it->first < open;) {
+    Held& held = it->second;
+    // What was counted after the write was made is not known to stand there.
+    if (held.whole_at == TimePoint{} && mark == counted_) {
+      held.whole_at = now;
+    }
+    const bool collected = held.whole_at != TimePoint{} &&
+                           now - held.whole_at >= options_.keep_written;
+    it = collected ? held_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/entry/account_counters.cc
@@ -0,0 +1,55 @@
+#include "entry/account_counters.h"
+
+namespace indigolead {
+namespace {
+
+// No account has one of these names: a name has no blanks.
+
+/// Stands for the accounts beyond the bound.
+constexpr char kOthers[] = "(all others)";
+/// Stands for requests that no account made, as those of open routes.
+constexpr char kNobody[] = "(no account)";
+
+std::string Escaped(const std::string& text) {
+  std::string out;
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+    }
+    out += c;
+  }
+  return out;
+}
+
+}  // namespace
+
+AccountCounters::AccountCounters(MetricsRegistry* metrics,
+                                 std::size_t most_accounts)
+    : metrics_(metrics), most_accounts_(most_accounts) {}
+
+AccountCounters::Counters AccountCounters::Make(const std::string& label) {
+  const std::string labels = "account=\"" + Escaped(label) + "\"";
+  return {metrics_->AddCounter("indigolead_account_requests_answered_total",
+                               "Requests answered by a target, by account.",
+                               labels),
+          metrics_->AddCounter("indigolead_account_requests_failed_total",
+                               "Requests refused or broken off, by account.",
+                               labels)};
+}
+
+AccountCounters::Counters& AccountCounters::Of(const std::string& account) {
+  const std::string name = account.empty() ? kNobody : account;
+  const auto held = counters_.find(name);
+  if (held != counters_.end()) {
+    return held->second;
+  }
+  const bool full = counters_.size() >= most_accounts_;
+  const std::string label = full ? kOthers : name;
+  const auto shared = counters_.find(label);
+  if (shared != counters_.end()) {
+    return shared->second;
+  }
+  return counters_.emplace(label, Make(label)).first->second;
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/entry/account_counters.h
@@ -0,0 +1,42 @@
+#ifndef INDIGOLEAD_ENTRY_ACCOUNT_COUNTERS_H_
+#define INDIGOLEAD_ENTRY_ACCOUNT_COUNTERS_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include "observe/metrics.h"
+
+namespace indigolead {
+
+/// Counts the ends of requests by client account.
+///
+/// Accounts come from the operator's configuration, and each has counters of
+/// its own up to a bound; those that come later are counted together.
+class AccountCounters {
+ public:
+  /// `metrics` must outlive this object.
+  explicit AccountCounters(MetricsRegistry* metrics,
+                           std::size_t most_accounts = 1000);
+
+  void OnAnswered(const std::string& account) { Of(account).answered.Add(); }
+  /// Refused, or ended without a whole answer.
+  void OnFailed(const std::string& account) { Of(account).failed.Add(); }
+
+ private:
+  struct Counters {
+    Counter& answered;
+    Counter& failed;
+  };
+
+  Counters& Of(const std::string& account);
+  Counters Make(const std::string& label);
+
+  MetricsRegistry* metrics_;
+  std::size_t most_accounts_;
+  std::map<std::string, Counters> counters_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_ACCOUNT_COUNTERS_H_
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -70,6 +70,7 @@
                clock, log),
       directory_(options_.directory),
       guard_(options_.guard),
+      accounts_(metrics),
       answered_(metrics->AddCounter("indigolead_requests_answered_total",
                                     "Requests answered by a target.")),
       refused_(metrics->AddCounter("indigolead_requests_refused_total",
@@ -170,6 +171,7 @@
   if (it != open_.end()) {
     abandoned_.Add();
     const CallerRequest& request = *it->second.request;
+    NoteEndedRun(&it->second);
     log_(kRequestAbandoned,
          {{"request", request.caller_id},
           {"route", request.route},
@@ -391,10 +393,12 @@
   std::uint32_t number = 1;
   if (const auto it = open_.find(request.id); it != open_.end()) {
     number = ++it->second.attempts;
+    it->second.sent_at = now;
     it->second.last_target = side.instance;
   }
   log_(kRequestPlaced, {{"request", request.caller_id},
                         {"route", request.route},
+                        {"account", request.client_account},
                         {"target", side.instance},
                         {"prefill", prefill},
                         {"work", work},
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -16,6 +16,7 @@
 #include "core/placement/failure_guard.h"
 #include "core/request/request_flow.h"
 #include "core/request/route_table.h"
+#include "entry/account_counters.h"
 #include "entry/direct_carrier.h"
 #include "entry/messages.h"
 #include "observe/event_log.h"
@@ -49,6 +50,8 @@
     std::function<void(ToCallers&&)> to_callers;
     /// A change of what is known of a target.
     std::function<void(const TargetChange&)> on_target;
+    /// A target began to run the request, or may have: once for each request.
+    std::function<void(const CallerRequest&, TimePoint)> on_begun;
   };
 
   DirectDispatcher(boost::asio::io_context* io, Options options,
@@ -96,6 +99,8 @@
     std::uint32_t attempts = 0;
     std::string last_target;
     bool streaming = false;
+    bool begun = false;                 ///< `on_begun` was told.
+    std::optional<TimePoint> sent_at;   ///< Of its latest attempt.
     std::optional<TimePoint> first_at;  ///< Of its answer's first bytes.
     TimePoint latest_at{};              ///< Of the latest ones.
     Duration longest_pause{0};          ///< Between two of them.
@@ -133,6 +138,8 @@
   void Act(RequestAction& action);
   void LogEnd(const RequestAction& action);
   void NoteBytes(const RequestId& id);
+  void NoteBegun(Open* open, TimePoint at);
+  void NoteEndedRun(Open* open);
   void LogAnswered(const RequestId& id, int status);
   void LogRefused(const RequestId& id, const Refusal& refusal);
   void CloseRequest(const RequestId& id);
@@ -161,6 +168,7 @@
   std::optional<EnginePlace> decided_;
   std::vector<RequestAction> actions_;
   bool flushing_ = false;
+  AccountCounters accounts_;
   Counter& answered_;
   Counter& refused_;
   Counter& broken_;
--- a/src/entry/direct_dispatcher_log.cc
+++ b/src/entry/direct_dispatcher_log.cc
@@ -1,6 +1,7 @@
 // What an entry's dispatcher tells of its requests' ends: lines and metrics.
 
 #include <algorithm>
+#include <utility>
 
 #include "entry/direct_dispatcher.h"
 #include "entry/event_fields.h"
@@ -9,6 +10,9 @@
 namespace indigolead {
 namespace {
 
+/// Lowest status of an answer that tells of a failure.
+constexpr int kFirstFailure = 400;
+
 double Seconds(Duration length) {
   return std::chrono::duration<double>(length).count();
 }
@@ -46,23 +50,48 @@
   if (open.first_at) {
     open.longest_pause = std::max(open.longest_pause, now - open.latest_at);
   }
-  open.first_at = open.first_at.value_or(now);
+  if (!open.first_at) {
+    open.first_at = now;
+    NoteBegun(&open, now);
+  }
   open.latest_at = now;
 }
 
+void DirectDispatcher::NoteBegun(Open* open, TimePoint at) {
+  if (!std::exchange(open->begun, true) && hooks_.on_begun) {
+    hooks_.on_begun(*open->request, at);
+  }
+}
+
+// A generation begins to run with its first token, which is the first that is
+// heard of it. Any other request begins when its target has taken it, of which
+// nothing is heard before its end.
+void DirectDispatcher::NoteEndedRun(Open* open) {
+  const bool generation = !open->request->prompt_parts.empty();
+  if (!generation && open->sent_at) {
+    NoteBegun(open, *open->sent_at);
+  }
+}
+
 void DirectDispatcher::LogAnswered(const RequestId& id, int status) {
   const auto it = open_.find(id);
   if (it == open_.end()) {
     return;
   }
+  NoteEndedRun(&it->second);
+  if (status < kFirstFailure) {
+    NoteBegun(&it->second, clock_());  // An answer that came all at once.
+  }
   const Open& open = it->second;
   const Duration after = clock_() - open.request->received_at;
   answered_.Add();
+  accounts_.OnAnswered(open.request->client_account);
   if (!open.streaming) {
     answer_seconds_.Record(Seconds(after));
   }
   EventFields fields{{"request", open.request->caller_id},
                      {"route", open.request->route},
+                     {"account", open.request->client_account},
                      {"status", std::to_string(status)},
                      {"target", open.last_target},
                      {"attempts", std::to_string(open.attempts)},
@@ -81,12 +110,17 @@
   if (it == open_.end()) {
     return;
   }
+  if (refusal.run != RunState::kNotRun) {
+    NoteEndedRun(&it->second);
+  }
   const Open& open = it->second;
   const Duration after = clock_() - open.request->received_at;
   (refusal.run == RunState::kNotRun ? refused_ : broken_).Add();
+  accounts_.OnFailed(open.request->client_account);
   refusal_seconds_.Record(Seconds(after));
   log_(kRequestRefused, {{"request", open.request->caller_id},
                          {"route", open.request->route},
+                         {"account", open.request->client_account},
                          {"code", refusal.code},
                          {"run", std::string(RunStateName(refusal.run))},
                          {"target", open.last_target},
--- a/src/entry/own_object.cc
+++ b/src/entry/own_object.cc
@@ -23,11 +23,14 @@
   }
 };
 
-OwnObject::OwnObject(ObjectStore* store, std::string key, CallOptions options)
+OwnObject::OwnObject(ObjectStore* store, std::string key, CallOptions options,
+                     std::optional<std::uint64_t> version)
     : store_(store),
       key_(std::move(key)),
       options_(options),
-      state_(std::make_shared<State>()) {}
+      state_(std::make_shared<State>()) {
+  state_->version = version;
+}
 
 void OwnObject::Write(std::string value, std::function<void(bool)> done) {
   if (state_->version) {
--- a/src/entry/own_object.h
+++ b/src/entry/own_object.h
@@ -17,8 +17,10 @@
 /// after reading the object's version.
 class OwnObject {
  public:
-  /// `store` must outlive this object.
-  OwnObject(ObjectStore* store, std::string key, CallOptions options);
+  /// `store` must outlive this object. `version` is the object's, if it is
+  /// known: 0 if it does not exist, as under a name that no other process had.
+  OwnObject(ObjectStore* store, std::string key, CallOptions options,
+            std::optional<std::uint64_t> version = std::nullopt);
 
   /// Writes `value`, then calls `done` with true if it is known to be there.
   /// At most one write may be in flight.
--- a/src/entry/stage_service.h
+++ b/src/entry/stage_service.h
@@ -72,6 +72,9 @@
   void Tick();
   /// Gives no further order and gives the lease up.
   void Stop();
+  /// Returns the number under which this entry may act as the only one, if it
+  /// may: it holds the lease, and what the holder before it did is over.
+  std::optional<FencingNumber> Authority() const;
 
  private:
   struct Service {
@@ -84,7 +87,6 @@
 
   LeaseKeeper::Hooks LeaseHooks(Lease::Jitter jitter);
   bool IsStandby(std::size_t entries) const;
-  std::optional<FencingNumber> Authority() const;
   void TellEngines(Service* service);
   void Send(const std::string& service, const StageOrder& order);
   void OnReport(const std::string& service, const StageOrder& order,
--- a/src/target/fetch_answer.cc
+++ b/src/target/fetch_answer.cc
@@ -8,10 +8,12 @@
 
 std::unique_ptr<TargetClient::Call> FetchAnswer(
     TargetClient* client, TargetRequest request, std::size_t max_bytes,
-    std::function<void(Result<TargetAnswer>)> done) {
+    std::function<void(Result<TargetAnswer>)> done,
+    std::function<bool()> may_write) {
   auto answer = std::make_shared<TargetAnswer>();
   auto too_long = std::make_shared<bool>(false);
   TargetClient::Hooks hooks;
+  hooks.on_before_write = std::move(may_write);
   hooks.on_head = [answer](int status, std::vector<HttpHeader>) {
     answer->status = status;
   };
--- a/src/target/fetch_answer.h
+++ b/src/target/fetch_answer.h
@@ -21,10 +21,13 @@
 
 /// Starts `request` and hands its whole answer to `done`, once, unless the
 /// returned call is destroyed first. An answer longer than `max_bytes` ends
-/// with `kProtocol`.
+/// with `kProtocol`. `may_write` is asked immediately before the first byte is
+/// written, which is after a connection was made; if it returns false, nothing
+/// is.
 std::unique_ptr<TargetClient::Call> FetchAnswer(
     TargetClient* client, TargetRequest request, std::size_t max_bytes,
-    std::function<void(Result<TargetAnswer>)> done);
+    std::function<void(Result<TargetAnswer>)> done,
+    std::function<bool()> may_write = {});
 
 }  // namespace indigolead
 
--- /dev/null
+++ b/tests/core/usage/steady_calendar_test.cc
@@ -0,0 +1,83 @@
+#include "core/usage/steady_calendar.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr WallMicros kSecond = 1'000'000;
+constexpr WallMicros kBegin = 1'700'000'000 * kSecond;
+
+/// A machine whose time of day can be stepped.
+class Machine {
+ public:
+  void Run(Duration length, WallMicros step) {
+    for (Duration it{0}; it < length; it += milliseconds(200)) {
+      now_ += milliseconds(200);
+      calendar_.Observe(now_, True() + step);
+    }
+  }
+
+  /// Returns by how much the calendar is off the true time.
+  WallMicros Error() const { return std::abs(*calendar_.At(now_) - True()); }
+
+ private:
+  WallMicros True() const {
+    return kBegin + std::chrono::duration_cast<std::chrono::microseconds>(
+                        now_.time_since_epoch())
+                        .count();
+  }
+
+  TimePoint now_{seconds(50)};
+  SteadyCalendar calendar_;
+};
+
+TEST_CASE("Nothing is known before the first reading") {
+  CHECK_FALSE(SteadyCalendar().At(TimePoint{}));
+}
+
+// The time of day jumps by two seconds for a while, forward or back. Counting
+// by it would move the requests of two seconds into a neighbouring window.
+TEST_CASE("A step of the time of day does not move the calendar") {
+  const WallMicros step = GENERATE(2 * kSecond, -2 * kSecond, 86'400 * kSecond);
+  Machine machine;
+  machine.Run(seconds(10), 0);
+  CHECK(machine.Error() < kSecond / 1000);
+  machine.Run(seconds(5), step);
+  CHECK(machine.Error() < kSecond / 1000);
+
+  SECTION("nor does the step back") {
+    machine.Run(seconds(5), 0);
+    CHECK(machine.Error() < kSecond / 1000);
+  }
+  SECTION("nor do several of them") {
+    machine.Run(seconds(1), 0);
+    machine.Run(seconds(3), -step);
+    CHECK(machine.Error() < kSecond / 1000);
+  }
+}
+
+TEST_CASE("A process started during a step finds the true time afterwards") {
+  Machine machine;
+  machine.Run(seconds(4), 2 * kSecond);
+  CHECK(machine.Error() > kSecond);
+  machine.Run(seconds(5), 0);
+  CHECK(machine.Error() < kSecond / 1000);
+}
+
+TEST_CASE("A slewed clock is followed") {
+  Machine machine;
+  machine.Run(seconds(10), 0);
+  for (WallMicros it = 1; it <= 20; ++it) {
+    machine.Run(seconds(1), it * kSecond / 200);
+  }
+  // The time of day is the reference, and it has moved by 100 ms.
+  CHECK(machine.Error() > kSecond / 20);
+}
+
+}  // namespace
+}  // namespace indigolead
--- /dev/null
+++ b/tests/core/usage/usage_meter_test.cc
@@ -0,0 +1,72 @@
+#include "core/usage/usage_meter.h"
+
+#include <catch2/catch.hpp>
+
+namespace indigolead {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr WallMicros kSecond = 1'000'000;
+constexpr UsageWindow kFirst = 353'445'120;
+constexpr WallMicros kBegin = kFirst * 5 * kSecond;
+
+UsageMeter::Options FiveSeconds() {
+  UsageMeter::Options options;
+  options.window = seconds(5);
+  options.keep_written = seconds(20);
+  options.most_windows = 4;
+  return options;
+}
+
+TEST_CASE("Requests are counted in the window in which they began") {
+  UsageMeter meter(FiveSeconds());
+  meter.Count("salon", kBegin);
+  meter.Count("salon", kBegin + 5 * kSecond - 1);
+  meter.Count("owner", kBegin + 5 * kSecond - 1);
+  meter.Count("salon", kBegin + 5 * kSecond);
+  CHECK(meter.windows() ==
+        std::vector<WindowCounts>{{kFirst, {{"owner", 1}, {"salon", 2}}},
+                                  {kFirst + 1, {{"salon", 1}}}});
+}
+
+TEST_CASE("Counts are kept until they have stood in the store long enough") {
+  UsageMeter meter(FiveSeconds());
+  TimePoint now{seconds(100)};
+  meter.Count("salon", kBegin + kSecond);
+  CHECK(meter.has_news());
+
+  SECTION("a window that goes on is never dropped") {
+    meter.OnWritten(meter.mark(), kBegin + 2 * kSecond, now);
+    meter.OnWritten(meter.mark(), kBegin + 4 * kSecond, now + seconds(60));
+    CHECK_FALSE(meter.has_news());
+    CHECK(meter.windows().size() == 1);
+  }
+  SECTION("one that is over is, some time after it was written whole") {
+    meter.OnWritten(meter.mark(), kBegin + 6 * kSecond, now);
+    CHECK(meter.windows().size() == 1);
+    meter.OnWritten(meter.mark(), kBegin + 25 * kSecond, now + seconds(19));
+    CHECK(meter.windows().size() == 1);
+    meter.OnWritten(meter.mark(), kBegin + 26 * kSecond, now + seconds(20));
+    CHECK(meter.windows().empty());
+  }
+  SECTION("not if a request was counted while the write was under way") {
+    const std::uint64_t mark = meter.mark();
+    meter.Count("salon", kBegin + 2 * kSecond);
+    meter.OnWritten(mark, kBegin + 6 * kSecond, now);
+    CHECK(meter.has_news());
+    meter.OnWritten(meter.mark(), kBegin + 26 * kSecond, now + seconds(20));
+    CHECK(meter.windows().size() == 1);
+  }
+  SECTION("while nothing can be written the oldest go first, and are told") {
+    for (int n = 1; n < 6; ++n) {
+      meter.Count("owner", kBegin + n * 5 * kSecond);
+    }
+    CHECK(meter.windows().size() == 4);
+    CHECK(meter.windows().front().window == kFirst + 2);
+    CHECK(meter.lost() == 2);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
--- /dev/null
+++ b/tests/core/usage/usage_reporter_test.cc
@@ -0,0 +1,515 @@
+#include "core/usage/usage_reporter.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/base/random.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using ReadFixed = UsageReporter::ReadFixed;
+using ListEntries = UsageReporter::ListEntries;
+using WriteFixed = UsageReporter::WriteFixed;
+using Send = UsageReporter::Send;
+
+constexpr WallMicros kSecond = 1'000'000;
+constexpr UsageWindow kWindow = 353'445'120;
+constexpr WallMicros kBegin = kWindow * 5 * kSecond;
+
+UsageReporter::Options FiveSeconds() {
+  UsageReporter::Options options;
+  options.window = seconds(5);
+  options.due_after = seconds(10);
+  options.collect_after = seconds(2);
+  options.due_margin = milliseconds(2500);
+  options.give_up_after = seconds(120);
+  options.collector.window = seconds(5);
+  options.collector.silent_after = seconds(10);
+  return options;
+}
+
+EntryUsage Entry(const std::string& name, WallMicros until,
+                 std::vector<WindowCounts> windows) {
+  return {name,  Incarnation{{1, 1}}, kBegin - 60 * kSecond, until,
+          false, std::move(windows)};
+}
+
+Error Lost() { return {ErrorCode::kTimeout, "store.put", "store", "lost"}; }
+
+/// One holder, whose steps the test answers. `at` is seconds after the begin of
+/// the window `kWindow`.
+class Holder {
+ public:
+  std::optional<UsageReporter::Action> Tick(double at,
+                                            FencingNumber number = 7) {
+    auto step = reporter.Tick(number, Calendar(at), Boot(at));
+    if (!step) {
+      return std::nullopt;
+    }
+    ticket = step->ticket;
+    return step->action;
+  }
+
+  void OnRead(double at, std::optional<UsageReporter::FixedView> view) {
+    reporter.OnFixedRead(ticket, view, Boot(at));
+  }
+  void OnListed(double at, std::vector<EntryUsage> entries) {
+    reporter.OnEntriesListed(ticket, std::move(entries), Boot(at));
+  }
+
+  static WallMicros Calendar(double at) {
+    return kBegin + static_cast<WallMicros>(at * kSecond);
+  }
+  static TimePoint Boot(double at) {
+    return TimePoint{seconds(1000)} + std::chrono::duration_cast<Duration>(
+                                          std::chrono::duration<double>(at));
+  }
+
+  UsageReporter reporter{FiveSeconds()};
+  std::uint64_t ticket = 0;
+};
+
+const WindowCounts kCounts{kWindow, {{"salon", 3}}};
+
+TEST_CASE("A report is settled before it is sent") {
+  Holder holder;
+  CHECK(holder.Tick(1) == UsageReporter::Action(ReadFixed{}));
+  holder.OnRead(1, std::nullopt);
+
+  SECTION("nothing is asked for before the window is over and collected") {
+    CHECK_FALSE(holder.Tick(1.9));
+  }
+  SECTION("the records of all entries make the report") {
+    REQUIRE(holder.Tick(7.1) == UsageReporter::Action(ListEntries{}));
+    holder.OnListed(7.1, {Entry("front-1", Holder::Calendar(5.1), {kCounts})});
+    const WriteFixed write{{{kCounts}}, 0};
+    REQUIRE(holder.Tick(7.2) == UsageReporter::Action(write));
+
+    SECTION("which is sent once it stands in the store") {
+      CHECK_FALSE(holder.Tick(7.3));
+      holder.reporter.OnFixedWritten(holder.ticket, std::uint64_t{40},
+                                     Holder::Boot(7.3));
+      CHECK(holder.reporter.TakeSettled() ==
+            UsageReporter::Settled{kWindow, true});
+      REQUIRE(holder.Tick(7.4) == UsageReporter::Action(Send{kCounts, 7}));
+      holder.reporter.OnReported(holder.ticket, ReportOutcome::kDelivered,
+                                 Holder::Boot(7.4));
+      CHECK_FALSE(holder.Tick(11.9));
+      CHECK(holder.Tick(12.1) == UsageReporter::Action(ListEntries{}));
+    }
+    SECTION("and not before it is known to: a lost answer is read up") {
+      holder.reporter.OnFixedWritten(holder.ticket, Lost(), Holder::Boot(8));
+      CHECK_FALSE(holder.Tick(8.5));
+      REQUIRE(holder.Tick(9.1) == UsageReporter::Action(ReadFixed{}));
+      holder.OnRead(9.1, UsageReporter::FixedView{{{kCounts}}, 40});
+      CHECK(holder.Tick(9.2) == UsageReporter::Action(Send{kCounts, 7}));
+    }
+    SECTION("nor under an authority that has ended") {
+      CHECK_FALSE(holder.reporter.Tick(std::nullopt, Holder::Calendar(7.3),
+                                       Holder::Boot(7.3)));
+      holder.reporter.OnFixedWritten(holder.ticket, std::uint64_t{40},
+                                     Holder::Boot(7.4));
+      CHECK_FALSE(holder.reporter.Tick(std::nullopt, Holder::Calendar(7.5),
+                                       Holder::Boot(7.5)));
+      // With a new one it reads again what stands there.
+      CHECK(holder.Tick(7.6, 9) == UsageReporter::Action(ReadFixed{}));
+    }
+  }
+}
+
+// The holder was killed, paused or cut off after it had settled a report. The
+// next one cannot know whether it was sent, and nothing can be read back.
+TEST_CASE("A successor repeats exactly what was settled") {
+  Holder holder;
+  REQUIRE(holder.Tick(8));
+  holder.OnRead(8, UsageReporter::FixedView{{{kCounts}}, 40});
+  REQUIRE(holder.Tick(8.1) == UsageReporter::Action(Send{kCounts, 7}));
+
+  SECTION("again until its fate is known") {
+    holder.reporter.OnReported(holder.ticket, ReportOutcome::kUnknown,
+                               Holder::Boot(8.2));
+    CHECK_FALSE(holder.Tick(8.3));
+    CHECK(holder.Tick(9.3) == UsageReporter::Action(Send{kCounts, 7}));
+  }
+  SECTION("and goes on with the next window, the one before kept if unsent") {
+    holder.reporter.OnReported(holder.ticket, ReportOutcome::kDelivered,
+                               Holder::Boot(8.2));
+    REQUIRE(holder.Tick(12.1) == UsageReporter::Action(ListEntries{}));
+    // Whatever the entries say of it now, a settled report stays.
+    const WindowCounts more{kWindow, {{"salon", 4}}};
+    const WindowCounts next{kWindow + 1, {{"owner", 1}}};
+    holder.OnListed(12.1,
+                    {Entry("front-1", Holder::Calendar(11), {more, next})});
+    CHECK(holder.Tick(12.2) == UsageReporter::Action(WriteFixed{{{next}}, 40}));
+    holder.reporter.OnFixedWritten(holder.ticket, std::uint64_t{41},
+                                   Holder::Boot(12.2));
+    CHECK(holder.reporter.TakeLate() == 1);
+  }
+  SECTION("one that is refused for good is told and left") {
+    holder.reporter.OnReported(holder.ticket, ReportOutcome::kRefused,
+                               Holder::Boot(8.2));
+    CHECK(holder.reporter.TakeGivenUp() == std::vector<UsageWindow>{kWindow});
+    CHECK_FALSE(holder.Tick(8.3));
+  }
+}
+
+// An entry was killed in the window and tells nothing more; whether it will
+// cannot be known.
+TEST_CASE("A report waits for a silent entry no longer than it may") {
+  Holder holder;
+  REQUIRE(holder.Tick(6));
+  holder.OnRead(6, std::nullopt);
+  const std::vector<EntryUsage> entries{
+      Entry("front-1", Holder::Calendar(5.1), {kCounts}),
+      Entry("front-2", Holder::Calendar(2.5), {{kWindow, {{"salon", 1}}}})};
+  REQUIRE(holder.Tick(7.1) == UsageReporter::Action(ListEntries{}));
+  holder.OnListed(7.1, entries);
+  CHECK_FALSE(holder.Tick(7.2));
+  REQUIRE(holder.Tick(8.3) == UsageReporter::Action(ListEntries{}));
+
+  SECTION("it is settled at once when the entry has told") {
+    auto told = entries;
+    told[1].counted_until = Holder::Calendar(5.2);
+    told[1].windows = {{kWindow, {{"salon", 2}}}};
+    holder.OnListed(8.3, told);
+    CHECK(holder.Tick(8.4) ==
+          UsageReporter::Action(WriteFixed{{{{kWindow, {{"salon", 5}}}}}, 0}));
+  }
+  SECTION("it is settled without it in time to be sent") {
+    holder.OnListed(8.3, entries);
+    REQUIRE_FALSE(holder.Tick(8.4));
+    REQUIRE(holder.Tick(12.5) == UsageReporter::Action(ListEntries{}));
+    holder.OnListed(12.5, entries);
+    CHECK(holder.Tick(12.6) ==
+          UsageReporter::Action(WriteFixed{{{{kWindow, {{"salon", 4}}}}}, 0}));
+    holder.reporter.OnFixedWritten(holder.ticket, std::uint64_t{40},
+                                   Holder::Boot(12.6));
+    CHECK(holder.reporter.TakeSettled() ==
+          UsageReporter::Settled{kWindow, false});
+  }
+}
+
+// Windows may be shorter than it takes to collect what was counted in them.
+// Then none is ever over and collected before the next one is over too.
+TEST_CASE("Short windows are reported as well") {
+  UsageReporter::Options options = FiveSeconds();
+  options.window = seconds(1);
+  options.collector.window = seconds(1);
+  UsageReporter reporter(options);
+  const WindowCounts counts{kWindow * 5, {{"salon", 3}}};
+  auto step = reporter.Tick(7, Holder::Calendar(4.5), Holder::Boot(4.5));
+  REQUIRE(step);
+  reporter.OnFixedRead(step->ticket, std::optional<UsageReporter::FixedView>(),
+                       Holder::Boot(4.5));
+  step = reporter.Tick(7, Holder::Calendar(4.6), Holder::Boot(4.6));
+  REQUIRE(step);
+  REQUIRE(step->action == UsageReporter::Action(ListEntries{}));
+  reporter.OnEntriesListed(
+      step->ticket,
+      std::vector<EntryUsage>{Entry("front-1", Holder::Calendar(4), {counts})},
+      Holder::Boot(4.6));
+  step = reporter.Tick(7, Holder::Calendar(4.7), Holder::Boot(4.7));
+  REQUIRE(step);
+  CHECK(step->action == UsageReporter::Action(WriteFixed{{{counts}}, 0}));
+}
+
+/// Entries, holders, a store and a receiver in one random world.
+///
+/// Every 100 ms each of them may act. Entries count and write; some are killed
+/// with what they had not written. The authority moves between holders, some of
+/// which sleep with steps in flight. The store loses answers, and carries some
+/// writes out seconds late if their condition still holds. The receiver loses
+/// answers and is away for a time.
+class World {
+ public:
+  explicit World(std::uint64_t seed) : random_(MakeSeededRandom(seed)) {
+    for (int n = 0; n < 3; ++n) {
+      holders_.push_back(std::make_unique<Side>());
+    }
+    for (int n = 0; n < 4; ++n) {
+      entries_.push_back({"front-" + std::to_string(n), 0, {}, {}});
+    }
+  }
+
+  void Run(bool kills) {
+    for (now_ = 0; now_ < 1200; ++now_) {
+      Trouble();
+      for (std::size_t it = 0; it < entries_.size(); ++it) {
+        Count(&entries_[it], kills);
+      }
+      Land();
+      for (auto& it : holders_) {
+        Drive(it.get());
+      }
+    }
+    // Everything is well for long enough to catch up.
+    receiver_away_until_ = 0;
+    store_ill_until_ = 0;
+    for (; now_ < 1500; ++now_) {
+      for (auto& it : entries_) {
+        Count(&it, false);
+      }
+      Land();
+      for (auto& it : holders_) {
+        it->asleep_until = 0;
+        Drive(it.get());
+      }
+    }
+  }
+
+  const std::map<UsageWindow, std::map<std::string, std::uint64_t>>& reported()
+      const {
+    return reported_;
+  }
+  const std::map<UsageWindow, std::map<std::string, std::uint64_t>>& truth()
+      const {
+    return truth_;
+  }
+  const std::vector<std::string>& broken() const { return broken_; }
+  int steps_landed_late() const { return landed_late_; }
+
+ private:
+  struct Side {
+    UsageReporter reporter{FiveSeconds()};
+    int asleep_until = 0;
+  };
+  struct Counting {
+    std::string name;
+    int starts = 0;
+    std::map<UsageWindow, std::map<std::string, std::uint64_t>> counted;
+    EntryUsage written;
+  };
+  /// A write that has not taken effect yet.
+  struct Pending {
+    int at = 0;
+    FixedUsage value;
+    std::uint64_t expected = 0;
+  };
+
+  bool Chance(double p) { return ToUnitInterval(random_()) < p; }
+  int Below(std::uint32_t n) { return static_cast<int>(ToBelow(random_(), n)); }
+  WallMicros Calendar() const { return kBegin + now_ * kSecond / 10; }
+  TimePoint Boot() const {
+    return TimePoint{seconds(1000)} + now_ * milliseconds(100);
+  }
+
+  void Trouble() {
+    // The authority moves on; for a while nobody may have it.
+    if (Chance(0.008)) {
+      holder_ = Below(3);
+      number_ += 1 + Below(5);
+      held_from_ = now_ + Below(60);
+    }
+    if (Chance(0.01)) {
+      holders_[Below(3)]->asleep_until = now_ + Below(60);
+    }
+    if (Chance(0.01)) {
+      store_ill_until_ = now_ + Below(40);
+    }
+    if (Chance(0.01)) {
+      receiver_away_until_ = now_ + Below(40);
+    }
+  }
+
+  void Count(Counting* entry, bool kills) {
+    const UsageWindow window = WindowAt(Calendar(), seconds(5));
+    if (Chance(0.5)) {
+      const std::string account = "account-" + std::to_string(Below(6));
+      ++entry->counted[window][account];
+      ++truth_[window][account];
+    }
+    const int phase = now_ % 50;
+    if (phase == 5 || phase == 30) {
+      entry->written = {entry->name, Incarnation{{1, 1}}, 0, Calendar(), false,
+                        {}};
+      for (const auto& [k, requests] : entry->counted) {
+        entry->written.windows.push_back({k, requests});
+      }
+      entry->written.started_at = entry->starts;
+    }
+    if (kills && Chance(0.004)) {
+      gone_.push_back(entry->written);
+      entry->counted.clear();
+      entry->written = {entry->name,     Incarnation{{1, 1}},
+                        ++entry->starts, Calendar(),
+                        false,           {}};
+    }
+  }
+
+  /// Carries out the writes whose time has come.
+  void Land() {
+    for (std::size_t it = 0; it < pending_.size();) {
+      if (pending_[it].at > now_) {
+        ++it;
+        continue;
+      }
+      if (pending_[it].expected == version_) {
+        stored_ = pending_[it].value;
+        version_ += 1;
+        ++landed_late_;
+      }
+      pending_.erase(pending_.begin() + static_cast<std::ptrdiff_t>(it));
+    }
+  }
+
+  void Drive(Side* side) {
+    if (now_ < side->asleep_until) {
+      return;
+    }
+    const bool holds = holders_[holder_].get() == side && now_ >= held_from_;
+    const auto number =
+        holds ? std::optional<FencingNumber>(number_) : std::nullopt;
+    const auto step = side->reporter.Tick(number, Calendar(), Boot());
+    if (!step) {
+      return;
+    }
+    if (std::holds_alternative<ReadFixed>(step->action)) {
+      Read(side, step->ticket);
+    } else if (std::holds_alternative<ListEntries>(step->action)) {
+      List(side, step->ticket);
+    } else if (const auto* write = std::get_if<WriteFixed>(&step->action)) {
+      Write(side, step->ticket, *write);
+    } else {
+      Receive(side, step->ticket, std::get<Send>(step->action));
+    }
+  }
+
+  bool StoreIsIll() { return now_ < store_ill_until_ && Chance(0.8); }
+
+  void Read(Side* side, std::uint64_t ticket) {
+    Result<std::optional<UsageReporter::FixedView>> answer =
+        std::optional<UsageReporter::FixedView>();
+    if (StoreIsIll()) {
+      answer = Lost();
+    } else if (version_ > 0) {
+      answer = std::optional(UsageReporter::FixedView{stored_, version_});
+    }
+    side->reporter.OnFixedRead(ticket, answer, Boot());
+  }
+
+  void List(Side* side, std::uint64_t ticket) {
+    if (StoreIsIll()) {
+      side->reporter.OnEntriesListed(ticket, Lost(), Boot());
+      return;
+    }
+    std::vector<EntryUsage> entries = gone_;
+    for (const Counting& it : entries_) {
+      entries.push_back(it.written);
+    }
+    side->reporter.OnEntriesListed(ticket, entries, Boot());
+  }
+
+  void Write(Side* side, std::uint64_t ticket, const WriteFixed& write) {
+    if (StoreIsIll()) {
+      // Done and not answered, done late, or never done.
+      const int fate = Below(3);
+      if (fate < 2) {
+        pending_.push_back(
+            {now_ + fate * (10 + Below(50)), write.value, write.expected});
+      }
+      side->reporter.OnFixedWritten(ticket, Lost(), Boot());
+      return;
+    }
+    if (write.expected != version_) {
+      side->reporter.OnFixedWritten(
+          ticket, Error{ErrorCode::kConflict, "store.put", "store", "0"},
+          Boot());
+      return;
+    }
+    stored_ = write.value;
+    side->reporter.OnFixedWritten(ticket, ++version_, Boot());
+  }
+
+  void Receive(Side* side, std::uint64_t ticket, const Send& send) {
+    const bool away = now_ < receiver_away_until_;
+    if (away && Chance(0.5)) {
+      side->reporter.OnReported(ticket, ReportOutcome::kUnknown, Boot());
+      return;
+    }
+    if (send.number < highest_) {
+      broken_.push_back("a number fell");
+    }
+    highest_ = std::max(highest_, send.number);
+    const auto [it, first] =
+        reported_.emplace(send.report.window, send.report.requests);
+    if (!first && it->second != send.report.requests) {
+      broken_.push_back("two contents for a window");
+    }
+    if (Calendar() < StartOf(send.report.window + 1, seconds(5))) {
+      broken_.push_back("a report before its window's end");
+    }
+    side->reporter.OnReported(
+        ticket, away ? ReportOutcome::kUnknown : ReportOutcome::kDelivered,
+        Boot());
+  }
+
+  RandomSource random_;
+  int now_ = 0;  ///< In tenths of a second.
+  std::vector<std::unique_ptr<Side>> holders_;
+  std::vector<Counting> entries_;
+  std::vector<EntryUsage> gone_;  ///< Records of runs that were killed.
+  std::size_t holder_ = 0;
+  FencingNumber number_ = 1;
+  int held_from_ = 0;
+  int store_ill_until_ = 0;
+  int receiver_away_until_ = 0;
+  FixedUsage stored_;
+  std::uint64_t version_ = 0;
+  std::vector<Pending> pending_;
+  int landed_late_ = 0;
+  FencingNumber highest_ = 0;
+  std::map<UsageWindow, std::map<std::string, std::uint64_t>> reported_;
+  std::map<UsageWindow, std::map<std::string, std::uint64_t>> truth_;
+  std::vector<std::string> broken_;
+};
+
+std::uint64_t Sum(const std::map<std::string, std::uint64_t>& requests) {
+  std::uint64_t sum = 0;
+  for (const auto& [account, n] : requests) {
+    sum += n;
+  }
+  return sum;
+}
+
+TEST_CASE("In random worlds one content is told for each window") {
+  int landed_late = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    INFO("seed " << seed);
+    World world(seed);
+    world.Run(/*kills=*/true);
+    CHECK(world.broken() == std::vector<std::string>{});
+    landed_late += world.steps_landed_late();
+    // Every window but those that go on at the end.
+    REQUIRE(world.reported().size() + 2 >= world.truth().size());
+    for (const auto& [window, requests] : world.reported()) {
+      // A kill takes away what was not written, and nothing is invented.
+      for (const auto& [account, n] : requests) {
+        CHECK(n <= world.truth().at(window).at(account));
+      }
+    }
+  }
+  CHECK(landed_late > 100);
+}
+
+TEST_CASE("Where no entry is killed the reports are exact") {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    INFO("seed " << seed);
+    World world(seed);
+    world.Run(/*kills=*/false);
+    CHECK(world.broken() == std::vector<std::string>{});
+    for (const auto& [window, requests] : world.reported()) {
+      CHECK(Sum(requests) == Sum(world.truth().at(window)));
+      CHECK(requests == world.truth().at(window));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -51,6 +51,37 @@
   }
 }
 
+TEST_CASE("Usage is reported where the platform asks for it") {
+  const std::string asked = kGood +
+                            "cloud.address=10.200.0.179:8228\n"
+                            "bounds.report-window-s=5\n"
+                            "bounds.usage-late-s=10\n";
+  const auto settings_of = [](const std::string& text) {
+    const auto parsed = ParsePlatformSettings("settings.conf", text);
+    REQUIRE(std::holds_alternative<PlatformSettings>(parsed));
+    return std::get<PlatformSettings>(parsed);
+  };
+
+  SECTION("among the duties that it names") {
+    const PlatformSettings settings =
+        settings_of(asked + "cloud.duties=autoscale, usage_report\n");
+    CHECK(settings.usage_address == "10.200.0.179:8228");
+    CHECK(settings.usage_window == std::chrono::seconds(5));
+    CHECK(settings.usage_due == std::chrono::seconds(10));
+  }
+  SECTION("and nowhere else") {
+    CHECK(settings_of(asked).usage_address.empty());
+    CHECK(
+        settings_of(asked + "cloud.duties=autoscale\n").usage_address.empty());
+    CHECK(settings_of(asked + "cloud.duties=\n").usage_address.empty());
+  }
+  SECTION("at an address that must be there") {
+    const auto problems = ProblemsOf(kGood + "cloud.duties=usage_report\n");
+    REQUIRE(problems.size() == 1);
+    CHECK(problems[0].key == "cloud.address");
+  }
+}
+
 TEST_CASE("Unusable settings are told with place and remedy") {
   SECTION("everything that is missing, at once") {
     CHECK(ProblemsOf("").size() == 6);
--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -56,12 +56,28 @@
   return n;
 }
 
+std::vector<std::string> ModelWorker::accounts(const std::string& request_id) {
+  std::vector<std::string> accounts;
+  server_.Invoke([&] { accounts = accounts_[request_id]; });
+  return accounts;
+}
+
+int ModelWorker::keys_seen() {
+  int n = 0;
+  server_.Invoke([&] { n = keys_seen_; });
+  return n;
+}
+
 void ModelWorker::SetBehaviour(Behaviour behaviour) {
   server_.Invoke([&] { behaviour_ = behaviour; });
 }
 
 Task ModelWorker::Handle(HttpExchange& exchange) {
   const HttpRequest& request = exchange.request();
+  keys_seen_ += request.Header("Authorization").empty() ? 0 : 1;
+  if (!IdOf(exchange).empty()) {
+    accounts_[IdOf(exchange)].push_back(request.Header("X-Tenant"));
+  }
   const std::string expected = request.Header("X-Expect-Instance");
   if (!expected.empty() && expected != options_.id) {
     co_await exchange.Reply(421, "", {});
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "standins/http_server.h"
 
@@ -53,6 +54,11 @@
   /// Returns how often the request with this id was run.
   int runs(const std::string& request_id);
   int prefills();
+  /// Returns the client accounts told with each arrival of the request, to read
+  /// its prompt or to run it.
+  std::vector<std::string> accounts(const std::string& request_id);
+  /// Returns how many arrivals had a caller's key with them.
+  int keys_seen();
   void SetBehaviour(Behaviour behaviour);
 
  private:
@@ -73,6 +79,8 @@
   Behaviour behaviour_ = Behaviour::kSound;
   int running_ = 0;
   std::map<std::string, int> runs_;
+  std::map<std::string, std::vector<std::string>> accounts_;
+  int keys_seen_ = 0;
   standins::HttpServer server_;
 };
 
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -51,7 +51,7 @@
             {"idle-timeout-ms", 5000}}}};
 }
 
-PlatformScene::PlatformScene() {
+PlatformScene::PlatformScene(bool reports_usage) {
   for (int n = 0; n < 6; ++n) {
     AddWorker("e" + std::to_string(n), "llm", true);
   }
@@ -59,7 +59,7 @@
   AddWorker("a1", "app", false);
   Register();
   store.Put("config", "main", MakeConfiguration(3));
-  WriteSettings();
+  WriteSettings(reports_usage);
   setenv("INDIGOLEAD_BOOT", settings_.c_str(), 1);
   StartEntry();
   REQUIRE(WaitUntil([&] { return Ready(); }));
@@ -101,6 +101,36 @@
                   std::chrono::seconds(10));
 }
 
+HttpAnswer PlatformScene::AskWithKey(const std::string& key,
+                                     const std::string& method,
+                                     const std::string& path,
+                                     const std::string& id) {
+  return HttpCall(callers_address, method, path, "prices",
+                  {{"X-Request-Id", id},
+                   {"X-Deadline-Ms", "4000"},
+                   {"X-Token-Usage", "100,4"},
+                   {"X-Prefix-Hash", "5c:80,91:20"},
+                   {"Authorization", "Bearer " + key}},
+                  std::chrono::seconds(10));
+}
+
+std::vector<std::string> PlatformScene::Accounts(const std::string& id) {
+  std::vector<std::string> accounts;
+  for (ModelWorker& it : workers) {
+    const auto told = it.accounts(id);
+    accounts.insert(accounts.end(), told.begin(), told.end());
+  }
+  return accounts;
+}
+
+int PlatformScene::KeysSeen() {
+  int n = 0;
+  for (ModelWorker& it : workers) {
+    n += it.keys_seen();
+  }
+  return n;
+}
+
 void PlatformScene::Register() {
   for (ModelWorker& it : workers) {
     const auto now = it.Registration();
@@ -152,7 +182,7 @@
   ids_[&workers.back()] = id;
 }
 
-void PlatformScene::WriteSettings() {
+void PlatformScene::WriteSettings(bool reports_usage) {
   settings_ = (std::filesystem::temp_directory_path() /
                ("indigolead-settings-" + std::to_string(getpid())))
                   .string();
@@ -162,6 +192,11 @@
       << "\nplatform.address=" << store_path.address()
       << "\nlimits.max-fds=1000\nbounds.grace-s=8\nbounds.lease-ms=500\n"
          "bounds.contact-ms=3000\nbounds.retry-budget-ratio=0.2\n";
+  if (reports_usage) {
+    out << "cloud.address=" << usage.address()
+        << "\ncloud.duties=usage_report\nbounds.report-window-s=1\n"
+           "bounds.usage-late-s=4\n";
+  }
 }
 
 }  // namespace indigolead::testing
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -7,10 +7,12 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "standins/relay_server.h"
 #include "tests/platform/support/metadata_store.h"
 #include "tests/platform/support/model_worker.h"
+#include "tests/platform/support/usage_receiver.h"
 #include "tests/support/http_call.h"
 #include "tests/support/process.h"
 
@@ -32,7 +34,8 @@
 /// and two plain targets.
 class PlatformScene {
  public:
-  PlatformScene();
+  /// With `reports_usage` the platform asks for usage, each second.
+  explicit PlatformScene(bool reports_usage = false);
   ~PlatformScene();
   PlatformScene(const PlatformScene&) = delete;
   PlatformScene& operator=(const PlatformScene&) = delete;
@@ -46,6 +49,9 @@
 
   HttpAnswer Ask(const std::string& method, const std::string& path,
                  const std::string& id, int deadline_ms = 4000);
+  /// Asks with a caller's key.
+  HttpAnswer AskWithKey(const std::string& key, const std::string& method,
+                        const std::string& path, const std::string& id);
 
   /// Writes each worker's registration as it is now.
   void Register();
@@ -56,7 +62,12 @@
   int Prefills();
   int Runs(const std::string& id);
   int Staged(const std::string& stage);
+  /// Returns the client accounts told with each arrival of a request, at all
+  /// workers, and how many arrivals had a caller's key with them.
+  std::vector<std::string> Accounts(const std::string& id);
+  int KeysSeen();
 
+  UsageReceiver usage;
   MetadataStore store;
   standins::RelayServer store_path{0, store.address()};
   std::deque<ModelWorker> workers;
@@ -68,7 +79,7 @@
  private:
   void AddWorker(const std::string& id, const std::string& service,
                  bool is_engine);
-  void WriteSettings();
+  void WriteSettings(bool reports_usage);
 
   std::map<const ModelWorker*, std::string> ids_;
   std::string settings_;
--- /dev/null
+++ b/tests/shell/usage_service_test.cc
@@ -0,0 +1,284 @@
+#include "entry/usage_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/support/fake_object_store.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr WallMicros kSecond = 1'000'000;
+constexpr UsageWindow kWindow = 353'445'120;
+constexpr char kFixedKey[] = "control/usage";
+
+/// Takes reports at once, or keeps them waiting.
+class Receiver : public TargetClient {
+ public:
+  std::unique_ptr<Call> Start(TargetRequest request, Hooks hooks) override {
+    if (hooks.on_before_write && !hooks.on_before_write()) {
+      ++stopped;
+      hooks.on_end(Error{ErrorCode::kUnavailable, "usage", "receiver", ""});
+      return std::make_unique<SilentCall>();
+    }
+    bodies.push_back(request.body);
+    if (silent) {
+      return std::make_unique<SilentCall>();
+    }
+    hooks.on_head(status, {});
+    hooks.on_end(Unit{});
+    return std::make_unique<SilentCall>();
+  }
+
+  int status = 200;
+  bool silent = false;
+  int stopped = 0;
+  std::vector<std::string> bodies;
+
+ private:
+  struct SilentCall : Call {
+    void PauseReading(bool) override {}
+  };
+};
+
+std::string TextOf(const WindowCounts& report) {
+  std::string text = "window " + std::to_string(report.window - kWindow) + ":";
+  for (const auto& [account, n] : report.requests) {
+    text += " " + account + "=" + std::to_string(n);
+  }
+  return text;
+}
+
+UsageDialect Dialect() {
+  UsageDialect dialect;
+  dialect.report = [](const WindowCounts& report, const std::string& holder,
+                      FencingNumber number) {
+    TargetRequest call;
+    call.body =
+        TextOf(report) + " by " + holder + " under " + std::to_string(number);
+    return call;
+  };
+  dialect.read_outcome = [](const TargetAnswer& answer) {
+    return answer.status == 200 ? ReportOutcome::kDelivered
+                                : ReportOutcome::kUnknown;
+  };
+  return dialect;
+}
+
+/// Entries with one store and one receiver, on a clock that the test turns.
+class Scene {
+ public:
+  struct Entry {
+    Entry(Scene* scene, const std::string& name, std::uint64_t run)
+        : store(&scene->io, &scene->platform),
+          service(
+              &store, &scene->receiver, Options(name, run), Dialect(),
+              {[this] { return number; }, [] { return 0.5; }},
+              [scene] { return scene->now; },
+              [scene] { return scene->Calendar() + scene->step; },
+              MakeNullEventLog(), &scene->metrics) {}
+
+    static UsageService::Options Options(const std::string& name,
+                                         std::uint64_t run) {
+      UsageService::Options options;
+      options.instance = name;
+      options.incarnation = Incarnation{{1, run}};
+      options.entries_prefix = "usage/";
+      options.fixed_key = kFixedKey;
+      options.meter.window = seconds(5);
+      options.reporter.window = seconds(5);
+      options.reporter.due_after = seconds(10);
+      options.reporter.collector.window = seconds(5);
+      options.reporter.collector.silent_after = seconds(10);
+      return options;
+    }
+
+    std::optional<FencingNumber> number;
+    FakeObjectStore store;
+    UsageService service;
+  };
+
+  Entry& Start(const std::string& name) {
+    entries.push_back(std::make_unique<Entry>(this, name, ++runs));
+    return *entries.back();
+  }
+
+  /// Ends the entry without a word, as a kill does.
+  void Kill(const Entry& entry) {
+    std::erase_if(entries, [&](const auto& it) { return it.get() == &entry; });
+  }
+
+  void Run(Duration length) {
+    const TimePoint end = now + length;
+    while (now < end) {
+      now += milliseconds(200);
+      for (const auto& it : entries) {
+        it->service.Tick();
+      }
+      io.restart();
+      io.poll();
+    }
+  }
+
+  WallMicros Calendar() const {
+    return kWindow * 5 * kSecond +
+           std::chrono::duration_cast<std::chrono::microseconds>(now - begin)
+               .count();
+  }
+
+  static constexpr TimePoint begin{seconds(1000)};
+  TimePoint now = begin;
+  WallMicros step = 0;  ///< By which every machine's time of day is off.
+  std::uint64_t runs = 0;
+  boost::asio::io_context io;
+  FakePlatform platform{&io};
+  MetricsRegistry metrics;
+  Receiver receiver;
+  std::vector<std::unique_ptr<Entry>> entries;
+};
+
+using Bodies = std::vector<std::string>;
+
+TEST_CASE("The holder reports what all entries counted") {
+  Scene scene;
+  Scene::Entry& first = scene.Start("front-1");
+  Scene::Entry& second = scene.Start("front-2");
+  first.number = 7;
+  scene.Run(seconds(1));
+  first.service.Count("salon", scene.now);
+  second.service.Count("salon", scene.now);
+  second.service.Count("owner", scene.now);
+  scene.Run(seconds(3));
+  CHECK(scene.receiver.bodies.empty());
+  scene.Run(seconds(5));
+  CHECK(scene.receiver.bodies ==
+        Bodies{"window 0: owner=1 salon=2 by front-1 under 7"});
+
+  SECTION("once for each window, also if nothing was asked in it") {
+    scene.Run(seconds(10));
+    CHECK(scene.receiver.bodies ==
+          Bodies{"window 0: owner=1 salon=2 by front-1 under 7",
+                 "window 1: by front-1 under 7",
+                 "window 2: by front-1 under 7"});
+  }
+  SECTION("a step of the time of day moves no request") {
+    scene.step = 20 * kSecond;
+    second.service.Count("salon", scene.now);
+    scene.Run(seconds(6));
+    CHECK(scene.receiver.bodies.back() ==
+          "window 1: salon=1 by front-1 under 7");
+  }
+  SECTION("nobody else reports") {
+    CHECK(scene.platform.calls().at("put") > 0);
+    for (const std::string& it : scene.receiver.bodies) {
+      CHECK(it.find("front-2") == std::string::npos);
+    }
+  }
+}
+
+// An entry is killed in the middle of a window. Its callers' requests before
+// its last write stay counted; the holder waits for it no longer than it may.
+TEST_CASE("What a killed entry had written is reported") {
+  Scene scene;
+  Scene::Entry& first = scene.Start("front-1");
+  Scene::Entry& second = scene.Start("front-2");
+  first.number = 7;
+  scene.Run(milliseconds(1000));
+  second.service.Count("salon", scene.now);
+  scene.Run(milliseconds(3000));
+  second.service.Count("salon", scene.now);
+  scene.Kill(second);
+
+  SECTION("all but what came after it") {
+    scene.Run(seconds(10));
+    CHECK(scene.receiver.bodies ==
+          Bodies{"window 0: salon=1 by front-1 under 7"});
+  }
+  SECTION("its successor adds to it and does not wait") {
+    Scene::Entry& again = scene.Start("front-2");
+    again.service.Count("salon", scene.now);
+    scene.Run(seconds(5));
+    CHECK(scene.receiver.bodies ==
+          Bodies{"window 0: salon=2 by front-1 under 7"});
+  }
+}
+
+TEST_CASE("A planned stop leaves nothing uncounted") {
+  Scene scene;
+  Scene::Entry& first = scene.Start("front-1");
+  Scene::Entry& second = scene.Start("front-2");
+  first.number = 7;
+  scene.Run(seconds(4));
+  second.service.Count("salon", scene.now);
+  second.service.Close();
+  scene.io.restart();
+  scene.io.poll();
+  CHECK(second.service.closed());
+  scene.Kill(second);
+  scene.Run(seconds(4));
+  CHECK(scene.receiver.bodies ==
+        Bodies{"window 0: salon=1 by front-1 under 7"});
+}
+
+// The holder has settled a report and sent it, but no answer came; then it is
+// killed. Another entry takes over, which has counted more meanwhile.
+TEST_CASE("A new holder repeats what the one before settled") {
+  Scene scene;
+  Scene::Entry& first = scene.Start("front-1");
+  Scene::Entry& second = scene.Start("front-2");
+  first.number = 7;
+  scene.receiver.silent = true;
+  scene.Run(seconds(1));
+  first.service.Count("salon", scene.now);
+  scene.Run(seconds(7));
+  REQUIRE(scene.receiver.bodies ==
+          Bodies{"window 0: salon=1 by front-1 under 7"});
+  second.service.Count("owner", scene.begin + seconds(2));
+  scene.Kill(first);
+  scene.receiver.silent = false;
+  second.number = 9;
+  scene.Run(seconds(1));
+  REQUIRE(scene.receiver.bodies.size() == 2);
+  CHECK(scene.receiver.bodies.back() == "window 0: salon=1 by front-2 under 9");
+}
+
+TEST_CASE("A report is not written under an authority that has ended") {
+  Scene scene;
+  Scene::Entry& only = scene.Start("front-1");
+  only.number = 7;
+  scene.Run(seconds(1));
+  only.service.Count("salon", scene.now);
+  scene.Run(seconds(4));
+  only.number.reset();
+  scene.Run(seconds(10));
+  CHECK(scene.receiver.bodies.empty());
+}
+
+// The store is down for longer than a window: nobody can settle a report. What
+// was counted is kept and told afterwards, in order.
+TEST_CASE("Reports catch up after an outage of the store") {
+  Scene scene;
+  Scene::Entry& only = scene.Start("front-1");
+  only.number = 7;
+  scene.Run(seconds(1));
+  only.service.Count("salon", scene.now);
+  scene.platform.SetDown(true);
+  scene.Run(seconds(8));
+  only.service.Count("owner", scene.now);
+  scene.Run(seconds(4));
+  CHECK(scene.receiver.bodies.empty());
+  scene.platform.SetDown(false);
+  scene.Run(seconds(7));
+  CHECK(scene.receiver.bodies == Bodies{"window 0: salon=1 by front-1 under 7",
+                                        "window 1: owner=1 by front-1 under 7",
+                                        "window 2: by front-1 under 7"});
+}
+
+}  // namespace
+}  // namespace indigolead::testing
