--- a/src/core/control/stage_control.cc
+++ b/src/core/control/stage_control.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
-#include <string_view>
 #include <tuple>
 
 namespace indigolead {
@@ -33,10 +32,10 @@
   bool GoesBefore(const DomainQueue& other) const {
     const StagedEngine* mine = next();
     const StagedEngine* its = other.next();
-    return std::tuple(taken_, mine->role == EngineRole::kPrefill,
-                      std::string_view(mine->instance)) <
-           std::tuple(other.taken_, its->role == EngineRole::kPrefill,
-                      std::string_view(its->instance));
+    const bool mine_reads = mine->role == EngineRole::kPrefill;
+    const bool its_reads = its->role == EngineRole::kPrefill;
+    return std::tie(taken_, mine_reads, mine->instance) <
+           std::tie(other.taken_, its_reads, its->instance);
   }
 
   const StagedEngine* Take() {
--- a/tests/platform/client_accounts_test.cc
+++ b/tests/platform/client_accounts_test.cc
@@ -94,7 +94,7 @@
       [this](const EventInfo& event, const EventFields& fields) {
         std::string line(event.name);
         for (const auto& [name, value] : fields) {
-          line += " " + name + "=" + value;
+          line.append(" ").append(name).append("=").append(value);
         }
         lines.push_back(line);
       });
@@ -251,8 +251,10 @@
               .find("name is empty") != std::string::npos);
   }
   SECTION("more keys than any fleet gives out") {
+    constexpr int kKeys = 100'000;
     std::vector<std::string> keys;
-    for (int n = 0; n < 100'000; ++n) {
+    keys.reserve(kKeys);
+    for (int n = 0; n < kKeys; ++n) {
       keys.push_back("k" + std::to_string(n));
     }
     CHECK(ProblemOf({Account("salon", keys)}).find("more than 50000 keys") !=
--- a/tests/shell/usage_service_test.cc
+++ b/tests/shell/usage_service_test.cc
@@ -128,12 +128,12 @@
 
   WallMicros Calendar() const {
     return kWindow * 5 * kSecond +
-           std::chrono::duration_cast<std::chrono::microseconds>(now - begin)
+           std::chrono::duration_cast<std::chrono::microseconds>(now - kBegin)
                .count();
   }
 
-  static constexpr TimePoint begin{seconds(1000)};
-  TimePoint now = begin;
+  static constexpr TimePoint kBegin{seconds(1000)};
+  TimePoint now = kBegin;
   WallMicros step = 0;  ///< By which every machine's time of day is off.
   std::uint64_t runs = 0;
   boost::asio::io_context io;
@@ -261,7 +261,7 @@
   scene.Run(seconds(7));
   REQUIRE(scene.receiver.bodies ==
           Bodies{"window 0: salon=1 by front-1 under 7"});
-  second.service.Count("owner", scene.begin + seconds(2));
+  second.service.Count("owner", Scene::kBegin + seconds(2));
   scene.Kill(first);
   scene.receiver.silent = false;
   second.number = 9;
