Log and count the limits that targets name

Of an incident in which targets in need got twice what they had said they take, no log line told whether an entry had been told. Answers' heads are now read for the limit (NamedLimits holds what is believed), a change is logged with the figure before and the age of the request, an unreadable figure with its text, and a gauge counts the targets. Nothing is decided by it yet.

The stand-in of a target can name a limit and tells when requests came; a scene can have several entries.

--- /dev/null
+++ b/src/core/admission/named_limits.cc
@@ -0,0 +1,34 @@
+#include "core/admission/named_limits.h"
+
+namespace indigolead {
+
+std::optional<LimitChange> NamedLimits::OnAnswer(const std::string& target,
+                                                 const LimitNotice& notice,
+                                                 TimePoint now) {
+  const std::optional<double> before = Find(target);
+  if (notice.limit) {
+    limits_[target] = {*notice.limit, now, 0};
+    if (before == notice.limit) {
+      return std::nullopt;
+    }
+    return LimitChange{before, notice.limit};
+  }
+  const auto it = limits_.find(target);
+  // The answer to an earlier request may have begun before the limit.
+  if (it == limits_.end() || !notice.served ||
+      notice.sent_at < it->second.named_at) {
+    return std::nullopt;
+  }
+  if (++it->second.unnamed < max_unnamed_) {
+    return std::nullopt;
+  }
+  limits_.erase(it);
+  return LimitChange{before, std::nullopt};
+}
+
+std::optional<double> NamedLimits::Find(const std::string& target) const {
+  const auto it = limits_.find(target);
+  return it == limits_.end() ? std::nullopt : std::optional(it->second.value);
+}
+
+}  // namespace indigolead
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -184,6 +184,7 @@
     return;
   }
   run.called = FindTarget(at)->run;
+  run.called_at = clock_();
   run.call = FetchAnswer(
       client,
       dialect_.prefill(*run.request, *FindTarget(at),
@@ -224,6 +225,7 @@
                    ToString(error)});
     return;
   }
+  TellLimit(reader, *run, ValueOf(answer).status, ValueOf(answer).headers);
   const TargetRecord* target = FindTarget(reader);
   const Result<KvHandle> handle =
       target ? dialect_.read_handle(*target, ValueOf(answer))
@@ -317,6 +319,7 @@
     Flush();
   };
   run.called = FindTarget(run.instance)->run;
+  run.called_at = clock_();
   run.call = client->Start(
       dialect_.run(*run.request, *FindTarget(run.instance),
                    {run.deadline - clock_(), run.handle, run.resume_after}),
@@ -330,6 +333,7 @@
     return;
   }
   const AnswerMeaning meaning = dialect_.meaning(status, headers);
+  TellLimit(run->instance, *run, status, headers);
   run->status = status;
   if (meaning != AnswerMeaning::kAnswer) {
     // Told once the answer is read, so that its connection can be kept.
@@ -420,6 +424,25 @@
   }
 }
 
+void DirectCarrier::TellLimit(const std::string& instance, const Run& run,
+                              int status,
+                              const std::vector<HttpHeader>& headers) {
+  const TargetRecord* target = FindTarget(instance);
+  if (!target || target->run != run.called || !hooks_.on_limit_notice ||
+      !dialect_.named_limit) {
+    return;
+  }
+  const auto limit = dialect_.named_limit(*target, headers);
+  if (!IsOk(limit)) {
+    log_(kTargetLimitUnreadable, {{"request", run.request->caller_id},
+                                  {"error", ToString(ErrorOf(limit))}});
+    return;
+  }
+  const bool served = status < 300 && dialect_.meaning(status, headers) ==
+                                          AnswerMeaning::kAnswer;
+  hooks_.on_limit_notice(instance, {ValueOf(limit), served, run.called_at});
+}
+
 AttemptReach DirectCarrier::ReachBeforeRun(const Run& run) {
   return run.reader.empty() ? AttemptReach::kNothing : AttemptReach::kReader;
 }
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/admission/named_limits.h"
 #include "core/request/request_flow.h"
 #include "entry/target_dialect.h"
 #include "observe/event_log.h"
@@ -74,6 +75,9 @@
     /// A call to a target ended as it should, or broke: its connection was
     /// lost or could not be made. A call that ran out of time is neither.
     std::function<void(const std::string& instance, bool broke)> on_call_end;
+    /// The head of a target's answer came; it names a limit, or none.
+    std::function<void(const std::string& instance, const LimitNotice&)>
+        on_limit_notice;
     /// Called after the flow was told something.
     std::function<void()> flush;
   };
@@ -116,9 +120,10 @@
     std::string resume_after;
     std::unique_ptr<TargetClient::Call> call;
     std::optional<TargetRun> called;  ///< Known run of its target, at the call.
-    std::optional<KvHandle> handle;   ///< Read, and not handed over yet.
-    std::uint32_t runners = 0;        ///< Targets asked to take it over.
-    bool written = false;             ///< The call that runs it.
+    TimePoint called_at{};
+    std::optional<KvHandle> handle;  ///< Read, and not handed over yet.
+    std::uint32_t runners = 0;       ///< Targets asked to take it over.
+    bool written = false;            ///< The call that runs it.
     bool paused = false;
     /// Set if its answer's head says that it was not run.
     std::optional<AnswerMeaning> refused;
@@ -156,6 +161,9 @@
   void TellCallEnd(const std::string& instance,
                    const std::optional<TargetRun>& called,
                    const Status& status);
+  /// Tells what the head of an answer of `instance` says of its limit.
+  void TellLimit(const std::string& instance, const Run& run, int status,
+                 const std::vector<HttpHeader>& headers);
   /// How far an attempt came whose request was not written to its target.
   static AttemptReach ReachBeforeRun(const Run& run);
   void RefuseRun(const AttemptId& id, Refused why);
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -46,6 +46,10 @@
   return "removed";
 }
 
+std::string LimitText(const std::optional<double>& limit) {
+  return limit ? std::to_string(*limit) : "none";
+}
+
 Refusal NoTarget(const std::string& service) {
   // Lost engines are replaced, or change their role, within seconds.
   return {503, RunState::kNotRun, "no_target",
@@ -85,6 +89,9 @@
                               "Further attempts that the budget denied.")),
       targets_(metrics->AddGauge("indigolead_targets_known",
                                  "Targets in the directory.")),
+      limited_targets_(metrics->AddGauge(
+          "indigolead_targets_limited",
+          "Targets that name a limit on the requests that they take.")),
       answer_seconds_(metrics->AddHistogram(
           "indigolead_answer_seconds",
           "Time from taking a request to the head of its answer.")),
@@ -155,6 +162,10 @@
   hooks.on_call_end = [this](const std::string& instance, bool broke) {
     OnCallEnd(instance, broke);
   };
+  hooks.on_limit_notice = [this](const std::string& instance,
+                                 const LimitNotice& notice) {
+    OnLimitNotice(instance, notice);
+  };
   hooks.flush = [this] { Flush(); };
   return hooks;
 }
@@ -242,12 +253,14 @@
         it.kind == TargetChange::Kind::kRestarted) {
       PlacementOf(it.target.service).Forget(it.target.id);
       guard_.Forget(it.target.id);
+      limits_.Forget(it.target.id);
     }
     if (hooks_.on_target) {
       hooks_.on_target(it);
     }
   }
   targets_.Set(static_cast<std::int64_t>(directory_.size()));
+  limited_targets_.Set(static_cast<std::int64_t>(limits_.size()));
 }
 
 void DirectDispatcher::Tick() {
@@ -339,6 +352,20 @@
   }
 }
 
+void DirectDispatcher::OnLimitNotice(const std::string& instance,
+                                     const LimitNotice& notice) {
+  const auto change = limits_.OnAnswer(instance, notice, clock_());
+  if (!change) {
+    return;
+  }
+  limited_targets_.Set(static_cast<std::int64_t>(limits_.size()));
+  log_(kTargetLimitChanged,
+       {{"target", instance},
+        {"limit_per_s", LimitText(change->after)},
+        {"before", LimitText(change->before)},
+        {"answer_after_ms", Milliseconds(clock_() - notice.sent_at)}});
+}
+
 RouteResult DirectDispatcher::RouteToEngine(
     const CallerRequest& request, const std::vector<Candidate>& candidates,
     TimePoint now) {
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/admission/entry_retry_budget.h"
+#include "core/admission/named_limits.h"
 #include "core/base/random.h"
 #include "core/membership/target_directory.h"
 #include "core/placement/engine_placement.h"
@@ -124,6 +125,7 @@
   bool GuardIsPlausible(const std::vector<Candidate>& candidates,
                         TimePoint now) const;
   void OnCallEnd(const std::string& instance, bool broke);
+  void OnLimitNotice(const std::string& instance, const LimitNotice& notice);
   void OnSent(const CallerRequest& request, const AttemptId& id,
               const SideInfo& side, TimePoint now);
   void OnAttemptEnd(const CallerRequest& request, const AttemptId& id,
@@ -153,6 +155,7 @@
   DirectCarrier carrier_;
   TargetDirectory directory_;
   FailureGuard guard_;
+  NamedLimits limits_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<std::string, EnginePlacement> placements_;
   std::map<std::string, EntryRetryBudget> budgets_;
@@ -175,6 +178,7 @@
   Counter& abandoned_;
   Counter& retries_denied_;
   Gauge& targets_;
+  Gauge& limited_targets_;
   Histogram& answer_seconds_;
   Histogram& refusal_seconds_;
 };
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -82,6 +82,14 @@
     1037, "runner-refused", EventSeverity::kInfo,
     "An engine did not take over a prompt that had been read; another one is "
     "asked to, without reading it again."};
+inline constexpr EventInfo kTargetLimitChanged{
+    1038, "target-limit-changed", EventSeverity::kInfo,
+    "A target named another limit on the requests that it takes than before, "
+    "or none any more."};
+inline constexpr EventInfo kTargetLimitUnreadable{
+    1039, "target-limit-unreadable", EventSeverity::kWarning,
+    "A target's answer names a limit that is no number; what was believed "
+    "stays."};
 
 }  // namespace indigolead
 
--- a/src/entry/target_dialect.h
+++ b/src/entry/target_dialect.h
@@ -65,6 +65,11 @@
   std::function<AnswerMeaning(int status,
                               const std::vector<HttpHeader>& headers)>
       meaning;
+  /// Returns the requests a second that the target takes from all entries
+  /// together, if the head of its answer names them.
+  std::function<Result<std::optional<double>>(
+      const TargetRecord& target, const std::vector<HttpHeader>& headers)>
+      named_limit;
 };
 
 }  // namespace indigolead
--- a/src/target/fetch_answer.cc
+++ b/src/target/fetch_answer.cc
@@ -14,8 +14,9 @@
   auto too_long = std::make_shared<bool>(false);
   TargetClient::Hooks hooks;
   hooks.on_before_write = std::move(may_write);
-  hooks.on_head = [answer](int status, std::vector<HttpHeader>) {
+  hooks.on_head = [answer](int status, std::vector<HttpHeader> headers) {
     answer->status = status;
+    answer->headers = std::move(headers);
   };
   hooks.on_body = [answer, too_long, max_bytes](std::string_view data) {
     *too_long = *too_long || answer->body.size() + data.size() > max_bytes;
--- a/src/target/fetch_answer.h
+++ b/src/target/fetch_answer.h
@@ -15,6 +15,7 @@
 struct TargetAnswer {
   int status = 0;
   std::string body;
+  std::vector<HttpHeader> headers = {};
 
   friend bool operator==(const TargetAnswer&, const TargetAnswer&) = default;
 };
--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -80,9 +80,13 @@
     Note(ec);
   }
 
-  Task StartChunks(int status, std::string content_type) override {
+  Task StartChunks(int status, std::string content_type,
+                   HttpHeaders headers) override {
     http::response<http::empty_body> head(http::int_to_status(status), 11);
     head.set(http::field::content_type, content_type);
+    for (const auto& [name, value] : headers) {
+      head.set(name, value);
+    }
     head.keep_alive(keep_alive_);
     head.chunked(true);
     http::response_serializer<http::empty_body> serializer(head);
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -53,7 +53,11 @@
   virtual Task Reply(int status, std::string body, HttpHeaders headers) = 0;
 
   /// Sends the head of a chunked answer; chunks and `EndChunks` follow.
-  virtual Task StartChunks(int status, std::string content_type) = 0;
+  virtual Task StartChunks(int status, std::string content_type,
+                           HttpHeaders headers) = 0;
+  Task StartChunks(int status, std::string content_type) {
+    return StartChunks(status, std::move(content_type), {});
+  }
   virtual Task WriteChunk(std::string data) = 0;
   virtual Task EndChunks() = 0;
 
--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -72,19 +72,30 @@
   server_.Invoke([&] { behaviour_ = behaviour; });
 }
 
+void ModelWorker::SetNamedLimit(std::optional<double> limit) {
+  server_.Invoke([&] { named_limit_ = limit; });
+}
+
+std::vector<std::chrono::steady_clock::time_point> ModelWorker::arrivals() {
+  std::vector<std::chrono::steady_clock::time_point> arrivals;
+  server_.Invoke([&] { arrivals = arrivals_; });
+  return arrivals;
+}
+
 Task ModelWorker::Handle(HttpExchange& exchange) {
   const HttpRequest& request = exchange.request();
+  arrivals_.push_back(std::chrono::steady_clock::now());
   keys_seen_ += request.Header("Authorization").empty() ? 0 : 1;
   if (!IdOf(exchange).empty()) {
     accounts_[IdOf(exchange)].push_back(request.Header("X-Tenant"));
   }
   const std::string expected = request.Header("X-Expect-Instance");
   if (!expected.empty() && expected != options_.id) {
-    co_await exchange.Reply(421, "", {});
+    co_await exchange.Reply(421, "", CommonHeaders());
   } else if (request.path == "/api/report") {
     const Json report = {{"stage", stage_}, {"seq", orders_}, {"busy", false}};
     std::string body = report.dump();
-    co_await exchange.Reply(200, std::move(body), {});
+    co_await exchange.Reply(200, std::move(body), CommonHeaders());
   } else if (request.path == "/api/order") {
     co_await Order(exchange);
   } else if (request.Header("X-Stage") == "prefill") {
@@ -103,7 +114,7 @@
   } else {
     ++orders_;
     stage_ = order.at("stage").get<std::string>();
-    co_await exchange.Reply(202, "", {});
+    co_await exchange.Reply(202, "", CommonHeaders());
   }
 }
 
@@ -116,7 +127,7 @@
   const Json reply = {{"kv-handle", "h" + std::to_string(prefills_)},
                       {"tokens", 100}};
   std::string body = reply.dump();
-  co_await exchange.Reply(200, std::move(body), {});
+  co_await exchange.Reply(200, std::move(body), CommonHeaders());
 }
 
 Task ModelWorker::Run(HttpExchange& exchange) {
@@ -125,7 +136,8 @@
     co_return;
   }
   if (behaviour_ == Behaviour::kRefuses || running_ >= options_.slots) {
-    HttpHeaders headers = {{"X-Not-Executed", "1"}};
+    HttpHeaders headers = CommonHeaders();
+    headers.emplace_back("X-Not-Executed", "1");
     co_await exchange.Reply(503, "", std::move(headers));
     co_return;
   }
@@ -179,7 +191,17 @@
 }
 
 HttpHeaders ModelWorker::AnswerHeaders(const std::string& id) const {
-  return {{"X-Request-Id", id}, {"X-Response-Signature", "sig-" + options_.id}};
+  HttpHeaders headers = CommonHeaders();
+  headers.emplace_back("X-Request-Id", id);
+  headers.emplace_back("X-Response-Signature", "sig-" + options_.id);
+  return headers;
+}
+
+HttpHeaders ModelWorker::CommonHeaders() const {
+  if (!named_limit_) {
+    return {};
+  }
+  return {{"Server-Limit", std::to_string(*named_limit_)}};
 }
 
 Task ModelWorker::Answer(HttpExchange& exchange) {
@@ -207,7 +229,7 @@
   const bool breaks = (behaviour_ == Behaviour::kBreaksMidway ||
                        behaviour_ == Behaviour::kWrongLength) &&
                       last.empty();
-  co_await exchange.StartChunks(200, "text/event-stream");
+  co_await exchange.StartChunks(200, "text/event-stream", CommonHeaders());
   for (int n = first; n <= options_.events && exchange.open(); ++n) {
     if (breaks && n == first + 2) {
       exchange.Abort();
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -60,6 +61,12 @@
   /// Returns how many arrivals had a caller's key with them.
   int keys_seen();
   void SetBehaviour(Behaviour behaviour);
+  /// Names a limit in all answers from now on, in requests a second, or none.
+  /// It is named only: whatever comes is served.
+  void SetNamedLimit(std::optional<double> limit);
+  /// Returns when each request came, to run, to read a prompt or of any other
+  /// kind.
+  std::vector<std::chrono::steady_clock::time_point> arrivals();
 
  private:
   standins::Task Handle(standins::HttpExchange& exchange);
@@ -71,6 +78,8 @@
   standins::Task Answer(standins::HttpExchange& exchange);
   standins::Task Stream(standins::HttpExchange& exchange);
   standins::HttpHeaders AnswerHeaders(const std::string& id) const;
+  /// Returns the headers that every answer has.
+  standins::HttpHeaders CommonHeaders() const;
 
   Options options_;
   std::string stage_ = "decode";
@@ -81,6 +90,8 @@
   std::map<std::string, int> runs_;
   std::map<std::string, std::vector<std::string>> accounts_;
   int keys_seen_ = 0;
+  std::optional<double> named_limit_;
+  std::vector<std::chrono::steady_clock::time_point> arrivals_;
   standins::HttpServer server_;
 };
 
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <filesystem>
@@ -59,7 +60,8 @@
   AddWorker("a1", "app", false);
   Register();
   store.Put("config", "main", MakeConfiguration(3));
-  WriteSettings(reports_usage);
+  settings_ =
+      WriteSettings("front-1", callers_address, ready_address, reports_usage);
   setenv("INDIGOLEAD_BOOT", settings_.c_str(), 1);
   StartEntry();
   REQUIRE(WaitUntil([&] { return Ready(); }));
@@ -68,32 +70,82 @@
       WaitUntil([&] { return Metric("indigolead_entries_counted") == "1"; }));
 }
 
-void PlatformScene::StartEntry() {
+namespace {
+
+/// Starts the process of an entry whose settings are named by the environment.
+void StartProcess(const std::string& metrics_address,
+                  std::optional<Process>* process) {
   const std::string port =
       metrics_address.substr(metrics_address.rfind(':') + 1);
-  entry.emplace("indigolead", std::vector<std::string>{
-                                  "platform-entry", "--metrics_port=" + port});
+  process->emplace(
+      "indigolead",
+      std::vector<std::string>{"platform-entry", "--metrics_port=" + port});
 }
 
-PlatformScene::~PlatformScene() { std::filesystem::remove(settings_); }
+/// Returns the value of a counter or gauge served at `address`.
+std::string MetricAt(const std::string& address, const std::string& name) {
+  const std::string text = HttpCall(address, "GET", "/metrics").body;
+  const auto at = text.find("\n" + name + " ");
+  const auto end = text.find('\n', at + 1);
+  return at == std::string::npos
+             ? ""
+             : text.substr(at + name.size() + 2, end - at - name.size() - 2);
+}
+
+}  // namespace
+
+void PlatformScene::StartEntry() {
+  setenv("INDIGOLEAD_BOOT", settings_.c_str(), 1);
+  StartProcess(metrics_address, &entry);
+}
+
+void PlatformScene::FurtherEntry::Start() {
+  setenv("INDIGOLEAD_BOOT", settings.c_str(), 1);
+  StartProcess(metrics_address, &process);
+}
+
+bool PlatformScene::FurtherEntry::Ready() const {
+  return HttpCall(ready_address, "GET", "/api/readyz").status == 200;
+}
+
+void PlatformScene::AddEntry(const std::string& name) {
+  FurtherEntry& added = further.emplace_back();
+  added.settings = WriteSettings(name, added.callers_address,
+                                 added.ready_address, /*reports_usage=*/false);
+  added.Start();
+}
+
+bool PlatformScene::AllReady() {
+  const std::string all = std::to_string(further.size() + 1);
+  const auto counted = [&all](const std::string& address) {
+    return MetricAt(address, "indigolead_entries_counted") == all;
+  };
+  return Ready() && counted(metrics_address) &&
+         std::all_of(further.begin(), further.end(), [&](const auto& it) {
+           return it.Ready() && counted(it.metrics_address);
+         });
+}
+
+PlatformScene::~PlatformScene() {
+  std::filesystem::remove(settings_);
+  for (const FurtherEntry& it : further) {
+    std::filesystem::remove(it.settings);
+  }
+}
 
 bool PlatformScene::Ready() {
   return HttpCall(ready_address, "GET", "/api/readyz").status == 200;
 }
 
 std::string PlatformScene::Metric(const std::string& name) {
-  const std::string text = HttpCall(metrics_address, "GET", "/metrics").body;
-  const auto at = text.find("\n" + name + " ");
-  const auto end = text.find('\n', at + 1);
-  return at == std::string::npos
-             ? ""
-             : text.substr(at + name.size() + 2, end - at - name.size() - 2);
+  return MetricAt(metrics_address, name);
 }
 
-HttpAnswer PlatformScene::Ask(const std::string& method,
-                              const std::string& path, const std::string& id,
-                              int deadline_ms) {
-  return HttpCall(callers_address, method, path, "prices",
+HttpAnswer PlatformScene::AskAt(const std::string& address,
+                                const std::string& method,
+                                const std::string& path, const std::string& id,
+                                int deadline_ms) {
+  return HttpCall(address, method, path, "prices",
                   {{"X-Request-Id", id},
                    {"X-Deadline-Ms", std::to_string(deadline_ms)},
                    {"X-Token-Usage", "100,4"},
@@ -101,6 +153,12 @@
                   std::chrono::seconds(10));
 }
 
+HttpAnswer PlatformScene::Ask(const std::string& method,
+                              const std::string& path, const std::string& id,
+                              int deadline_ms) {
+  return AskAt(callers_address, method, path, id, deadline_ms);
+}
+
 HttpAnswer PlatformScene::AskWithKey(const std::string& key,
                                      const std::string& method,
                                      const std::string& path,
@@ -147,6 +205,14 @@
   }
 }
 
+ModelWorker& PlatformScene::worker(const std::string& id) {
+  const auto it = std::find_if(
+      workers.begin(), workers.end(),
+      [&](const ModelWorker& worker) { return ids_.at(&worker) == id; });
+  REQUIRE(it != workers.end());
+  return *it;
+}
+
 int PlatformScene::Prefills() {
   int n = 0;
   for (ModelWorker& it : workers) {
@@ -182,13 +248,18 @@
   ids_[&workers.back()] = id;
 }
 
-void PlatformScene::WriteSettings(bool reports_usage) {
-  settings_ = (std::filesystem::temp_directory_path() /
-               ("indigolead-settings-" + std::to_string(getpid())))
-                  .string();
-  std::ofstream out(settings_);
-  out << "node=front-1\nzone=bilbao-a\nregion=norte\nlisten.front="
-      << callers_address << "\nlisten.ready=" << ready_address
+std::string PlatformScene::WriteSettings(const std::string& name,
+                                         const std::string& callers,
+                                         const std::string& ready,
+                                         bool reports_usage) {
+  const std::string path =
+      (std::filesystem::temp_directory_path() /
+       ("indigolead-settings-" + std::to_string(getpid()) + "-" + name))
+          .string();
+  std::ofstream out(path);
+  out << "node=" << name
+      << "\nzone=bilbao-a\nregion=norte\nlisten.front=" << callers
+      << "\nlisten.ready=" << ready
       << "\nplatform.address=" << store_path.address()
       << "\nlimits.max-fds=1000\nbounds.grace-s=8\nbounds.lease-ms=500\n"
          "bounds.contact-ms=3000\nbounds.retry-budget-ratio=0.2\n";
@@ -197,6 +268,7 @@
         << "\ncloud.duties=usage_report\nbounds.report-window-s=1\n"
            "bounds.usage-late-s=4\n";
   }
+  return path;
 }
 
 }  // namespace indigolead::testing
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -40,13 +40,35 @@
   PlatformScene(const PlatformScene&) = delete;
   PlatformScene& operator=(const PlatformScene&) = delete;
 
+  /// One entry more, with addresses of its own.
+  class FurtherEntry {
+   public:
+    /// Starts its process, in place of one that has ended.
+    void Start();
+    bool Ready() const;
+
+    std::string settings;
+    std::string callers_address = FreeAddress();
+    std::string ready_address = FreeAddress();
+    std::string metrics_address = FreeAddress();
+    std::optional<Process> process;
+  };
+
   /// Starts the entry's process, in place of one that has ended.
   void StartEntry();
   bool Ready();
+  /// Starts a further entry, under a name of its own.
+  void AddEntry(const std::string& name);
+  /// Returns true if every entry is ready and has counted all of them.
+  bool AllReady();
 
   /// Returns the value of a counter or gauge of the entry; empty if absent.
   std::string Metric(const std::string& name);
 
+  /// Asks the entry whose callers' address this is.
+  static HttpAnswer AskAt(const std::string& address, const std::string& method,
+                          const std::string& path, const std::string& id,
+                          int deadline_ms);
   HttpAnswer Ask(const std::string& method, const std::string& path,
                  const std::string& id, int deadline_ms = 4000);
   /// Asks with a caller's key.
@@ -56,6 +78,7 @@
   /// Writes each worker's registration as it is now.
   void Register();
   void SetBehaviour(ModelWorker::Behaviour behaviour);
+  ModelWorker& worker(const std::string& id);
 
   /// Returns the number of prompts read apart, of runs of a request, and of
   /// engines in a stage.
@@ -75,11 +98,14 @@
   std::string ready_address = FreeAddress();
   std::string metrics_address = FreeAddress();
   std::optional<Process> entry;
+  std::deque<FurtherEntry> further;
 
  private:
   void AddWorker(const std::string& id, const std::string& service,
                  bool is_engine);
-  void WriteSettings(bool reports_usage);
+  /// Returns the path of the settings of the entry `name`.
+  std::string WriteSettings(const std::string& name, const std::string& callers,
+                            const std::string& ready, bool reports_usage);
 
   std::map<const ModelWorker*, std::string> ids_;
   std::string settings_;
--- a/tests/platform/target_words_test.cc
+++ b/tests/platform/target_words_test.cc
@@ -143,5 +143,19 @@
   CHECK_FALSE(IsOk(ReadOrderCount(target, {200, R"({"seq":2,"born":"x"})"})));
 }
 
+TEST_CASE("A target's limit is a number of requests a second") {
+  const auto limit_of = [](const std::vector<HttpHeader>& headers) {
+    return MakePlatformDialect().named_limit(Target(), headers);
+  };
+  CHECK(ValueOf(limit_of({{"Content-Type", "text/plain"}})) == std::nullopt);
+  CHECK(ValueOf(limit_of({{"Server-Limit", "5.4"}})) == 5.4);
+  CHECK(ValueOf(limit_of({{"server-limit", "0"}})) == 0.0);
+  const std::string bad =
+      GENERATE("", "many", "-1", "5.4 ", "5,4", "inf", "nan", "1e999", "0x5");
+  INFO(bad);
+  REQUIRE_FALSE(IsOk(limit_of({{"Server-Limit", bad}})));
+  CHECK(ErrorOf(limit_of({{"Server-Limit", bad}})).peer == "i-7");
+}
+
 }  // namespace
 }  // namespace indigolead::platform
