Reproduce a target in need that gets its full share, known red

Callers notice nothing; a target that names a limit of 5 requests a second goes on getting all that falls to it.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -50,7 +50,9 @@
 
 for name in "${known_red[@]}"; do
   echo "test.sh: known red: $name"
-  timeout 300 "$build_dir/indigolead_tests" "$name" | tail -n 20 || true
+  for program in indigolead_tests indigolead_process_tests; do
+    timeout 300 "$build_dir/$program" "$name" | tail -n 20 || true
+  done
 done
 
 echo "tests: $passed passed, $failed failed"
--- /dev/null
+++ b/tests/platform/target_limit_process_test.cc
@@ -0,0 +1,194 @@
+// A target in need names the requests a second that it takes from all entries
+// together; entries in processes of their own, between stand-ins.
+
+#include <algorithm>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/support/platform_scene.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Time = std::chrono::steady_clock::time_point;
+
+constexpr double kLimit = 5;  ///< Requests a second.
+/// The rule: in no span of `kSpan` more than `kTolerance` times what the limit
+/// allows, and `kSlack` requests, from `kContact` after it was first named.
+constexpr seconds kSpan{4};
+constexpr double kTolerance = 1.5;
+constexpr double kSlack = 5;
+constexpr seconds kContact{3};
+
+double Allowed() {
+  return kTolerance * kLimit * static_cast<double>(kSpan.count()) + kSlack;
+}
+
+/// Returns the most arrivals in any span of `kSpan` that begins at `from` or
+/// later.
+int MostInSpan(const std::vector<Time>& arrivals, Time from) {
+  int most = 0;
+  auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
+  for (auto it = first; it != arrivals.end(); ++it) {
+    while (*it - *first >= kSpan) {
+      ++first;
+    }
+    most = std::max(most, static_cast<int>(it - first) + 1);
+  }
+  return most;
+}
+
+/// Callers of every entry, who ask on and on: some forty requests a second of
+/// each entry.
+class Callers {
+ public:
+  Callers(PlatformScene* scene, std::string method, std::string path)
+      : scene_(scene), method_(std::move(method)), path_(std::move(path)) {
+    for (std::size_t n = 0; n < scene_->further.size() + 1; ++n) {
+      for (int caller = 0; caller < 2; ++caller) {
+        threads_.emplace_back([this, n] { Ask(n); });
+      }
+    }
+  }
+  ~Callers() { Stop(); }
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+  void Stop() {
+    stopping_ = true;
+    for (std::thread& it : threads_) {
+      it.join();
+    }
+    threads_.clear();
+  }
+  int served() const { return served_; }
+  int refused() const { return refused_; }
+
+ private:
+  void Ask(std::size_t entry) {
+    const std::string address =
+        entry == 0 ? scene_->callers_address
+                   : scene_->further[entry - 1].callers_address;
+    while (!stopping_) {
+      const std::string id = "r-" + std::to_string(++next_id_);
+      const int status =
+          scene_->AskAt(address, method_, path_, id, /*deadline_ms=*/1500)
+              .status;
+      served_ += status == 200 ? 1 : 0;
+      refused_ += status == 503 ? 1 : 0;
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+  }
+
+  PlatformScene* scene_;
+  std::string method_;
+  std::string path_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> next_id_{0};
+  std::atomic<int> served_{0};
+  std::atomic<int> refused_{0};
+  std::vector<std::thread> threads_;
+};
+
+/// Guards against a target in need that gets its full share of the requests.
+TEST_CASE(
+    "A target that names a limit gets no more than that from four entries",
+    "[limit]") {
+  PlatformScene scene;
+  for (int n = 2; n <= 4; ++n) {
+    scene.AddEntry("front-" + std::to_string(n));
+  }
+  REQUIRE(WaitUntil([&] { return scene.AllReady(); }));
+  ModelWorker& target = scene.worker("a0");
+
+  SECTION("a plain target, whose work goes to the other one") {
+    Callers callers(&scene, "GET", "/desk/1");
+    std::this_thread::sleep_for(seconds(8));
+    target.SetNamedLimit(kLimit);
+    const Time named = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(seconds(12));
+    callers.Stop();
+    CHECK(MostInSpan(target.arrivals(), named + kContact) <= Allowed());
+    // What it takes is used, and callers notice nothing.
+    CHECK(MostInSpan(target.arrivals(), named + kContact) >= 4);
+    CHECK(callers.refused() == 0);
+  }
+  SECTION("an engine, with the prompts that it reads") {
+    REQUIRE(WaitUntil([&] { return scene.Staged("prefill") == 3; }));
+    scene.Register();
+    std::this_thread::sleep_for(seconds(1));
+    Callers callers(&scene, "POST", "/audit/1");
+    std::this_thread::sleep_for(seconds(8));
+    for (ModelWorker& it : scene.workers) {
+      it.SetNamedLimit(kLimit);
+    }
+    const Time named = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(seconds(12));
+    callers.Stop();
+    for (ModelWorker& it : scene.workers) {
+      CHECK(MostInSpan(it.arrivals(), named + kContact) <= Allowed());
+    }
+    CHECK(callers.served() > 0);
+  }
+  SECTION("entries that come, go, freeze and die while it is in force") {
+    Callers callers(&scene, "GET", "/desk/1");
+    std::this_thread::sleep_for(seconds(8));
+    target.SetNamedLimit(kLimit);
+    const Time named = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(seconds(2));
+    scene.further[0].process->Kill();
+    scene.further[0].Start();
+    scene.further[1].process->Pause();
+    std::this_thread::sleep_for(seconds(2));
+    scene.further[1].process->Resume();
+    scene.further[2].process->Terminate();
+    for (int n = 5; n <= 8; ++n) {
+      scene.AddEntry("front-" + std::to_string(n));
+    }
+    Callers more(&scene, "GET", "/desk/1");
+    std::this_thread::sleep_for(seconds(12));
+    more.Stop();
+    callers.Stop();
+    CHECK(MostInSpan(target.arrivals(), named + kContact) <= Allowed());
+  }
+}
+
+TEST_CASE("An entry tells the operator of a target's limit") {
+  PlatformScene scene;
+  scene.worker("a0").SetNamedLimit(kLimit);
+  scene.worker("a1").SetNamedLimit(kLimit);
+  scene.Ask("GET", "/desk/1", "r-1");
+  CHECK(scene.Metric("indigolead_targets_limited") == "1");
+  CHECK(WaitUntil([&] {
+    const std::string& log = scene.entry->output();
+    const auto at = log.find("target-limit-changed");
+    return at != std::string::npos &&
+           log.find("limit_per_s=5.0", at) != std::string::npos;
+  }));
+}
+
+/// Guards against a limit that stays in force when the target has recovered.
+TEST_CASE("A target that no longer names a limit gets its share again",
+          "[limit]") {
+  PlatformScene scene;
+  ModelWorker& target = scene.worker("a0");
+  target.SetNamedLimit(kLimit);
+  Callers callers(&scene, "GET", "/desk/1");
+  std::this_thread::sleep_for(seconds(10));
+  target.SetNamedLimit(std::nullopt);
+  std::this_thread::sleep_for(seconds(3));
+  const std::size_t before = target.arrivals().size();
+  std::this_thread::sleep_for(seconds(4));
+  callers.Stop();
+  CHECK(target.arrivals().size() - before > Allowed());
+}
+
+}  // namespace
+}  // namespace indigolead::testing
