Part the limit that a target names among the entries

Callers saw nothing of it; a target in need went on getting all that fell to it, up to three times what it had said it takes, and fell further behind.

Cause: no entry read the limit.

Each entry now computes its part from the list of entries alone and spaces all requests to the target by it. Up to 2 x limit + 3 entries have equal parts, in larger fleets that many chosen by a hash of the target; the others ask now and then, and may not save a request up. A newcomer has no part until all have listed it (7 s), a stopping entry gives its part up, an old list halves it. Entries list each other every 2 s while a limit is in force. Where every target of a service is used up the caller is refused at once with the time of the next turn; prompts are not read by engines that make answers then, and not in vain.

Why it is enough: parts add up to 0.9 of the limit on any one list; each entry has one request saved up at most, and that of 2 x limit + 3 entries. In random worlds (lists up to 3 s old, entries added by the dozen, killed, stopped, frozen, cut off, the store lost) no span of 4 s has more than 1.5 times what the limit allows, and 5. Fleets of 1, 4, 26, 103 and 400 use half of a limit or more.

Ruled out: asking the store for each request (none while it is away); turns by the time of day (clocks differ by seconds); equal parts for 400 entries (one saved up each is 400 in one second).

--- /dev/null
+++ b/src/core/admission/limit_share.cc
@@ -0,0 +1,59 @@
+#include "core/admission/limit_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/membership/rendezvous.h"
+
+namespace indigolead {
+namespace {
+
+/// Returns true if the entry of `view` is among the first `count` entries in
+/// the order of the hash of `target`.
+bool IsAmongFirst(const std::string& target, const EntryView& view,
+                  std::size_t count) {
+  const std::uint64_t own = RendezvousWeight(target, view.own_name);
+  const auto before = std::count_if(view.names.begin(), view.names.end(),
+                                    [&](const std::string& it) {
+                                      return RendezvousWeight(target, it) > own;
+                                    });
+  return static_cast<std::size_t>(before) < count;
+}
+
+}  // namespace
+
+LimitShare::Standing LimitShare::StandingOf(const EntryView& view,
+                                            TimePoint now) const {
+  if (!view.registered_at || !view.listed_at ||
+      now - *view.registered_at < options_.join_time) {
+    return Standing::kOutside;
+  }
+  return now - *view.listed_at < options_.fresh_list ? Standing::kFresh
+                                                     : Standing::kStale;
+}
+
+std::size_t LimitShare::MostParticipants(double limit_rps) const {
+  constexpr double kMost = 1e6;
+  return static_cast<std::size_t>(std::min(
+      kMost,
+      options_.participants_base + options_.participants_per_rps * limit_rps));
+}
+
+RateShare LimitShare::Of(const std::string& target, double limit_rps,
+                         const EntryView& view, Standing standing) const {
+  if (standing == Standing::kOutside) {
+    return {};
+  }
+  const double limit = std::max(limit_rps, options_.least_limit_rps) *
+                       (standing == Standing::kStale ? options_.stale_part : 1);
+  const std::size_t n = std::max<std::size_t>(view.names.size(), 1);
+  const std::size_t participants = std::min(n, MostParticipants(limit_rps));
+  if (participants == n || IsAmongFirst(target, view, participants)) {
+    return {options_.used * limit / static_cast<double>(participants),
+            std::nullopt};
+  }
+  return {options_.asking * limit / static_cast<double>(n - participants),
+          options_.asking_usable};
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/admission/shared_rate_limits.cc
@@ -0,0 +1,76 @@
+#include "core/admission/shared_rate_limits.h"
+
+#include <utility>
+
+namespace indigolead {
+
+SharedRateLimits::SharedRateLimits(const LimitShare::Options& options,
+                                   RandomSource random)
+    : shares_(options), random_(std::move(random)) {}
+
+void SharedRateLimits::OnEntries(EntryView view, TimePoint now) {
+  view_ = std::move(view);
+  standing_ = shares_.StandingOf(view_, now);
+  SetShares(now);
+}
+
+void SharedRateLimits::Tick(TimePoint now) {
+  const auto before = standing_;
+  standing_ = shares_.StandingOf(view_, now);
+  if (standing_ != before) {
+    SetShares(now);
+  }
+}
+
+std::optional<LimitChange> SharedRateLimits::OnAnswer(const std::string& target,
+                                                      const LimitNotice& notice,
+                                                      TimePoint now) {
+  const auto change = named_.OnAnswer(target, notice, now);
+  if (!change) {
+    return std::nullopt;
+  }
+  if (change->after) {
+    standing_ = shares_.StandingOf(view_, now);
+    SetShare(target, &pacers_[target], now);
+  } else {
+    pacers_.erase(target);
+  }
+  return change;
+}
+
+void SharedRateLimits::SetShares(TimePoint now) {
+  for (auto& [target, pacer] : pacers_) {
+    SetShare(target, &pacer, now);
+  }
+}
+
+void SharedRateLimits::SetShare(const std::string& target, SendPacer* pacer,
+                                TimePoint now) {
+  const double limit = named_.Find(target).value_or(0);
+  pacer->SetShare(shares_.Of(target, limit, view_, standing_),
+                  ToUnitInterval(random_()), now);
+}
+
+std::optional<Duration> SharedRateLimits::WaitFor(const std::string& target,
+                                                  TimePoint now) const {
+  const auto it = pacers_.find(target);
+  return it == pacers_.end() ? Duration{0} : it->second.WaitFor(now);
+}
+
+void SharedRateLimits::OnSent(const std::string& target, TimePoint now) {
+  if (const auto it = pacers_.find(target); it != pacers_.end()) {
+    it->second.OnSent(now);
+  }
+}
+
+void SharedRateLimits::Forget(const std::string& target) {
+  named_.Forget(target);
+  pacers_.erase(target);
+}
+
+RateShare SharedRateLimits::ShareOf(const std::string& target) const {
+  const auto it = pacers_.find(target);
+  return it == pacers_.end() ? RateShare{} : it->second.share();
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/core/admission/shared_rate_limits.h
@@ -0,0 +1,75 @@
+#ifndef INDIGOLEAD_CORE_ADMISSION_SHARED_RATE_LIMITS_H_
+#define INDIGOLEAD_CORE_ADMISSION_SHARED_RATE_LIMITS_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/admission/limit_share.h"
+#include "core/admission/named_limits.h"
+#include "core/admission/send_pacer.h"
+#include "core/base/random.h"
+#include "core/base/time.h"
+#include "core/membership/entry_roster.h"
+
+namespace indigolead {
+
+/// Keeps what an entry sends to targets that name a limit within its share.
+///
+/// The failure: a target in need says how many requests a second it takes, and
+/// goes on getting all that falls to it. The symptom: it falls further behind,
+/// and each request placed there is late while other targets have room. Every
+/// request counts, first or further, to read a prompt or to make an answer.
+///
+/// Not thread-safe. Memory: one record for each target that names a limit.
+class SharedRateLimits {
+ public:
+  SharedRateLimits(const LimitShare::Options& options, RandomSource random);
+
+  /// Takes the list of entries, or what else changed of the entry's standing.
+  void OnEntries(EntryView view, TimePoint now);
+
+  /// Takes what an answer of `target` says. Returns the change of belief.
+  std::optional<LimitChange> OnAnswer(const std::string& target,
+                                      const LimitNotice& notice, TimePoint now);
+
+  /// Returns the time until a request may be sent to `target`, zero if it may
+  /// be now; nothing if this entry has no share of its limit.
+  std::optional<Duration> WaitFor(const std::string& target,
+                                  TimePoint now) const;
+  bool MaySend(const std::string& target, TimePoint now) const {
+    return WaitFor(target, now) == Duration{0};
+  }
+
+  /// A request is sent to `target`, in its turn or not.
+  void OnSent(const std::string& target, TimePoint now);
+
+  /// The target's run is over, and its limit with it.
+  void Forget(const std::string& target);
+
+  /// Acts on what time alone decides. Call several times a second.
+  void Tick(TimePoint now);
+
+  /// Returns the number of targets with a limit.
+  std::size_t size() const { return pacers_.size(); }
+
+  /// Returns this entry's share of the limit of `target`; zero if there is
+  /// none.
+  RateShare ShareOf(const std::string& target) const;
+
+ private:
+  void SetShare(const std::string& target, SendPacer* pacer, TimePoint now);
+  void SetShares(TimePoint now);
+
+  LimitShare shares_;
+  RandomSource random_;
+  NamedLimits named_;
+  EntryView view_;
+  LimitShare::Standing standing_ = LimitShare::Standing::kOutside;
+  std::map<std::string, SendPacer> pacers_;  ///< Of each target in `named_`.
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_CORE_ADMISSION_SHARED_RATE_LIMITS_H_
--- a/src/core/membership/entry_roster.cc
+++ b/src/core/membership/entry_roster.cc
@@ -1,5 +1,6 @@
 #include "core/membership/entry_roster.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace indigolead {
@@ -30,6 +31,20 @@
   return n;
 }
 
+std::vector<std::string> EntryRoster::LiveNames(TimePoint now) const {
+  std::vector<std::string> names;
+  if (seen_.count(options_.own_name) == 0) {
+    names.push_back(options_.own_name);
+  }
+  for (const auto& [name, seen] : seen_) {
+    if (IsLive(name, seen, now)) {
+      names.push_back(name);
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
 std::vector<RosterRecord> EntryRoster::ToDelete(TimePoint now) const {
   std::vector<RosterRecord> expired;
   for (const auto& [name, seen] : seen_) {
--- a/src/core/membership/entry_roster.h
+++ b/src/core/membership/entry_roster.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,18 @@
   friend bool operator==(const RosterRecord&, const RosterRecord&) = default;
 };
 
+/// What an entry knows of the fleet that it is part of.
+struct EntryView {
+  std::string own_name;
+  std::vector<std::string> names;  ///< Of entries alive, its own among them.
+  std::optional<TimePoint> listed_at;  ///< When the list was asked for.
+  /// When the store confirmed this process's registration; nothing once it was
+  /// taken back, as in a planned stop.
+  std::optional<TimePoint> registered_at;
+
+  friend bool operator==(const EntryView&, const EntryView&) = default;
+};
+
 /// Tells how many entries there are, from registrations that expire by
 /// themselves nowhere.
 ///
@@ -46,6 +59,9 @@
   /// side: an entry that is gone counts until it expires.
   std::size_t live(TimePoint now) const;
 
+  /// Returns the names of these entries, sorted.
+  std::vector<std::string> LiveNames(TimePoint now) const;
+
   /// Returns the registrations to delete: those that have expired, if it is
   /// this entry's turn. The first by name does it, so that a large fleet makes
   /// one call and not hundreds.
--- a/src/core/placement/engine_placement.cc
+++ b/src/core/placement/engine_placement.cc
@@ -34,6 +34,20 @@
       std::chrono::duration<double>(seconds));
 }
 
+/// Returns true if an engine in `role` could do the work of `wanted`.
+bool Fits(EngineRole role, EngineRole wanted) {
+  return role == wanted ||
+         (role == EngineRole::kMixed && wanted == EngineRole::kDecode);
+}
+
+/// Returns true if a limit is what keeps work of `wanted` from some engine.
+bool AnyLimited(const std::vector<PlacementEngine>& engines,
+                EngineRole wanted) {
+  return std::any_of(engines.begin(), engines.end(), [wanted](const auto& it) {
+    return it.limited && !it.leaving && Fits(it.role, wanted);
+  });
+}
+
 /// Returns the engine that reads the prompt of a request so placed.
 const std::string& ReaderOf(const EnginePlace& place) {
   return place.prefill.empty() ? place.decode : place.prefill;
@@ -91,12 +105,18 @@
   auto decoders = Usable(engines, EngineRole::kDecode, now);
   auto readers = Usable(engines, EngineRole::kPrefill, now);
   if (decoders.empty()) {
-    return NoEngine{};
+    return AnyLimited(engines, EngineRole::kDecode)
+               ? PlacementDecision(EnginesLimited{})
+               : PlacementDecision(NoEngine{});
   }
   if (AllFull(decoders, now)) {
     // Its prompt would be read in vain.
     return Busy(options_.avoid_after_refusal, Duration{0});
   }
+  if (readers.empty() && AnyLimited(engines, EngineRole::kPrefill)) {
+    // Prompts read by engines that make answers stop the answers beside them.
+    return EnginesLimited{};
+  }
   if (readers.empty()) {
     return PlaceWhole(request, decoders, now);
   }
@@ -135,7 +155,7 @@
     const std::string& reader) const {
   auto holders = readers;
   for (const PlacementEngine& it : engines) {
-    if (it.leaving && it.role == EngineRole::kPrefill) {
+    if ((it.leaving || it.limited) && it.role == EngineRole::kPrefill) {
       holders.push_back(&it);
     }
   }
@@ -219,12 +239,7 @@
   std::vector<const PlacementEngine*> usable;
   std::vector<const PlacementEngine*> second_choice;
   for (const PlacementEngine& it : engines) {
-    if (it.leaving) {
-      continue;
-    }
-    const bool fits = it.role == role || (it.role == EngineRole::kMixed &&
-                                          role == EngineRole::kDecode);
-    if (!fits) {
+    if (it.leaving || it.limited || !Fits(it.role, role)) {
       continue;
     }
     const EngineState* state = Find(it.instance);
--- a/src/core/placement/engine_placement.h
+++ b/src/core/placement/engine_placement.h
@@ -28,6 +28,9 @@
   bool tried = false;    ///< An earlier attempt of this request went there.
   bool avoided = false;  ///< Its calls have broken one after the other.
   bool leaving = false;  ///< Gets no work; what it holds may be copied yet.
+  /// Names a limit, and this entry may send it nothing now; what it holds may
+  /// be copied.
+  bool limited = false;
 
   friend bool operator==(const PlacementEngine&,
                          const PlacementEngine&) = default;
@@ -53,12 +56,20 @@
   friend bool operator==(const EnginesBusy&, const EnginesBusy&) = default;
 };
 
+/// Every engine that could take the request names a limit, and this entry has
+/// used up its share of it.
+struct EnginesLimited {
+  friend bool operator==(const EnginesLimited&,
+                         const EnginesLimited&) = default;
+};
+
 /// No engine can make the answer.
 struct NoEngine {
   friend bool operator==(const NoEngine&, const NoEngine&) = default;
 };
 
-using PlacementDecision = std::variant<EnginePlace, EnginesBusy, NoEngine>;
+using PlacementDecision =
+    std::variant<EnginePlace, EnginesBusy, EnginesLimited, NoEngine>;
 
 /// Places the two halves of a generation on a fleet whose engines either read
 /// prompts or make answers.
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -137,6 +137,14 @@
   return it == targets_.end() ? nullptr : it->second.client.get();
 }
 
+TargetClient* DirectCarrier::ClientForExtraCall(const std::string& instance) {
+  TargetClient* client = ClientOf(instance);
+  if (client && hooks_.on_extra_call) {
+    hooks_.on_extra_call(instance);
+  }
+  return client;
+}
+
 const TargetRecord* DirectCarrier::FindTarget(
     const std::string& instance) const {
   const auto it = targets_.find(instance);
@@ -476,7 +484,7 @@
     request.deadline = options_.release_deadline;
     // Its outcome does not matter: a handle that is not freed expires.
     releases_[number] = FetchAnswer(
-        target.client.get(), std::move(request), options_.max_handle_bytes,
+        ClientForExtraCall(name), std::move(request), options_.max_handle_bytes,
         [this, number](const Result<TargetAnswer>&) {
           // Not from inside the call that ends here.
           boost::asio::post(*io_, [this, number] { releases_.erase(number); });
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -75,6 +75,8 @@
     /// A call to a target ended as it should, or broke: its connection was
     /// lost or could not be made. A call that ran out of time is neither.
     std::function<void(const std::string& instance, bool broke)> on_call_end;
+    /// A request that no route decided goes to a target.
+    std::function<void(const std::string& instance)> on_extra_call;
     /// The head of a target's answer came; it names a limit, or none.
     std::function<void(const std::string& instance, const LimitNotice&)>
         on_limit_notice;
@@ -98,8 +100,9 @@
   void Act(const SendCancel& action);
   void Act(const SendResume& action);
 
-  /// Returns the client of a target, for calls beside the attempts, or null.
-  TargetClient* ClientOf(const std::string& instance);
+  /// Returns the client of a target, for one call beside the attempts, or
+  /// null. The call counts like any other request to the target.
+  TargetClient* ClientForExtraCall(const std::string& instance);
   const TargetRecord* FindTarget(const std::string& instance) const;
   std::size_t running() const { return runs_.size(); }
   /// Returns false if nothing of the call that runs the attempt was written.
@@ -136,6 +139,7 @@
   };
 
   static SideInfo InfoOf(const TargetRecord& record);
+  TargetClient* ClientOf(const std::string& instance);
   void Add(const TargetRecord& record);
   void Restart(const TargetRecord& record);
   std::unique_ptr<TargetClient> MakeClient(const std::string& address);
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -74,6 +74,7 @@
                clock, log),
       directory_(options_.directory),
       guard_(options_.guard),
+      limits_(options_.limit_share, random_),
       accounts_(metrics),
       answered_(metrics->AddCounter("indigolead_requests_answered_total",
                                     "Requests answered by a target.")),
@@ -162,6 +163,9 @@
   hooks.on_call_end = [this](const std::string& instance, bool broke) {
     OnCallEnd(instance, broke);
   };
+  hooks.on_extra_call = [this](const std::string& instance) {
+    limits_.OnSent(instance, clock_());
+  };
   hooks.on_limit_notice = [this](const std::string& instance,
                                  const LimitNotice& notice) {
     OnLimitNotice(instance, notice);
@@ -264,6 +268,7 @@
 }
 
 void DirectDispatcher::Tick() {
+  limits_.Tick(clock_());
   Apply(directory_.Tick(clock_()));
   flow_.Tick(clock_());
   Flush();
@@ -281,7 +286,7 @@
   if (traits && traits->engine) {
     return RouteToEngine(request, candidates, now);
   }
-  return RouteToService(candidates, now);
+  return RouteToService(request.deployment, candidates, now);
 }
 
 std::optional<std::string> DirectDispatcher::ChooseRunner(
@@ -295,6 +300,9 @@
        {{"request", request.caller_id},
         {"target", runner.value_or("none")},
         {"after_ms", Milliseconds(clock_() - request.received_at)}});
+  if (runner) {
+    limits_.OnSent(*runner, clock_());
+  }
   if (const auto it = open_.find(request.id); runner && it != open_.end()) {
     it->second.last_target = *runner;
   }
@@ -310,7 +318,8 @@
   for (const Candidate& it : candidates) {
     const std::string& instance = it.side->instance;
     engines.push_back({instance, it.side->failure_domain, RoleOf(*it.side),
-                       it.tried, believed && guard_.IsAvoided(instance, now)});
+                       it.tried, believed && guard_.IsAvoided(instance, now),
+                       /*leaving=*/false, !limits_.MaySend(instance, now)});
   }
   for (const auto& [id, it] : leaving_) {
     if (it.record.service == service && now < it.until) {
@@ -363,6 +372,7 @@
        {{"target", instance},
         {"limit_per_s", LimitText(change->after)},
         {"before", LimitText(change->before)},
+        {"share_per_s", std::to_string(limits_.ShareOf(instance).per_second)},
         {"answer_after_ms", Milliseconds(clock_() - notice.sent_at)}});
 }
 
@@ -379,6 +389,9 @@
             Milliseconds(busy->first_event) + " ms.",
         busy->retry_after};
   }
+  if (std::holds_alternative<EnginesLimited>(decision)) {
+    return TargetsLimited(request.deployment, candidates, now);
+  }
   if (const auto* place = std::get_if<EnginePlace>(&decision)) {
     decided_ = *place;
     return RouteTo{place->decode, place->prefill};
@@ -386,12 +399,32 @@
   return NoTarget(request.deployment);
 }
 
+Refusal DirectDispatcher::TargetsLimited(
+    const std::string& service, const std::vector<Candidate>& candidates,
+    TimePoint now) const {
+  Duration least = options_.longest_limited_wait;
+  for (const Candidate& it : candidates) {
+    const auto wait = limits_.WaitFor(it.side->instance, now);
+    if (wait && *wait > Duration{0}) {
+      least = std::min(least, *wait);
+    }
+  }
+  return {503, RunState::kNotRun, "targets_limited",
+          "The targets of " + service +
+              " have named limits, and this entry has used up its share.",
+          std::max(least, options_.least_limited_wait)};
+}
+
 RouteResult DirectDispatcher::RouteToService(
-    const std::vector<Candidate>& candidates, TimePoint now) const {
+    const std::string& service, const std::vector<Candidate>& candidates,
+    TimePoint now) const {
   const bool believed = GuardIsPlausible(candidates, now);
   const Candidate* best = nullptr;
   std::uint64_t best_cost = 0;
   for (const Candidate& it : candidates) {
+    if (!limits_.MaySend(it.side->instance, now)) {
+      continue;
+    }
     const bool far = it.side->failure_domain != options_.failure_domain;
     // A target that was tried comes last: it may be the reason for the retry.
     const bool last =
@@ -404,6 +437,9 @@
       best_cost = cost;
     }
   }
+  if (!best) {
+    return TargetsLimited(service, candidates, now);
+  }
   return RouteTo{best->side->instance, ""};
 }
 
@@ -417,6 +453,7 @@
     work = std::to_string(static_cast<std::int64_t>(decided_->prefill_work));
     decided_.reset();
   }
+  limits_.OnSent(prefill.empty() ? side.instance : prefill, now);
   std::uint32_t number = 1;
   if (const auto it = open_.find(request.id); it != open_.end()) {
     number = ++it->second.attempts;
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "core/admission/entry_retry_budget.h"
-#include "core/admission/named_limits.h"
+#include "core/admission/shared_rate_limits.h"
 #include "core/base/random.h"
 #include "core/membership/target_directory.h"
 #include "core/placement/engine_placement.h"
@@ -40,6 +40,11 @@
     EnginePlacement::Options placement;
     FailureGuard::Options guard;
     EntryRetryBudget::Options retry_budget;  ///< Of each service.
+    LimitShare::Options limit_share;
+    /// Bounds on the time after which a caller may come back who was refused
+    /// since every target had named a limit.
+    Duration least_limited_wait = std::chrono::milliseconds(200);
+    Duration longest_limited_wait = std::chrono::milliseconds(2500);
     /// A target that leaves holds what it has read for so long yet: at least
     /// the time for which a planned shutdown goes on serving.
     Duration copy_from_leaving = std::chrono::seconds(2);
@@ -80,6 +85,13 @@
   /// granted once.
   void SetSavedArrivals(double saved, double at_start);
 
+  /// Takes the list of entries, among which targets' limits are parted.
+  void OnEntries(EntryView view) {
+    limits_.OnEntries(std::move(view), clock_());
+  }
+  /// Returns true while a target names a limit.
+  bool any_limited() const { return limits_.size() > 0; }
+
   /// Returns the load that the work of `service` puts on its engines.
   RoleLoad LoadOf(const std::string& service);
   /// Returns the services that run on model engines.
@@ -116,8 +128,12 @@
                             TimePoint now);
   std::optional<std::string> ChooseRunner(const AttemptId& id,
                                           const CallerRequest& request);
-  RouteResult RouteToService(const std::vector<Candidate>& candidates,
+  RouteResult RouteToService(const std::string& service,
+                             const std::vector<Candidate>& candidates,
                              TimePoint now) const;
+  Refusal TargetsLimited(const std::string& service,
+                         const std::vector<Candidate>& candidates,
+                         TimePoint now) const;
   std::vector<PlacementEngine> EnginesOf(
       const std::string& service, const std::vector<Candidate>& candidates,
       TimePoint now) const;
@@ -155,7 +171,7 @@
   DirectCarrier carrier_;
   TargetDirectory directory_;
   FailureGuard guard_;
-  NamedLimits limits_;
+  SharedRateLimits limits_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<std::string, EnginePlacement> placements_;
   std::map<std::string, EntryRetryBudget> budgets_;
--- a/src/entry/roster_keeper.cc
+++ b/src/entry/roster_keeper.cc
@@ -1,5 +1,6 @@
 #include "entry/roster_keeper.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -62,6 +63,10 @@
   renewing_ = false;
   if (IsOk(result)) {
     own_version_ = ValueOf(result);
+    if (!registered_at_ && !stopped_) {
+      registered_at_ = clock_();
+      TellView();
+    }
     if (!roster_.listed()) {
       list_at_ = clock_();
     }
@@ -81,18 +86,33 @@
                   error.detail.data() + error.detail.size(), own_version_);
 }
 
+Duration RosterKeeper::ListInterval() const {
+  const Duration interval =
+      settling() ? options_.first_interval : options_.list_interval;
+  return closely_ ? std::min(interval, options_.close_interval) : interval;
+}
+
+void RosterKeeper::ListClosely(bool closely) {
+  if (closely && !closely_) {
+    list_at_ = std::min(list_at_, clock_());
+  }
+  closely_ = closely;
+}
+
 void RosterKeeper::List() {
   listing_ = true;
   const CallOptions call{CallPriority::kStatus, options_.call_deadline,
                          /*may_be_stale=*/true};
   store_->List(
       options_.prefix, call,
-      [this, alive = alive_](const Result<ObjectStore::Listing>& result) {
+      [this, alive = alive_,
+       asked_at = clock_()](const Result<ObjectStore::Listing>& result) {
         if (!*alive) {
           return;
         }
         listing_ = false;
         if (IsOk(result)) {
+          listed_at_ = asked_at;
           OnListed(ValueOf(result));
         } else {
           log_(kRosterCallFailed, {{"error", ToString(ErrorOf(result))}});
@@ -108,10 +128,10 @@
     records.push_back({it.key.substr(options_.prefix.size()), it.version});
   }
   roster_.OnListed(records, clock_());
-  list_at_ =
-      Later(settling() ? options_.first_interval : options_.list_interval);
+  list_at_ = Later(ListInterval());
   DeleteExpired();
   Tell();
+  TellView();
 }
 
 void RosterKeeper::DeleteExpired() {
@@ -140,8 +160,17 @@
   hooks_.on_count(n);
 }
 
+void RosterKeeper::TellView() {
+  if (hooks_.on_view) {
+    hooks_.on_view({options_.roster.own_name, roster_.LiveNames(clock_()),
+                    listed_at_, registered_at_});
+  }
+}
+
 void RosterKeeper::Stop() {
   stopped_ = true;
+  registered_at_.reset();
+  TellView();
   if (own_version_ == 0) {
     return;
   }
--- a/src/entry/roster_keeper.h
+++ b/src/entry/roster_keeper.h
@@ -26,6 +26,8 @@
     std::string incarnation;  ///< Of this process; part of the registration.
     Duration renew_interval = std::chrono::seconds(60);
     Duration list_interval = std::chrono::seconds(20);
+    /// While something is parted by the list of entries at every moment.
+    Duration close_interval = std::chrono::seconds(2);
     /// Most intervals are these after a start, when many entries come at once.
     Duration first_interval = std::chrono::seconds(2);
     Duration settling_time = std::chrono::seconds(10);
@@ -35,6 +37,8 @@
   struct Hooks {
     /// The number of entries is another one than before, or known at last.
     std::function<void(std::size_t)> on_count;
+    /// A list was taken, or the own registration was confirmed or taken back.
+    std::function<void(const EntryView&)> on_view;
     /// Returns a draw from [0, 1), which spreads the calls of many entries.
     std::function<double()> jitter;
   };
@@ -48,6 +52,8 @@
 
   /// Drives the timers; call several times a second.
   void Tick();
+  /// Lists the entries often while `closely`, and at once when that begins.
+  void ListClosely(bool closely);
   /// Takes the registration back; a planned stop need not be waited out.
   void Stop();
 
@@ -58,6 +64,8 @@
   void OnListed(const ObjectStore::Listing& listing);
   void DeleteExpired();
   void Tell();
+  void TellView();
+  Duration ListInterval() const;
   TimePoint Later(Duration interval) const;
   bool settling() const;
 
@@ -73,6 +81,9 @@
   bool renewing_ = false;
   bool listing_ = false;
   bool stopped_ = false;
+  bool closely_ = false;
+  std::optional<TimePoint> listed_at_;
+  std::optional<TimePoint> registered_at_;
   std::uint64_t renewals_ = 0;
   std::uint64_t own_version_ = 0;  ///< Zero: not known to be registered.
   std::optional<std::size_t> told_;
--- a/src/entry/stage_service.cc
+++ b/src/entry/stage_service.cc
@@ -154,7 +154,7 @@
 }
 
 void StageService::Send(const std::string& service, const StageOrder& order) {
-  TargetClient* client = carrier_->ClientOf(order.instance);
+  TargetClient* client = carrier_->ClientForExtraCall(order.instance);
   if (!client) {
     Finish(service, order, StageOrderOutcome::kRefused, "the engine is gone");
     return;
@@ -171,7 +171,7 @@
                             const Result<TargetAnswer>& answer) {
   ended_.push_back(std::move(calls_[order.instance]));
   const TargetRecord* target = carrier_->FindTarget(order.instance);
-  TargetClient* client = carrier_->ClientOf(order.instance);
+  TargetClient* client = carrier_->ClientForExtraCall(order.instance);
   if (!IsOk(answer) || !target || !client) {
     Finish(service, order, StageOrderOutcome::kRefused,
            IsOk(answer) ? "the engine is gone" : ToString(ErrorOf(answer)));
--- /dev/null
+++ b/tests/core/admission/limit_share_test.cc
@@ -0,0 +1,87 @@
+#include "core/admission/limit_share.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Standing = LimitShare::Standing;
+
+constexpr TimePoint kNow{seconds(1000)};
+
+EntryView ViewOf(std::size_t entries, std::size_t own = 0) {
+  EntryView view;
+  for (std::size_t n = 0; n < entries; ++n) {
+    view.names.push_back("front-" + std::to_string(n));
+  }
+  view.own_name = view.names[own];
+  view.listed_at = kNow;
+  view.registered_at = kNow - seconds(60);
+  return view;
+}
+
+TEST_CASE(
+    "The shares of a limit add up to less than it on fleets of any size") {
+  const LimitShare shares({});
+  const std::size_t entries = GENERATE(1, 4, 13, 14, 26, 103, 400);
+  const double limit = GENERATE(0.0, 0.5, 5.0, 300.0);
+  INFO(entries << " entries, limit " << limit);
+  double sum = 0;
+  std::size_t saving = 0;
+  for (std::size_t n = 0; n < entries; ++n) {
+    const RateShare share =
+        shares.Of("e1", limit, ViewOf(entries, n), Standing::kFresh);
+    CHECK(share.per_second > 0);
+    sum += share.per_second;
+    saving += share.usable_for ? 0 : 1;
+  }
+  CHECK(sum <= std::max(limit, LimitShare::Options{}.least_limit_rps));
+  CHECK(sum >= 0.75 * limit);
+  // Each of them may have one request saved up, and send it at any moment.
+  CHECK(static_cast<double>(saving) <= 2 * limit + 3);
+}
+
+TEST_CASE("Targets choose different entries for the usable shares") {
+  const LimitShare shares({});
+  const EntryView view = ViewOf(400);
+  int chosen = 0;
+  for (int n = 0; n < 1000; ++n) {
+    const RateShare share =
+        shares.Of("e" + std::to_string(n), 5, view, Standing::kFresh);
+    chosen += share.usable_for ? 0 : 1;
+  }
+  // 13 of 400 for each target.
+  CHECK(chosen > 10);
+  CHECK(chosen < 70);
+}
+
+TEST_CASE("An entry has its share while the others know of it") {
+  const LimitShare shares({});
+  EntryView view = ViewOf(4);
+  CHECK(shares.StandingOf(view, kNow) == Standing::kFresh);
+
+  SECTION("none before all have had the time to list it") {
+    view.registered_at = kNow - seconds(6);
+    CHECK(shares.StandingOf(view, kNow) == Standing::kOutside);
+    CHECK(shares.StandingOf(view, kNow + seconds(1)) == Standing::kFresh);
+  }
+  SECTION("none once its registration was taken back, or without a list") {
+    view.registered_at.reset();
+    CHECK(shares.StandingOf(view, kNow) == Standing::kOutside);
+    view = ViewOf(4);
+    view.listed_at.reset();
+    CHECK(shares.StandingOf(view, kNow) == Standing::kOutside);
+    CHECK(shares.Of("e1", 5, view, Standing::kOutside) == RateShare{});
+  }
+  SECTION("half of it while its own list is old") {
+    CHECK(shares.StandingOf(view, kNow + seconds(5)) == Standing::kStale);
+    CHECK(shares.Of("e1", 5, view, Standing::kStale).per_second ==
+          shares.Of("e1", 5, view, Standing::kFresh).per_second / 2);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
--- /dev/null
+++ b/tests/core/admission/send_pacer_test.cc
@@ -0,0 +1,72 @@
+#include "core/admission/send_pacer.h"
+
+#include <catch2/catch.hpp>
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+constexpr RateShare kTwoPerSecond{2, std::nullopt};
+
+TEST_CASE("An entry's requests are spaced by its share") {
+  SendPacer pacer;
+  CHECK(pacer.WaitFor(kStart) == std::nullopt);
+  pacer.SetShare(kTwoPerSecond, 0.5, kStart);
+  CHECK(pacer.WaitFor(kStart) == milliseconds(250));
+  const TimePoint due = kStart + milliseconds(250);
+  CHECK(pacer.WaitFor(due) == Duration{0});
+
+  SECTION("one is saved up, and no more") {
+    const TimePoint late = due + seconds(30);
+    CHECK(pacer.WaitFor(late) == Duration{0});
+    pacer.OnSent(late);
+    CHECK(pacer.WaitFor(late) == milliseconds(500));
+  }
+  SECTION("one that did not wait delays the next") {
+    pacer.OnSent(due);
+    pacer.OnSent(due);
+    CHECK(pacer.WaitFor(due) == milliseconds(1000));
+  }
+  SECTION("a smaller share keeps what is due, a larger one brings it nearer") {
+    pacer.OnSent(due);
+    pacer.SetShare({1, std::nullopt}, 0, due);
+    CHECK(pacer.WaitFor(due) == milliseconds(500));
+    pacer.SetShare({10, std::nullopt}, 0, due);
+    CHECK(pacer.WaitFor(due) == milliseconds(100));
+  }
+  SECTION("shares that change often give nothing extra") {
+    int sent = 0;
+    for (int n = 0; n < 1000; ++n) {
+      const TimePoint now = due + n * milliseconds(10);
+      pacer.SetShare({n % 2 == 0 ? 1.9 : 2, std::nullopt}, 0, now);
+      if (pacer.WaitFor(now) == Duration{0}) {
+        pacer.OnSent(now);
+        ++sent;
+      }
+    }
+    CHECK(sent <= 21);
+  }
+  SECTION("without a share nothing is sent") {
+    pacer.SetShare({}, 0, due);
+    CHECK(pacer.WaitFor(due + seconds(60)) == std::nullopt);
+    pacer.OnSent(due);
+    CHECK(pacer.WaitFor(due + seconds(60)) == std::nullopt);
+  }
+}
+
+TEST_CASE("A request that may not be saved up is lost after its time") {
+  SendPacer pacer;
+  pacer.SetShare({0.1, seconds(1)}, 0, kStart);
+  CHECK(pacer.WaitFor(kStart + seconds(1)) == Duration{0});
+  CHECK(pacer.WaitFor(kStart + seconds(2)) == seconds(8));
+  CHECK(pacer.WaitFor(kStart + seconds(10)) == Duration{0});
+  CHECK(pacer.WaitFor(kStart + seconds(999)) == seconds(1));
+  pacer.OnSent(kStart + seconds(1000));
+  CHECK(pacer.WaitFor(kStart + seconds(1000)) == seconds(10));
+}
+
+}  // namespace
+}  // namespace indigolead
--- /dev/null
+++ b/tests/core/admission/shared_rate_limits_test.cc
@@ -0,0 +1,267 @@
+#include "core/admission/shared_rate_limits.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/base/random.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStep = milliseconds(20);
+constexpr Duration kAnswerTime = milliseconds(60);
+/// The rule: in no `kSpan` more than `kTolerance` times what the limit allows,
+/// and `kSlack` requests, from entries that were told `kTold` ago or earlier;
+/// from `kContact` after the limit was first named.
+constexpr Duration kSpan = seconds(4);
+constexpr double kTolerance = 1.5;
+constexpr double kSlack = 5;
+constexpr Duration kTold = milliseconds(500);
+constexpr Duration kContact = seconds(3);
+/// A list that the store answers from an older state.
+constexpr Duration kMostStale = seconds(3);
+
+/// Entries that share one target, each by its own list of entries, which is
+/// late in its own way. None sees what another sends.
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, double limit)
+      : random_(MakeSeededRandom(seed)), limit_(limit) {}
+
+  /// Adds an entry; `settled` if everybody has known it for long.
+  void Add(bool settled = false) {
+    auto entry = std::make_unique<Entry>();
+    entry->name = "front-" + std::to_string(next_name_++);
+    entry->registered_at = settled ? now_ - seconds(60) : now_;
+    entry->limits = std::make_unique<SharedRateLimits>(
+        LimitShare::Options{}, MakeSeededRandom(random_()));
+    registered_.insert(entry->name);
+    entries_.push_back(std::move(entry));
+  }
+  /// An entry dies; its registration stays.
+  void Kill() { entries_.erase(entries_.begin() + Below(entries_.size())); }
+  /// An entry stops: its registration goes first.
+  void Stop() {
+    Entry& entry = *entries_[Below(entries_.size())];
+    registered_.erase(entry.name);
+    entry.registered_at.reset();
+    Tell(&entry, {});
+  }
+  /// A process dies and another one of its name comes in its place.
+  void Restart() {
+    Entry& entry = *entries_[Below(entries_.size())];
+    entry.limits = std::make_unique<SharedRateLimits>(
+        LimitShare::Options{}, MakeSeededRandom(random_()));
+    entry.registered_at = now_;
+    entry.told_at.reset();
+    entry.answers.clear();
+  }
+  void Freeze(Duration length) {
+    entries_[Below(entries_.size())]->frozen_until = now_ + length;
+  }
+  /// An entry loses the store.
+  void Cut(Duration length) {
+    entries_[Below(entries_.size())]->cut_until = now_ + length;
+  }
+  void LoseStore(Duration length) { store_lost_until_ = now_ + length; }
+
+  /// Plays `length`; each entry has `per_second` requests for the target.
+  void Play(Duration length, double per_second) {
+    for (const TimePoint end = now_ + length; now_ < end; now_ += kStep) {
+      history_.push_back({now_, registered_});
+      while (history_.front().at + kMostStale + kStep < now_) {
+        history_.pop_front();
+      }
+      for (const auto& it : entries_) {
+        if (now_ >= it->frozen_until) {
+          Act(it.get(), per_second);
+        }
+      }
+    }
+  }
+
+  /// Returns the most arrivals that the rule counts in any span.
+  int Most() const {
+    if (!named_at_) {
+      return 0;
+    }
+    int most = 0;
+    auto first = std::lower_bound(counted_.begin(), counted_.end(),
+                                  *named_at_ + kContact);
+    for (auto it = first; it != counted_.end(); ++it) {
+      while (*it - *first >= kSpan) {
+        ++first;
+      }
+      most = std::max(most, static_cast<int>(it - first) + 1);
+    }
+    return most;
+  }
+  double Allowed() const {
+    return kTolerance * limit_ * std::chrono::duration<double>(kSpan).count() +
+           kSlack;
+  }
+  /// Returns the arrivals of the last `length`, a second.
+  double Rate(Duration length) const {
+    const auto n = std::count_if(counted_.begin(), counted_.end(),
+                                 [&](auto at) { return at >= now_ - length; });
+    return static_cast<double>(n) /
+           std::chrono::duration<double>(length).count();
+  }
+  std::uint64_t Below(std::uint64_t n) { return random_() % n; }
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct Entry {
+    std::string name;
+    std::optional<TimePoint> registered_at;
+    std::unique_ptr<SharedRateLimits> limits;
+    TimePoint list_at{};
+    TimePoint frozen_until{};
+    TimePoint cut_until{};
+    std::optional<TimePoint> told_at;
+    std::deque<TimePoint> answers;  ///< Of requests sent, when they come.
+  };
+  struct Listed {
+    TimePoint at;
+    std::set<std::string> names;
+  };
+
+  void Tell(Entry* entry, const std::set<std::string>& names) {
+    EntryView view{
+        entry->name, {names.begin(), names.end()}, now_, entry->registered_at};
+    if (names.count(entry->name) == 0) {
+      view.names.push_back(entry->name);
+    }
+    entry->limits->OnEntries(std::move(view), now_);
+  }
+
+  void Act(Entry* entry, double per_second) {
+    const bool cut = now_ < entry->cut_until || now_ < store_lost_until_;
+    if (now_ >= entry->list_at && !cut) {
+      entry->list_at = now_ + milliseconds(1000 + Below(1000));
+      Tell(entry, history_[Below(history_.size())].names);
+    }
+    entry->limits->Tick(now_);
+    while (!entry->answers.empty() && entry->answers.front() <= now_) {
+      const LimitNotice notice{limit_, true,
+                               entry->answers.front() - kAnswerTime};
+      entry->answers.pop_front();
+      entry->limits->OnAnswer("target", notice, now_);
+      entry->told_at = entry->told_at.value_or(now_);
+      named_at_ = named_at_.value_or(now_);
+    }
+    const double step_s = std::chrono::duration<double>(kStep).count();
+    const bool asked = ToUnitInterval(random_()) < per_second * step_s;
+    if (asked && entry->limits->MaySend("target", now_)) {
+      entry->limits->OnSent("target", now_);
+      entry->answers.push_back(now_ + kAnswerTime);
+      if (entry->told_at && now_ - *entry->told_at >= kTold) {
+        counted_.push_back(now_);
+      }
+    }
+  }
+
+  RandomSource random_;
+  double limit_;
+  TimePoint now_{seconds(1000)};
+  std::uint64_t next_name_ = 0;
+  std::vector<std::unique_ptr<Entry>> entries_;
+  std::set<std::string> registered_;
+  std::deque<Listed> history_;
+  TimePoint store_lost_until_{};
+  std::optional<TimePoint> named_at_;
+  std::vector<TimePoint> counted_;
+};
+
+/// Guards against a limit that holds on a fleet of one size only.
+TEST_CASE("A target gets what its limit allows from 4 entries and from 400") {
+  const std::size_t entries = GENERATE(1, 4, 26, 103, 400);
+  const double limit = GENERATE(0.2, 1.0, 5.0, 40.0);
+  INFO(entries << " entries, limit " << limit);
+  Fleet fleet(entries, limit);
+  for (std::size_t n = 0; n < entries; ++n) {
+    fleet.Add(/*settled=*/true);
+  }
+  fleet.Play(seconds(40), /*per_second=*/50);
+  CHECK(fleet.Most() <= fleet.Allowed());
+  // What the target takes is used.
+  CHECK(fleet.Rate(seconds(20)) >= 0.5 * limit);
+}
+
+/// Guards against requests that entries save up in silence and send together.
+TEST_CASE("Entries that fall silent and are all asked at once send no burst") {
+  const std::size_t entries = GENERATE(4, 26, 400);
+  const double limit = GENERATE(0.2, 1.0, 5.0);
+  INFO(entries << " entries, limit " << limit);
+  Fleet fleet(entries, limit);
+  for (std::size_t n = 0; n < entries; ++n) {
+    fleet.Add(/*settled=*/true);
+  }
+  fleet.Play(seconds(5), 20);
+  for (int n = 0; n < 4; ++n) {
+    fleet.Play(seconds(60), 0);
+    fleet.Play(seconds(3), 50);
+  }
+  CHECK(fleet.Most() <= fleet.Allowed());
+}
+
+/// Guards against shares by lists of entries that differ, while entries come,
+/// go, freeze, start anew and lose the store.
+TEST_CASE("A limit holds while the fleet changes, in random worlds") {
+  int broken = 0;
+  for (std::uint64_t seed = 1; seed <= 60 && broken < 5; ++seed) {
+    const RandomSource random = MakeSeededRandom(seed);
+    const double limits[] = {0.2, 1, 5, 20};
+    const double limit = limits[random() % 4];
+    Fleet fleet(seed, limit);
+    const std::size_t entries = seed % 6 == 0 ? 200 : 2 + random() % 30;
+    for (std::size_t n = 0; n < entries; ++n) {
+      fleet.Add(/*settled=*/true);
+    }
+    for (int n = 0; n < 40; ++n) {
+      fleet.Play(milliseconds(500 + random() % 1500),
+                 random() % 3 == 0 ? 0 : 20);
+      switch (random() % 7) {
+        case 0:
+          for (std::size_t add = 1 + random() % entries; add > 0; --add) {
+            fleet.Add();
+          }
+          break;
+        case 1:
+          if (fleet.size() > 1) {
+            fleet.Kill();
+          }
+          break;
+        case 2:
+          fleet.Stop();
+          break;
+        case 3:
+          fleet.Freeze(milliseconds(random() % 8000));
+          break;
+        case 4:
+          fleet.Restart();
+          break;
+        case 5:
+          fleet.Cut(milliseconds(random() % 15000));
+          break;
+        default:
+          fleet.LoseStore(milliseconds(random() % 8000));
+      }
+    }
+    INFO("world " << seed << ": " << entries << " entries at first, "
+                  << fleet.size() << " at last, limit " << limit);
+    CHECK(fleet.Most() <= fleet.Allowed());
+    broken += fleet.Most() <= fleet.Allowed() ? 0 : 1;
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
--- a/tests/core/placement/engine_placement_test.cc
+++ b/tests/core/placement/engine_placement_test.cc
@@ -408,5 +408,52 @@
   }
 }
 
+/// Guards against work for engines whose limit this entry has used up, and
+/// against prompts read beside answers because every reader has a limit.
+TEST_CASE("An engine whose limit is used up gets nothing") {
+  auto fleet = Fleet(3, 3);
+  EnginePlacement placement = MakePlacement(1);
+  const auto limit = [&fleet](const std::string& instance) {
+    for (PlacementEngine& it : fleet) {
+      it.limited = it.limited || it.instance == instance;
+    }
+  };
+  const EnginePlace before =
+      PlaceOf(placement.Place(Request(7, 1), fleet, kNow));
+
+  SECTION("a reader's prompts go to the next home, which copies from it") {
+    limit(before.prefill);
+    const EnginePlace place =
+        PlaceOf(placement.Place(Request(7, 2), fleet, kNow));
+    CHECK(place.prefill != before.prefill);
+    CHECK(place.copy_from == before.prefill);
+  }
+  SECTION("an engine for answers is passed over, at first and after reading") {
+    limit("d3");
+    limit("d4");
+    const CallerRequest request = Request(7, 3);
+    const EnginePlace place = PlaceOf(placement.Place(request, fleet, kNow));
+    CHECK(place.decode == "d5");
+    placement.OnSent(Attempt(1), request, place, kNow);
+    CHECK(placement.PlaceDecode(Attempt(1), fleet, kNow) == "d5");
+    limit("d5");
+    CHECK(placement.PlaceDecode(Attempt(1), fleet, kNow) == std::nullopt);
+  }
+  SECTION("where all readers have limits, nothing is read") {
+    limit("r0");
+    limit("r1");
+    limit("r2");
+    CHECK(placement.Place(Request(7, 4), fleet, kNow) ==
+          PlacementDecision(EnginesLimited{}));
+  }
+  SECTION("where all engines for answers have limits, no prompt is read") {
+    limit("d3");
+    limit("d4");
+    limit("d5");
+    CHECK(placement.Place(Request(7, 5), fleet, kNow) ==
+          PlacementDecision(EnginesLimited{}));
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/platform/target_limit_process_test.cc
+++ b/tests/platform/target_limit_process_test.cc
@@ -160,6 +160,34 @@
   }
 }
 
+/// Guards against callers who wait in vain where every target has a limit.
+TEST_CASE("Callers beyond the limits of all targets are told when to come") {
+  PlatformScene scene;
+  std::this_thread::sleep_for(seconds(8));
+  scene.worker("a0").SetNamedLimit(kLimit);
+  scene.worker("a1").SetNamedLimit(kLimit);
+  int served = 0;
+  int refused = 0;
+  for (int n = 0; n < 100; ++n) {
+    const Time asked = std::chrono::steady_clock::now();
+    const HttpAnswer answer =
+        scene.Ask("GET", "/desk/1", "r-" + std::to_string(n));
+    INFO(answer.status << " " << answer.body);
+    if (answer.status == 200) {
+      ++served;
+      continue;
+    }
+    ++refused;
+    REQUIRE(answer.status == 503);
+    CHECK(std::chrono::steady_clock::now() - asked < milliseconds(150));
+    CHECK(std::stod("0" + answer.Header("Retry-After")) > 0);
+    CHECK(scene.Runs("r-" + std::to_string(n)) == 0);
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  CHECK(served > 0);
+  CHECK(refused > 0);
+}
+
 TEST_CASE("An entry tells the operator of a target's limit") {
   PlatformScene scene;
   scene.worker("a0").SetNamedLimit(kLimit);
--- a/tests/shell/roster_keeper_test.cc
+++ b/tests/shell/roster_keeper_test.cc
@@ -32,11 +32,13 @@
     RosterKeeper::Hooks Hooks() {
       RosterKeeper::Hooks hooks;
       hooks.on_count = [this](std::size_t n) { counts.push_back(n); };
+      hooks.on_view = [this](const EntryView& it) { view = it; };
       hooks.jitter = [] { return 0.5; };
       return hooks;
     }
 
     std::vector<std::size_t> counts;
+    EntryView view;
     FakeObjectStore store;
     RosterKeeper keeper;
   };
@@ -136,5 +138,39 @@
   }
 }
 
+TEST_CASE("What is parted among entries follows their list closely") {
+  Scene scene;
+  Scene::Entry& first = scene.Add("front-1");
+  scene.Run(seconds(30));
+  CHECK(first.view.names == std::vector<std::string>{"front-1"});
+  CHECK(first.view.registered_at);
+
+  SECTION("a newcomer is on it within two seconds and a call") {
+    first.keeper.ListClosely(true);
+    scene.Add("front-2");
+    scene.Run(milliseconds(2600));
+    CHECK(first.view.names.size() == 2);
+  }
+  SECTION("it is asked for at once when that begins") {
+    const TimePoint before = scene.now;
+    first.keeper.ListClosely(true);
+    scene.Run(milliseconds(600));
+    CHECK(first.view.listed_at >= before);
+  }
+  SECTION("a planned stop gives the entry's part up") {
+    first.keeper.Stop();
+    CHECK_FALSE(first.view.registered_at);
+  }
+  SECTION("without it calls stay few") {
+    first.keeper.ListClosely(true);
+    scene.Run(seconds(10));
+    first.keeper.ListClosely(false);
+    scene.Run(seconds(20));
+    const auto lists = scene.Calls("list");
+    scene.Run(seconds(600));
+    CHECK(scene.Calls("list") - lists <= 600 / 10);
+  }
+}
+
 }  // namespace
 }  // namespace indigolead::testing
