Check limits that targets name in the random worlds of the direct path

The draws for it come from a source of their own, so that all other troubles stay as they were by seed.

--- a/tests/shell/direct_world_test.cc
+++ b/tests/shell/direct_world_test.cc
@@ -23,6 +23,8 @@
 // - nothing goes to a target that the entry knows to be leaving, or for a
 //   caller that has left, and no target goes on working for one;
 // - attempts keep to the route's number and to the retry budget;
+// - a target that names a limit gets no more calls than that, of any kind, from
+//   the entries that it has told;
 // - nothing stays behind.
 // More worlds by hand: INDIGOLEAD_FIRST_WORLD and INDIGOLEAD_WORLDS.
 TEST_CASE("The direct path keeps its promises in random worlds") {
--- a/tests/support/direct_world.cc
+++ b/tests/support/direct_world.cc
@@ -34,6 +34,9 @@
        at += Between(milliseconds(100), milliseconds(1500))) {
     time_.After(at, [this] { NextTrouble(); });
   }
+  for (Duration at{0}; at < kTraffic; at += milliseconds(700)) {
+    time_.After(at, [this] { NextLimit(); });
+  }
   for (Duration at{0}; at < kTraffic + kRest; at += milliseconds(100)) {
     for (int n = 0; n < entries; ++n) {
       time_.After(at + Between(Duration{0}, milliseconds(600)), [this, n] {
--- a/tests/support/direct_world/entries.cc
+++ b/tests/support/direct_world/entries.cc
@@ -57,6 +57,10 @@
   Entry& entry = entries_[number];
   entry = Entry{};
   entry.life = ++next_life_;
+  if (entry.life <= entries_.size()) {
+    // Those that the world begins with have been known for long.
+    entry.registered_at = time_.now() - std::chrono::minutes(1);
+  }
   entry.metrics = std::make_unique<MetricsRegistry>();
   DirectDispatcher::Options options;
   options.failure_domain = number % 2 == 0 ? "oviedo" : "bilbao";
@@ -140,6 +144,7 @@
     }
   }
   entry.dispatcher->OnStoreFollowed();
+  TellEntries(number);
   entry.dispatcher->OnTargets(listed);
   for (const TargetRecord& it : listed) {
     if (it.leaving) {
@@ -148,6 +153,19 @@
   }
 }
 
+void World::TellEntries(int number) {
+  Entry& entry = entries_[number];
+  entry.registered_at = entry.registered_at.value_or(time_.now());
+  EntryView view;
+  view.own_name = "front-" + std::to_string(number);
+  for (const auto& [n, it] : entries_) {
+    view.names.push_back("front-" + std::to_string(n));
+  }
+  view.listed_at = time_.now();
+  view.registered_at = entry.registered_at;
+  entry.dispatcher->OnEntries(std::move(view));
+}
+
 void World::CheckClosed(const std::string& id) {
   for (const auto& it : ledgers_[id].calls) {
     const auto call = it.lock();
--- a/tests/support/direct_world/targets.cc
+++ b/tests/support/direct_world/targets.cc
@@ -48,6 +48,7 @@
         return;
       }
       call->written = true;
+      CountForLimit(*call);
       const std::string id = FieldOf(call->request, kId);
       if (!id.empty()) {
         Ledger& ledger = ledgers_[id];
@@ -84,19 +85,21 @@
 
 void World::Answer(const std::shared_ptr<Call>& call, int status,
                    std::string body) {
-  ToEntry(call->entry, call->life, [call, status, body = std::move(body)] {
-    if (call->open && !call->ended) {
-      call->hooks.on_head(status,
-                          {{"Content-Length", std::to_string(body.size())}});
-    }
-    if (call->open && !call->ended && !body.empty()) {
-      call->hooks.on_body(body);
-    }
-    if (call->open && !call->ended) {
-      call->ended = true;
-      call->hooks.on_end(Unit{});
-    }
-  });
+  ToEntry(call->entry, call->life,
+          [this, call, status, body = std::move(body)] {
+            if (call->open && !call->ended) {
+              call->hooks.on_head(
+                  status, WithLimit(*call, {{"Content-Length",
+                                             std::to_string(body.size())}}));
+            }
+            if (call->open && !call->ended && !body.empty()) {
+              call->hooks.on_body(body);
+            }
+            if (call->open && !call->ended) {
+              call->ended = true;
+              call->hooks.on_end(Unit{});
+            }
+          });
 }
 
 void World::Arrive(const std::shared_ptr<Call>& call) {
@@ -208,9 +211,10 @@
       Chance(0.1) ? first + static_cast<int>(Below(4)) : 1000000;
   time_.After(Between(milliseconds(1), milliseconds(80)), [this, call, id,
                                                            first, breaks_at] {
-    ToEntry(call->entry, call->life, [call] {
+    ToEntry(call->entry, call->life, [this, call] {
       if (call->open && !call->ended) {
-        call->hooks.on_head(200, {{"Content-Type", "text/event-stream"}});
+        call->hooks.on_head(
+            200, WithLimit(*call, {{"Content-Type", "text/event-stream"}}));
       }
     });
     StreamEvent(call, id, first, breaks_at);
--- a/tests/support/direct_world/words.cc
+++ b/tests/support/direct_world/words.cc
@@ -86,6 +86,16 @@
         return AnswerMeaning::kAnswer;
     }
   };
+  dialect.named_limit = [](const TargetRecord& /*target*/,
+                           const std::vector<HttpHeader>& headers)
+      -> Result<std::optional<double>> {
+    for (const HttpHeader& it : headers) {
+      if (it.name == kLimit) {
+        return std::optional(std::stod(it.value));
+      }
+    }
+    return std::optional<double>();
+  };
   return dialect;
 }
 
--- a/tests/support/direct_world/words.h
+++ b/tests/support/direct_world/words.h
@@ -14,6 +14,8 @@
 inline constexpr char kOperation[] = "Operation";
 inline constexpr char kSource[] = "Source";
 inline constexpr char kResume[] = "Resume";
+/// Field of an answer: requests a second that its target takes.
+inline constexpr char kLimit[] = "Limit";
 
 /// Returns the value of a field of a call; empty if absent.
 std::string FieldOf(const TargetRequest& request, const char* name);
--- a/tests/support/direct_world/world.h
+++ b/tests/support/direct_world/world.h
@@ -31,6 +31,15 @@
 
 enum class Kind { kSafe, kUnsafe, kStream, kResumable };
 
+/// What a target in need says, and what came since.
+struct NamedLimit {
+  double per_second = 0;
+  std::optional<TimePoint> named_at;  ///< First answer that named it.
+  /// When each life of an entry was first told.
+  std::map<std::uint64_t, TimePoint> told;
+  std::vector<TimePoint> counted;  ///< Calls of those who knew.
+};
+
 /// One target, as it truly is.
 struct Target {
   TargetRecord record;
@@ -40,6 +49,7 @@
   std::uint32_t running = 0;
   std::uint64_t handles_made = 0;
   std::set<std::string> handles;
+  std::optional<NamedLimit> limit;
 };
 
 struct Call;
@@ -77,7 +87,9 @@
 /// Entries, callers and targets of one random world.
 class World {
  public:
-  explicit World(std::uint64_t seed) : random_(MakeSeededRandom(seed)) {}
+  explicit World(std::uint64_t seed)
+      : random_(MakeSeededRandom(seed)),
+        limit_random_(MakeSeededRandom(~seed)) {}
 
   DirectWorldReport Play();
 
@@ -89,6 +101,7 @@
     std::unique_ptr<DirectDispatcher> dispatcher;
     std::unique_ptr<MetricsRegistry> metrics;
     std::uint64_t life = 0;
+    std::optional<TimePoint> registered_at;
     TimePoint frozen_until{};
     std::vector<std::function<void()>> waiting;  ///< While it is frozen.
     std::set<std::string> told_leaving;
@@ -115,6 +128,7 @@
   void CheckClosed(const std::string& id);
   void TickEntry(int number);
   void TellTargets(int number);
+  void TellEntries(int number);
   void ToEntry(int number, std::uint64_t life, std::function<void()> function);
   void Freeze(int number, Duration length);
   void Thaw(int number, std::uint64_t life);
@@ -125,6 +139,11 @@
   void NextRequest();
   void NextTrouble();
   void CrashTarget(Target* target);
+  void NextLimit();
+  void EndLimit(Target* target);
+  void CountForLimit(const Call& call);
+  std::vector<HttpHeader> WithLimit(const Call& call,
+                                    std::vector<HttpHeader> headers);
 
   Target* At(const std::string& address);
   Target* RandomTarget();
@@ -140,6 +159,7 @@
   void Body(const std::shared_ptr<Call>& call, std::string data);
 
   RandomSource random_;
+  RandomSource limit_random_;  ///< Apart, so that limits change nothing else.
   Timeline time_;
   boost::asio::io_context io_;
   std::vector<std::unique_ptr<Target>> targets_;
