Name limits in the soak, one statement of the rule for all tests

Targets name a limit and stop doing so while everything else fails; arrivals of any kind are counted against it (stricter than the rule: restarts and freezes of the entry excuse nothing). Draws for limits come from a source of their own, so what else a seed plays is unchanged.

--- a/tests/core/admission/shared_rate_limits_test.cc
+++ b/tests/core/admission/shared_rate_limits_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/base/random.h"
+#include "tests/support/limit_rule.h"
 
 namespace indigolead {
 namespace {
@@ -18,14 +19,6 @@
 
 constexpr Duration kStep = milliseconds(20);
 constexpr Duration kAnswerTime = milliseconds(60);
-/// The rule: in no `kSpan` more than `kTolerance` times what the limit allows,
-/// and `kSlack` requests, from entries that were told `kTold` ago or earlier;
-/// from `kContact` after the limit was first named.
-constexpr Duration kSpan = seconds(4);
-constexpr double kTolerance = 1.5;
-constexpr double kSlack = 5;
-constexpr Duration kTold = milliseconds(500);
-constexpr Duration kContact = seconds(3);
 /// A list that the store answers from an older state.
 constexpr Duration kMostStale = seconds(3);
 
@@ -90,23 +83,9 @@
 
   /// Returns the most arrivals that the rule counts in any span.
   int Most() const {
-    if (!named_at_) {
-      return 0;
-    }
-    int most = 0;
-    auto first = std::lower_bound(counted_.begin(), counted_.end(),
-                                  *named_at_ + kContact);
-    for (auto it = first; it != counted_.end(); ++it) {
-      while (*it - *first >= kSpan) {
-        ++first;
-      }
-      most = std::max(most, static_cast<int>(it - first) + 1);
-    }
-    return most;
-  }
-  double Allowed() const {
-    return kTolerance * limit_ * std::chrono::duration<double>(kSpan).count() +
-           kSlack;
+    return named_at_ ? testing::MostInSpan(counted_,
+                                           *named_at_ + testing::kLimitContact)
+                     : 0;
   }
   /// Returns the arrivals of the last `length`, a second.
   double Rate(Duration length) const {
@@ -163,7 +142,7 @@
     if (asked && entry->limits->MaySend("target", now_)) {
       entry->limits->OnSent("target", now_);
       entry->answers.push_back(now_ + kAnswerTime);
-      if (entry->told_at && now_ - *entry->told_at >= kTold) {
+      if (entry->told_at && now_ - *entry->told_at >= testing::kLimitTold) {
         counted_.push_back(now_);
       }
     }
@@ -191,7 +170,7 @@
     fleet.Add(/*settled=*/true);
   }
   fleet.Play(seconds(40), /*per_second=*/50);
-  CHECK(fleet.Most() <= fleet.Allowed());
+  CHECK(fleet.Most() <= testing::MostAllowed(limit));
   // What the target takes is used.
   CHECK(fleet.Rate(seconds(20)) >= 0.5 * limit);
 }
@@ -210,7 +189,7 @@
     fleet.Play(seconds(60), 0);
     fleet.Play(seconds(3), 50);
   }
-  CHECK(fleet.Most() <= fleet.Allowed());
+  CHECK(fleet.Most() <= testing::MostAllowed(limit));
 }
 
 /// Guards against shares by lists of entries that differ, while entries come,
@@ -258,8 +237,8 @@
     }
     INFO("world " << seed << ": " << entries << " entries at first, "
                   << fleet.size() << " at last, limit " << limit);
-    CHECK(fleet.Most() <= fleet.Allowed());
-    broken += fleet.Most() <= fleet.Allowed() ? 0 : 1;
+    CHECK(fleet.Most() <= testing::MostAllowed(limit));
+    broken += fleet.Most() <= testing::MostAllowed(limit) ? 0 : 1;
   }
 }
 
--- a/tests/platform/soak_process_test.cc
+++ b/tests/platform/soak_process_test.cc
@@ -15,6 +15,7 @@
 
 #include "core/base/random.h"
 #include "tests/platform/support/platform_scene.h"
+#include "tests/support/limit_rule.h"
 
 namespace indigolead::testing {
 namespace {
@@ -25,6 +26,9 @@
 
 enum class Kind { kSafe, kUnsafe, kStream, kResumable };
 
+/// Requests a second that a target in need takes.
+constexpr double kSoakLimit = 10;
+
 /// One request and what its caller got.
 struct Asked {
   std::string id;
@@ -95,7 +99,9 @@
 class Troubles {
  public:
   Troubles(PlatformScene* scene, std::uint64_t seed)
-      : scene_(scene), random_(MakeSeededRandom(seed)) {}
+      : scene_(scene),
+        random_(MakeSeededRandom(seed)),
+        limit_random_(MakeSeededRandom(~seed)) {}
 
   void Next() {
     constexpr Behaviour kBehaviours[] = {
@@ -105,6 +111,9 @@
         Behaviour::kLate,        Behaviour::kGarbled,
         Behaviour::kWrongLength, Behaviour::kExtraAnswer,
         Behaviour::kBreaksMidway};
+    if (limit_random_() % 8 == 0) {
+      NameLimit(&scene_->workers[limit_random_() % scene_->workers.size()]);
+    }
     ModelWorker& worker = scene_->workers[Below(scene_->workers.size())];
     switch (Below(8)) {
       case 0:
@@ -134,6 +143,9 @@
   }
 
   void End() {
+    for (ModelWorker& it : scene_->workers) {
+      EndLimit(&it);
+    }
     scene_->SetBehaviour(Behaviour::kSound);
     scene_->store.SetFaults({});
     scene_->store.SetDown(false);
@@ -143,6 +155,27 @@
  private:
   std::uint64_t Below(std::uint64_t n) { return random_() % n; }
 
+  /// A target names a limit, or no longer does.
+  void NameLimit(ModelWorker* worker) {
+    if (limited_since_.count(worker) > 0) {
+      EndLimit(worker);
+      return;
+    }
+    worker->SetNamedLimit(kSoakLimit);
+    limited_since_[worker] = std::chrono::steady_clock::now();
+  }
+
+  void EndLimit(ModelWorker* worker) {
+    const auto since = limited_since_.find(worker);
+    if (since == limited_since_.end()) {
+      return;
+    }
+    CHECK(MostInSpan(worker->arrivals(), since->second + kLimitContact) <=
+          MostAllowed(kSoakLimit));
+    limited_since_.erase(since);
+    worker->SetNamedLimit(std::nullopt);
+  }
+
   void StoreTrouble() {
     standins::PlatformFaults faults;
     faults.refuse = Below(4) == 0;
@@ -158,7 +191,9 @@
 
   PlatformScene* scene_;
   RandomSource random_;
+  RandomSource limit_random_;  ///< Apart, so that limits change nothing else.
   std::uint64_t version_ = 10;
+  std::map<ModelWorker*, std::chrono::steady_clock::time_point> limited_since_;
 };
 
 void CheckAsked(PlatformScene* scene, const Asked& it) {
@@ -192,8 +227,9 @@
 
 // Targets, store, paths and the entry fail one after the other and together,
 // while callers ask. What may run once runs once at most, what is denied has
-// not run, what is answered is whole; and once the troubles are over, all is
-// served again, in the memory that an entry has.
+// not run, what is answered is whole, a target that names a limit gets no more;
+// and once the troubles are over, all is served again, in the memory that an
+// entry has.
 TEST_CASE("A soak of faults breaks no promise, and ends served") {
   const std::uint64_t seed = NumberFrom("INDIGOLEAD_SOAK_SEED", 1);
   const auto length = seconds(NumberFrom("INDIGOLEAD_SOAK_S", 6));
--- a/tests/platform/target_limit_process_test.cc
+++ b/tests/platform/target_limit_process_test.cc
@@ -1,16 +1,13 @@
 // A target in need names the requests a second that it takes from all entries
 // together; entries in processes of their own, between stand-ins.
 
-#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
-#include <csignal>
-#include <functional>
-#include <iostream>
 #include <thread>
 #include <vector>
 
 #include "tests/platform/support/platform_scene.h"
+#include "tests/support/limit_rule.h"
 
 namespace indigolead::testing {
 namespace {
@@ -20,30 +17,6 @@
 using Time = std::chrono::steady_clock::time_point;
 
 constexpr double kLimit = 5;  ///< Requests a second.
-/// The rule: in no span of `kSpan` more than `kTolerance` times what the limit
-/// allows, and `kSlack` requests, from `kContact` after it was first named.
-constexpr seconds kSpan{4};
-constexpr double kTolerance = 1.5;
-constexpr double kSlack = 5;
-constexpr seconds kContact{3};
-
-double Allowed() {
-  return kTolerance * kLimit * static_cast<double>(kSpan.count()) + kSlack;
-}
-
-/// Returns the most arrivals in any span of `kSpan` that begins at `from` or
-/// later.
-int MostInSpan(const std::vector<Time>& arrivals, Time from) {
-  int most = 0;
-  auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
-  for (auto it = first; it != arrivals.end(); ++it) {
-    while (*it - *first >= kSpan) {
-      ++first;
-    }
-    most = std::max(most, static_cast<int>(it - first) + 1);
-  }
-  return most;
-}
 
 /// Callers of every entry, who ask on and on: some forty requests a second of
 /// each entry.
@@ -115,9 +88,10 @@
     const Time named = std::chrono::steady_clock::now();
     std::this_thread::sleep_for(seconds(12));
     callers.Stop();
-    CHECK(MostInSpan(target.arrivals(), named + kContact) <= Allowed());
+    CHECK(MostInSpan(target.arrivals(), named + kLimitContact) <=
+          MostAllowed(kLimit));
     // What it takes is used, and callers notice nothing.
-    CHECK(MostInSpan(target.arrivals(), named + kContact) >= 4);
+    CHECK(MostInSpan(target.arrivals(), named + kLimitContact) >= 4);
     CHECK(callers.refused() == 0);
   }
   SECTION("an engine, with the prompts that it reads") {
@@ -133,7 +107,8 @@
     std::this_thread::sleep_for(seconds(12));
     callers.Stop();
     for (ModelWorker& it : scene.workers) {
-      CHECK(MostInSpan(it.arrivals(), named + kContact) <= Allowed());
+      CHECK(MostInSpan(it.arrivals(), named + kLimitContact) <=
+            MostAllowed(kLimit));
     }
     CHECK(callers.served() > 0);
   }
@@ -156,7 +131,8 @@
     std::this_thread::sleep_for(seconds(12));
     more.Stop();
     callers.Stop();
-    CHECK(MostInSpan(target.arrivals(), named + kContact) <= Allowed());
+    CHECK(MostInSpan(target.arrivals(), named + kLimitContact) <=
+          MostAllowed(kLimit));
   }
 }
 
@@ -215,7 +191,7 @@
   const std::size_t before = target.arrivals().size();
   std::this_thread::sleep_for(seconds(4));
   callers.Stop();
-  CHECK(target.arrivals().size() - before > Allowed());
+  CHECK(target.arrivals().size() - before > MostAllowed(kLimit));
 }
 
 }  // namespace
--- a/tests/support/direct_world/limits.cc
+++ b/tests/support/direct_world/limits.cc
@@ -1,39 +1,11 @@
-#include <algorithm>
-
 #include "tests/support/direct_world/words.h"
 #include "tests/support/direct_world/world.h"
+#include "tests/support/limit_rule.h"
 
 // Targets that name a limit on what they take from all entries together.
 namespace indigolead::testing::direct_world {
-namespace {
-
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// The rule: in no `kSpan` more than `kTolerance` times what the limit allows,
-/// and `kLimitSlack` calls, from entries that were told `kTold` ago or earlier;
-/// from `kContact` after the limit was first named.
-constexpr Duration kSpan = seconds(4);
-constexpr double kTolerance = 1.5;
-constexpr double kLimitSlack = 5;
-constexpr Duration kTold = milliseconds(500);
-constexpr Duration kContact = seconds(3);
-
-/// Returns the most times in any span that begins at `from` or later.
-int MostInSpan(const std::vector<TimePoint>& times, TimePoint from) {
-  int most = 0;
-  auto first = std::lower_bound(times.begin(), times.end(), from);
-  for (auto it = first; it != times.end(); ++it) {
-    while (*it - *first >= kSpan) {
-      ++first;
-    }
-    most = std::max(most, static_cast<int>(it - first) + 1);
-  }
-  return most;
-}
-
-}  // namespace
-
 void World::NextLimit() {
   constexpr double kLimits[] = {0.5, 1, 2, 4};
   Target* target = targets_[limit_random_() % targets_.size()].get();
@@ -52,11 +24,8 @@
   if (!limit.named_at) {
     return;
   }
-  const int most = MostInSpan(limit.counted, *limit.named_at + kContact);
-  const double allowed = kTolerance * limit.per_second *
-                             std::chrono::duration<double>(kSpan).count() +
-                         kLimitSlack;
-  if (most > allowed) {
+  const int most = MostInSpan(limit.counted, *limit.named_at + kLimitContact);
+  if (most > MostAllowed(limit.per_second)) {
     Violate("limit: " + std::to_string(most) + " calls in 4 s at " +
             target->record.id + ", which takes " +
             std::to_string(limit.per_second) + " a second");
@@ -70,7 +39,7 @@
   }
   const auto told = target->limit->told.find(call.life);
   if (told != target->limit->told.end() &&
-      time_.now() - told->second >= kTold) {
+      time_.now() - told->second >= kLimitTold) {
     target->limit->counted.push_back(time_.now());
   }
 }
--- /dev/null
+++ b/tests/support/limit_rule.h
@@ -0,0 +1,45 @@
+#ifndef INDIGOLEAD_TESTS_SUPPORT_LIMIT_RULE_H_
+#define INDIGOLEAD_TESTS_SUPPORT_LIMIT_RULE_H_
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+// The rule on targets that name a limit, as their operator states it: in no
+// span of `kLimitSpan` more than `kLimitTolerance` times what the limit allows,
+// and `kLimitSlack` requests, from entries that were told `kLimitTold` ago or
+// earlier; from `kLimitContact` after the limit was first named.
+namespace indigolead::testing {
+
+inline constexpr std::chrono::seconds kLimitSpan{4};
+inline constexpr double kLimitTolerance = 1.5;
+inline constexpr double kLimitSlack = 5;
+inline constexpr std::chrono::milliseconds kLimitTold{500};
+inline constexpr std::chrono::seconds kLimitContact{3};
+
+/// Returns the most requests that a limit of `per_second` allows in a span.
+inline double MostAllowed(double per_second) {
+  return kLimitTolerance * per_second *
+             static_cast<double>(kLimitSpan.count()) +
+         kLimitSlack;
+}
+
+/// Returns the most of `times`, which are sorted, in any span that lies between
+/// `from` and `to`.
+template <typename Time>
+int MostInSpan(const std::vector<Time>& times, Time from,
+               Time to = Time::max()) {
+  int most = 0;
+  auto first = std::lower_bound(times.begin(), times.end(), from);
+  for (auto it = first; it != times.end() && *it < to; ++it) {
+    while (*it - *first >= kLimitSpan) {
+      ++first;
+    }
+    most = std::max(most, static_cast<int>(it - first) + 1);
+  }
+  return most;
+}
+
+}  // namespace indigolead::testing
+
+#endif  // INDIGOLEAD_TESTS_SUPPORT_LIMIT_RULE_H_
