Name the shares of limits in the field's terms, log a change of standing

Shares, probes and validity in place of parts that are kept; an entry logs when its share is reduced for an old list, or absent because it has not joined.

--- a/src/core/admission/limit_share.cc
+++ b/src/core/admission/limit_share.cc
@@ -1,7 +1,6 @@
 #include "core/admission/limit_share.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "core/membership/rendezvous.h"
 
@@ -26,7 +25,7 @@
                                             TimePoint now) const {
   if (!view.registered_at || !view.listed_at ||
       now - *view.registered_at < options_.join_time) {
-    return Standing::kOutside;
+    return Standing::kNotJoined;
   }
   return now - *view.listed_at < options_.fresh_list ? Standing::kFresh
                                                      : Standing::kStale;
@@ -41,19 +40,21 @@
 
 RateShare LimitShare::Of(const std::string& target, double limit_rps,
                          const EntryView& view, Standing standing) const {
-  if (standing == Standing::kOutside) {
+  if (standing == Standing::kNotJoined) {
     return {};
   }
-  const double limit = std::max(limit_rps, options_.least_limit_rps) *
-                       (standing == Standing::kStale ? options_.stale_part : 1);
+  const double limit =
+      std::max(limit_rps, options_.least_limit_rps) *
+      (standing == Standing::kStale ? options_.stale_factor : 1);
   const std::size_t n = std::max<std::size_t>(view.names.size(), 1);
   const std::size_t participants = std::min(n, MostParticipants(limit_rps));
   if (participants == n || IsAmongFirst(target, view, participants)) {
-    return {options_.used * limit / static_cast<double>(participants),
+    return {options_.used_share * limit / static_cast<double>(participants),
             std::nullopt};
   }
-  return {options_.asking * limit / static_cast<double>(n - participants),
-          options_.asking_usable};
+  return {
+      options_.probing_share * limit / static_cast<double>(n - participants),
+      options_.probe_validity};
 }
 
 }  // namespace indigolead
--- a/src/core/admission/limit_share.h
+++ b/src/core/admission/limit_share.h
@@ -10,53 +10,56 @@
 
 namespace indigolead {
 
-/// One entry's part of the rate that a target takes from all entries together.
+/// One entry's share of the rate that a target takes from all entries together.
 struct RateShare {
   double per_second = 0;  ///< 0: the entry sends nothing.
-  /// Time for which a request that is due may stay unsent; after it the next
-  /// one is due a period later. Nothing: it is saved up, one at most.
-  std::optional<Duration> usable_for;
+  /// Time for which a request that is due may be sent; after that the next one
+  /// is due a period later. Nothing: it may be saved up, one at most.
+  std::optional<Duration> valid_for;
 
   friend bool operator==(const RateShare&, const RateShare&) = default;
 };
 
-/// Parts a target's limit among the entries of a fleet of any size.
+/// Divides a target's limit among the entries of a fleet of any size.
 ///
 /// Entries do not ask each other before they send, so each computes its share
 /// from the list of entries alone, and the shares add up to less than the
 /// limit.
 ///
 /// Up to `MostParticipants` entries have equal shares. In a larger fleet that
-/// many, chosen by a hash of the target's name, have a usable share each. The
-/// others only ask now and then whether the limit still holds, and may not save
-/// such a request up: hundreds saved up in silence could be sent in one second.
+/// many, chosen by a hash of the target's name, have an equal share each. The
+/// others only probe now and then whether the limit still holds, and may not
+/// save a probe up: hundreds of them could then be sent within one second.
 class LimitShare {
  public:
   struct Options {
-    /// Part of a limit that is parted among the participants. The rest is for
-    /// requests that bunch on their way, and for entries that serve yet and
-    /// are on nobody's list any more.
-    double used = 0.8;
-    /// Part of a limit that all other entries ask with.
-    double asking = 0.1;
-    Duration asking_usable = std::chrono::seconds(1);
-    /// Participants: each may have saved up one request, and all of them may
-    /// send it in the same second.
+    /// Share of a limit that is divided among the participants. The rest is for
+    /// requests that bunch on their way, and for entries that still serve and
+    /// are on no list any more.
+    double used_share = 0.8;
+    /// Share of a limit that all other entries probe with.
+    double probing_share = 0.1;
+    /// Time for which a probe that is due may be sent.
+    Duration probe_validity = std::chrono::seconds(1);
+    /// Bounds the participants by a fixed number, and one that grows with the
+    /// limit: each may have saved up one request, and all of them may send it
+    /// within the same second.
     double participants_base = 3;
     double participants_per_rps = 2;
-    /// Parted in place of a lower limit, or nobody would hear of its end.
+    /// Divided in place of a lower limit, or nobody would notice its end.
     double least_limit_rps = 0.05;
-    /// From an entry's registration until all others have listed it and have
-    /// made room for it.
+    /// Time from an entry's registration until all others have listed it and
+    /// reduced their shares.
     Duration join_time = std::chrono::seconds(7);
-    /// A list of this age may lack newcomers, and a share is cut to this part.
+    /// A list older than this may lack newcomers; the share is then multiplied
+    /// by `stale_factor`.
     Duration fresh_list = std::chrono::seconds(5);
-    double stale_part = 0.5;
+    double stale_factor = 0.5;
   };
   /// What time alone decides of an entry's shares.
   enum class Standing {
-    kOutside,  ///< Not on everybody's list yet, or no more: no share.
-    kStale,    ///< Its own list is old.
+    kNotJoined,  ///< Not on every list yet, or no longer: it has no share.
+    kStale,      ///< Its own list is old.
     kFresh,
   };
 
--- a/src/core/admission/send_pacer.cc
+++ b/src/core/admission/send_pacer.cc
@@ -24,7 +24,7 @@
     return;
   }
   const Duration period = PeriodOf(share);
-  if (before.per_second > 0 && before.usable_for == share.usable_for) {
+  if (before.per_second > 0 && before.valid_for == share.valid_for) {
     next_at_ = std::min(due_at, now + period);
     return;
   }
@@ -32,11 +32,11 @@
 }
 
 TimePoint SendPacer::DueAt(TimePoint now) const {
-  if (!share_.usable_for || now <= next_at_ + *share_.usable_for) {
+  if (!share_.valid_for || now <= next_at_ + *share_.valid_for) {
     return next_at_;
   }
   const Duration period = PeriodOf(share_);
-  const auto unsent = (now - next_at_ - *share_.usable_for) / period + 1;
+  const auto unsent = (now - next_at_ - *share_.valid_for) / period + 1;
   return next_at_ + period * unsent;
 }
 
--- a/src/core/admission/shared_rate_limits.h
+++ b/src/core/admission/shared_rate_limits.h
@@ -18,9 +18,9 @@
 /// Keeps what an entry sends to targets that name a limit within its share.
 ///
 /// The failure: a target in need says how many requests a second it takes, and
-/// goes on getting all that falls to it. The symptom: it falls further behind,
-/// and each request placed there is late while other targets have room. Every
-/// request counts, first or further, to read a prompt or to make an answer.
+/// still gets as many as before. The symptom: it falls further behind, and each
+/// request placed there is late while other targets have room. Every request
+/// counts, first or further, to read a prompt or to make an answer.
 ///
 /// Not thread-safe. Memory: one record for each target that names a limit.
 class SharedRateLimits {
@@ -51,6 +51,9 @@
   /// Acts on what time alone decides. Call several times a second.
   void Tick(TimePoint now);
 
+  /// Returns where this entry stands among those that share the limits.
+  LimitShare::Standing standing() const { return standing_; }
+
   /// Returns the number of targets with a limit.
   std::size_t size() const { return pacers_.size(); }
 
@@ -66,7 +69,7 @@
   RandomSource random_;
   NamedLimits named_;
   EntryView view_;
-  LimitShare::Standing standing_ = LimitShare::Standing::kOutside;
+  LimitShare::Standing standing_ = LimitShare::Standing::kNotJoined;
   std::map<std::string, SendPacer> pacers_;  ///< Of each target in `named_`.
 };
 
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -86,9 +86,7 @@
   void SetSavedArrivals(double saved, double at_start);
 
   /// Takes the list of entries, among which targets' limits are parted.
-  void OnEntries(EntryView view) {
-    limits_.OnEntries(std::move(view), clock_());
-  }
+  void OnEntries(EntryView view);
   /// Returns true while a target names a limit.
   bool any_limited() const { return limits_.size() > 0; }
 
@@ -142,6 +140,7 @@
                         TimePoint now) const;
   void OnCallEnd(const std::string& instance, bool broke);
   void OnLimitNotice(const std::string& instance, const LimitNotice& notice);
+  void LogStanding(LimitShare::Standing before);
   void OnSent(const CallerRequest& request, const AttemptId& id,
               const SideInfo& side, TimePoint now);
   void OnAttemptEnd(const CallerRequest& request, const AttemptId& id,
--- /dev/null
+++ b/src/entry/direct_dispatcher_route.cc
@@ -0,0 +1,163 @@
+// Where requests go: the choice among the targets that may get work now.
+
+#include <algorithm>
+
+#include "entry/direct_dispatcher.h"
+#include "entry/event_fields.h"
+#include "entry/events.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+
+EngineRole RoleOf(const SideInfo& side) {
+  if (side.role == "prefill") {
+    return EngineRole::kPrefill;
+  }
+  return side.role == "decode" ? EngineRole::kDecode : EngineRole::kMixed;
+}
+
+Refusal NoTarget(const std::string& service) {
+  // Lost engines are replaced, or change their role, within seconds.
+  return {503, RunState::kNotRun, "no_target",
+          "No target of " + service + " can take the request now.",
+          milliseconds(500)};
+}
+
+}  // namespace
+
+RouteResult DirectDispatcher::Route(const CallerRequest& request,
+                                    const std::vector<Candidate>& candidates,
+                                    TimePoint now) {
+  decided_.reset();
+  if (candidates.empty()) {
+    return NoTarget(request.deployment);
+  }
+  const ServiceTraits* traits =
+      routes_ ? routes_->FindService(request.deployment) : nullptr;
+  if (traits && traits->engine) {
+    return RouteToEngine(request, candidates, now);
+  }
+  return RouteToService(request.deployment, candidates, now);
+}
+
+std::optional<std::string> DirectDispatcher::ChooseRunner(
+    const AttemptId& id, const CallerRequest& request) {
+  const auto engines =
+      EnginesOf(request.deployment,
+                flow_.sides().CandidatesFor(request.deployment, {}), clock_());
+  auto runner =
+      PlacementOf(request.deployment).PlaceDecode(id, engines, clock_());
+  log_(kRunnerChosen,
+       {{"request", request.caller_id},
+        {"target", runner.value_or("none")},
+        {"after_ms", Milliseconds(clock_() - request.received_at)}});
+  if (runner) {
+    limits_.OnSent(*runner, clock_());
+  }
+  if (const auto it = open_.find(request.id); runner && it != open_.end()) {
+    it->second.last_target = *runner;
+  }
+  return runner;
+}
+
+std::vector<PlacementEngine> DirectDispatcher::EnginesOf(
+    const std::string& service, const std::vector<Candidate>& candidates,
+    TimePoint now) const {
+  const bool believed = GuardIsPlausible(candidates, now);
+  std::vector<PlacementEngine> engines;
+  engines.reserve(candidates.size());
+  for (const Candidate& it : candidates) {
+    const std::string& instance = it.side->instance;
+    engines.push_back({instance, it.side->failure_domain, RoleOf(*it.side),
+                       it.tried, believed && guard_.IsAvoided(instance, now),
+                       /*leaving=*/false, !limits_.MaySend(instance, now)});
+  }
+  for (const auto& [id, it] : leaving_) {
+    if (it.record.service == service && now < it.until) {
+      engines.push_back({id, it.record.failure_domain, it.record.role, false,
+                         false, /*leaving=*/true});
+    }
+  }
+  return engines;
+}
+
+bool DirectDispatcher::GuardIsPlausible(
+    const std::vector<Candidate>& candidates, TimePoint now) const {
+  const auto avoided = std::count_if(
+      candidates.begin(), candidates.end(), [&](const Candidate& it) {
+        return guard_.IsAvoided(it.side->instance, now);
+      });
+  return FailureGuard::IsPlausible(static_cast<std::size_t>(avoided),
+                                   candidates.size());
+}
+
+RouteResult DirectDispatcher::RouteToEngine(
+    const CallerRequest& request, const std::vector<Candidate>& candidates,
+    TimePoint now) {
+  const PlacementDecision decision =
+      PlacementOf(request.deployment)
+          .Place(request, EnginesOf(request.deployment, candidates, now), now);
+  if (const auto* busy = std::get_if<EnginesBusy>(&decision)) {
+    return Refusal{
+        503, RunState::kNotRun, "engines_busy",
+        "No engine could begin the answer in time; the first would in " +
+            Milliseconds(busy->first_event) + " ms.",
+        busy->retry_after};
+  }
+  if (std::holds_alternative<EnginesLimited>(decision)) {
+    return TargetsLimited(request.deployment, candidates, now);
+  }
+  if (const auto* place = std::get_if<EnginePlace>(&decision)) {
+    decided_ = *place;
+    return RouteTo{place->decode, place->prefill};
+  }
+  return NoTarget(request.deployment);
+}
+
+Refusal DirectDispatcher::TargetsLimited(
+    const std::string& service, const std::vector<Candidate>& candidates,
+    TimePoint now) const {
+  Duration least = options_.longest_limited_wait;
+  for (const Candidate& it : candidates) {
+    const auto wait = limits_.WaitFor(it.side->instance, now);
+    if (wait && *wait > Duration{0}) {
+      least = std::min(least, *wait);
+    }
+  }
+  return {503, RunState::kNotRun, "targets_limited",
+          "The targets of " + service +
+              " have named limits, and this entry has used up its share.",
+          std::max(least, options_.least_limited_wait)};
+}
+
+RouteResult DirectDispatcher::RouteToService(
+    const std::string& service, const std::vector<Candidate>& candidates,
+    TimePoint now) const {
+  const bool believed = GuardIsPlausible(candidates, now);
+  const Candidate* best = nullptr;
+  std::uint64_t best_cost = 0;
+  for (const Candidate& it : candidates) {
+    if (!limits_.MaySend(it.side->instance, now)) {
+      continue;
+    }
+    const bool far = it.side->failure_domain != options_.failure_domain;
+    // A target that was tried comes last: it may be the reason for the retry.
+    const bool last =
+        it.tried || (believed && guard_.IsAvoided(it.side->instance, now));
+    const std::uint64_t cost = it.outstanding +
+                               (far ? options_.domain_attempts : 0) +
+                               (last ? 1'000'000 : 0);
+    if (!best || cost < best_cost) {
+      best = &it;
+      best_cost = cost;
+    }
+  }
+  if (!best) {
+    return TargetsLimited(service, candidates, now);
+  }
+  return RouteTo{best->side->instance, ""};
+}
+
+}  // namespace indigolead
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -86,6 +86,10 @@
     1038, "target-limit-changed", EventSeverity::kInfo,
     "A target named another limit on the requests that it takes than before, "
     "or none any more."};
+inline constexpr EventInfo kLimitStandingChanged{
+    1048, "limit-standing-changed", EventSeverity::kInfo,
+    "This entry's share of targets' limits is another one: not-joined (none), "
+    "stale (reduced, its list of entries is old) or fresh."};
 inline constexpr EventInfo kTargetLimitUnreadable{
     1039, "target-limit-unreadable", EventSeverity::kWarning,
     "A target's answer names a limit that is no number; what was believed "
--- a/tests/core/admission/limit_share_test.cc
+++ b/tests/core/admission/limit_share_test.cc
@@ -36,7 +36,7 @@
         shares.Of("e1", limit, ViewOf(entries, n), Standing::kFresh);
     CHECK(share.per_second > 0);
     sum += share.per_second;
-    saving += share.usable_for ? 0 : 1;
+    saving += share.valid_for ? 0 : 1;
   }
   CHECK(sum <= std::max(limit, LimitShare::Options{}.least_limit_rps));
   CHECK(sum >= 0.75 * limit);
@@ -51,7 +51,7 @@
   for (int n = 0; n < 1000; ++n) {
     const RateShare share =
         shares.Of("e" + std::to_string(n), 5, view, Standing::kFresh);
-    chosen += share.usable_for ? 0 : 1;
+    chosen += share.valid_for ? 0 : 1;
   }
   // 13 of 400 for each target.
   CHECK(chosen > 10);
@@ -65,16 +65,16 @@
 
   SECTION("none before all have had the time to list it") {
     view.registered_at = kNow - seconds(6);
-    CHECK(shares.StandingOf(view, kNow) == Standing::kOutside);
+    CHECK(shares.StandingOf(view, kNow) == Standing::kNotJoined);
     CHECK(shares.StandingOf(view, kNow + seconds(1)) == Standing::kFresh);
   }
   SECTION("none once its registration was taken back, or without a list") {
     view.registered_at.reset();
-    CHECK(shares.StandingOf(view, kNow) == Standing::kOutside);
+    CHECK(shares.StandingOf(view, kNow) == Standing::kNotJoined);
     view = ViewOf(4);
     view.listed_at.reset();
-    CHECK(shares.StandingOf(view, kNow) == Standing::kOutside);
-    CHECK(shares.Of("e1", 5, view, Standing::kOutside) == RateShare{});
+    CHECK(shares.StandingOf(view, kNow) == Standing::kNotJoined);
+    CHECK(shares.Of("e1", 5, view, Standing::kNotJoined) == RateShare{});
   }
   SECTION("half of it while its own list is old") {
     CHECK(shares.StandingOf(view, kNow + seconds(5)) == Standing::kStale);
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -252,7 +252,7 @@
                                          const std::string& callers,
                                          const std::string& ready,
                                          bool reports_usage) {
-  const std::string path =
+  std::string path =
       (std::filesystem::temp_directory_path() /
        ("indigolead-settings-" + std::to_string(getpid()) + "-" + name))
           .string();
