Count what was sent before a limit was named, known red on large fleets

The record of the incident, read once more: the first span that broke the rule ended 3 s after the limit was named and began 1 s before it, and 46 of the 49 arrivals in it counted, so what entries sent before they were told counts too.

A limit is now averaged over 4 s: an entry that is told first waits until what it has sent in that time is within its share (RecentCount::UntilAtMost).

The new test plays a target at 1 and 2.2 times its limit that then names it, with answers after 60 and 800 ms, as the rule counts: passes for 1 to 26 entries, before this change too; fails for 103, where 21 and 43 requests come in 4 s and 17 and 35 are allowed, most of them the single request by which an entry learns of the limit. That cannot be mended by what an entry knows alone; it is listed.

--- a/src/core/admission/recent_count.h
+++ b/src/core/admission/recent_count.h
@@ -1,6 +1,7 @@
 #ifndef INDIGOLEAD_CORE_ADMISSION_RECENT_COUNT_H_
 #define INDIGOLEAD_CORE_ADMISSION_RECENT_COUNT_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 
@@ -23,6 +24,23 @@
     ++slot.n;
   }
 
+  /// Returns the time until at most `n` events are left in the window if none
+  /// is added. Errs on the late side, by a tenth of the window at most.
+  Duration UntilAtMost(std::uint64_t n, TimePoint now) const {
+    std::uint64_t left = 0;
+    for (const Slot& it : slots_) {
+      left += it.index + kSteps >= IndexOf(now) ? it.n : 0;
+    }
+    std::uint64_t index = IndexOf(now) - std::min(IndexOf(now), kSteps);
+    while (left > n && index <= IndexOf(now)) {
+      const Slot& slot = slots_[index % kSteps];
+      left -= slot.index == index ? std::min(left, slot.n) : 0;
+      ++index;
+    }
+    const TimePoint gone_at{step_ * (index + kSteps)};
+    return std::max(gone_at - now, Duration{0});
+  }
+
   std::uint64_t Count(TimePoint now) const {
     std::uint64_t n = 0;
     for (const Slot& it : slots_) {
--- a/src/core/admission/send_pacer.cc
+++ b/src/core/admission/send_pacer.cc
@@ -13,7 +13,8 @@
 
 }  // namespace
 
-void SendPacer::SetShare(const RateShare& share, double phase, TimePoint now) {
+void SendPacer::SetShare(const RateShare& share, double phase,
+                         TimePoint not_before, TimePoint now) {
   const RateShare before = share_;
   if (share == before) {
     return;
@@ -28,7 +29,9 @@
     next_at_ = std::min(due_at, now + period);
     return;
   }
-  next_at_ = now + std::chrono::duration_cast<Duration>(period * phase);
+  const TimePoint at =
+      now + std::chrono::duration_cast<Duration>(period * phase);
+  next_at_ = std::max(at, not_before);
 }
 
 TimePoint SendPacer::DueAt(TimePoint now) const {
--- a/src/core/admission/send_pacer.h
+++ b/src/core/admission/send_pacer.h
@@ -14,9 +14,11 @@
 class SendPacer {
  public:
   /// Takes another share. Where it differs in kind, the next request is due
-  /// after `phase`, from [0, 1), of a period: entries that hear of a limit in
-  /// the same moment must not send in the same moment.
-  void SetShare(const RateShare& share, double phase, TimePoint now);
+  /// after `phase`, from [0, 1), of a period, since entries that hear of a
+  /// limit in the same moment must not send in the same moment; and not before
+  /// `not_before`.
+  void SetShare(const RateShare& share, double phase, TimePoint not_before,
+                TimePoint now);
 
   /// Returns the time until the next request may be sent, zero if it may be
   /// now; nothing if there is no share.
--- a/src/core/admission/shared_rate_limits.cc
+++ b/src/core/admission/shared_rate_limits.cc
@@ -1,5 +1,6 @@
 #include "core/admission/shared_rate_limits.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace indigolead {
@@ -47,8 +48,23 @@
 void SharedRateLimits::SetShare(const std::string& target, SendPacer* pacer,
                                 TimePoint now) {
   const double limit = named_.Find(target).value_or(0);
-  pacer->SetShare(shares_.Of(target, limit, view_, standing_),
-                  ToUnitInterval(random_()), now);
+  const RateShare share = shares_.Of(target, limit, view_, standing_);
+  pacer->SetShare(share, ToUnitInterval(random_()),
+                  DueByAverage(target, share, now), now);
+}
+
+TimePoint SharedRateLimits::DueByAverage(const std::string& target,
+                                         const RateShare& share,
+                                         TimePoint now) const {
+  const auto it = sent_.find(target);
+  if (it == sent_.end()) {
+    return now;
+  }
+  const double most =
+      share.per_second * std::chrono::duration<double>(kAveragingTime).count();
+  const auto before_one_more =
+      static_cast<std::uint64_t>(std::max(most - 1, 0.0));
+  return now + it->second.UntilAtMost(before_one_more, now);
 }
 
 std::optional<Duration> SharedRateLimits::WaitFor(const std::string& target,
@@ -58,6 +74,7 @@
 }
 
 void SharedRateLimits::OnSent(const std::string& target, TimePoint now) {
+  sent_.try_emplace(target, kAveragingTime).first->second.Add(now);
   if (const auto it = pacers_.find(target); it != pacers_.end()) {
     it->second.OnSent(now);
   }
@@ -65,6 +82,7 @@
 
 void SharedRateLimits::Forget(const std::string& target) {
   named_.Forget(target);
+  sent_.erase(target);
   pacers_.erase(target);
 }
 
--- a/src/core/admission/shared_rate_limits.h
+++ b/src/core/admission/shared_rate_limits.h
@@ -5,9 +5,11 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 #include "core/admission/limit_share.h"
 #include "core/admission/named_limits.h"
+#include "core/admission/recent_count.h"
 #include "core/admission/send_pacer.h"
 #include "core/base/random.h"
 #include "core/base/time.h"
@@ -22,7 +24,11 @@
 /// request placed there is late while other targets have room. Every request
 /// counts, first or further, to read a prompt or to make an answer.
 ///
-/// Not thread-safe. Memory: one record for each target that names a limit.
+/// A limit is averaged over `kAveragingTime`, and what an entry sent in that
+/// time before it heard of the limit counts: a target that names one has mostly
+/// had too much already.
+///
+/// Not thread-safe. Memory: one small record for each target.
 class SharedRateLimits {
  public:
   SharedRateLimits(const LimitShare::Options& options, RandomSource random);
@@ -42,7 +48,8 @@
     return WaitFor(target, now) == Duration{0};
   }
 
-  /// A request is sent to `target`, in its turn or not.
+  /// A request is sent to `target`, in its turn or not, with a limit or
+  /// without.
   void OnSent(const std::string& target, TimePoint now);
 
   /// The target's run is over, and its limit with it.
@@ -62,6 +69,11 @@
   RateShare ShareOf(const std::string& target) const;
 
  private:
+  static constexpr Duration kAveragingTime = std::chrono::seconds(4);
+
+  /// Returns when one more request to `target` keeps the average of `share`.
+  TimePoint DueByAverage(const std::string& target, const RateShare& share,
+                         TimePoint now) const;
   void SetShare(const std::string& target, SendPacer* pacer, TimePoint now);
   void SetShares(TimePoint now);
 
@@ -71,6 +83,7 @@
   EntryView view_;
   LimitShare::Standing standing_ = LimitShare::Standing::kNotJoined;
   std::map<std::string, SendPacer> pacers_;  ///< Of each target in `named_`.
+  std::unordered_map<std::string, RecentCount> sent_;
 };
 
 }  // namespace indigolead
--- a/tests/core/admission/send_pacer_test.cc
+++ b/tests/core/admission/send_pacer_test.cc
@@ -14,7 +14,7 @@
 TEST_CASE("An entry's requests are spaced by its share") {
   SendPacer pacer;
   CHECK(pacer.WaitFor(kStart) == std::nullopt);
-  pacer.SetShare(kTwoPerSecond, 0.5, kStart);
+  pacer.SetShare(kTwoPerSecond, 0.5, kStart, kStart);
   CHECK(pacer.WaitFor(kStart) == milliseconds(250));
   const TimePoint due = kStart + milliseconds(250);
   CHECK(pacer.WaitFor(due) == Duration{0});
@@ -32,16 +32,16 @@
   }
   SECTION("a smaller share keeps what is due, a larger one brings it nearer") {
     pacer.OnSent(due);
-    pacer.SetShare({1, std::nullopt}, 0, due);
+    pacer.SetShare({1, std::nullopt}, 0, due, due);
     CHECK(pacer.WaitFor(due) == milliseconds(500));
-    pacer.SetShare({10, std::nullopt}, 0, due);
+    pacer.SetShare({10, std::nullopt}, 0, due, due);
     CHECK(pacer.WaitFor(due) == milliseconds(100));
   }
   SECTION("shares that change often give nothing extra") {
     int sent = 0;
     for (int n = 0; n < 1000; ++n) {
       const TimePoint now = due + n * milliseconds(10);
-      pacer.SetShare({n % 2 == 0 ? 1.9 : 2, std::nullopt}, 0, now);
+      pacer.SetShare({n % 2 == 0 ? 1.9 : 2, std::nullopt}, 0, now, now);
       if (pacer.WaitFor(now) == Duration{0}) {
         pacer.OnSent(now);
         ++sent;
@@ -50,16 +50,22 @@
     CHECK(sent <= 21);
   }
   SECTION("without a share nothing is sent") {
-    pacer.SetShare({}, 0, due);
+    pacer.SetShare({}, 0, due, due);
     CHECK(pacer.WaitFor(due + seconds(60)) == std::nullopt);
     pacer.OnSent(due);
     CHECK(pacer.WaitFor(due + seconds(60)) == std::nullopt);
   }
 }
 
+TEST_CASE("The first request by a share waits for what was sent before it") {
+  SendPacer pacer;
+  pacer.SetShare(kTwoPerSecond, 0, kStart + seconds(3), kStart);
+  CHECK(pacer.WaitFor(kStart) == seconds(3));
+}
+
 TEST_CASE("A request that may not be saved up is lost after its time") {
   SendPacer pacer;
-  pacer.SetShare({0.1, seconds(1)}, 0, kStart);
+  pacer.SetShare({0.1, seconds(1)}, 0, kStart, kStart);
   CHECK(pacer.WaitFor(kStart + seconds(1)) == Duration{0});
   CHECK(pacer.WaitFor(kStart + seconds(2)) == seconds(8));
   CHECK(pacer.WaitFor(kStart + seconds(10)) == Duration{0});
--- a/tests/core/admission/shared_rate_limits_test.cc
+++ b/tests/core/admission/shared_rate_limits_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -18,7 +19,6 @@
 using std::chrono::seconds;
 
 constexpr Duration kStep = milliseconds(20);
-constexpr Duration kAnswerTime = milliseconds(60);
 /// A list that the store answers from an older state.
 constexpr Duration kMostStale = seconds(3);
 
@@ -26,8 +26,11 @@
 /// late in its own way. None sees what another sends.
 class Fleet {
  public:
-  Fleet(std::uint64_t seed, double limit)
-      : random_(MakeSeededRandom(seed)), limit_(limit) {}
+  Fleet(std::uint64_t seed, double limit,
+        Duration answer_time = milliseconds(60))
+      : random_(MakeSeededRandom(seed)),
+        limit_(limit),
+        answer_time_(answer_time) {}
 
   /// Adds an entry; `settled` if everybody has known it for long.
   void Add(bool settled = false) {
@@ -87,6 +90,30 @@
                                            *named_at_ + testing::kLimitContact)
                      : 0;
   }
+  /// The target is in need from now on, and was not before.
+  void BeginNeed() { in_need_ = true; }
+  void HaveNoNeed() { in_need_ = false; }
+
+  /// Returns the most arrivals in any span that ends once the rule holds, from
+  /// entries that had been told by then; also those from before.
+  int MostFromTheStart() const {
+    int most = 0;
+    for (const Arrival& last : arrivals_) {
+      if (!named_at_ || last.at < *named_at_ + testing::kLimitContact) {
+        continue;
+      }
+      const auto n = std::count_if(
+          arrivals_.begin(), arrivals_.end(), [&](const Arrival& it) {
+            const auto told = told_.find(it.entry);
+            return it.at <= last.at && last.at - it.at < testing::kLimitSpan &&
+                   told != told_.end() &&
+                   last.at - told->second >= testing::kLimitTold;
+          });
+      most = std::max(most, static_cast<int>(n));
+    }
+    return most;
+  }
+
   /// Returns the arrivals of the last `length`, a second.
   double Rate(Duration length) const {
     const auto n = std::count_if(counted_.begin(), counted_.end(),
@@ -108,6 +135,10 @@
     std::optional<TimePoint> told_at;
     std::deque<TimePoint> answers;  ///< Of requests sent, when they come.
   };
+  struct Arrival {
+    TimePoint at;
+    std::string entry;
+  };
   struct Listed {
     TimePoint at;
     std::set<std::string> names;
@@ -130,18 +161,22 @@
     }
     entry->limits->Tick(now_);
     while (!entry->answers.empty() && entry->answers.front() <= now_) {
-      const LimitNotice notice{limit_, true,
-                               entry->answers.front() - kAnswerTime};
+      const LimitNotice notice{in_need_ ? std::optional(limit_) : std::nullopt,
+                               true, entry->answers.front() - answer_time_};
       entry->answers.pop_front();
       entry->limits->OnAnswer("target", notice, now_);
-      entry->told_at = entry->told_at.value_or(now_);
-      named_at_ = named_at_.value_or(now_);
+      if (in_need_) {
+        entry->told_at = entry->told_at.value_or(now_);
+        told_.emplace(entry->name, now_);
+        named_at_ = named_at_.value_or(now_);
+      }
     }
     const double step_s = std::chrono::duration<double>(kStep).count();
     const bool asked = ToUnitInterval(random_()) < per_second * step_s;
     if (asked && entry->limits->MaySend("target", now_)) {
       entry->limits->OnSent("target", now_);
-      entry->answers.push_back(now_ + kAnswerTime);
+      arrivals_.push_back({now_, entry->name});
+      entry->answers.push_back(now_ + answer_time_);
       if (entry->told_at && now_ - *entry->told_at >= testing::kLimitTold) {
         counted_.push_back(now_);
       }
@@ -150,6 +185,7 @@
 
   RandomSource random_;
   double limit_;
+  Duration answer_time_;
   TimePoint now_{seconds(1000)};
   std::uint64_t next_name_ = 0;
   std::vector<std::unique_ptr<Entry>> entries_;
@@ -158,6 +194,9 @@
   TimePoint store_lost_until_{};
   std::optional<TimePoint> named_at_;
   std::vector<TimePoint> counted_;
+  std::vector<Arrival> arrivals_;
+  std::map<std::string, TimePoint> told_;
+  bool in_need_ = true;
 };
 
 /// Guards against a limit that holds on a fleet of one size only.
@@ -175,6 +214,27 @@
   CHECK(fleet.Rate(seconds(20)) >= 0.5 * limit);
 }
 
+/// Guards against a target that has had far more than its limit in the seconds
+/// in which it names it, and goes on getting all of the limit.
+TEST_CASE("What a target got just before it named a limit counts") {
+  const std::size_t entries = GENERATE(1, 4, 5, 26, 103);
+  const double limit = GENERATE(2.0, 5.0, 20.0);
+  const double overload = GENERATE(1.0, 2.2);
+  const Duration answer_time = GENERATE(milliseconds(60), milliseconds(800));
+  INFO(entries << " entries, limit " << limit << ", load " << overload
+               << ", answers after " << answer_time / milliseconds(1) << " ms");
+  Fleet fleet(entries, limit, answer_time);
+  fleet.HaveNoNeed();
+  for (std::size_t n = 0; n < entries; ++n) {
+    fleet.Add(/*settled=*/true);
+  }
+  const double load = overload * limit / static_cast<double>(entries);
+  fleet.Play(seconds(10), load);
+  fleet.BeginNeed();
+  fleet.Play(seconds(20), load);
+  CHECK(fleet.MostFromTheStart() <= testing::MostAllowed(limit));
+}
+
 /// Guards against requests that entries save up in silence and send together.
 TEST_CASE("Entries that fall silent and are all asked at once send no burst") {
   const std::size_t entries = GENERATE(4, 26, 400);
--- a/tests/platform/target_limit_process_test.cc
+++ b/tests/platform/target_limit_process_test.cc
@@ -18,12 +18,15 @@
 
 constexpr double kLimit = 5;  ///< Requests a second.
 
-/// Callers of every entry, who ask on and on: some forty requests a second of
-/// each entry.
+/// Callers of every entry, two each, who ask on and on with a pause between.
 class Callers {
  public:
-  Callers(PlatformScene* scene, std::string method, std::string path)
-      : scene_(scene), method_(std::move(method)), path_(std::move(path)) {
+  Callers(PlatformScene* scene, std::string method, std::string path,
+          milliseconds pause = milliseconds(50))
+      : scene_(scene),
+        method_(std::move(method)),
+        path_(std::move(path)),
+        pause_(pause) {
     for (std::size_t n = 0; n < scene_->further.size() + 1; ++n) {
       for (int caller = 0; caller < 2; ++caller) {
         threads_.emplace_back([this, n] { Ask(n); });
@@ -56,13 +59,14 @@
               .status;
       served_ += status == 200 ? 1 : 0;
       refused_ += status == 503 ? 1 : 0;
-      std::this_thread::sleep_for(milliseconds(50));
+      std::this_thread::sleep_for(pause_);
     }
   }
 
   PlatformScene* scene_;
   std::string method_;
   std::string path_;
+  milliseconds pause_;
   std::atomic<bool> stopping_{false};
   std::atomic<int> next_id_{0};
   std::atomic<int> served_{0};
@@ -94,6 +98,18 @@
     CHECK(MostInSpan(target.arrivals(), named + kLimitContact) >= 4);
     CHECK(callers.refused() == 0);
   }
+  SECTION("a plain target, with what it got before it named the limit") {
+    // Twice the limit: what it got in its last second without one counts.
+    Callers callers(&scene, "GET", "/desk/1", milliseconds(400));
+    std::this_thread::sleep_for(seconds(8));
+    target.SetNamedLimit(kLimit);
+    const Time named = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(seconds(8));
+    callers.Stop();
+    CHECK(MostInSpanEnding(target.arrivals(), named + kLimitContact) <=
+          MostAllowed(kLimit));
+    CHECK(callers.refused() == 0);
+  }
   SECTION("an engine, with the prompts that it reads") {
     REQUIRE(WaitUntil([&] { return scene.Staged("prefill") == 3; }));
     scene.Register();
--- a/tests/support/limit_rule.h
+++ b/tests/support/limit_rule.h
@@ -8,7 +8,8 @@
 // The rule on targets that name a limit, as their operator states it: in no
 // span of `kLimitSpan` more than `kLimitTolerance` times what the limit allows,
 // and `kLimitSlack` requests, from entries that were told `kLimitTold` ago or
-// earlier; from `kLimitContact` after the limit was first named.
+// earlier; from `kLimitContact` after the limit was first named. The first such
+// span begins before that moment, and what came then counts.
 namespace indigolead::testing {
 
 inline constexpr std::chrono::seconds kLimitSpan{4};
@@ -40,6 +41,23 @@
   return most;
 }
 
+/// Returns the most of `times`, which are sorted, in any span that ends at
+/// `from` or later.
+template <typename Time>
+int MostInSpanEnding(const std::vector<Time>& times, Time from) {
+  int most = 0;
+  auto first = times.begin();
+  for (auto it = times.begin(); it != times.end(); ++it) {
+    while (*it - *first >= kLimitSpan) {
+      ++first;
+    }
+    if (*it >= from) {
+      most = std::max(most, static_cast<int>(it - first) + 1);
+    }
+  }
+  return most;
+}
+
 }  // namespace indigolead::testing
 
 #endif  // INDIGOLEAD_TESTS_SUPPORT_LIMIT_RULE_H_
