Let entries tell each other of a target's limit, by the watch they have

What callers see: nothing.

The entry that is told first writes the limit, and later its end, to the status of the target's registration, which every entry watches already: no call more for the others, and one write for a change of more than a tenth. What is shared bears the target's run, so that a later run under its id has none; a status that cannot be read is none and the target stays of use. What an entry was told itself is newer and stays. Told again after 2 s until it shows, if the store is away.

Ruled out: a kind of object of our own (a third watch for each entry, and calls to the store are dear on large fleets); the list of entries (read every 20 s where no limit is known yet). Process test: "Entries without requests hear*" (within 2 s).

--- a/src/core/admission/named_limits.cc
+++ b/src/core/admission/named_limits.cc
@@ -26,6 +26,21 @@
   return LimitChange{before, std::nullopt};
 }
 
+std::optional<LimitChange> NamedLimits::OnShared(const std::string& target,
+                                                 std::optional<double> limit,
+                                                 TimePoint now) {
+  const std::optional<double> before = Find(target);
+  if (before.has_value() == limit.has_value()) {
+    return std::nullopt;
+  }
+  if (limit) {
+    limits_[target] = {*limit, now, 0};
+  } else {
+    limits_.erase(target);
+  }
+  return LimitChange{before, limit};
+}
+
 std::optional<double> NamedLimits::Find(const std::string& target) const {
   const auto it = limits_.find(target);
   return it == limits_.end() ? std::nullopt : std::optional(it->second.value);
--- a/src/core/admission/named_limits.h
+++ b/src/core/admission/named_limits.h
@@ -43,6 +43,12 @@
   std::optional<LimitChange> OnAnswer(const std::string& target,
                                       const LimitNotice& notice, TimePoint now);
 
+  /// Takes what other entries have told of `target`, which changed. Returns the
+  /// change of belief. What this entry was told itself is newer, and stays.
+  std::optional<LimitChange> OnShared(const std::string& target,
+                                      std::optional<double> limit,
+                                      TimePoint now);
+
   /// The target's run is over, and its limit with it.
   void Forget(const std::string& target) { limits_.erase(target); }
 
--- a/src/core/admission/shared_rate_limits.cc
+++ b/src/core/admission/shared_rate_limits.cc
@@ -1,9 +1,16 @@
 #include "core/admission/shared_rate_limits.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace indigolead {
+namespace {
+
+/// Share of a limit by which what entries were told may differ from it.
+constexpr double kSharedPrecision = 0.1;
+
+}  // namespace
 
 SharedRateLimits::SharedRateLimits(const LimitShare::Options& options,
                                    RandomSource random)
@@ -27,16 +34,54 @@
                                                       const LimitNotice& notice,
                                                       TimePoint now) {
   const auto change = named_.OnAnswer(target, notice, now);
-  if (!change) {
+  if (change) {
+    Follow(target, *change, now);
+  }
+  return change;
+}
+
+std::optional<LimitChange> SharedRateLimits::OnShared(
+    const std::string& target, std::optional<double> limit, TimePoint now) {
+  const auto it = shared_.find(target);
+  const auto before = it == shared_.end() ? std::nullopt : it->second.limit;
+  if (limit == before) {
     return std::nullopt;
   }
-  if (change->after) {
+  shared_[target].limit = limit;
+  const auto change = named_.OnShared(target, limit, now);
+  if (change) {
+    Follow(target, *change, now);
+  }
+  return change;
+}
+
+bool SharedRateLimits::ShouldShare(const std::string& target, TimePoint now) {
+  const std::optional<double> believed = named_.Find(target);
+  const auto it = shared_.find(target);
+  const auto known = it == shared_.end() ? std::nullopt : it->second.limit;
+  const bool shows =
+      believed && known
+          ? std::abs(*believed - *known) <= kSharedPrecision * *believed
+          : believed.has_value() == known.has_value();
+  if (shows) {
+    return false;
+  }
+  Shared& shared = shared_[target];
+  if (shared.told_at && now - *shared.told_at < kShareInterval) {
+    return false;
+  }
+  shared.told_at = now;
+  return true;
+}
+
+void SharedRateLimits::Follow(const std::string& target,
+                              const LimitChange& change, TimePoint now) {
+  if (change.after) {
     standing_ = shares_.StandingOf(view_, now);
     SetShare(target, &pacers_[target], now);
   } else {
     pacers_.erase(target);
   }
-  return change;
 }
 
 void SharedRateLimits::SetShares(TimePoint now) {
@@ -82,6 +127,7 @@
 
 void SharedRateLimits::Forget(const std::string& target) {
   named_.Forget(target);
+  shared_.erase(target);
   sent_.erase(target);
   pacers_.erase(target);
 }
--- a/src/core/admission/shared_rate_limits.h
+++ b/src/core/admission/shared_rate_limits.h
@@ -40,6 +40,25 @@
   std::optional<LimitChange> OnAnswer(const std::string& target,
                                       const LimitNotice& notice, TimePoint now);
 
+  /// Takes the limit that entries share of `target`. Returns the change of
+  /// belief; nothing where the same was shared before.
+  std::optional<LimitChange> OnShared(const std::string& target,
+                                      std::optional<double> limit,
+                                      TimePoint now);
+
+  /// Returns true if the entries should be told what is believed of `target`,
+  /// and takes it that they are; again after `kShareInterval`, until it shows.
+  ///
+  /// The failure: each entry learns of a limit by a request of its own. The
+  /// symptom: on a fleet of a hundred entries these requests alone are more
+  /// than the limit, for as long as it takes until all have made theirs.
+  bool ShouldShare(const std::string& target, TimePoint now);
+
+  /// Returns the limit of `target`, in requests a second, or nothing.
+  std::optional<double> LimitOf(const std::string& target) const {
+    return named_.Find(target);
+  }
+
   /// Returns the time until a request may be sent to `target`, zero if it may
   /// be now; nothing if this entry has no share of its limit.
   std::optional<Duration> WaitFor(const std::string& target,
@@ -70,10 +89,19 @@
 
  private:
   static constexpr Duration kAveragingTime = std::chrono::seconds(4);
+  /// Between two attempts to tell the entries of one target.
+  static constexpr Duration kShareInterval = std::chrono::seconds(2);
+  /// What the entries know of a target from each other.
+  struct Shared {
+    std::optional<double> limit;
+    std::optional<TimePoint> told_at;  ///< When this entry last told them.
+  };
 
   /// Returns when one more request to `target` keeps the average of `share`.
   TimePoint DueByAverage(const std::string& target, const RateShare& share,
                          TimePoint now) const;
+  void Follow(const std::string& target, const LimitChange& change,
+              TimePoint now);
   void SetShare(const std::string& target, SendPacer* pacer, TimePoint now);
   void SetShares(TimePoint now);
 
@@ -83,6 +111,7 @@
   EntryView view_;
   LimitShare::Standing standing_ = LimitShare::Standing::kNotJoined;
   std::map<std::string, SendPacer> pacers_;  ///< Of each target in `named_`.
+  std::map<std::string, Shared> shared_;
   std::unordered_map<std::string, RecentCount> sent_;
 };
 
--- a/src/core/membership/target_directory.h
+++ b/src/core/membership/target_directory.h
@@ -33,6 +33,9 @@
   bool leaving = false;
   EngineRole role = EngineRole::kMixed;
   std::optional<TargetRun> run = std::nullopt;  ///< Unset if it does not say.
+  /// Requests a second that it takes from all entries together, as the entry
+  /// that heard it has told the others; unset if there is no limit.
+  std::optional<double> shared_limit = std::nullopt;
 
   friend bool operator==(const TargetRecord&, const TargetRecord&) = default;
 };
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -238,6 +238,9 @@
       guard_.Forget(it.target.id);
       limits_.Forget(it.target.id);
     }
+    if (it.kind != TargetChange::Kind::kRemoved) {
+      OnSharedLimit(it.target);
+    }
     if (hooks_.on_target) {
       hooks_.on_target(it);
     }
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -56,6 +56,9 @@
     std::function<void(ToCallers&&)> to_callers;
     /// A change of what is known of a target.
     std::function<void(const TargetChange&)> on_target;
+    /// Tells the other entries of a target's limit, in requests a second, or
+    /// that it has none any more.
+    std::function<void(const TargetRecord&, std::optional<double>)> share_limit;
     /// A target began to run the request, or may have: once for each request.
     std::function<void(const CallerRequest&, TimePoint)> on_begun;
   };
@@ -140,6 +143,9 @@
                         TimePoint now) const;
   void OnCallEnd(const std::string& instance, bool broke);
   void OnLimitNotice(const std::string& instance, const LimitNotice& notice);
+  void OnSharedLimit(const TargetRecord& target);
+  void NoteLimitChange(const std::string& instance, const LimitChange& change,
+                       const std::string& source);
   void LogStanding(LimitShare::Standing before);
   void OnSent(const CallerRequest& request, const AttemptId& id,
               const SideInfo& side, TimePoint now);
--- a/src/entry/direct_dispatcher_limits.cc
+++ b/src/entry/direct_dispatcher_limits.cc
@@ -45,18 +45,35 @@
 
 void DirectDispatcher::OnLimitNotice(const std::string& instance,
                                      const LimitNotice& notice) {
-  const auto change = limits_.OnAnswer(instance, notice, clock_());
-  if (!change) {
-    return;
+  const TimePoint now = clock_();
+  if (const auto change = limits_.OnAnswer(instance, notice, now)) {
+    NoteLimitChange(instance, *change,
+                    "answer-after-ms-" + Milliseconds(now - notice.sent_at));
   }
+  const TargetRecord* target = carrier_.FindTarget(instance);
+  if (target && hooks_.share_limit && limits_.ShouldShare(instance, now)) {
+    hooks_.share_limit(*target, limits_.LimitOf(instance));
+  }
+}
+
+void DirectDispatcher::OnSharedLimit(const TargetRecord& target) {
+  if (const auto change =
+          limits_.OnShared(target.id, target.shared_limit, clock_())) {
+    NoteLimitChange(target.id, *change, "entries");
+  }
+}
+
+void DirectDispatcher::NoteLimitChange(const std::string& instance,
+                                       const LimitChange& change,
+                                       const std::string& source) {
   limited_targets_.Set(static_cast<std::int64_t>(limits_.size()));
   log_(kTargetLimitChanged,
        {{"target", instance},
-        {"limit_per_s", LimitText(change->after)},
-        {"before", LimitText(change->before)},
+        {"limit_per_s", LimitText(change.after)},
+        {"before", LimitText(change.before)},
+        {"source", source},
         {"standing", std::string(StandingName(limits_.standing()))},
-        {"share_per_s", std::to_string(limits_.ShareOf(instance).per_second)},
-        {"answer_after_ms", Milliseconds(clock_() - notice.sent_at)}});
+        {"share_per_s", std::to_string(limits_.ShareOf(instance).per_second)}});
 }
 
 }  // namespace indigolead
--- a/tests/core/admission/named_limits_test.cc
+++ b/tests/core/admission/named_limits_test.cc
@@ -49,6 +49,18 @@
     }
     CHECK(limits.Find("e1") == 5);
   }
+  SECTION("others' word begins and ends it, and corrects nothing") {
+    CHECK(limits.OnShared("e1", 9, later) == std::nullopt);
+    CHECK(limits.Find("e1") == 5);
+    CHECK(limits.OnShared("e1", std::nullopt, later) ==
+          LimitChange{5, std::nullopt});
+    CHECK(limits.OnShared("e1", std::nullopt, later) == std::nullopt);
+    CHECK(limits.OnShared("e1", 9, later) == LimitChange{std::nullopt, 9});
+    // An answer to a request that was sent before says nothing of it.
+    limits.OnAnswer("e1", Unnamed(kStart), later);
+    limits.OnAnswer("e1", Unnamed(kStart), later);
+    CHECK(limits.Find("e1") == 9);
+  }
   SECTION("another run of the target begins without it") {
     limits.Forget("e1");
     CHECK(limits.Find("e1") == std::nullopt);
--- a/tests/core/admission/shared_rate_limits_test.cc
+++ b/tests/core/admission/shared_rate_limits_test.cc
@@ -21,6 +21,8 @@
 constexpr Duration kStep = milliseconds(20);
 /// A list that the store answers from an older state.
 constexpr Duration kMostStale = seconds(3);
+/// The rest between two calls of a watch, and the way.
+constexpr Duration kMostWatchLag = milliseconds(1600);
 
 /// Entries that share one target, each by its own list of entries, which is
 /// late in its own way. None sees what another sends.
@@ -39,6 +41,7 @@
     entry->registered_at = settled ? now_ - seconds(60) : now_;
     entry->limits = std::make_unique<SharedRateLimits>(
         LimitShare::Options{}, MakeSeededRandom(random_()));
+    entry->watch_lag = Below(kMostWatchLag / kStep) * kStep;
     registered_.insert(entry->name);
     entries_.push_back(std::move(entry));
   }
@@ -132,6 +135,8 @@
     TimePoint list_at{};
     TimePoint frozen_until{};
     TimePoint cut_until{};
+    Duration watch_lag{};
+    std::size_t heard = 0;  ///< Of what was shared.
     std::optional<TimePoint> told_at;
     std::deque<TimePoint> answers;  ///< Of requests sent, when they come.
   };
@@ -139,6 +144,10 @@
     TimePoint at;
     std::string entry;
   };
+  struct SharedLimit {
+    TimePoint at;
+    std::optional<double> limit;
+  };
   struct Listed {
     TimePoint at;
     std::set<std::string> names;
@@ -153,6 +162,14 @@
     entry->limits->OnEntries(std::move(view), now_);
   }
 
+  /// The entry's watch tells it what others have shared, some time later.
+  void HearShared(Entry* entry, bool cut) {
+    while (!cut && entry->heard < shared_.size() &&
+           shared_[entry->heard].at + entry->watch_lag <= now_) {
+      entry->limits->OnShared("target", shared_[entry->heard++].limit, now_);
+    }
+  }
+
   void Act(Entry* entry, double per_second) {
     const bool cut = now_ < entry->cut_until || now_ < store_lost_until_;
     if (now_ >= entry->list_at && !cut) {
@@ -160,11 +177,15 @@
       Tell(entry, history_[Below(history_.size())].names);
     }
     entry->limits->Tick(now_);
+    HearShared(entry, cut);
     while (!entry->answers.empty() && entry->answers.front() <= now_) {
       const LimitNotice notice{in_need_ ? std::optional(limit_) : std::nullopt,
                                true, entry->answers.front() - answer_time_};
       entry->answers.pop_front();
       entry->limits->OnAnswer("target", notice, now_);
+      if (entry->limits->ShouldShare("target", now_) && !cut) {
+        shared_.push_back({now_, notice.limit});
+      }
       if (in_need_) {
         entry->told_at = entry->told_at.value_or(now_);
         told_.emplace(entry->name, now_);
@@ -192,6 +213,7 @@
   std::set<std::string> registered_;
   std::deque<Listed> history_;
   TimePoint store_lost_until_{};
+  std::vector<SharedLimit> shared_;
   std::optional<TimePoint> named_at_;
   std::vector<TimePoint> counted_;
   std::vector<Arrival> arrivals_;
@@ -235,6 +257,37 @@
   CHECK(fleet.MostFromTheStart() <= testing::MostAllowed(limit));
 }
 
+/// Guards against a limit that each entry must find out for itself, and against
+/// one that is believed for ever since nobody tells of its end.
+TEST_CASE("Entries tell each other of a limit and of its end") {
+  SharedRateLimits limits({}, MakeSeededRandom(1));
+  const TimePoint now{seconds(1000)};
+  CHECK_FALSE(limits.ShouldShare("e1", now));
+  limits.OnAnswer("e1", {5, true, now}, now);
+  CHECK(limits.ShouldShare("e1", now));
+  CHECK_FALSE(limits.ShouldShare("e1", now + seconds(1)));
+
+  SECTION("again, while the others do not show it") {
+    CHECK(limits.ShouldShare("e1", now + seconds(2)));
+  }
+  SECTION("not while they show about the same") {
+    limits.OnShared("e1", 5.2, now);
+    CHECK_FALSE(limits.ShouldShare("e1", now + seconds(2)));
+    limits.OnAnswer("e1", {3, true, now}, now);
+    CHECK(limits.ShouldShare("e1", now + seconds(2)));
+  }
+  SECTION("and of its end, which the others then believe") {
+    limits.OnShared("e1", 5, now);
+    limits.OnAnswer("e1", {std::nullopt, true, now}, now);
+    limits.OnAnswer("e1", {std::nullopt, true, now}, now);
+    CHECK(limits.ShouldShare("e1", now + seconds(2)));
+    CHECK(limits.OnShared("e1", std::nullopt, now) == std::nullopt);
+    CHECK(limits.OnShared("e1", 5, now) == LimitChange{std::nullopt, 5});
+    CHECK(limits.OnShared("e1", std::nullopt, now) ==
+          LimitChange{5, std::nullopt});
+  }
+}
+
 /// Guards against requests that entries save up in silence and send together.
 TEST_CASE("Entries that fall silent and are all asked at once send no burst") {
   const std::size_t entries = GENERATE(4, 26, 400);
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -151,5 +151,35 @@
   }
 }
 
+TEST_CASE("What entries share of a target's limit is that of its run") {
+  const auto decode = [](const std::string& born, const std::string& status) {
+    return ValueOf(DecodeTarget(
+        "i-7",
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"oviedo","slots":8,)"
+        R"("state":"ready","stage":"decode")" +
+            born + R"(,"status":)" + status + "}"));
+  };
+  TargetRecord target = decode("", "null");
+  CHECK(target.shared_limit == std::nullopt);
+  CHECK(decode("", EncodeSharedLimit(target, 5.4)).shared_limit == 5.4);
+  CHECK(decode("", EncodeSharedLimit(target, std::nullopt)).shared_limit ==
+        std::nullopt);
+
+  SECTION("a later run under the same id has none") {
+    target = decode(R"(,"born":17)", "null");
+    const std::string status = EncodeSharedLimit(target, 5.4);
+    CHECK(decode(R"(,"born":17)", status).shared_limit == 5.4);
+    CHECK(decode(R"(,"born":18)", status).shared_limit == std::nullopt);
+  }
+  SECTION("one that cannot be read is none, and the target is of use") {
+    const std::string status =
+        GENERATE("7", "[]", "\"5\"", R"({"limit-per-s":"5"})",
+                 R"({"limit-per-s":-1})", R"({"other":5})");
+    INFO(status);
+    CHECK(decode("", status).shared_limit == std::nullopt);
+    CHECK(decode("", status).address == "10.0.0.9:80");
+  }
+}
+
 }  // namespace
 }  // namespace indigolead::platform
--- a/tests/platform/support/metadata_store.cc
+++ b/tests/platform/support/metadata_store.cc
@@ -112,8 +112,13 @@
                           const Json& spec) {
   Object& object = kinds_[kind][name];
   object.spec = spec;
-  object.revision = ++revision_;
-  history_.push_back({revision_, kind, name, JsonOf(name, object), false});
+  Announce(kind, name, &object);
+}
+
+void MetadataStore::Announce(const std::string& kind, const std::string& name,
+                             Object* object) {
+  object->revision = ++revision_;
+  history_.push_back({revision_, kind, name, JsonOf(name, *object), false});
   changed_->NotifyAll();
 }
 
@@ -121,7 +126,7 @@
                            const Object& object) const {
   return {{"metadata", {{"name", name}, {"revision", object.revision}}},
           {"spec", object.spec},
-          {"status", nullptr}};
+          {"status", object.status}};
 }
 
 Json MetadataStore::EventsSince(const std::string& kind,
@@ -178,7 +183,12 @@
   if (request.method == "DELETE") {
     co_await Delete(exchange, kind, name);
   } else if (request.method != "GET") {
-    co_await Write(exchange, kind, name);
+    const auto end = name.find("/status");
+    if (end == std::string::npos) {
+      co_await Write(exchange, kind, name);
+    } else {
+      co_await WriteStatus(exchange, kind, name.substr(0, end));
+    }
   } else if (!request.Query("watch").empty()) {
     co_await Watch(exchange, kind);
   } else if (name.empty()) {
@@ -279,6 +289,26 @@
   co_await Confirm(exchange, std::move(reply));
 }
 
+Task MetadataStore::WriteStatus(HttpExchange& exchange, const std::string& kind,
+                                std::string name) {
+  const Json body = Json::parse(exchange.request().body, nullptr, false);
+  const auto held = kinds_[kind].find(name);
+  if (held == kinds_[kind].end()) {
+    co_await exchange.Reply(404, "", {});
+    co_return;
+  }
+  if (!body.is_object() || !body.contains("status")) {
+    co_await exchange.Reply(400, "", {});
+    co_return;
+  }
+  if (held->second.status != body.at("status")) {
+    held->second.status = body.at("status");
+    Announce(kind, name, &held->second);
+  }
+  std::string reply = JsonOf(name, held->second).dump();
+  co_await Confirm(exchange, std::move(reply));
+}
+
 Task MetadataStore::Delete(HttpExchange& exchange, const std::string& kind,
                            std::string name) {
   const auto held = kinds_[kind].find(name);
--- a/tests/platform/support/metadata_store.h
+++ b/tests/platform/support/metadata_store.h
@@ -52,6 +52,7 @@
  private:
   struct Object {
     nlohmann::json spec;
+    nlohmann::json status;
     std::uint64_t revision = 0;
   };
   struct Event {
@@ -75,12 +76,16 @@
                        const std::string& kind);
   standins::Task Write(standins::HttpExchange& exchange,
                        const std::string& kind, std::string name);
+  standins::Task WriteStatus(standins::HttpExchange& exchange,
+                             const std::string& kind, std::string name);
   standins::Task Delete(standins::HttpExchange& exchange,
                         const std::string& kind, std::string name);
   /// Answers a write that was done, or loses its answer.
   standins::Task Confirm(standins::HttpExchange& exchange, std::string body);
   void Store(const std::string& kind, const std::string& name,
              const nlohmann::json& spec);
+  void Announce(const std::string& kind, const std::string& name,
+                Object* object);
   void Erase(const std::string& kind, const std::string& name);
   Objects& Readable(const std::string& kind);
   nlohmann::json JsonOf(const std::string& name, const Object& object) const;
--- a/tests/platform/target_limit_process_test.cc
+++ b/tests/platform/target_limit_process_test.cc
@@ -180,6 +180,32 @@
   CHECK(refused > 0);
 }
 
+/// Guards against entries that learn of a limit only by a request of their own.
+TEST_CASE("Entries without requests hear of a target's limit and of its end") {
+  PlatformScene scene;
+  scene.AddEntry("front-2");
+  REQUIRE(WaitUntil([&] { return scene.AllReady(); }));
+  const auto limited_at_other = [&] {
+    return HttpCall(scene.further[0].metrics_address, "GET", "/metrics")
+               .body.find("\nindigolead_targets_limited 1\n") !=
+           std::string::npos;
+  };
+  scene.worker("a0").SetNamedLimit(kLimit);
+  scene.worker("a1").SetBehaviour(ModelWorker::Behaviour::kRefuses);
+  scene.Ask("GET", "/desk/1", "r-1");
+  CHECK(WaitUntil(limited_at_other, seconds(2)));
+  CHECK(scene.store.Get("servers", "a0").contains("address"));
+
+  scene.worker("a0").SetNamedLimit(std::nullopt);
+  std::this_thread::sleep_for(seconds(8));
+  CHECK(WaitUntil(
+      [&] {
+        scene.Ask("GET", "/desk/1", "r-2");
+        return !limited_at_other();
+      },
+      seconds(8)));
+}
+
 TEST_CASE("An entry tells the operator of a target's limit") {
   PlatformScene scene;
   scene.worker("a0").SetNamedLimit(kLimit);
