List calls for an earlier holder of an address, which pass a target's limit

Requests that name the earlier one reach it and get 421; they are not counted, as limits are kept by id.

--- a/tests/shell/direct_world_test.cc
+++ b/tests/shell/direct_world_test.cc
@@ -61,5 +61,19 @@
   CHECK(total.resumed > 0);
 }
 
+/// Guards against requests for a target that is gone, which reach the target in
+/// need that has its address now, beyond what that one takes.
+TEST_CASE("Calls for an earlier holder of an address count for its limit") {
+  for (const std::uint64_t seed :
+       {1049, 1255, 1363, 2458, 2583, 2808, 3214, 3537, 3636, 3644}) {
+    INFO("world " << seed);
+    const DirectWorldReport report = PlayDirectWorld(seed);
+    for (const std::string& it : report.violations) {
+      UNSCOPED_INFO(it);
+    }
+    CHECK(report.violations.empty());
+  }
+}
+
 }  // namespace
 }  // namespace indigolead::testing
