Guard the averaging of a limit with a test that fails without it

The new test asks for it directly: 20 requests in a second, then a limit of 5; the first request by the share waits 3.2 to 4 s. Fails without the averaging, passes with it. No change of the program.

--- a/tests/core/admission/shared_rate_limits_test.cc
+++ b/tests/core/admission/shared_rate_limits_test.cc
@@ -257,6 +257,21 @@
   CHECK(fleet.MostFromTheStart() <= testing::MostAllowed(limit));
 }
 
+/// Guards against an entry that goes on at its share though it has just sent
+/// more than that.
+TEST_CASE("An entry that is told of a limit waits for what it has just sent") {
+  SharedRateLimits limits({}, MakeSeededRandom(1));
+  const TimePoint now{seconds(1000)};
+  limits.OnEntries({"front-1", {"front-1"}, now, now - seconds(60)}, now);
+  for (int n = 0; n < 20; ++n) {
+    limits.OnSent("e1", now - milliseconds(1000 - 50 * n));
+  }
+  // Its share is 4 a second, 16 in 4 s: five of 20 must be past first.
+  limits.OnAnswer("e1", {5, true, now}, now);
+  CHECK(limits.WaitFor("e1", now) >= milliseconds(3200));
+  CHECK(limits.WaitFor("e1", now) <= seconds(4));
+}
+
 /// Guards against a limit that each entry must find out for itself, and against
 /// one that is believed for ever since nobody tells of its end.
 TEST_CASE("Entries tell each other of a limit and of its end") {
