Keep targets' limits by address, so that calls for an earlier holder count

Callers of a target in need found it further behind than its limit explains: a target that is gone may stay listed, and what is sent for it reaches the target that has its address now. Each such call was answered 421 and counted for a limit kept under another id: up to 38 calls in 4 s where 11 are allowed.

Limits, waits and what was sent are now kept by the address for as long as any listed target has it; a restart of a target ends them only where no other is listed there. Where several of one address tell a limit the lowest holds.

Ruled out: keeping both, by id and by address. An entry would have to charge each call twice, and the share of a limit is the same for whoever answers there.

--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -143,7 +143,7 @@
     OnCallEnd(instance, broke);
   };
   hooks.on_extra_call = [this](const std::string& instance) {
-    limits_.OnSent(instance, clock_());
+    limits_.OnSent(LimitKeyOf(instance), clock_());
   };
   hooks.on_limit_notice = [this](const std::string& instance,
                                  const LimitNotice& notice) {
@@ -231,12 +231,12 @@
           {"failure_domain", it.target.failure_domain},
           {"role", std::to_string(static_cast<int>(it.target.role))}});
     carrier_.OnTarget(it);
+    FollowAddress(it);
     NoteLeaving(it);
     if (it.kind == TargetChange::Kind::kRemoved ||
         it.kind == TargetChange::Kind::kRestarted) {
       PlacementOf(it.target.service).Forget(it.target.id);
       guard_.Forget(it.target.id);
-      limits_.Forget(it.target.id);
     }
     if (it.kind != TargetChange::Kind::kRemoved) {
       OnSharedLimit(it.target);
@@ -289,7 +289,7 @@
     work = std::to_string(static_cast<std::int64_t>(decided_->prefill_work));
     decided_.reset();
   }
-  limits_.OnSent(prefill.empty() ? side.instance : prefill, now);
+  limits_.OnSent(LimitKeyOf(prefill.empty() ? side.instance : prefill), now);
   std::uint32_t number = 1;
   if (const auto it = open_.find(request.id); it != open_.end()) {
     number = ++it->second.attempts;
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/admission/entry_retry_budget.h"
 #include "core/admission/shared_rate_limits.h"
 #include "core/base/random.h"
+#include "core/membership/target_addresses.h"
 #include "core/membership/target_directory.h"
 #include "core/placement/engine_placement.h"
 #include "core/placement/failure_guard.h"
@@ -144,6 +145,12 @@
   void OnCallEnd(const std::string& instance, bool broke);
   void OnLimitNotice(const std::string& instance, const LimitNotice& notice);
   void OnSharedLimit(const TargetRecord& target);
+  /// Keeps limits with the address that they hold for.
+  void FollowAddress(const TargetChange& change);
+  /// Returns what limits of a target are kept by: its address. What is sent for
+  /// an earlier target of an address reaches the one that has it now.
+  const std::string& LimitKeyOf(const std::string& instance) const;
+  bool MaySendTo(const std::string& instance, TimePoint now) const;
   void NoteLimitChange(const std::string& instance, const LimitChange& change,
                        const std::string& source);
   void LogStanding(LimitShare::Standing before);
@@ -176,7 +183,8 @@
   DirectCarrier carrier_;
   TargetDirectory directory_;
   FailureGuard guard_;
-  SharedRateLimits limits_;
+  TargetAddresses addresses_;
+  SharedRateLimits limits_;  ///< By the targets' addresses.
   std::shared_ptr<const RouteTable> routes_;
   std::map<std::string, EnginePlacement> placements_;
   std::map<std::string, EntryRetryBudget> budgets_;
--- a/src/entry/direct_dispatcher_limits.cc
+++ b/src/entry/direct_dispatcher_limits.cc
@@ -1,5 +1,6 @@
 // What targets say of their limits, and what this entry's share of them is.
 
+#include <algorithm>
 #include <utility>
 
 #include "entry/direct_dispatcher.h"
@@ -43,22 +44,57 @@
   }
 }
 
+const std::string& DirectDispatcher::LimitKeyOf(
+    const std::string& instance) const {
+  const std::string* address = addresses_.Find(instance);
+  return address ? *address : instance;
+}
+
+bool DirectDispatcher::MaySendTo(const std::string& instance,
+                                 TimePoint now) const {
+  return !any_limited() || limits_.MaySend(LimitKeyOf(instance), now);
+}
+
+void DirectDispatcher::FollowAddress(const TargetChange& change) {
+  const std::string& id = change.target.id;
+  const std::string before = LimitKeyOf(id);
+  if (change.kind == TargetChange::Kind::kRemoved) {
+    addresses_.Remove(id);
+  } else {
+    addresses_.Set(id, change.target.address);
+  }
+  const bool restarted = change.kind == TargetChange::Kind::kRestarted;
+  const std::size_t own = addresses_.HoldersOf(before).count(id);
+  const bool shared = addresses_.HoldersOf(before).size() > own;
+  if ((own == 0 || restarted) && !shared) {
+    limits_.Forget(before);
+  }
+}
+
 void DirectDispatcher::OnLimitNotice(const std::string& instance,
                                      const LimitNotice& notice) {
   const TimePoint now = clock_();
-  if (const auto change = limits_.OnAnswer(instance, notice, now)) {
+  const std::string& key = LimitKeyOf(instance);
+  if (const auto change = limits_.OnAnswer(key, notice, now)) {
     NoteLimitChange(instance, *change,
                     "answer-after-ms-" + Milliseconds(now - notice.sent_at));
   }
   const TargetRecord* target = carrier_.FindTarget(instance);
-  if (target && hooks_.share_limit && limits_.ShouldShare(instance, now)) {
-    hooks_.share_limit(*target, limits_.LimitOf(instance));
+  if (target && hooks_.share_limit && limits_.ShouldShare(key, now)) {
+    hooks_.share_limit(*target, limits_.LimitOf(key));
   }
 }
 
 void DirectDispatcher::OnSharedLimit(const TargetRecord& target) {
-  if (const auto change =
-          limits_.OnShared(target.id, target.shared_limit, clock_())) {
+  std::optional<double> limit = target.shared_limit;
+  for (const std::string& it : addresses_.HoldersOf(target.address)) {
+    const TargetRecord* holder = carrier_.FindTarget(it);
+    if (holder && holder->shared_limit) {
+      limit = std::min(limit.value_or(*holder->shared_limit),
+                       *holder->shared_limit);
+    }
+  }
+  if (const auto change = limits_.OnShared(target.address, limit, clock_())) {
     NoteLimitChange(target.id, *change, "entries");
   }
 }
@@ -73,7 +109,8 @@
         {"before", LimitText(change.before)},
         {"source", source},
         {"standing", std::string(StandingName(limits_.standing()))},
-        {"share_per_s", std::to_string(limits_.ShareOf(instance).per_second)}});
+        {"share_per_s",
+         std::to_string(limits_.ShareOf(LimitKeyOf(instance)).per_second)}});
 }
 
 }  // namespace indigolead
--- a/src/entry/direct_dispatcher_route.cc
+++ b/src/entry/direct_dispatcher_route.cc
@@ -54,7 +54,7 @@
         {"target", runner.value_or("none")},
         {"after_ms", Milliseconds(clock_() - request.received_at)}});
   if (runner) {
-    limits_.OnSent(*runner, clock_());
+    limits_.OnSent(LimitKeyOf(*runner), clock_());
   }
   if (const auto it = open_.find(request.id); runner && it != open_.end()) {
     it->second.last_target = *runner;
@@ -72,7 +72,7 @@
     const std::string& instance = it.side->instance;
     engines.push_back({instance, it.side->failure_domain, RoleOf(*it.side),
                        it.tried, believed && guard_.IsAvoided(instance, now),
-                       /*leaving=*/false, !limits_.MaySend(instance, now)});
+                       /*leaving=*/false, !MaySendTo(instance, now)});
   }
   for (const auto& [id, it] : leaving_) {
     if (it.record.service == service && now < it.until) {
@@ -121,7 +121,7 @@
     TimePoint now) const {
   Duration least = options_.longest_limited_wait;
   for (const Candidate& it : candidates) {
-    const auto wait = limits_.WaitFor(it.side->instance, now);
+    const auto wait = limits_.WaitFor(LimitKeyOf(it.side->instance), now);
     if (wait && *wait > Duration{0}) {
       least = std::min(least, *wait);
     }
@@ -139,7 +139,7 @@
   const Candidate* best = nullptr;
   std::uint64_t best_cost = 0;
   for (const Candidate& it : candidates) {
-    if (!limits_.MaySend(it.side->instance, now)) {
+    if (!MaySendTo(it.side->instance, now)) {
       continue;
     }
     const bool far = it.side->failure_domain != options_.failure_domain;
--- /dev/null
+++ b/tests/core/membership/target_addresses_test.cc
@@ -0,0 +1,36 @@
+#include "core/membership/target_addresses.h"
+
+#include <catch2/catch.hpp>
+
+namespace indigolead {
+namespace {
+
+using Ids = TargetAddresses::Ids;
+
+TEST_CASE("Targets are found by the address that they share") {
+  TargetAddresses addresses;
+  addresses.Set("old", "10.0.0.1:80");
+  addresses.Set("new", "10.0.0.1:80");
+  addresses.Set("other", "10.0.0.2:80");
+  CHECK(*addresses.Find("old") == "10.0.0.1:80");
+  CHECK(addresses.HoldersOf("10.0.0.1:80") == Ids{"new", "old"});
+  CHECK(addresses.Find("unknown") == nullptr);
+  CHECK(addresses.HoldersOf("10.0.0.9:80").empty());
+
+  SECTION("until one of them is off the list") {
+    addresses.Remove("old");
+    CHECK(addresses.Find("old") == nullptr);
+    CHECK(addresses.HoldersOf("10.0.0.1:80") == Ids{"new"});
+    addresses.Remove("new");
+    CHECK(addresses.HoldersOf("10.0.0.1:80").empty());
+  }
+
+  SECTION("or is listed at another address") {
+    addresses.Set("old", "10.0.0.2:80");
+    CHECK(addresses.HoldersOf("10.0.0.1:80") == Ids{"new"});
+    CHECK(addresses.HoldersOf("10.0.0.2:80") == Ids{"old", "other"});
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
