--- a/src/core/membership/entry_roster.cc
+++ b/src/core/membership/entry_roster.cc
@@ -12,7 +12,7 @@
     const auto known = seen_.find(it.name);
     const bool unchanged =
         known != seen_.end() && known->second.version == it.version;
-    seen[it.name] = unchanged ? known->second : Seen{it.version, now};
+    seen[it.name] = unchanged ? known->second : Seen{it.version, now, it.relay};
   }
   seen_ = std::move(seen);
   listed_ = true;
@@ -45,11 +45,21 @@
   return names;
 }
 
+std::vector<RelayCandidate> EntryRoster::LiveRelays(TimePoint now) const {
+  std::vector<RelayCandidate> relays;
+  for (const auto& [name, seen] : seen_) {
+    if (IsLive(name, seen, now) && !seen.relay.address.empty()) {
+      relays.push_back(seen.relay);
+    }
+  }
+  return relays;
+}
+
 std::vector<RosterRecord> EntryRoster::ToDelete(TimePoint now) const {
   std::vector<RosterRecord> expired;
   for (const auto& [name, seen] : seen_) {
     if (!IsLive(name, seen, now)) {
-      expired.push_back({name, seen.version});
+      expired.push_back({name, seen.version, seen.relay});
     } else if (name < options_.own_name) {
       return {};  // That entry does it.
     }
--- a/src/core/membership/entry_roster.h
+++ b/src/core/membership/entry_roster.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/base/time.h"
+#include "core/membership/relay_choice.h"
 
 namespace indigolead {
 
@@ -16,6 +17,8 @@
 struct RosterRecord {
   std::string name;
   std::uint64_t version = 0;  ///< Grows with each renewal.
+  /// What it says of itself as one that relays; no address if nothing.
+  RelayCandidate relay = {};
 
   friend bool operator==(const RosterRecord&, const RosterRecord&) = default;
 };
@@ -62,6 +65,9 @@
   /// Returns the names of these entries, sorted.
   std::vector<std::string> LiveNames(TimePoint now) const;
 
+  /// Returns these entries as ones that may relay, where they say so.
+  std::vector<RelayCandidate> LiveRelays(TimePoint now) const;
+
   /// Returns the registrations to delete: those that have expired, if it is
   /// this entry's turn. The first by name does it, so that a large fleet makes
   /// one call and not hundreds.
@@ -71,6 +77,7 @@
   struct Seen {
     std::uint64_t version = 0;
     TimePoint since{};
+    RelayCandidate relay;
   };
 
   bool IsLive(const std::string& name, const Seen& seen, TimePoint now) const;
--- /dev/null
+++ b/src/core/membership/relay_choice.cc
@@ -0,0 +1,49 @@
+#include "core/membership/relay_choice.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "core/membership/rendezvous.h"
+
+namespace indigolead {
+
+void RelayChoice::OnEntries(const std::vector<RelayCandidate>& entries) {
+  ranked_.clear();
+  for (const RelayCandidate& it : entries) {
+    if (it.failure_domain == options_.failure_domain && !it.address.empty()) {
+      ranked_.push_back(it);
+    }
+  }
+  const auto rank = [this](const RelayCandidate& it) {
+    return std::tuple(it.processor,
+                      RendezvousWeight(options_.failure_domain, it.name));
+  };
+  std::sort(ranked_.begin(), ranked_.end(),
+            [&rank](const RelayCandidate& a, const RelayCandidate& b) {
+              return rank(a) > rank(b);
+            });
+}
+
+void RelayChoice::OnFailed(const std::string& name, TimePoint now) {
+  Avoided& avoided = avoided_[name];
+  if (now < avoided.until) {
+    return;  // Of a question that was asked before the failure was known.
+  }
+  avoided.length = std::clamp<Duration>(2 * avoided.length, options_.avoid_for,
+                                        options_.longest_avoid);
+  avoided.until = now + avoided.length;
+}
+
+std::optional<RelayCandidate> RelayChoice::Best(TimePoint now) const {
+  if (ranked_.size() < options_.least_entries) {
+    return std::nullopt;
+  }
+  const auto best = std::find_if(
+      ranked_.begin(), ranked_.end(), [&](const RelayCandidate& it) {
+        const auto avoided = avoided_.find(it.name);
+        return avoided == avoided_.end() || now >= avoided->second.until;
+      });
+  return best == ranked_.end() ? std::nullopt : std::optional(*best);
+}
+
+}  // namespace indigolead
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -95,6 +95,18 @@
     "A target's answer names a limit that is no number; what was believed "
     "stays."};
 
+inline constexpr EventInfo kRelayChanged{
+    1049, "watch-relay-changed", EventSeverity::kInfo,
+    "Another entry than before relays the store's changes to this one; none: "
+    "it reads the store itself."};
+inline constexpr EventInfo kRelayFailed{
+    1050, "watch-relay-failed", EventSeverity::kWarning,
+    "The entry that relays the store's changes did not answer, or could not."};
+
+inline constexpr EventInfo kRelayNotListening{
+    1051, "watch-relay-not-listening", EventSeverity::kError,
+    "Other entries cannot ask this one to relay the store's changes."};
+
 }  // namespace indigolead
 
 #endif  // INDIGOLEAD_ENTRY_EVENTS_H_
--- a/src/entry/roster_keeper.cc
+++ b/src/entry/roster_keeper.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "entry/events.h"
+#include "entry/relay_registration.h"
 
 namespace indigolead {
 
@@ -48,7 +49,8 @@
   renewing_ = true;
   // Another value each time, or the store would not count it as a change.
   const std::string value = "incarnation=" + options_.incarnation +
-                            "\nrenewals=" + std::to_string(++renewals_) + "\n";
+                            "\nrenewals=" + std::to_string(++renewals_) + "\n" +
+                            EncodeRelay(options_.relay);
   const CallOptions call{CallPriority::kStatus, options_.call_deadline};
   store_->Put(options_.prefix + options_.roster.own_name, value, own_version_,
               call,
@@ -125,13 +127,15 @@
   std::vector<RosterRecord> records;
   records.reserve(listing.objects.size());
   for (const StoredObject& it : listing.objects) {
-    records.push_back({it.key.substr(options_.prefix.size()), it.version});
+    const std::string name = it.key.substr(options_.prefix.size());
+    records.push_back({name, it.version, DecodeRelay(name, it.value)});
   }
   roster_.OnListed(records, clock_());
   list_at_ = Later(ListInterval());
   DeleteExpired();
   Tell();
   TellView();
+  TellRelays();
 }
 
 void RosterKeeper::DeleteExpired() {
@@ -167,6 +171,12 @@
   }
 }
 
+void RosterKeeper::TellRelays() {
+  if (hooks_.on_relays) {
+    hooks_.on_relays(roster_.LiveRelays(clock_()));
+  }
+}
+
 void RosterKeeper::Stop() {
   stopped_ = true;
   registered_at_.reset();
--- a/src/entry/roster_keeper.h
+++ b/src/entry/roster_keeper.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/membership/entry_roster.h"
 #include "observe/event_log.h"
@@ -24,6 +25,9 @@
     EntryRoster::Options roster;
     std::string prefix;       ///< Of the registrations' keys, with the slash.
     std::string incarnation;  ///< Of this process; part of the registration.
+    /// This entry as one that relays the store's changes to others; its name is
+    /// that of the roster. No address: it does not.
+    RelayCandidate relay;
     Duration renew_interval = std::chrono::seconds(60);
     Duration list_interval = std::chrono::seconds(20);
     /// While something is parted by the list of entries at every moment.
@@ -39,6 +43,8 @@
     std::function<void(std::size_t)> on_count;
     /// A list was taken, or the own registration was confirmed or taken back.
     std::function<void(const EntryView&)> on_view;
+    /// A list was taken: the entries that may relay, this one among them.
+    std::function<void(const std::vector<RelayCandidate>&)> on_relays;
     /// Returns a draw from [0, 1), which spreads the calls of many entries.
     std::function<double()> jitter;
   };
@@ -64,6 +70,7 @@
   void OnListed(const ObjectStore::Listing& listing);
   void DeleteExpired();
   void Tell();
+  void TellRelays();
   void TellView();
   Duration ListInterval() const;
   TimePoint Later(Duration interval) const;
--- /dev/null
+++ b/src/entry/watch_relay.cc
@@ -0,0 +1,134 @@
+#include "entry/watch_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "entry/events.h"
+
+namespace indigolead {
+
+WatchRelay::WatchRelay(Options options, Hooks hooks, Clock clock,
+                       RunAfter run_after, EventLog log,
+                       MetricsRegistry* metrics)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      clock_(clock),
+      log_(std::move(log)),
+      choice_(options_.choice),
+      relayed_(metrics->AddCounter(
+          "indigolead_watch_questions_answered_total",
+          "Questions of other entries for the store's changes, answered.")),
+      failed_(metrics->AddCounter(
+          "indigolead_watch_relay_failures_total",
+          "Times the entry that relays the store's changes failed this one.")) {
+  for (const std::string& it : options_.prefixes) {
+    feeds_[it] = std::make_unique<WatchFeed>(
+        options_.feed,
+        [this, it](std::uint64_t from, Duration wait,
+                   PolledWatch::PollDone done) {
+          hooks_.call(it, from, wait, std::move(done));
+        },
+        clock, run_after);
+  }
+}
+
+WatchRelay::~WatchRelay() = default;
+
+void WatchRelay::OnEntries(const std::vector<RelayCandidate>& entries) {
+  choice_.OnEntries(entries);
+}
+
+void WatchRelay::NoteRelay(const std::string& name) {
+  if (name != relay_) {
+    log_(kRelayChanged, {{"relay", name.empty() ? "none" : name},
+                         {"before", relay_.empty() ? "none" : relay_}});
+    relay_ = name;
+  }
+}
+
+std::optional<std::string> WatchRelay::Ask(const std::string& prefix,
+                                           std::uint64_t from,
+                                           PolledWatch::PollDone done) {
+  const auto relay = choice_.Best(clock_());
+  const auto feed = feeds_.find(prefix);
+  if (!relay || feed == feeds_.end()) {
+    NoteRelay("");
+    return std::nullopt;
+  }
+  NoteRelay(relay->name);
+  if (relay->name == options_.choice.own_name) {
+    feed->second->Ask(from, [this, name = relay->name, done = std::move(done)](
+                                const Result<WatchBatch>& answer) {
+      NoteAnswer(name, answer);
+      done(answer);
+    });
+    return relay->name;
+  }
+  if (!AskOther(*relay, prefix, from, std::move(done))) {
+    return std::nullopt;
+  }
+  return relay->name;
+}
+
+bool WatchRelay::AskOther(const RelayCandidate& relay,
+                          const std::string& prefix, std::uint64_t from,
+                          PolledWatch::PollDone done) {
+  const std::uint64_t number = ++next_number_;
+  // A question of this prefix that is still open has been given up.
+  asked_[prefix] = {number, relay.name, std::move(done)};
+  if (hooks_.ask(relay.address, number, prefix, from)) {
+    return true;
+  }
+  asked_.erase(prefix);
+  OnFailed(relay.name, {ErrorCode::kOverloaded, "relay.ask", relay.name,
+                        "the question could not be sent"});
+  return false;
+}
+
+void WatchRelay::OnFailed(const std::string& relay, const Error& error) {
+  log_(kRelayFailed, {{"relay", relay}, {"error", ToString(error)}});
+  failed_.Add();
+  // Changes that are not kept any more are no fault of the relay.
+  if (error.code != ErrorCode::kNotFound) {
+    choice_.OnFailed(relay, clock_());
+  }
+}
+
+void WatchRelay::NoteAnswer(const std::string& relay,
+                            const Result<WatchBatch>& answer) {
+  if (IsOk(answer)) {
+    choice_.OnAnswered(relay);
+  }
+}
+
+void WatchRelay::OnQuestion(const std::string& asker, std::uint64_t number,
+                            const std::string& prefix, std::uint64_t from) {
+  const auto feed = feeds_.find(prefix);
+  if (stopped_ || feed == feeds_.end()) {
+    hooks_.answer(asker, number,
+                  Error{ErrorCode::kUnavailable, "relay.answer", "",
+                        stopped_ ? "the entry is stopping"
+                                 : "prefix \"" + prefix + "\" is not relayed"});
+    return;
+  }
+  feed->second->Ask(from,
+                    [this, asker, number](const Result<WatchBatch>& answer) {
+                      relayed_.Add();
+                      hooks_.answer(asker, number, answer);
+                    });
+}
+
+void WatchRelay::OnAnswer(std::uint64_t number,
+                          const Result<WatchBatch>& answer) {
+  const auto it = std::find_if(
+      asked_.begin(), asked_.end(),
+      [number](const auto& asked) { return asked.second.number == number; });
+  if (it == asked_.end()) {
+    return;  // Late: given up, and asked anew.
+  }
+  const Asked asked = std::move(asked_.extract(it).mapped());
+  NoteAnswer(asked.relay, answer);
+  asked.done(answer);
+}
+
+}  // namespace indigolead
--- a/src/store/polled_watch.cc
+++ b/src/store/polled_watch.cc
@@ -1,5 +1,6 @@
 #include "store/polled_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace indigolead {
@@ -20,7 +21,7 @@
       hooks_(std::move(hooks)),
       clock_(std::move(clock)),
       run_after_(std::move(run_after)),
-      answered_at_(clock_()),
+      known_until_(clock_()),
       alive_(std::make_shared<bool>(true)) {
   Poll();
 }
@@ -28,8 +29,9 @@
 PolledWatch::~PolledWatch() { *alive_ = false; }
 
 TimePoint PolledWatch::known_until(TimePoint now) const {
-  const bool would_have_told = waiting_ && now - sent_at_ >= kAnswerTime;
-  return would_have_told ? now : answered_at_;
+  const bool would_have_told = waiting_ && now - sent_at_ >= kAnswerTime &&
+                               !(hooks_.relayed && hooks_.relayed());
+  return would_have_told ? now : known_until_;
 }
 
 void PolledWatch::Poll() {
@@ -43,6 +45,16 @@
               });
 }
 
+Duration PolledWatch::Take(const WatchBatch& batch) {
+  version_ = std::max(version_, batch.version);
+  if (batch.relayed_age) {
+    known_until_ = std::max(known_until_, sent_at_ - *batch.relayed_age);
+    return Duration{0};
+  }
+  known_until_ = clock_();
+  return pace_.RestAfter(known_until_ - sent_at_, !batch.events.empty());
+}
+
 void PolledWatch::OnAnswer(const Result<WatchBatch>& answer) {
   waiting_ = false;
   if (!IsOk(answer)) {
@@ -50,10 +62,7 @@
     return;
   }
   const WatchBatch& batch = ValueOf(answer);
-  version_ = batch.version;
-  answered_at_ = clock_();
-  const Duration rest =
-      pace_.RestAfter(answered_at_ - sent_at_, !batch.events.empty());
+  const Duration rest = Take(batch);
   const auto alive = alive_;
   if (!batch.events.empty()) {
     hooks_.on_events(batch.events);
--- a/src/store/polled_watch.h
+++ b/src/store/polled_watch.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "core/base/time.h"
@@ -17,6 +18,9 @@
 struct WatchBatch {
   std::vector<WatchEvent> events;
   std::uint64_t version = 0;  ///< Where the next call goes on from.
+  /// Set if another entry relayed it: by how much the call of the store that it
+  /// stems from was older than the question. The relay keeps the pace then.
+  std::optional<Duration> relayed_age = std::nullopt;
 
   friend bool operator==(const WatchBatch&, const WatchBatch&) = default;
 };
@@ -36,6 +40,9 @@
     /// Takes the changes of one answer, in order; there is at least one.
     std::function<void(const std::vector<WatchEvent>&)> on_events;
     std::function<void(const Error&)> on_end;
+    /// Returns true if the call in flight goes through another entry, whose
+    /// silence says nothing of the store. May be empty: none does.
+    std::function<bool()> relayed;
   };
 
   /// Makes the first call.
@@ -50,15 +57,17 @@
  private:
   void Poll();
   void OnAnswer(const Result<WatchBatch>& answer);
+  /// Notes what an answer proves. Returns the rest before the next call.
+  Duration Take(const WatchBatch& batch);
 
   std::uint64_t version_;
   WatchPace pace_;
   Hooks hooks_;
   Clock clock_;
   RunAfter run_after_;
-  bool waiting_ = false;  ///< A call is in flight.
-  TimePoint sent_at_{};   ///< When the latest call was made.
-  TimePoint answered_at_;
+  bool waiting_ = false;   ///< A call is in flight.
+  TimePoint sent_at_{};    ///< When the latest call was made.
+  TimePoint known_until_;  ///< By the latest answer.
   /// Callbacks may come after this object is gone.
   std::shared_ptr<bool> alive_;
 };
--- /dev/null
+++ b/src/store/relayed_polls.cc
@@ -0,0 +1,78 @@
+#include "store/relayed_polls.h"
+
+#include <utility>
+
+namespace indigolead {
+
+RelayedPolls::RelayedPolls(Duration answer_within, Hooks hooks,
+                           RunAfter run_after)
+    : answer_within_(answer_within),
+      hooks_(std::move(hooks)),
+      run_after_(std::move(run_after)),
+      alive_(std::make_shared<bool>(true)) {}
+
+RelayedPolls::~RelayedPolls() { *alive_ = false; }
+
+void RelayedPolls::Poll(std::uint64_t from, PolledWatch::PollDone done) {
+  called_ = false;
+  from_ = from;
+  done_ = std::move(done);
+  if (!Ask()) {
+    Call();
+  }
+}
+
+bool RelayedPolls::Ask() {
+  const std::uint64_t number = ++number_;
+  relay_ = hooks_.ask(
+      from_, [this, alive = alive_, number](const Result<WatchBatch>& answer) {
+        if (*alive) {
+          OnRelayed(number, answer);
+        }
+      });
+  if (!relay_) {
+    return false;
+  }
+  run_after_(answer_within_, [this, alive = alive_, number] {
+    if (*alive) {
+      OnRelayed(number, Error{ErrorCode::kTimeout, "relay.ask",
+                              relay_.value_or(""), "no answer in time"});
+    }
+  });
+  return true;
+}
+
+void RelayedPolls::OnRelayed(std::uint64_t number,
+                             const Result<WatchBatch>& answer) {
+  if (number != number_ || !relay_) {
+    return;  // Answered, or given up, before.
+  }
+  const std::string relay = *std::exchange(relay_, std::nullopt);
+  if (!IsOk(answer)) {
+    hooks_.on_failed(relay, ErrorOf(answer));
+    if (!called_) {
+      Call();
+      return;
+    }
+  }
+  const PolledWatch::PollDone done = std::move(done_);
+  done(answer);
+}
+
+void RelayedPolls::Call() {
+  called_ = true;
+  hooks_.call(from_, [this, alive = alive_](const Result<WatchBatch>& answer) {
+    if (!*alive) {
+      return;
+    }
+    const bool away =
+        !IsOk(answer) && ErrorOf(answer).code != ErrorCode::kNotFound;
+    if (away && Ask()) {
+      return;
+    }
+    const PolledWatch::PollDone done = std::move(done_);
+    done(answer);
+  });
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/store/watch_feed.cc
@@ -0,0 +1,146 @@
+#include "store/watch_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace indigolead {
+
+WatchFeed::WatchFeed(const Options& options, Poll poll, Clock clock,
+                     RunAfter run_after)
+    : options_(options),
+      poll_(std::move(poll)),
+      clock_(std::move(clock)),
+      run_after_(std::move(run_after)),
+      called_at_(clock_() - options.least_gap),
+      alive_(std::make_shared<bool>(true)) {}
+
+WatchFeed::~WatchFeed() { *alive_ = false; }
+
+void WatchFeed::Ask(std::uint64_t from, PolledWatch::PollDone done) {
+  questions_.push_back({from, clock_(), std::move(done)});
+  CallSoon();
+}
+
+void WatchFeed::CallSoon() {
+  if (planned_ || questions_.empty()) {
+    return;
+  }
+  planned_ = true;
+  const Duration rest = std::max<Duration>(
+      called_at_ + options_.least_gap - clock_(), Duration{0});
+  run_after_(rest, [this, alive = alive_] {
+    if (*alive) {
+      Call();
+    }
+  });
+}
+
+std::uint64_t WatchFeed::LeastAsked() const {
+  return std::min_element(questions_.begin(), questions_.end(),
+                          [](const Question& a, const Question& b) {
+                            return a.from < b.from;
+                          })
+      ->from;
+}
+
+void WatchFeed::Call() {
+  const TimePoint now = clock_();
+  const TimePoint first = questions_.front().asked_at;
+  const Duration wait =
+      std::max<Duration>(first + options_.answer_within - now, Duration{0});
+  // An asker that is behind what is kept: the changes are read once more, from
+  // where it stands, for all that are.
+  const std::uint64_t least = LeastAsked();
+  rewound_ = version_ == 0 || least < kept_from_;
+  called_from_ = rewound_ ? least : version_;
+  called_at_ = now;
+  poll_(called_from_, wait,
+        [this, alive = alive_](const Result<WatchBatch>& answer) {
+          if (*alive) {
+            OnAnswer(answer);
+          }
+        });
+}
+
+void WatchFeed::OnAnswer(const Result<WatchBatch>& answer) {
+  planned_ = false;
+  if (!IsOk(answer)) {
+    OnFailed(ErrorOf(answer));
+    return;
+  }
+  Keep(ValueOf(answer));
+  // Whoever is behind what was read came during the call.
+  const auto behind = std::stable_partition(
+      questions_.begin(), questions_.end(),
+      [this](const Question& it) { return it.from < kept_from_; });
+  std::vector<Question> answered(std::make_move_iterator(behind),
+                                 std::make_move_iterator(questions_.end()));
+  questions_.erase(behind, questions_.end());
+  CallSoon();
+  const auto alive = alive_;
+  for (const Question& it : answered) {
+    if (!*alive) {
+      return;
+    }
+    it.done(AnswerTo(it));
+  }
+}
+
+void WatchFeed::OnFailed(const Error& error) {
+  std::vector<Question> failed;
+  if (error.code == ErrorCode::kNotFound && rewound_ && version_ != 0) {
+    // The store has forgotten what one asker lacks; the others lack nothing.
+    const auto behind = std::stable_partition(
+        questions_.begin(), questions_.end(),
+        [this](const Question& it) { return it.from >= kept_from_; });
+    failed.assign(std::make_move_iterator(behind),
+                  std::make_move_iterator(questions_.end()));
+    questions_.erase(behind, questions_.end());
+  } else {
+    failed.swap(questions_);
+    if (error.code == ErrorCode::kNotFound) {
+      Forget();
+    }
+  }
+  CallSoon();
+  const auto alive = alive_;
+  for (const Question& it : failed) {
+    if (!*alive) {
+      return;
+    }
+    it.done(error);
+  }
+}
+
+void WatchFeed::Forget() {
+  events_.clear();
+  version_ = 0;
+  kept_from_ = 0;
+}
+
+void WatchFeed::Keep(const WatchBatch& batch) {
+  if (rewound_) {
+    events_.clear();
+    kept_from_ = called_from_;
+  }
+  events_.insert(events_.end(), batch.events.begin(), batch.events.end());
+  version_ = std::max(version_, batch.version);
+  while (events_.size() > options_.max_events) {
+    kept_from_ = events_.front().version;
+    events_.pop_front();
+  }
+}
+
+WatchBatch WatchFeed::AnswerTo(const Question& question) const {
+  WatchBatch batch;
+  const auto first = std::find_if(
+      events_.begin(), events_.end(),
+      [&](const WatchEvent& it) { return it.version > question.from; });
+  batch.events.assign(first, events_.end());
+  batch.version = std::max(version_, question.from);
+  batch.relayed_age =
+      std::max<Duration>(question.asked_at - called_at_, Duration{0});
+  return batch;
+}
+
+}  // namespace indigolead
--- /dev/null
+++ b/src/store/watch_feed.h
@@ -0,0 +1,86 @@
+#ifndef INDIGOLEAD_STORE_WATCH_FEED_H_
+#define INDIGOLEAD_STORE_WATCH_FEED_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "core/base/time.h"
+#include "store/polled_watch.h"
+#include "store/run_after.h"
+
+namespace indigolead {
+
+/// Answers the questions of many watches of one prefix with few calls.
+///
+/// Every question is answered by a call of the store that ended after it came,
+/// with its age, so that the asker can tell how old its knowledge is without a
+/// clock in common. No call is made while nobody asks.
+///
+/// Runs on the thread of its store.
+class WatchFeed {
+ public:
+  struct Options {
+    /// Least time between two calls of the store.
+    Duration least_gap = std::chrono::milliseconds(400);
+    /// A question is answered within this, changes or not, while the store is
+    /// well.
+    Duration answer_within = std::chrono::milliseconds(600);
+    /// Changes kept for askers that are behind.
+    std::size_t max_events = 4096;
+
+    friend bool operator==(const Options&, const Options&) = default;
+  };
+  /// Makes one call of the store that waits for changes after `from`, for
+  /// `wait` at most. Must not answer from inside the call.
+  using Poll = std::function<void(std::uint64_t from, Duration wait,
+                                  PolledWatch::PollDone done)>;
+
+  WatchFeed(const Options& options, Poll poll, Clock clock, RunAfter run_after);
+  ~WatchFeed();
+  WatchFeed(const WatchFeed&) = delete;
+  WatchFeed& operator=(const WatchFeed&) = delete;
+
+  /// Asks for the changes after `from`. Never answered from inside the call.
+  /// Fails with `kNotFound` if the changes are not kept any more.
+  void Ask(std::uint64_t from, PolledWatch::PollDone done);
+
+ private:
+  struct Question {
+    std::uint64_t from = 0;
+    TimePoint asked_at{};
+    PolledWatch::PollDone done;
+  };
+
+  void CallSoon();
+  void Call();
+  void OnAnswer(const Result<WatchBatch>& answer);
+  void OnFailed(const Error& error);
+  void Keep(const WatchBatch& batch);
+  void Forget();
+  WatchBatch AnswerTo(const Question& question) const;
+  std::uint64_t LeastAsked() const;
+
+  Options options_;
+  Poll poll_;
+  Clock clock_;
+  RunAfter run_after_;
+  std::vector<Question> questions_;
+  std::deque<WatchEvent> events_;
+  std::uint64_t kept_from_ = 0;  ///< All changes after it are in `events_`.
+  std::uint64_t version_ = 0;    ///< Up to which they are; 0: nothing is known.
+  bool planned_ = false;         ///< A call is planned or in flight.
+  TimePoint called_at_{};
+  std::uint64_t called_from_ = 0;
+  /// The call reads again what was forgotten, for an asker that is behind.
+  bool rewound_ = false;
+  /// Callbacks may come after this object is gone.
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_STORE_WATCH_FEED_H_
--- a/src/wire/events.h
+++ b/src/wire/events.h
@@ -38,6 +38,14 @@
     5010, "keys-not-reloaded", EventSeverity::kError,
     "The key files cannot be used; the keys read before stay in force."};
 
+inline constexpr EventInfo kRelayMessageDropped{
+    5011, "relay-message-dropped", EventSeverity::kWarning,
+    "A question or an answer between entries was not readable, or could not be "
+    "sent."};
+inline constexpr EventInfo kRelayNotReached{
+    5012, "relay-not-reached", EventSeverity::kWarning,
+    "The entry that relays the store's changes could not be dialled."};
+
 }  // namespace indigolead::events
 
 #endif  // INDIGOLEAD_WIRE_EVENTS_H_
--- /dev/null
+++ b/src/wire/relay_links.cc
@@ -0,0 +1,224 @@
+#include "wire/relay_links.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "wire/codec.h"
+#include "wire/events.h"
+#include "wire/zmq_socket.h"
+
+namespace indigolead {
+namespace {
+
+using internal::SendResult;
+using internal::ZmqSocket;
+using std::chrono::microseconds;
+
+constexpr char kScheme[] = "tcp://";
+/// Messages read from one socket before other work of the thread gets its turn.
+constexpr int kReadBatch = 64;
+/// Between two tries to connect, and how long one may take.
+constexpr int kReconnectMs = 300;
+constexpr int kMaxReconnectMs = 2000;
+constexpr int kConnectTimeoutMs = 1000;
+/// Data that stays unacknowledged for so long ends a connection.
+constexpr int kTransportTimeoutMs = 3000;
+
+wire::WatchAnswer ToMessage(std::uint64_t number,
+                            const Result<WatchBatch>& answer) {
+  wire::WatchAnswer message;
+  message.set_number(number);
+  if (!IsOk(answer)) {
+    const Error& error = ErrorOf(answer);
+    message.set_refusal(error.code == ErrorCode::kNotFound
+                            ? wire::WATCH_FORGOTTEN
+                            : wire::WATCH_UNAVAILABLE);
+    message.set_detail(ToString(error));
+    return message;
+  }
+  const WatchBatch& batch = ValueOf(answer);
+  message.set_version(batch.version);
+  const Duration age = batch.relayed_age.value_or(Duration{0});
+  message.set_call_age_us(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<microseconds>(age).count()));
+  for (const WatchEvent& it : batch.events) {
+    wire::WatchedChange* change = message.add_changes();
+    change->set_key(it.key);
+    change->set_version(it.version);
+    change->set_deleted(!it.value);
+    change->set_value(it.value.value_or(""));
+  }
+  return message;
+}
+
+Result<WatchBatch> FromMessage(const std::string& relay,
+                               const wire::WatchAnswer& message) {
+  if (message.refusal() != wire::WATCH_ANSWERED) {
+    const bool forgotten = message.refusal() == wire::WATCH_FORGOTTEN;
+    return Error{forgotten ? ErrorCode::kNotFound : ErrorCode::kUnavailable,
+                 "relay.ask", relay, message.detail()};
+  }
+  WatchBatch batch;
+  batch.version = message.version();
+  const auto age = std::min<std::uint64_t>(
+      message.call_age_us(), microseconds(std::chrono::hours(1)).count());
+  batch.relayed_age = microseconds(age);
+  for (const wire::WatchedChange& it : message.changes()) {
+    batch.events.push_back(
+        {it.key(),
+         it.deleted() ? std::nullopt : std::optional<std::string>(it.value()),
+         it.version()});
+  }
+  return batch;
+}
+
+}  // namespace
+
+RelayLinks::RelayLinks(boost::asio::io_context* io, Options options,
+                       Hooks hooks, EventLog log)
+    : io_(io),
+      options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      log_(std::move(log)) {}
+
+RelayLinks::~RelayLinks() {
+  for (const auto& it : {questions_, answers_}) {
+    if (it) {
+      it->Close();
+    }
+  }
+}
+
+zmq::context_t* RelayLinks::Context() {
+  if (!context_) {
+    context_ = std::make_unique<zmq::context_t>(1);
+  }
+  return context_.get();
+}
+
+std::shared_ptr<ZmqSocket> RelayLinks::MakeSocket(zmq::socket_type type) {
+  auto socket = std::make_shared<ZmqSocket>(io_, Context(), type);
+  zmq::socket_t& raw = socket->raw();
+  raw.set(zmq::sockopt::linger, 0);
+  raw.set(zmq::sockopt::sndhwm, options_.high_water_mark);
+  raw.set(zmq::sockopt::rcvhwm, options_.high_water_mark);
+  raw.set(zmq::sockopt::maxmsgsize,
+          static_cast<std::int64_t>(options_.max_message_bytes));
+  raw.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  raw.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+  raw.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  raw.set(zmq::sockopt::tcp_maxrt, kTransportTimeoutMs);
+  return socket;
+}
+
+Status RelayLinks::Listen() {
+  try {
+    questions_ = MakeSocket(zmq::socket_type::router);
+    questions_->raw().bind(kScheme + options_.bind_address);
+  } catch (const zmq::error_t& e) {
+    questions_.reset();
+    return Error{ErrorCode::kUnavailable, "relay.listen", options_.bind_address,
+                 e.what()};
+  }
+  questions_->Start([this] { return DrainQuestions(); });
+  return Unit{};
+}
+
+bool RelayLinks::DrainQuestions() {
+  zmq::message_t asker;
+  zmq::message_t frame;
+  for (int n = 0; n < kReadBatch; ++n) {
+    if (!questions_->Receive(&asker)) {
+      return false;
+    }
+    wire::Envelope envelope;
+    const bool whole = asker.more() && questions_->Receive(&frame);
+    if (!whole || frame.more() ||
+        !internal::DecodeEnvelope(frame.data(), frame.size(), &envelope) ||
+        !envelope.has_watch_ask()) {
+      log_(events::kRelayMessageDropped, {{"from", "asker"}});
+      continue;
+    }
+    const wire::WatchAsk& ask = envelope.watch_ask();
+    hooks_.on_question(
+        {asker.to_string(), ask.number(), ask.prefix(), ask.from_version()});
+  }
+  return true;
+}
+
+void RelayLinks::Open(const std::string& address) {
+  if (answers_) {
+    answers_->Close();
+    answers_.reset();
+  }
+  asked_address_ = address;
+  try {
+    answers_ = MakeSocket(zmq::socket_type::dealer);
+    answers_->raw().connect(kScheme + address);
+  } catch (const zmq::error_t& e) {
+    log_(events::kRelayNotReached, {{"relay", address}, {"error", e.what()}});
+    answers_.reset();
+    return;
+  }
+  answers_->Start([this] { return DrainAnswers(); });
+}
+
+bool RelayLinks::Ask(const std::string& address, std::uint64_t number,
+                     const std::string& prefix, std::uint64_t from) {
+  if (address != asked_address_ || !answers_) {
+    Open(address);
+  }
+  wire::Envelope envelope;
+  wire::WatchAsk* ask = envelope.mutable_watch_ask();
+  ask->set_number(number);
+  ask->set_prefix(prefix);
+  ask->set_from_version(from);
+  return answers_ && Send(answers_.get(), "", envelope);
+}
+
+bool RelayLinks::DrainAnswers() {
+  // A hook may ask another relay, which closes this socket.
+  const std::shared_ptr<ZmqSocket> socket = answers_;
+  zmq::message_t frame;
+  for (int n = 0; n < kReadBatch; ++n) {
+    if (!socket || socket->is_closed() || !socket->Receive(&frame)) {
+      return false;
+    }
+    wire::Envelope envelope;
+    if (frame.more() ||
+        !internal::DecodeEnvelope(frame.data(), frame.size(), &envelope) ||
+        !envelope.has_watch_answer()) {
+      log_(events::kRelayMessageDropped, {{"from", asked_address_}});
+      continue;
+    }
+    const wire::WatchAnswer& answer = envelope.watch_answer();
+    hooks_.on_answer(answer.number(), FromMessage(asked_address_, answer));
+  }
+  return true;
+}
+
+void RelayLinks::Answer(const std::string& asker, std::uint64_t number,
+                        const Result<WatchBatch>& answer) {
+  wire::Envelope envelope;
+  *envelope.mutable_watch_answer() = ToMessage(number, answer);
+  if (questions_ && !Send(questions_.get(), asker, envelope)) {
+    log_(events::kRelayMessageDropped, {{"to", "asker"}});
+  }
+}
+
+bool RelayLinks::Send(ZmqSocket* socket, const std::string& asker,
+                      const wire::Envelope& message) {
+  zmq::message_t frame;
+  if (!internal::EncodeEnvelope(message, options_.max_message_bytes, &frame)) {
+    return false;
+  }
+  // The first of two parts decides whether there is room for both.
+  const bool sent =
+      (asker.empty() || socket->Send(zmq::message_t(asker), /*more=*/true) ==
+                            SendResult::kSent) &&
+      socket->Send(std::move(frame), /*more=*/false) == SendResult::kSent;
+  socket->CheckSoon();
+  return sent;
+}
+
+}  // namespace indigolead
--- a/tests/shell/watch_fleet_test.cc
+++ b/tests/shell/watch_fleet_test.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -8,109 +7,17 @@
 
 #include "store/polled_watch.h"
 #include "store/watch_pace.h"
+#include "tests/support/watch_world.h"
 
-namespace indigolead {
+namespace indigolead::testing {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// From a call to its answer when there is something to tell.
-constexpr Duration kAnswerTime = milliseconds(4);
 /// How long a call waits at the store for a change.
 constexpr Duration kWait = seconds(4);
 
-/// Functions that run at their time, in simulated time.
-class Timeline {
- public:
-  TimePoint now{seconds(1000)};
-
-  void After(Duration delay, std::function<void()> task) {
-    tasks_.emplace(now + delay, std::move(task));
-  }
-  void RunFor(Duration length) {
-    const TimePoint end = now + length;
-    while (!tasks_.empty() && tasks_.begin()->first <= end) {
-      auto node = tasks_.extract(tasks_.begin());
-      now = node.key();
-      node.mapped()();
-    }
-    now = end;
-  }
-
- private:
-  std::multimap<TimePoint, std::function<void()>> tasks_;
-};
-
-/// A store with one list. Each change bears the next version; a waiting call
-/// is answered when there is one, or when its wait is over.
-class ListStore {
- public:
-  explicit ListStore(Timeline* timeline) : timeline_(timeline) {}
-
-  void Change() {
-    changed_at.push_back(timeline_->now);
-    std::vector<Waiting> waiting;
-    waiting.swap(waiting_);
-    for (Waiting& it : waiting) {
-      Answer(std::move(it));
-    }
-  }
-
-  void Poll(std::uint64_t from, PolledWatch::PollDone done) {
-    ++calls;
-    if (down) {
-      timeline_->After(kAnswerTime, [done = std::move(done)] {
-        done(Error{ErrorCode::kUnavailable, "store.watch", "store", "down"});
-      });
-      return;
-    }
-    Waiting call{++next_id_, from, std::move(done)};
-    if (from < changed_at.size()) {
-      Answer(std::move(call));
-      return;
-    }
-    timeline_->After(kWait, [this, id = call.id] { EndWait(id); });
-    waiting_.push_back(std::move(call));
-  }
-
-  /// When the change of version n + 1 was made.
-  std::vector<TimePoint> changed_at;
-  std::uint64_t calls = 0;
-  bool down = false;
-
- private:
-  struct Waiting {
-    std::uint64_t id = 0;
-    std::uint64_t from = 0;
-    PolledWatch::PollDone done;
-  };
-
-  void Answer(Waiting call) {
-    WatchBatch batch;
-    batch.version = changed_at.size();
-    for (std::uint64_t it = call.from; it < batch.version; ++it) {
-      batch.events.push_back({"targets/t", "value", it + 1});
-    }
-    timeline_->After(kAnswerTime,
-                     [done = std::move(call.done), batch] { done(batch); });
-  }
-  void EndWait(std::uint64_t id) {
-    const auto it =
-        std::find_if(waiting_.begin(), waiting_.end(),
-                     [id](const Waiting& call) { return call.id == id; });
-    if (it != waiting_.end()) {
-      Waiting call = std::move(*it);
-      waiting_.erase(it);
-      Answer(std::move(call));
-    }
-  }
-
-  Timeline* timeline_;
-  std::vector<Waiting> waiting_;
-  std::uint64_t next_id_ = 0;
-};
-
 /// Entries that all follow the list.
 class Fleet {
  public:
@@ -154,7 +61,7 @@
   void Start(const WatchPace::Options& pace) {
     PolledWatch::Hooks hooks;
     hooks.poll = [this](std::uint64_t from, PolledWatch::PollDone done) {
-      store.Poll(from, std::move(done));
+      store.Poll(from, kWait, std::move(done));
     };
     hooks.on_events = [this](const std::vector<WatchEvent>& events) {
       for (const WatchEvent& it : events) {
@@ -201,14 +108,14 @@
   SECTION("each entry learns each change, none later than the bound") {
     fleet.timeline.RunFor(2 * kMost);
     CHECK(fleet.told == fleet.store.changed_at.size() * 100);
-    CHECK(fleet.longest_unseen <= kMost + kAnswerTime);
+    CHECK(fleet.longest_unseen <= kMost + kStoreAnswerTime);
   }
   SECTION("after it a single change is learned at once") {
     fleet.timeline.RunFor(seconds(20));
     fleet.longest_unseen = Duration{0};
     fleet.store.Change();
     fleet.timeline.RunFor(seconds(1));
-    CHECK(fleet.longest_unseen == kAnswerTime);
+    CHECK(fleet.longest_unseen == kStoreAnswerTime);
     CHECK(fleet.told == fleet.store.changed_at.size() * 100);
   }
   SECTION("and a fleet at rest calls as often as its calls wait") {
@@ -235,12 +142,12 @@
     fleet.store.Change();
     const TimePoint known = watch.known_until(timeline.now);
     CHECK(known < timeline.now);
-    CHECK(timeline.now - known <= seconds(2) + kAnswerTime);
+    CHECK(timeline.now - known <= seconds(2) + kStoreAnswerTime);
   }
   SECTION("a store that goes away during the rest ends it") {
     fleet.Swarm(20, seconds(10));
     fleet.store.down = true;
-    timeline.RunFor(seconds(2) + 2 * kAnswerTime);
+    timeline.RunFor(seconds(2) + 2 * kStoreAnswerTime);
     CHECK(fleet.ended == 1);
   }
 }
@@ -273,4 +180,4 @@
 }
 
 }  // namespace
-}  // namespace indigolead
+}  // namespace indigolead::testing
--- /dev/null
+++ b/tests/shell/watch_relay_fleet_test.cc
@@ -0,0 +1,367 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "entry/watch_relay.h"
+#include "store/relayed_store.h"
+#include "tests/support/watch_world.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kDomains = 5;
+constexpr Duration kMessageTime = milliseconds(1);
+/// A change must be in force at every entry within this.
+constexpr Duration kBound = seconds(5);
+constexpr Duration kDirectWait = seconds(5);
+constexpr Duration kLeastGap = kBound / 5;
+constexpr Duration kAnswerWithin = kBound * 3 / 10;
+constexpr char kPrefix[] = "targets/";
+
+/// Entries of several failure domains that follow one list, and relay it.
+class RelayFleet {
+ public:
+  /// What one entry suffers from.
+  enum class Trouble {
+    kNone,
+    kDead,        ///< Killed: it neither asks nor answers.
+    kMute,        ///< Its messages to other entries are lost.
+    kCut,         ///< Its calls of the store are never answered.
+    kTurnedAway,  ///< The store refuses its calls.
+  };
+
+  explicit RelayFleet(std::size_t entries) {
+    std::vector<RelayCandidate> listed;
+    for (std::size_t it = 0; it < entries; ++it) {
+      nodes_.push_back(std::make_unique<Node>());
+      listed.push_back(CandidateOf(it));
+    }
+    for (std::size_t it = 0; it < entries; ++it) {
+      Build(it);
+      nodes_[it]->relay->OnEntries(listed);
+      // They start apart, as processes do.
+      timeline.After(milliseconds(it % 300), [this, it] { Start(it); });
+    }
+    timeline.RunFor(seconds(10));
+  }
+
+  void SetTrouble(std::size_t entry, Trouble trouble) {
+    nodes_[entry]->trouble = trouble;
+    if (trouble == Trouble::kDead) {
+      nodes_[entry]->watch.reset();
+    }
+  }
+
+  /// Returns the entry that relays to the entry `follower`.
+  std::size_t RelayOf(std::size_t follower) const {
+    return nodes_[follower]->asked;
+  }
+
+  /// Makes changes at random times, `per_second` of them on average.
+  void Swarm(double per_second, Duration length) {
+    const TimePoint end = timeline.now + length;
+    while (timeline.now < end) {
+      const double gap_s = std::exponential_distribution<>(per_second)(random_);
+      timeline.RunFor(milliseconds(static_cast<int>(gap_s * 1000)));
+      store.Change();
+    }
+  }
+
+  /// Calls of all entries in a second while `load` runs.
+  double CallRate(const std::function<void()>& load) {
+    const std::uint64_t calls = store.calls;
+    const TimePoint start = timeline.now;
+    load();
+    return static_cast<double>(store.calls - calls) /
+           std::chrono::duration<double>(timeline.now - start).count();
+  }
+
+  /// Entries that run and do not know of every change.
+  std::size_t Behind() const {
+    return static_cast<std::size_t>(
+        std::count_if(nodes_.begin(), nodes_.end(), [this](const auto& it) {
+          return it->watch && it->version < store.changed_at.size();
+        }));
+  }
+
+  /// Returns how old the oldest knowledge is, as the entries without trouble
+  /// can prove it.
+  Duration OldestKnowledge() const {
+    Duration oldest{0};
+    for (const auto& it : nodes_) {
+      if (it->trouble == Trouble::kNone) {
+        oldest = std::max<Duration>(
+            oldest, timeline.now - it->watch->known_until(timeline.now));
+      }
+    }
+    return oldest;
+  }
+
+  Timeline timeline;
+  ListStore store{&timeline};
+  Duration longest_unseen{0};  ///< By an entry without trouble.
+  std::size_t ended = 0;
+
+ private:
+  struct Node {
+    std::unique_ptr<WatchRelay> relay;
+    std::unique_ptr<RelayedStore> relayed;
+    std::unique_ptr<ObjectStore::Watch> watch;
+    Trouble trouble = Trouble::kNone;
+    std::uint64_t version = 0;
+    std::size_t asked = 0;  ///< The entry asked last.
+  };
+
+  static std::string NameOf(std::size_t entry) {
+    return "entry-" + std::to_string(entry);
+  }
+  static RelayCandidate CandidateOf(std::size_t entry) {
+    return {NameOf(entry), "domain-" + std::to_string(entry % kDomains),
+            std::to_string(entry), entry < 2 * kDomains ? 1.0 : 0.1};
+  }
+  RunAfter After() {
+    return [this](Duration delay, std::function<void()> task) {
+      timeline.After(delay, std::move(task));
+    };
+  }
+  Clock Now() {
+    return [this] { return timeline.now; };
+  }
+
+  void Call(std::size_t entry, std::uint64_t from, Duration wait,
+            PolledWatch::PollDone done) {
+    const Trouble trouble = nodes_[entry]->trouble;
+    if (trouble == Trouble::kCut || trouble == Trouble::kTurnedAway) {
+      ++store.calls;
+      const Duration after =
+          trouble == Trouble::kCut ? wait + milliseconds(700) : kMessageTime;
+      timeline.After(after, [done = std::move(done)] {
+        done(Error{ErrorCode::kUnavailable, "store.watch", "store", "away"});
+      });
+      return;
+    }
+    store.Poll(from, wait, std::move(done));
+  }
+
+  bool Heard(std::size_t from, std::size_t to) const {
+    const auto speaks = [this](std::size_t entry) {
+      const Trouble trouble = nodes_[entry]->trouble;
+      return trouble != Trouble::kDead && trouble != Trouble::kMute;
+    };
+    return speaks(from) && speaks(to);
+  }
+
+  void Build(std::size_t entry) {
+    WatchRelay::Options options;
+    options.choice.own_name = NameOf(entry);
+    options.choice.failure_domain = CandidateOf(entry).failure_domain;
+    options.feed.least_gap = kLeastGap;
+    options.feed.answer_within = kAnswerWithin;
+    options.prefixes = {kPrefix};
+    WatchRelay::Hooks hooks;
+    hooks.call = [this, entry](const std::string&, std::uint64_t from,
+                               Duration wait, PolledWatch::PollDone done) {
+      Call(entry, from, wait, std::move(done));
+    };
+    hooks.ask = [this, entry](const std::string& address, std::uint64_t number,
+                              const std::string& prefix, std::uint64_t from) {
+      const std::size_t to = std::stoul(address);
+      nodes_[entry]->asked = to;
+      timeline.After(kMessageTime, [this, entry, to, number, prefix, from] {
+        if (Heard(entry, to)) {
+          nodes_[to]->relay->OnQuestion(std::to_string(entry), number, prefix,
+                                        from);
+        }
+      });
+      return true;
+    };
+    hooks.answer = [this, entry](const std::string& asker, std::uint64_t number,
+                                 const Result<WatchBatch>& answer) {
+      const std::size_t to = std::stoul(asker);
+      timeline.After(kMessageTime, [this, entry, to, number, answer] {
+        if (Heard(entry, to)) {
+          nodes_[to]->relay->OnAnswer(number, answer);
+        }
+      });
+    };
+    Node& node = *nodes_[entry];
+    node.asked = entry;
+    node.relay =
+        std::make_unique<WatchRelay>(options, std::move(hooks), Now(), After(),
+                                     MakeNullEventLog(), &metrics_);
+    RelayedStore::Options store_options;
+    store_options.watch_pace.most_gap = kBound / 2;
+    store_options.answer_within = kAnswerWithin + kBound / 10;
+    RelayedStore::Hooks store_hooks;
+    store_hooks.ask = [&node](const std::string& prefix, std::uint64_t from,
+                              PolledWatch::PollDone done) {
+      return node.relay->Ask(prefix, from, std::move(done));
+    };
+    store_hooks.call = [this, entry](const std::string&, std::uint64_t from,
+                                     PolledWatch::PollDone done) {
+      Call(entry, from, kDirectWait, std::move(done));
+    };
+    store_hooks.on_failed = [&node](const std::string& relay,
+                                    const Error& error) {
+      node.relay->OnFailed(relay, error);
+    };
+    node.relayed = std::make_unique<RelayedStore>(
+        nullptr, store_options, std::move(store_hooks), Now(), After());
+  }
+
+  void Start(std::size_t entry) {
+    Node& node = *nodes_[entry];
+    node.version = store.changed_at.size();
+    node.watch = node.relayed->StartWatch(
+        kPrefix, node.version,
+        [this, &node](const std::vector<WatchEvent>& events) {
+          for (const WatchEvent& it : events) {
+            if (it.version > node.version) {
+              const TimePoint changed_at = store.changed_at[it.version - 1];
+              if (node.trouble == Trouble::kNone) {
+                longest_unseen =
+                    std::max(longest_unseen, timeline.now - changed_at);
+              }
+              node.version = it.version;
+            }
+          }
+        },
+        [this](const Error&) { ++ended; });
+  }
+
+  MetricsRegistry metrics_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::mt19937 random_{20261203};
+};
+
+using Trouble = RelayFleet::Trouble;
+
+// Each entry of a large fleet follows every registration. Callers gain by a
+// store that is left alone; they lose if a change is learned too late.
+TEST_CASE("The store's calls grow with failure domains, not with entries") {
+  for (const std::size_t entries : {50, 100, 300, 1000}) {
+    INFO(entries << " entries");
+    RelayFleet fleet(entries);
+    const double busy =
+        fleet.CallRate([&fleet] { fleet.Swarm(8, seconds(30)); });
+    const double most = kDomains * (seconds(1) / kLeastGap);
+    CHECK(busy <= most + 0.5);
+    fleet.timeline.RunFor(seconds(10));
+    const double idle =
+        fleet.CallRate([&fleet] { fleet.timeline.RunFor(seconds(60)); });
+    CHECK(idle <= most);
+    CHECK(fleet.longest_unseen <= kLeastGap + milliseconds(20));
+    CHECK(fleet.OldestKnowledge() < kBound);
+    CHECK(fleet.Behind() == 0);
+    CHECK(fleet.ended == 0);
+  }
+}
+
+TEST_CASE("Few entries in a failure domain read the store themselves") {
+  RelayFleet fleet(7 * kDomains);
+  const double idle =
+      fleet.CallRate([&fleet] { fleet.timeline.RunFor(seconds(60)); });
+  CHECK(idle > 6);
+  CHECK(fleet.RelayOf(20) == 20);
+}
+
+TEST_CASE("No change is learned too late for want of the entry that relays") {
+  const Trouble trouble = GENERATE(Trouble::kDead, Trouble::kMute,
+                                   Trouble::kCut, Trouble::kTurnedAway);
+  constexpr std::size_t kFollower = 42;
+  RelayFleet fleet(100);
+  fleet.Swarm(2, seconds(10));
+  const std::size_t relay = fleet.RelayOf(kFollower);
+  REQUIRE(relay != kFollower);
+  INFO("trouble " << static_cast<int>(trouble) << " of entry " << relay);
+  fleet.SetTrouble(relay, trouble);
+  fleet.Swarm(2, seconds(20));
+  // The one in trouble is told by others, after its own calls have failed.
+  fleet.timeline.RunFor(seconds(10));
+
+  CHECK(fleet.longest_unseen <= kBound);
+  CHECK(fleet.OldestKnowledge() < kBound);
+  CHECK(fleet.Behind() == 0);
+  CHECK(fleet.ended == 0);
+  CHECK(fleet.RelayOf(kFollower) != relay);
+
+  SECTION("and the calls are few again") {
+    const double calls =
+        fleet.CallRate([&fleet] { fleet.Swarm(2, seconds(20)); });
+    CHECK(calls <= 2 * kDomains);
+  }
+  SECTION("not even if the next one is lost as well") {
+    fleet.SetTrouble(fleet.RelayOf(kFollower), trouble);
+    fleet.Swarm(2, seconds(10));
+    fleet.timeline.RunFor(seconds(10));
+    CHECK(fleet.longest_unseen <= kBound);
+    CHECK(fleet.Behind() <= 2);  // Those in trouble, where both are cut off.
+  }
+}
+
+TEST_CASE("A store that is away is noticed through an entry that relays") {
+  RelayFleet fleet(100);
+  fleet.store.down = true;
+  fleet.timeline.RunFor(seconds(10));
+  CHECK(fleet.ended == 100);
+}
+
+/// Guards against an entry that comes late and makes the relay forget what the
+/// others need.
+TEST_CASE("Entries that are behind are told all that they lack") {
+  Timeline timeline;
+  ListStore store(&timeline);
+  for (int n = 0; n < 50; ++n) {
+    store.Change();
+  }
+  WatchFeed feed(
+      {kLeastGap, kAnswerWithin, 4096},
+      [&store](std::uint64_t from, Duration wait, PolledWatch::PollDone done) {
+        store.Poll(from, wait, std::move(done));
+      },
+      [&timeline] { return timeline.now; },
+      [&timeline](Duration delay, std::function<void()> task) {
+        timeline.After(delay, std::move(task));
+      });
+  std::vector<std::size_t> told;
+  const auto ask = [&](std::uint64_t from) {
+    feed.Ask(from, [&told](const Result<WatchBatch>& answer) {
+      REQUIRE(IsOk(answer));
+      CHECK(ValueOf(answer).version == 50);
+      told.push_back(ValueOf(answer).events.size());
+    });
+  };
+  ask(45);
+  timeline.RunFor(seconds(3));
+  CHECK(told == std::vector<std::size_t>{5});
+  ask(20);
+  ask(48);
+  timeline.RunFor(seconds(3));
+  CHECK(told == std::vector<std::size_t>{5, 30, 2});
+
+  SECTION("and one that knows more than the relay keeps what it knows") {
+    ask(50);
+    timeline.RunFor(seconds(3));
+    CHECK(told.back() == 0);
+  }
+  SECTION("an answer says how old the call is that it stems from") {
+    std::optional<Duration> age;
+    ask(50);
+    timeline.RunFor(milliseconds(500));
+    feed.Ask(50, [&age](const Result<WatchBatch>& answer) {
+      age = ValueOf(answer).relayed_age;
+    });
+    timeline.RunFor(seconds(3));
+    CHECK(age == milliseconds(500));
+  }
+}
+
+}  // namespace
+}  // namespace indigolead::testing
--- /dev/null
+++ b/tests/support/watch_world.h
@@ -0,0 +1,112 @@
+#ifndef INDIGOLEAD_TESTS_SUPPORT_WATCH_WORLD_H_
+#define INDIGOLEAD_TESTS_SUPPORT_WATCH_WORLD_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "store/polled_watch.h"
+
+// A store with one list, and time that the test turns, for fleets of watches.
+namespace indigolead::testing {
+
+/// From a call to its answer when there is something to tell.
+inline constexpr Duration kStoreAnswerTime = std::chrono::milliseconds(4);
+
+/// Functions that run at their time, in simulated time.
+class Timeline {
+ public:
+  TimePoint now{std::chrono::seconds(1000)};
+
+  void After(Duration delay, std::function<void()> task) {
+    tasks_.emplace(now + delay, std::move(task));
+  }
+  void RunFor(Duration length) {
+    const TimePoint end = now + length;
+    while (!tasks_.empty() && tasks_.begin()->first <= end) {
+      auto node = tasks_.extract(tasks_.begin());
+      now = node.key();
+      node.mapped()();
+    }
+    now = end;
+  }
+
+ private:
+  std::multimap<TimePoint, std::function<void()>> tasks_;
+};
+
+/// A store with one list. Each change bears the next version; a waiting call
+/// is answered when there is one, or when its wait is over.
+class ListStore {
+ public:
+  explicit ListStore(Timeline* timeline) : timeline_(timeline) {}
+
+  void Change() {
+    changed_at.push_back(timeline_->now);
+    std::vector<Waiting> waiting;
+    waiting.swap(waiting_);
+    for (Waiting& it : waiting) {
+      Answer(std::move(it));
+    }
+  }
+
+  void Poll(std::uint64_t from, Duration wait, PolledWatch::PollDone done) {
+    ++calls;
+    if (down) {
+      timeline_->After(kStoreAnswerTime, [done = std::move(done)] {
+        done(Error{ErrorCode::kUnavailable, "store.watch", "store", "down"});
+      });
+      return;
+    }
+    Waiting call{++next_id_, from, std::move(done)};
+    if (from < changed_at.size()) {
+      Answer(std::move(call));
+      return;
+    }
+    timeline_->After(wait, [this, id = call.id] { EndWait(id); });
+    waiting_.push_back(std::move(call));
+  }
+
+  /// When the change of version n + 1 was made.
+  std::vector<TimePoint> changed_at;
+  std::uint64_t calls = 0;
+  bool down = false;
+
+ private:
+  struct Waiting {
+    std::uint64_t id = 0;
+    std::uint64_t from = 0;
+    PolledWatch::PollDone done;
+  };
+
+  void Answer(Waiting call) {
+    WatchBatch batch;
+    batch.version = changed_at.size();
+    for (std::uint64_t it = call.from; it < batch.version; ++it) {
+      batch.events.push_back({"targets/t", "value", it + 1});
+    }
+    timeline_->After(kStoreAnswerTime,
+                     [done = std::move(call.done), batch] { done(batch); });
+  }
+  void EndWait(std::uint64_t id) {
+    const auto it =
+        std::find_if(waiting_.begin(), waiting_.end(),
+                     [id](const Waiting& call) { return call.id == id; });
+    if (it != waiting_.end()) {
+      Waiting call = std::move(*it);
+      waiting_.erase(it);
+      Answer(std::move(call));
+    }
+  }
+
+  Timeline* timeline_;
+  std::vector<Waiting> waiting_;
+  std::uint64_t next_id_ = 0;
+};
+
+}  // namespace indigolead::testing
+
+#endif  // INDIGOLEAD_TESTS_SUPPORT_WATCH_WORLD_H_
