Test each part of the relay by itself

The order in which relays are chosen and avoided, questions and answers over real sockets (with bytes that are no text, refusals, and a relay that starts anew), what a registration says of relaying, and the address that the settings give.

--- a/src/wire/relay_links.cc
+++ b/src/wire/relay_links.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstring>
 
 #include "wire/codec.h"
 #include "wire/events.h"
@@ -115,6 +116,9 @@
   try {
     questions_ = MakeSocket(zmq::socket_type::router);
     questions_->raw().bind(kScheme + options_.bind_address);
+    bound_address_ = questions_->raw()
+                         .get(zmq::sockopt::last_endpoint)
+                         .substr(std::strlen(kScheme));
   } catch (const zmq::error_t& e) {
     questions_.reset();
     return Error{ErrorCode::kUnavailable, "relay.listen", options_.bind_address,
--- a/src/wire/relay_links.h
+++ b/src/wire/relay_links.h
@@ -41,7 +41,7 @@
 class RelayLinks {
  public:
   struct Options {
-    std::string bind_address;  ///< "IP:port"
+    std::string bind_address;  ///< "IP:port"; port 0 picks one.
     /// A whole list of some thousand targets.
     std::size_t max_message_bytes = 8U << 20;
     /// Messages that wait for one peer.
@@ -63,6 +63,9 @@
   /// Takes questions from now on. Fails if the address cannot be bound.
   Status Listen();
 
+  /// Returns the address at which questions are taken, "IP:port".
+  const std::string& bound_address() const { return bound_address_; }
+
   /// Sends a question to the entry at `address`. Keeps one connection, to the
   /// entry asked last. Returns false if it cannot be sent.
   bool Ask(const std::string& address, std::uint64_t number,
@@ -90,6 +93,7 @@
   std::shared_ptr<internal::ZmqSocket> questions_;
   std::shared_ptr<internal::ZmqSocket> answers_;
   std::string asked_address_;
+  std::string bound_address_;
 };
 
 }  // namespace indigolead
--- /dev/null
+++ b/tests/core/membership/relay_choice_test.cc
@@ -0,0 +1,89 @@
+#include "core/membership/relay_choice.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace indigolead {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(1000)};
+
+std::vector<RelayCandidate> Entries(int n) {
+  std::vector<RelayCandidate> entries;
+  for (int it = 0; it < n; ++it) {
+    const std::string number = std::to_string(it);
+    entries.push_back({"entry-" + number, "bilbao",
+                       "10.0.0." + number + ":7380", it < 2 ? 1.0 : 0.1});
+    entries.push_back(
+        {"other-" + number, "oviedo", "10.1.0." + number + ":7380", 4.0});
+  }
+  return entries;
+}
+
+RelayChoice ChoiceOf(const std::string& own_name) {
+  RelayChoice::Options options;
+  options.own_name = own_name;
+  options.failure_domain = "bilbao";
+  return RelayChoice(options);
+}
+
+TEST_CASE("The entries of a failure domain agree on the one that relays") {
+  RelayChoice choice = ChoiceOf("entry-5");
+  CHECK_FALSE(choice.Best(kStart));
+  choice.OnEntries(Entries(8));
+  const auto best = choice.Best(kStart);
+  REQUIRE(best);
+  CHECK(best->failure_domain == "bilbao");
+  CHECK(best->processor == 1.0);
+  RelayChoice another = ChoiceOf("entry-7");
+  auto reversed = Entries(8);
+  std::reverse(reversed.begin(), reversed.end());
+  another.OnEntries(reversed);
+  CHECK(another.Best(kStart) == best);
+
+  SECTION("on none where they are few") {
+    choice.OnEntries(Entries(7));
+    CHECK_FALSE(choice.Best(kStart));
+  }
+  SECTION("never on one that cannot be asked") {
+    auto entries = Entries(8);
+    for (RelayCandidate& it : entries) {
+      it.address = it.name == best->name ? "" : it.address;
+    }
+    entries.push_back({"entry-8", "bilbao", "10.0.0.8:7380", 0.1});
+    choice.OnEntries(entries);
+    CHECK(choice.Best(kStart)->name != best->name);
+  }
+  SECTION("on the next one while it fails, for longer each time") {
+    choice.OnFailed(best->name, kStart);
+    const auto next = choice.Best(kStart);
+    REQUIRE(next);
+    CHECK(next->name != best->name);
+    CHECK(next->processor == 1.0);
+    CHECK(choice.Best(kStart + seconds(10)) == best);
+    choice.OnFailed(best->name, kStart + seconds(10));
+    CHECK(choice.Best(kStart + seconds(29)) == next);
+    CHECK(choice.Best(kStart + seconds(30)) == best);
+    choice.OnAnswered(best->name);
+    choice.OnFailed(best->name, kStart + seconds(40));
+    CHECK(choice.Best(kStart + seconds(50)) == best);
+  }
+  SECTION("several questions lost at once are one failure") {
+    choice.OnFailed(best->name, kStart);
+    choice.OnFailed(best->name, kStart + seconds(1));
+    CHECK(choice.Best(kStart + seconds(10)) == best);
+  }
+  SECTION("and on none where all have failed") {
+    for (const RelayCandidate& it : Entries(8)) {
+      choice.OnFailed(it.name, kStart);
+    }
+    CHECK_FALSE(choice.Best(kStart));
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -39,6 +39,20 @@
   CHECK(settings->retry_window == std::chrono::seconds(12));
   CHECK(settings->retry_slack == Approx(54));
 
+  SECTION("entries reach each other at the first port for that") {
+    CHECK(settings->entries_address.empty());
+    const auto with = ParsePlatformSettings(
+        "settings.conf", kGood +
+                             "ip=10.1.0.38\nport-range=7380,7395\n"
+                             "limits.cpu-share=0.19\n");
+    REQUIRE(std::holds_alternative<PlatformSettings>(with));
+    const auto& more = std::get<PlatformSettings>(with);
+    CHECK(more.entries_address == "10.1.0.38:7380");
+    CHECK(more.processor == Approx(0.19));
+    const auto problems = ProblemsOf(kGood + "ip=10.1.0.38\nport-range=many\n");
+    REQUIRE(problems.size() == 1);
+    CHECK(problems.front().key == "port-range");
+  }
   SECTION("unknown names, comments and empty lines are passed over") {
     CHECK(ProblemsOf(kGood + "\n# a comment\nnew.field=1,2\n").empty());
   }
--- a/tests/shell/roster_keeper_test.cc
+++ b/tests/shell/roster_keeper_test.cc
@@ -26,6 +26,7 @@
       options.roster.own_name = name;
       options.prefix = "entries/";
       options.incarnation = "1";
+      options.relay = {name, "bilbao", "10.0.0.1:7380", 0.5};
       return options;
     }
 
@@ -33,12 +34,16 @@
       RosterKeeper::Hooks hooks;
       hooks.on_count = [this](std::size_t n) { counts.push_back(n); };
       hooks.on_view = [this](const EntryView& it) { view = it; };
+      hooks.on_relays = [this](const std::vector<RelayCandidate>& it) {
+        relays = it;
+      };
       hooks.jitter = [] { return 0.5; };
       return hooks;
     }
 
     std::vector<std::size_t> counts;
     EntryView view;
+    std::vector<RelayCandidate> relays;
     FakeObjectStore store;
     RosterKeeper keeper;
   };
@@ -78,6 +83,11 @@
   scene.Run(seconds(5));
   CHECK(first.counts == std::vector<std::size_t>{2});
 
+  SECTION("and how each is asked for the store's changes") {
+    CHECK(first.relays == std::vector<RelayCandidate>{
+                              {"front-1", "bilbao", "10.0.0.1:7380", 0.5},
+                              {"front-2", "bilbao", "10.0.0.1:7380", 0.5}});
+  }
   SECTION("one that comes later is counted within the list's interval") {
     scene.Add("front-3");
     scene.Run(seconds(25));
--- /dev/null
+++ b/tests/wire/relay_links_test.cc
@@ -0,0 +1,135 @@
+#include "wire/relay_links.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// One entry that relays, and one that asks it.
+class Scene {
+ public:
+  Scene() {
+    StartRelay("127.0.0.1:0");
+    RelayLinks::Hooks asker;
+    asker.on_answer = [this](std::uint64_t number,
+                             const Result<WatchBatch>& answer) {
+      answers.emplace(number, answer);
+    };
+    asker_ = Make("", std::move(asker));
+  }
+
+  void Ask(std::uint64_t number) {
+    REQUIRE(asker_->Ask(address(), number, "servers/", 40 + number));
+  }
+
+  /// Runs until `done`, for some seconds at most.
+  void Await(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + seconds(10);
+    while (!done() && std::chrono::steady_clock::now() < end) {
+      io_.restart();
+      io_.run_for(milliseconds(5));
+    }
+    REQUIRE(done());
+  }
+
+  void RestartRelay() {
+    const std::string address = this->address();
+    relay_.reset();
+    StartRelay(address);
+  }
+
+  RelayLinks& relay() { return *relay_; }
+  const std::string& address() const { return relay_->bound_address(); }
+
+  std::vector<RelayQuestion> questions;
+  std::map<std::uint64_t, Result<WatchBatch>> answers;
+
+ private:
+  std::unique_ptr<RelayLinks> Make(const std::string& address,
+                                   RelayLinks::Hooks hooks) {
+    RelayLinks::Options options;
+    options.bind_address = address;
+    return std::make_unique<RelayLinks>(&io_, options, std::move(hooks),
+                                        MakeNullEventLog());
+  }
+
+  void StartRelay(const std::string& address) {
+    RelayLinks::Hooks hooks;
+    hooks.on_question = [this](const RelayQuestion& it) {
+      questions.push_back(it);
+    };
+    relay_ = Make(address, std::move(hooks));
+    REQUIRE(IsOk(relay_->Listen()));
+  }
+
+  boost::asio::io_context io_;
+  std::unique_ptr<RelayLinks> relay_;
+  std::unique_ptr<RelayLinks> asker_;
+};
+
+TEST_CASE("A question reaches the entry that relays, and its answer comes") {
+  Scene scene;
+  scene.Ask(1);
+  scene.Await([&scene] { return scene.questions.size() == 1; });
+  const RelayQuestion question = scene.questions.front();
+  CHECK(question.number == 1);
+  CHECK(question.prefix == "servers/");
+  CHECK(question.from == 41);
+
+  SECTION("with each change as it was, bytes too, and its age") {
+    const WatchBatch batch{{{"servers/a", std::string("\xff\0x", 3), 42},
+                            {"servers/b", std::nullopt, 43}},
+                           43,
+                           milliseconds(250)};
+    scene.relay().Answer(question.asker, 1, batch);
+    scene.Await([&scene] { return scene.answers.count(1) == 1; });
+    CHECK(ValueOf(scene.answers.at(1)) == batch);
+  }
+  SECTION("or why there is none") {
+    scene.relay().Answer(
+        question.asker, 1,
+        Error{ErrorCode::kNotFound, "store.watch", "store", "status 410"});
+    scene.Ask(2);
+    scene.Await([&scene] { return scene.questions.size() == 2; });
+    scene.relay().Answer(
+        scene.questions.back().asker, 2,
+        Error{ErrorCode::kTimeout, "store.watch", "store", "no answer"});
+    scene.Await([&scene] { return scene.answers.size() == 2; });
+    CHECK(ErrorOf(scene.answers.at(1)).code == ErrorCode::kNotFound);
+    CHECK(ErrorOf(scene.answers.at(2)).code == ErrorCode::kUnavailable);
+    CHECK(ErrorOf(scene.answers.at(2)).peer == scene.address());
+  }
+  SECTION("also after the one that relays has started anew") {
+    scene.RestartRelay();
+    scene.Ask(2);
+    scene.Await([&scene] { return scene.questions.size() == 2; });
+    scene.relay().Answer(scene.questions.back().asker, 2, WatchBatch{{}, 50});
+    scene.Await([&scene] { return scene.answers.count(2) == 1; });
+    CHECK(ValueOf(scene.answers.at(2)).version == 50);
+  }
+}
+
+TEST_CASE("An address that is taken is told with the address") {
+  Scene scene;
+  boost::asio::io_context io;
+  RelayLinks::Options options;
+  options.bind_address = scene.address();
+  RelayLinks second(&io, options, {}, MakeNullEventLog());
+  const Status status = second.Listen();
+  REQUIRE_FALSE(IsOk(status));
+  CHECK(ErrorOf(status).peer == scene.address());
+}
+
+}  // namespace
+}  // namespace indigolead::testing
