Let the first reads of a whole start be old, and wait for the list of entries

Each entry of the whole fleet began with five calls at full price: two lists, a call of each watch before it knew of an entry that relays, and a look at the lease.

Where all of the system starts for the first time (`bootstrap`), the first list of each watch may be seconds old: no callers have come yet, and the watch brings it forward. A process that starts later reads the newest, as before. Questions for changes wait for the first list of entries, for as long as a relay may take to answer. A reserve's first look at the lease may be old: it only watches another holder, and takes the lease conditionally.

--- a/src/core/control/lease.h
+++ b/src/core/control/lease.h
@@ -165,10 +165,11 @@
   std::optional<FencingNumber> Authority(TimePoint now) const;
 
   /// Returns true if the next read must show the newest state: it settles a
-  /// write, ends a pause, or is the first. Otherwise it only watches another
-  /// holder; a late view makes a taker wait longer, and taking is conditional.
+  /// write, ends a pause, or is the first of a standby. Otherwise it only
+  /// watches another holder; a late view makes a taker wait longer, and taking
+  /// is conditional.
   bool needs_newest() const {
-    return write_.has_value() || suspended_ || !seen_at_;
+    return write_.has_value() || suspended_ || (!seen_at_ && !reserve_);
   }
 
   /// Returns the newest lease seen.
--- a/src/entry/watch_relay.cc
+++ b/src/entry/watch_relay.cc
@@ -36,6 +36,20 @@
 
 void WatchRelay::OnEntries(const std::vector<RelayCandidate>& entries) {
   choice_.OnEntries(entries);
+  if (!std::exchange(listed_, true)) {
+    AskEarly();
+  }
+}
+
+void WatchRelay::AskEarly() {
+  std::map<std::string, Early> early;
+  early.swap(early_);
+  for (auto& [prefix, it] : early) {
+    if (!Ask(prefix, it.from, it.done)) {
+      it.done(Error{ErrorCode::kNotFound, "relay.ask", "",
+                    "no entry of the failure domain relays"});
+    }
+  }
 }
 
 void WatchRelay::NoteRelay(const std::string& name) {
@@ -49,6 +63,10 @@
 std::optional<std::string> WatchRelay::Ask(const std::string& prefix,
                                            std::uint64_t from,
                                            PolledWatch::PollDone done) {
+  if (!listed_) {
+    early_[prefix] = {from, std::move(done)};
+    return std::string();
+  }
   const auto relay = choice_.Best(clock_());
   const auto feed = feeds_.find(prefix);
   if (!relay || feed == feeds_.end()) {
@@ -86,6 +104,9 @@
 }
 
 void WatchRelay::OnFailed(const std::string& relay, const Error& error) {
+  if (relay.empty()) {
+    return;  // Nobody was asked yet.
+  }
   log_(kRelayFailed, {{"relay", relay}, {"error", ToString(error)}});
   failed_.Add();
   // Changes that are not kept any more are no fault of the relay.
--- a/src/entry/watch_relay.h
+++ b/src/entry/watch_relay.h
@@ -59,6 +59,8 @@
 
   /// Asks the entry that relays, which may be this one, for the changes below
   /// `prefix` after `from`. Returns its name, or nothing if there is none.
+  /// Until the first list of entries nobody is known to ask, and the question
+  /// waits for it: the name is empty then.
   std::optional<std::string> Ask(const std::string& prefix, std::uint64_t from,
                                  PolledWatch::PollDone done);
 
@@ -86,6 +88,13 @@
     PolledWatch::PollDone done;
   };
 
+  /// A question that waits for the first list of entries.
+  struct Early {
+    std::uint64_t from = 0;
+    PolledWatch::PollDone done;
+  };
+
+  void AskEarly();
   bool AskOther(const RelayCandidate& relay, const std::string& prefix,
                 std::uint64_t from, PolledWatch::PollDone done);
   void NoteRelay(const std::string& name);
@@ -98,6 +107,8 @@
   RelayChoice choice_;
   std::map<std::string, std::unique_ptr<WatchFeed>> feeds_;  ///< By prefix.
   std::map<std::string, Asked> asked_;                       ///< By prefix.
+  std::map<std::string, Early> early_;                       ///< By prefix.
+  bool listed_ = false;
   std::uint64_t next_number_ = 0;
   std::string relay_;  ///< The one asked last; empty: the store.
   bool stopped_ = false;
--- a/src/store/list_watcher.cc
+++ b/src/store/list_watcher.cc
@@ -31,8 +31,10 @@
 }
 
 void ListWatcher::List() {
+  CallOptions options = options_.list;
+  options.may_be_stale = options_.first_may_be_stale && !listed_;
   store_->List(
-      options_.prefix, options_.list,
+      options_.prefix, options,
       [this, alive = alive_](const Result<ObjectStore::Listing>& result) {
         if (*alive) {
           OnListed(result);
--- a/src/store/list_watcher.h
+++ b/src/store/list_watcher.h
@@ -32,6 +32,9 @@
   struct Options {
     std::string prefix;
     CallOptions list;
+    /// The first list may show the state of seconds ago; the watch after it
+    /// brings it forward.
+    bool first_may_be_stale = false;
     Duration min_backoff = std::chrono::milliseconds(200);
     Duration max_backoff = std::chrono::seconds(10);
   };
--- a/tests/core/control/lease_test.cc
+++ b/tests/core/control/lease_test.cc
@@ -298,5 +298,20 @@
   }
 }
 
+/// Guards against hundreds of reads at full price when a fleet starts.
+TEST_CASE("A reserve may learn of the lease late, a standby may not") {
+  Lease lease(
+      {},
+      [] {
+        return Id128{1, 1};
+      },
+      [] { return 0.5; });
+  CHECK(lease.needs_newest());
+  lease.SetReserve(true);
+  CHECK_FALSE(lease.needs_newest());
+  lease.SetReserve(false);
+  CHECK(lease.needs_newest());
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -39,6 +39,13 @@
   CHECK(settings->retry_window == std::chrono::seconds(12));
   CHECK(settings->retry_slack == Approx(54));
 
+  SECTION("a first start of all is told") {
+    CHECK_FALSE(settings->first_start);
+    const auto first =
+        ParsePlatformSettings("settings.conf", kGood + "bootstrap=true\n");
+    REQUIRE(std::holds_alternative<PlatformSettings>(first));
+    CHECK(std::get<PlatformSettings>(first).first_start);
+  }
   SECTION("entries reach each other at the first port for that") {
     CHECK(settings->entries_address.empty());
     const auto with = ParsePlatformSettings(
--- a/tests/platform/stale_lists_test.cc
+++ b/tests/platform/stale_lists_test.cc
@@ -3,6 +3,7 @@
 
 #include "platform/object_store.h"
 #include "runtime/clock.h"
+#include "store/list_watcher.h"
 #include "tests/platform/support/metadata_store.h"
 
 namespace indigolead::testing {
@@ -34,5 +35,32 @@
   CHECK(store.stale_lists() == (may_be_stale ? 3 : 0));
 }
 
+/// Guards against a list that may be old where one is to be the newest: after
+/// the first one, and in a process that starts while callers come.
+TEST_CASE("Only the first list of a watcher may be old, if any") {
+  const bool first = GENERATE(false, true);
+  MetadataStore store;
+  store.Put("servers", "a", "x");
+  boost::asio::io_context io;
+  MetricsRegistry metrics;
+  platform::PlatformObjectStore client(&io, {store.address()}, BootTimeNow,
+                                       &metrics);
+  ListWatcher::Options options;
+  options.prefix = "servers/";
+  options.list = {CallPriority::kConfig, std::chrono::seconds(10)};
+  options.first_may_be_stale = first;
+  ListWatcher::Hooks hooks;
+  hooks.on_state = [&io](const ListWatcher::State&, std::uint64_t) {
+    io.stop();
+  };
+  hooks.jitter = [] { return 0.5; };
+  ListWatcher watcher(&client, options, hooks, BootTimeNow, MakeRunAfter(&io),
+                      MakeNullEventLog());
+  watcher.Start();
+  io.run_for(std::chrono::seconds(10));
+  CHECK(watcher.state().size() == 1);
+  CHECK(store.stale_lists() == (first ? 1 : 0));
+}
+
 }  // namespace
 }  // namespace indigolead::testing
--- a/tests/shell/watch_relay_fleet_test.cc
+++ b/tests/shell/watch_relay_fleet_test.cc
@@ -37,7 +37,8 @@
     kTurnedAway,  ///< The store refuses its calls.
   };
 
-  explicit RelayFleet(std::size_t entries) {
+  /// `listed_after` its start each entry learns of the others.
+  explicit RelayFleet(std::size_t entries, Duration listed_after = {}) {
     std::vector<RelayCandidate> listed;
     for (std::size_t it = 0; it < entries; ++it) {
       nodes_.push_back(std::make_unique<Node>());
@@ -45,9 +46,12 @@
     }
     for (std::size_t it = 0; it < entries; ++it) {
       Build(it);
-      nodes_[it]->relay->OnEntries(listed);
       // They start apart, as processes do.
-      timeline.After(milliseconds(it % 300), [this, it] { Start(it); });
+      const Duration start = milliseconds(it % 300);
+      timeline.After(start, [this, it] { Start(it); });
+      timeline.After(start + listed_after, [this, it, listed] {
+        nodes_[it]->relay->OnEntries(listed);
+      });
     }
     timeline.RunFor(seconds(10));
   }
@@ -264,6 +268,24 @@
   }
 }
 
+/// Guards against hundreds of calls in the first second, in which no entry
+/// knows of another yet.
+TEST_CASE("Entries that start together do not all call the store") {
+  RelayFleet fleet(300, milliseconds(200));
+  CHECK(fleet.store.calls <= 10 * kDomains);
+  fleet.Swarm(2, seconds(5));
+  fleet.timeline.RunFor(seconds(2));
+  CHECK(fleet.Behind() == 0);
+
+  SECTION("unless the others cannot be learned of") {
+    RelayFleet alone(20, seconds(60));
+    CHECK(alone.store.calls >= 20);
+    alone.store.Change();
+    alone.timeline.RunFor(seconds(1));
+    CHECK(alone.Behind() == 0);
+  }
+}
+
 TEST_CASE("Few entries in a failure domain read the store themselves") {
   RelayFleet fleet(7 * kDomains);
   const double idle =
