--- a/src/core/admission/entry_retry_budget.h
+++ b/src/core/admission/entry_retry_budget.h
@@ -1,7 +1,7 @@
 #ifndef INDIGOLEAD_CORE_ADMISSION_ENTRY_RETRY_BUDGET_H_
 #define INDIGOLEAD_CORE_ADMISSION_ENTRY_RETRY_BUDGET_H_
 
-#include <deque>
+#include <algorithm>
 
 #include "core/admission/recent_count.h"
 #include "core/admission/retry_budget.h"
@@ -11,72 +11,65 @@
 
 /// Further arrivals at a service's targets that one entry of a fleet may make.
 ///
-/// The operator bounds what all entries make together in any window: a share of
-/// the requests in it, and a fixed allowance. Entries ask nobody, so each keeps
-/// to a bound of its own, and the sum of these keeps the operator's: in a
-/// window its part of the allowance, `saved_per_request` of its requests of the
-/// last window, and `share` for each new one.
+/// The operator bounds what all entries make together in a window: a share of
+/// its requests, and a fixed allowance. Entries ask nobody, so each keeps to a
+/// bound of its own, and the sum of these keeps the operator's: each earns
+/// `share` with every request, and saves up its part of the allowance (`saved`)
+/// and `saved_per_request` of its own requests of the last window.
 ///
-/// The load: hundreds of entries with a request in three seconds each, of which
-/// one in twenty fails and is worth a second try. With a part that only
-/// requests fill again the next failure within a minute finds nothing left,
-/// while the fleet uses a tenth of what it is allowed. So what the requests of
-/// a window would not fill is there again after a window.
-///
-/// A process that starts does not know what the one before has spent, so its
-/// part is `initial` for its first window.
-///
-/// Memory: one small record for each attempt of the last window.
+/// The load: a hundred entries with two or three requests a second each, of
+/// which one in seven fails and is worth a second try. With a part of the
+/// allowance alone an entry saves up one try and a half; after a try the next
+/// failure within two seconds found nothing left and went back to its caller,
+/// while the fleet used a quarter of what it was allowed.
 class EntryRetryBudget {
  public:
   struct Options {
     double share = 0.14;
-    double part = 10;    ///< Of the fixed allowance, in arrivals.
-    double initial = 0;  ///< The same in a process's first window.
+    double saved = 10;
+    double initial = 0;  ///< Arrivals that a process begins with.
     double saved_per_request = 0;
     Duration window = std::chrono::seconds(10);  ///< The operator's.
-    /// From [0, 1), another one for each entry. What an entry may have at once
-    /// is cut to whole arrivals, and rounded up where the rest and this make
-    /// one: a rest is of use to nobody, and the sum over many entries stays.
-    double rounding = 0;
+    /// One whole attempt: with less to save up none could ever be made.
+    double least_saved = 1;
   };
 
-  /// `started_at` is when the process began.
-  EntryRetryBudget(const Options& options, TimePoint started_at);
+  explicit EntryRetryBudget(const Options& options)
+      : options_(options),
+        requests_(options.window),
+        budget_({options.share, std::max(options.saved, options.least_saved),
+                 options.initial}) {}
+
+  /// Sets the entry's part of the allowance.
+  void SetSaved(double saved, TimePoint now) {
+    options_.saved = saved;
+    budget_.SetBurst(MostSaved(now));
+  }
 
-  /// Sets the entry's part of the allowance, and that of its first window.
-  void SetParts(double part, double initial);
+  /// Adds arrivals, up to the most that are saved up.
+  void Grant(double arrivals) { budget_.Grant(arrivals); }
 
   /// A request came.
-  void OnRequest(TimePoint now);
+  void OnRequest(TimePoint now) {
+    requests_.Add(now);
+    budget_.SetBurst(MostSaved(now));
+    budget_.OnFirstAttempt();
+  }
 
   /// Takes a further attempt that makes `arrivals`. Returns false if there is
   /// not enough.
-  bool TryTake(double arrivals, TimePoint now);
-
-  /// Gives back arrivals that were taken last and not made.
-  void GiveBack(double arrivals);
+  bool TryTake(double arrivals) { return budget_.TryTake(arrivals); }
 
  private:
-  struct Taken {
-    TimePoint at{};
-    double arrivals = 0;
-    double of_part = 0;  ///< Of them, from what comes back with time.
-  };
-
-  /// Returns what the requests of the last window have earned.
-  double EarnedInWindow(TimePoint now) const;
-  /// Returns the most that the entry may have at once.
-  double MostAtOnce(TimePoint now) const;
-  /// Returns how much of that requests fill again, time the rest.
-  double FilledByRequests(TimePoint now) const;
-  void Forget(TimePoint now);
+  double MostSaved(TimePoint now) const {
+    const auto recent = static_cast<double>(requests_.Count(now));
+    return std::max(options_.saved + options_.saved_per_request * recent,
+                    options_.least_saved);
+  }
 
   Options options_;
-  TimePoint started_at_;
   RecentCount requests_;
-  RetryBudget earned_;
-  std::deque<Taken> taken_;  ///< Of the last window, oldest first.
+  RetryBudget budget_;
 };
 
 }  // namespace indigolead
--- a/src/core/admission/retry_allowance.h
+++ b/src/core/admission/retry_allowance.h
@@ -17,8 +17,8 @@
 class RetryAllowance {
  public:
   double arrivals = 50;  ///< Of all entries, for each service.
-  /// Of it, what all entries may make in any window.
-  double share_in_window = 0.6;
+  /// Of it, what all entries may have saved up.
+  double share_saved = 0.6;
   /// Of it, what processes that start anew are given, all of them together: if
   /// every entry is killed just after it has spent its part, both are spent.
   /// The last tenth is for entries that are not on everybody's list yet.
@@ -30,11 +30,11 @@
   friend bool operator==(const RetryAllowance&,
                          const RetryAllowance&) = default;
 
-  /// Returns the arrivals that one of `entries` may make in a window.
-  double PartOfOneOf(std::optional<std::size_t> entries) const {
-    return share_in_window * arrivals / Divisor(entries);
+  /// Returns the arrivals that one of `entries` may save up.
+  double SavedByOneOf(std::optional<std::size_t> entries) const {
+    return share_saved * arrivals / Divisor(entries);
   }
-  /// Returns the same for the first window of a process.
+  /// Returns the arrivals that a process of one of `entries` begins with.
   double AtStartOfOneOf(std::optional<std::size_t> entries) const {
     return share_at_start * arrivals / Divisor(entries);
   }
--- a/src/core/admission/retry_budget.h
+++ b/src/core/admission/retry_budget.h
@@ -43,8 +43,6 @@
   /// attempt that it had.
   bool TryTake(double arrivals = 1);
 
-  /// Returns the retries saved up now.
-  double level() const { return level_; }
   std::uint64_t first_attempts() const { return first_attempts_; }
   std::uint64_t retries() const { return retries_; }
 
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -54,7 +54,6 @@
       directory_(options_.directory),
       guard_(options_.guard),
       limits_(options_.limit_share, random_),
-      started_at_(clock_()),
       accounts_(metrics),
       answered_(metrics->AddCounter("indigolead_requests_answered_total",
                                     "Requests answered by a target.")),
@@ -138,7 +137,7 @@
     return SpendRetry(request, AttemptReach::kReader);
   };
   hooks.on_no_arrival = [this](const CallerRequest& request) {
-    BudgetOf(request.deployment).GiveBack(kArrivalsWhole);
+    BudgetOf(request.deployment).Grant(kArrivalsWhole);
   };
   hooks.on_call_end = [this](const std::string& instance, bool broke) {
     OnCallEnd(instance, broke);
@@ -212,11 +211,13 @@
   directory_.OnStoreFollowed(clock_());
 }
 
-void DirectDispatcher::SetRetryParts(double part, double initial) {
-  options_.retry_budget.part = part;
-  options_.retry_budget.initial = initial;
+void DirectDispatcher::SetSavedArrivals(double saved, double at_start) {
+  options_.retry_budget.saved = saved;
+  options_.retry_budget.initial = at_start;
+  const double grant = std::exchange(start_granted_, true) ? 0 : at_start;
   for (auto& [service, budget] : budgets_) {
-    budget.SetParts(part, initial);
+    budget.SetSaved(saved, clock_());
+    budget.Grant(grant);
   }
 }
 
@@ -323,7 +324,7 @@
   const bool one =
       request.prompt_parts.empty() || reach == AttemptReach::kReader;
   const double arrivals = one ? kArrivalsWhole : kArrivalsReadApart;
-  const bool granted = BudgetOf(request.deployment).TryTake(arrivals, clock_());
+  const bool granted = BudgetOf(request.deployment).TryTake(arrivals);
   retries_denied_.Add(granted ? 0 : 1);
   return granted;
 }
@@ -367,8 +368,19 @@
 }
 
 EntryRetryBudget& DirectDispatcher::BudgetOf(const std::string& service) {
-  return budgets_.try_emplace(service, options_.retry_budget, started_at_)
-      .first->second;
+  const auto held = budgets_.find(service);
+  if (held != budgets_.end()) {
+    return held->second;
+  }
+  EntryRetryBudget::Options options = options_.retry_budget;
+  options.least_saved = LeastSavedOf(service);
+  return budgets_.try_emplace(service, options).first->second;
+}
+
+double DirectDispatcher::LeastSavedOf(const std::string& service) const {
+  const ServiceTraits* traits =
+      routes_ ? routes_->FindService(service) : nullptr;
+  return traits && traits->engine ? kArrivalsReadApart : kArrivalsWhole;
 }
 
 void DirectDispatcher::Flush() {
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -84,9 +84,10 @@
   void OnTargetsKnownUntil(TimePoint known_until) {
     directory_.OnKnownUntil(known_until);
   }
-  /// Sets this entry's part of the arrivals that all entries may make in a
-  /// window for further attempts at one service, and that of its first window.
-  void SetRetryParts(double part, double initial);
+  /// Sets this entry's part of the arrivals that all entries may save up for
+  /// further attempts at one service, and what it begins with. The latter is
+  /// granted once.
+  void SetSavedArrivals(double saved, double at_start);
 
   /// Takes the list of entries, among which targets' limits are parted.
   void OnEntries(EntryView view);
@@ -161,6 +162,7 @@
   EnginePlacement& PlacementOf(const std::string& service);
   EngineLimits LimitsOf(const std::string& service) const;
   EntryRetryBudget& BudgetOf(const std::string& service);
+  double LeastSavedOf(const std::string& service) const;
   void Apply(const std::vector<TargetChange>& changes);
   void Flush();
   void Act(RequestAction& action);
@@ -192,7 +194,7 @@
     TimePoint until;  ///< What it holds may be copied until then.
   };
   std::map<std::string, Leaving> leaving_;
-  TimePoint started_at_;
+  bool start_granted_ = false;
   std::unordered_map<RequestId, Open> open_;
   /// Decided by `Route` for the `OnSent` that follows it.
   std::optional<EnginePlace> decided_;
