Do not wait at the store after a relay has failed

Traced by the logs of 16 entries: the store dropped its history and cut all waiting calls at 2.2 s without telling them what had changed since 1.2 s. All relays failed in one moment, and each entry fell back to a waiting call of its own, from a version that the store had forgotten. Such a call is answered 410 when its wait of 5 s is over; before the relay an entry listed anew at once.

The call after a relay's failure does not wait now: changes, none, or 410 at once. And a relay whose call breaks makes it once more, without waiting, before it fails all who asked: their 140 calls in place of its own one.

Tests: "Entries notice at once*", "A call of a relay that breaks*".

--- a/src/store/relayed_polls.cc
+++ b/src/store/relayed_polls.cc
@@ -18,7 +18,7 @@
   from_ = from;
   done_ = std::move(done);
   if (!Ask()) {
-    Call();
+    Call(StoreWait::kWait);
   }
 }
 
@@ -51,7 +51,7 @@
   if (!IsOk(answer)) {
     hooks_.on_failed(relay, ErrorOf(answer));
     if (!called_) {
-      Call();
+      Call(StoreWait::kDoNotWait);
       return;
     }
   }
@@ -59,20 +59,21 @@
   done(answer);
 }
 
-void RelayedPolls::Call() {
+void RelayedPolls::Call(StoreWait wait) {
   called_ = true;
-  hooks_.call(from_, [this, alive = alive_](const Result<WatchBatch>& answer) {
-    if (!*alive) {
-      return;
-    }
-    const bool away =
-        !IsOk(answer) && ErrorOf(answer).code != ErrorCode::kNotFound;
-    if (away && Ask()) {
-      return;
-    }
-    const PolledWatch::PollDone done = std::move(done_);
-    done(answer);
-  });
+  hooks_.call(
+      from_, wait, [this, alive = alive_](const Result<WatchBatch>& answer) {
+        if (!*alive) {
+          return;
+        }
+        const bool away =
+            !IsOk(answer) && ErrorOf(answer).code != ErrorCode::kNotFound;
+        if (away && Ask()) {
+          return;
+        }
+        const PolledWatch::PollDone done = std::move(done_);
+        done(answer);
+      });
 }
 
 }  // namespace indigolead
--- a/src/store/relayed_polls.h
+++ b/src/store/relayed_polls.h
@@ -13,11 +13,16 @@
 
 namespace indigolead {
 
+/// Whether a call of the store waits for changes if there are none.
+enum class StoreWait { kWait, kDoNotWait };
+
 /// Makes the calls of one watch: through an entry that relays the store's
 /// changes where there is one, else of the store itself.
 ///
 /// No bound depends on the relay: one that fails, or does not answer in time,
-/// costs `answer_within` and a call of the store. If that fails as well, one
+/// costs `answer_within` and a call of the store. That one does not wait: what
+/// made the relay fail may leave a call that waits without an answer until its
+/// time is over, and changes unseen for as long. If that fails as well, one
 /// more relay is asked: a store may turn this entry away and serve others.
 class RelayedPolls {
  public:
@@ -27,8 +32,11 @@
     std::function<std::optional<std::string>(std::uint64_t from,
                                              PolledWatch::PollDone done)>
         ask;
-    /// Makes one call of the store. Must not answer from inside the call.
-    std::function<void(std::uint64_t from, PolledWatch::PollDone done)> call;
+    /// Makes one call of the store, which waits for changes or only says how
+    /// things stand. Must not answer from inside the call.
+    std::function<void(std::uint64_t from, StoreWait wait,
+                       PolledWatch::PollDone done)>
+        call;
     /// The relay did not answer, or could not.
     std::function<void(const std::string& relay, const Error& error)> on_failed;
   };
@@ -47,7 +55,7 @@
  private:
   bool Ask();
   void OnRelayed(std::uint64_t number, const Result<WatchBatch>& answer);
-  void Call();
+  void Call(StoreWait wait);
 
   Duration answer_within_;
   Hooks hooks_;
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "store/relayed_polls.h"
-
 namespace indigolead {
 namespace {
 
@@ -64,8 +62,9 @@
   calls.ask = [this, prefix](std::uint64_t from, PolledWatch::PollDone done) {
     return hooks_.ask(prefix, from, std::move(done));
   };
-  calls.call = [this, prefix](std::uint64_t from, PolledWatch::PollDone done) {
-    hooks_.call(prefix, from, std::move(done));
+  calls.call = [this, prefix](std::uint64_t from, StoreWait wait,
+                              PolledWatch::PollDone done) {
+    hooks_.call(prefix, from, wait, std::move(done));
   };
   calls.on_failed = hooks_.on_failed;
   auto polls = std::make_unique<RelayedPolls>(options_.answer_within,
--- a/src/store/relayed_store.h
+++ b/src/store/relayed_store.h
@@ -9,6 +9,7 @@
 
 #include "store/object_store.h"
 #include "store/polled_watch.h"
+#include "store/relayed_polls.h"
 #include "store/run_after.h"
 #include "store/watch_pace.h"
 
@@ -33,7 +34,7 @@
                                              PolledWatch::PollDone done)>
         ask;
     std::function<void(const std::string& prefix, std::uint64_t from,
-                       PolledWatch::PollDone done)>
+                       StoreWait wait, PolledWatch::PollDone done)>
         call;
     std::function<void(const std::string& relay, const Error& error)> on_failed;
   };
--- a/src/store/watch_feed.cc
+++ b/src/store/watch_feed.cc
@@ -52,17 +52,27 @@
   // where it stands, for all that are.
   const std::uint64_t least = LeastAsked();
   rewound_ = version_ == 0 || least < kept_from_;
-  called_from_ = rewound_ ? least : version_;
-  called_at_ = now;
-  poll_(called_from_, wait,
-        [this, alive = alive_](const Result<WatchBatch>& answer) {
-          if (*alive) {
-            OnAnswer(answer);
-          }
-        });
+  again_ = false;
+  CallFrom(rewound_ ? least : version_, wait);
+}
+
+void WatchFeed::CallFrom(std::uint64_t from, Duration wait) {
+  called_from_ = from;
+  called_at_ = clock_();
+  poll_(from, wait, [this, alive = alive_](const Result<WatchBatch>& answer) {
+    if (*alive) {
+      OnAnswer(answer);
+    }
+  });
 }
 
 void WatchFeed::OnAnswer(const Result<WatchBatch>& answer) {
+  const bool forgotten =
+      !IsOk(answer) && ErrorOf(answer).code == ErrorCode::kNotFound;
+  if (!IsOk(answer) && !forgotten && !std::exchange(again_, true)) {
+    CallFrom(called_from_, Duration{0});
+    return;
+  }
   planned_ = false;
   if (!IsOk(answer)) {
     OnFailed(ErrorOf(answer));
--- a/src/store/watch_feed.h
+++ b/src/store/watch_feed.h
@@ -18,7 +18,9 @@
 ///
 /// Every question is answered by a call of the store that ended after it came,
 /// with its age, so that the asker can tell how old its knowledge is without a
-/// clock in common. No call is made while nobody asks.
+/// clock in common. No call is made while nobody asks. A call that breaks is
+/// made once more at once, without waiting for changes, before all who asked
+/// are told so: each of them would make one of its own.
 ///
 /// Runs on the thread of its store.
 class WatchFeed {
@@ -57,6 +59,7 @@
 
   void CallSoon();
   void Call();
+  void CallFrom(std::uint64_t from, Duration wait);
   void OnAnswer(const Result<WatchBatch>& answer);
   void OnFailed(const Error& error);
   void Keep(const WatchBatch& batch);
@@ -77,6 +80,7 @@
   std::uint64_t called_from_ = 0;
   /// The call reads again what was forgotten, for an asker that is behind.
   bool rewound_ = false;
+  bool again_ = false;  ///< The call in flight repeats one that broke.
   /// Callbacks may come after this object is gone.
   std::shared_ptr<bool> alive_;
 };
--- a/tests/shell/watch_relay_fleet_test.cc
+++ b/tests/shell/watch_relay_fleet_test.cc
@@ -209,8 +209,10 @@
       return node.relay->Ask(prefix, from, std::move(done));
     };
     store_hooks.call = [this, entry](const std::string&, std::uint64_t from,
+                                     StoreWait wait,
                                      PolledWatch::PollDone done) {
-      Call(entry, from, kDirectWait, std::move(done));
+      Call(entry, from, wait == StoreWait::kWait ? kDirectWait : Duration{0},
+           std::move(done));
     };
     store_hooks.on_failed = [&node](const std::string& relay,
                                     const Error& error) {
@@ -335,6 +337,31 @@
   CHECK(fleet.ended == 100);
 }
 
+/// Guards against calls that wait at a store which has forgotten what they ask
+/// for: changes stayed unseen for as long as such a call waits.
+TEST_CASE("Entries notice at once that the store has forgotten its changes") {
+  RelayFleet fleet(100);
+  fleet.timeline.RunFor(milliseconds(700));
+  fleet.store.Compact();
+  fleet.timeline.RunFor(kAnswerWithin + milliseconds(500));
+  CHECK(fleet.ended == 100);  // Whoever owns a watch that ends lists anew.
+}
+
+/// Guards against hundreds of calls, each in place of one that broke at a
+/// relay.
+TEST_CASE("A call of a relay that breaks is made again by the relay alone") {
+  RelayFleet fleet(300);
+  fleet.timeline.RunFor(milliseconds(700));
+  const std::uint64_t calls = fleet.store.calls;
+  fleet.store.BreakWaiting();
+  fleet.timeline.RunFor(milliseconds(500));
+  CHECK(fleet.store.calls - calls <= 2 * kDomains);
+  fleet.store.Change();
+  fleet.timeline.RunFor(seconds(2));
+  CHECK(fleet.Behind() == 0);
+  CHECK(fleet.ended == 0);
+}
+
 /// Guards against an entry that comes late and makes the relay forget what the
 /// others need.
 TEST_CASE("Entries that are behind are told all that they lack") {
--- a/tests/support/watch_world.h
+++ b/tests/support/watch_world.h
@@ -61,6 +61,13 @@
       });
       return;
     }
+    if (from < forgotten_before_) {
+      // As the platform's store does it: at once, or when the wait is over.
+      timeline_->After(wait + kStoreAnswerTime, [done = std::move(done)] {
+        done(Error{ErrorCode::kNotFound, "store.watch", "store", "forgotten"});
+      });
+      return;
+    }
     Waiting call{++next_id_, from, std::move(done)};
     if (from < changed_at.size()) {
       Answer(std::move(call));
@@ -70,6 +77,25 @@
     waiting_.push_back(std::move(call));
   }
 
+  /// Breaks all calls that wait.
+  void BreakWaiting() {
+    std::vector<Waiting> waiting;
+    waiting.swap(waiting_);
+    for (Waiting& it : waiting) {
+      timeline_->After(kStoreAnswerTime, [done = std::move(it.done)] {
+        done(Error{ErrorCode::kUnavailable, "store.watch", "store", "reset"});
+      });
+    }
+  }
+
+  /// Breaks all calls that wait, without telling them of one more change, and
+  /// forgets all changes until that one.
+  void Compact() {
+    changed_at.push_back(timeline_->now);
+    forgotten_before_ = changed_at.size();
+    BreakWaiting();
+  }
+
   /// When the change of version n + 1 was made.
   std::vector<TimePoint> changed_at;
   std::uint64_t calls = 0;
@@ -105,6 +131,7 @@
   Timeline* timeline_;
   std::vector<Waiting> waiting_;
   std::uint64_t next_id_ = 0;
+  std::uint64_t forgotten_before_ = 0;
 };
 
 }  // namespace indigolead::testing
