--- a/src/entry/relay_registration.cc
+++ b/src/entry/relay_registration.cc
@@ -1,5 +1,6 @@
 #include "entry/relay_registration.h"
 
+#include <algorithm>
 #include <charconv>
 #include <sstream>
 
--- a/src/entry/watch_relay.h
+++ b/src/entry/watch_relay.h
@@ -2,7 +2,6 @@
 #define INDIGOLEAD_ENTRY_WATCH_RELAY_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
