Stop a socket's monitor before its reader is closed

Cause: a goodbye, or a disconnect, closes the reader of a socket's transport events before the socket itself, which stays open for the goodbye's way. An event that comes in between is sent by ZeroMQ's thread to a queue without a reader, and waits there for ever. All links of the process are silent from then on. A stack trace of the stuck test shows the thread in zmq_msg_send below the engine's error path.

Now the monitor is stopped before its reader closes, and the reader's queue has no bound, at which the same thread would wait.

Ruled out: a lost wake-up of the router (each heartbeat sent reads it again), sides that choose other entries (64 for a region), a slow machine (the links were silent at all four sides in the same tick).

The stopped entry's test shows the answer and the other entry's log from now on.

--- a/src/wire/transport_monitor.cc
+++ b/src/wire/transport_monitor.cc
@@ -19,6 +19,7 @@
                                    zmq::context_t* context,
                                    zmq::socket_t* watched, OnEvent on_event)
     : socket_(std::make_shared<ZmqSocket>(io, context, zmq::socket_type::pair)),
+      watched_(watched),
       on_event_(std::move(on_event)) {
   // The address of the monitor's own socket is unique while it lives.
   const std::string address =
@@ -27,11 +28,18 @@
   zmq_socket_monitor(watched->handle(), address.c_str(),
                      kLostEvents | kRefusedEvents | kConnectedEvents);
   socket_->raw().set(zmq::sockopt::linger, 0);
+  // No bound: where the queue is full, ZeroMQ's thread waits to report.
+  socket_->raw().set(zmq::sockopt::rcvhwm, 0);
   socket_->raw().connect(address);
   socket_->Start([this] { return Drain(); });
 }
 
-TransportMonitor::~TransportMonitor() { socket_->Close(); }
+TransportMonitor::~TransportMonitor() {
+  // Before the reader of the reports goes: ZeroMQ's thread would wait for ever
+  // to report to nobody, and all connections of the process fall silent.
+  zmq_socket_monitor(watched_->handle(), nullptr, 0);
+  socket_->Close();
+}
 
 bool TransportMonitor::Drain() {
   // The callback may destroy this object, so the socket is kept alive here and
--- a/src/wire/transport_monitor.h
+++ b/src/wire/transport_monitor.h
@@ -21,7 +21,8 @@
   /// `on_event` gets the descriptor of the connection where there is one.
   using OnEvent = std::function<void(Event, std::uint32_t descriptor)>;
 
-  /// Watches `watched`; call before it is bound or connected.
+  /// Watches `watched`, which must outlive this object and be open until then;
+  /// call before it is bound or connected.
   TransportMonitor(boost::asio::io_context* io, zmq::context_t* context,
                    zmq::socket_t* watched, OnEvent on_event);
   ~TransportMonitor();
@@ -33,6 +34,7 @@
   void Report(const zmq::message_t& frame);
 
   std::shared_ptr<ZmqSocket> socket_;
+  zmq::socket_t* watched_;
   OnEvent on_event_;
 };
 
--- a/tests/process/path_faults_test.cc
+++ b/tests/process/path_faults_test.cc
@@ -125,7 +125,9 @@
     CHECK(TokensInOrder(got.body) == kTokens);
     CHECK_THAT(got.body, Contains("[DONE]"));
     CHECK(fleet.entry(0).WaitForExit(kPatience) == 0);
-    CHECK(fleet.Complete(1, "next caller").status == 200);
+    const HttpAnswer next = fleet.Complete(1, "next caller");
+    INFO("body: " << next.body << "\nentry 1: " << fleet.entry(1).output());
+    CHECK(next.status == 200);
   }
 
   SECTION("of a side: the stream ends whole, new work goes elsewhere") {
--- a/tests/wire/links_test.cc
+++ b/tests/wire/links_test.cc
@@ -170,6 +170,31 @@
   }
 }
 
+/// Guards against a planned stop of one peer that silences the links to all
+/// others.
+TEST_CASE("A peer that leaves takes no other link with it") {
+  constexpr std::uint64_t kRounds = 100;
+  boost::asio::io_context io;
+  Peer steady(&io, "steady", 1);
+  Peer hub(&io, "hub", 2);
+  hub.links->Connect(steady.links->bound_address());
+  REQUIRE(RunUntil(&io, [&] { return steady.up.size() == 1; }));
+  for (std::uint64_t n = 0; n < kRounds; ++n) {
+    INFO("round " << n);
+    Peer leaver(&io, "leaver-" + std::to_string(n), 10 + n);
+    hub.links->Connect(leaver.links->bound_address());
+    leaver.links->Connect(hub.links->bound_address());
+    REQUIRE(RunUntil(&io, [&] { return leaver.up.size() == 2; }));
+    leaver.links->Stop("planned stop");
+    REQUIRE(RunUntil(&io, [&] { return hub.up.size() == 1; }));
+    hub.links->Disconnect(leaver.links->bound_address());
+    const int heartbeats = hub.heartbeats;
+    REQUIRE(RunUntil(&io, [&] { return hub.heartbeats > heartbeats; }));
+  }
+  CHECK(hub.up.begin()->second == "steady");
+  CHECK(steady.downs.empty());
+}
+
 // The caller's stream stalls because the process at the other end was stopped
 // (SIGSTOP, a hung host): the transport stays open and reports nothing. The
 // silence timeout closes the link at the opener, which dials on; when the
