Keep the addresses of a test's processes reserved

A port was asked of the system, closed, and named to a process that starts after a dozen other sockets have taken ports: measured by itself, 7 of 4,000 such sequences give a port out twice, and the process tests make some hundred of them. 32 runs of the failed test passed, so that this was the cause there is not shown; from now on the output of an entry that is not ready is.

The port stays bound by a socket that never listens.

--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -1,9 +1,5 @@
 #include "tests/platform/support/platform_scene.h"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -12,19 +8,6 @@
 
 namespace indigolead::testing {
 
-std::string FreeAddress() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  REQUIRE(bind(fd, generic, length) == 0);
-  REQUIRE(getsockname(fd, generic, &length) == 0);
-  close(fd);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 nlohmann::json MakeRoute(const std::string& name, const std::string& prefix,
                          const std::string& kind, const std::string& service) {
   return {{"name", name},     {"host", "127.0.0.1"}, {"path-prefix", prefix},
@@ -64,7 +47,9 @@
       WriteSettings("front-1", callers_address, ready_address, reports_usage);
   setenv("INDIGOLEAD_BOOT", settings_.c_str(), 1);
   StartEntry();
-  REQUIRE(WaitUntil([&] { return Ready(); }));
+  const bool ready = WaitUntil([&] { return Ready(); });
+  INFO("the entry's output: " << entry->output());
+  REQUIRE(ready);
   // Until it has counted the entries it makes next to no further attempts.
   REQUIRE(
       WaitUntil([&] { return Metric("indigolead_entries_counted") == "1"; }));
@@ -270,7 +255,7 @@
       << "\nzone=bilbao-a\nregion=norte\nlisten.front=" << callers
       << "\nlisten.ready=" << ready
       << "\nplatform.address=" << store_path.address()
-      << "\nip=127.0.0.1\nport-range=" << PortOf(FreeAddress())
+      << "\nip=127.0.0.1\nport-range=" << PortOf(ReserveAddress())
       << "\nlimits.max-fds=1000\nbounds.grace-s=8\nbounds.lease-ms=500\n"
          "bounds.contact-ms=3000\nbounds.retry-budget-ratio=0.2\n";
   if (reports_usage) {
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -15,12 +15,10 @@
 #include "tests/platform/support/usage_receiver.h"
 #include "tests/support/http_call.h"
 #include "tests/support/process.h"
+#include "tests/support/reserved_address.h"
 
 namespace indigolead::testing {
 
-/// Returns "127.0.0.1:PORT" with a port that was free a moment ago.
-std::string FreeAddress();
-
 /// Returns one route of a configuration, as the operator writes it.
 nlohmann::json MakeRoute(const std::string& name, const std::string& prefix,
                          const std::string& kind, const std::string& service);
@@ -50,9 +48,9 @@
     std::string Metric(const std::string& name) const;
 
     std::string settings;
-    std::string callers_address = FreeAddress();
-    std::string ready_address = FreeAddress();
-    std::string metrics_address = FreeAddress();
+    std::string callers_address = ReserveAddress();
+    std::string ready_address = ReserveAddress();
+    std::string metrics_address = ReserveAddress();
     std::optional<Process> process;
   };
 
@@ -96,9 +94,9 @@
   MetadataStore store;
   standins::RelayServer store_path{0, store.address()};
   std::deque<ModelWorker> workers;
-  std::string callers_address = FreeAddress();
-  std::string ready_address = FreeAddress();
-  std::string metrics_address = FreeAddress();
+  std::string callers_address = ReserveAddress();
+  std::string ready_address = ReserveAddress();
+  std::string metrics_address = ReserveAddress();
   std::optional<Process> entry;
   std::deque<FurtherEntry> further;
 
