Relay what changed when the store forgets its changes

An entry that relays now lists once when the store has forgotten its changes, and tells all who ask how the list differs from what it knew itself. Whoever stands between the two versions, told by the store directly, lists for itself as before, and so do all if the relay cannot list or its own knowledge is not that of the last change kept.

Tested over 50 to 1,000 entries: lists at most one a domain, six calls a domain in all, nobody behind; without the change the test has every entry's watch end. The test that all watches end became two: they are told what they missed, and where no relay can list all end as before. The store of the tests has objects now, and an entry counts as behind if its copy differs from them.

Changes told together may bear one version, which a copy takes now.

--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -107,6 +107,11 @@
     1050, "watch-relay-failed", EventSeverity::kWarning,
     "The entry that relays the store's changes did not answer, or could not."};
 
+inline constexpr EventInfo kRelayLists{
+    1052, "watch-relay-lists", EventSeverity::kInfo,
+    "The store has forgotten its changes; this entry lists what it relays, and "
+    "tells the others what has changed."};
+
 inline constexpr EventInfo kRelayNotListening{
     1051, "watch-relay-not-listening", EventSeverity::kError,
     "Other entries cannot ask this one to relay the store's changes."};
--- a/src/entry/watch_relay.cc
+++ b/src/entry/watch_relay.cc
@@ -22,16 +22,26 @@
           "indigolead_watch_relay_failures_total",
           "Times the entry that relays the store's changes failed this one.")) {
   for (const std::string& it : options_.prefixes) {
-    feeds_[it] = std::make_unique<WatchFeed>(
-        options_.feed,
-        [this, it](std::uint64_t from, Duration wait,
-                   PolledWatch::PollDone done) {
-          hooks_.call(it, from, wait, std::move(done));
-        },
-        clock, run_after);
+    feeds_[it] = std::make_unique<WatchFeed>(options_.feed, FeedHooks(it),
+                                             clock, run_after);
   }
 }
 
+WatchFeed::Hooks WatchRelay::FeedHooks(const std::string& prefix) {
+  WatchFeed::Hooks hooks;
+  hooks.poll = [this, prefix](std::uint64_t from, Duration wait,
+                              PolledWatch::PollDone done) {
+    hooks_.call(prefix, from, wait, std::move(done));
+  };
+  hooks.list = [this,
+                prefix](ObjectStore::Callback<ObjectStore::Listing> done) {
+    log_(kRelayLists, {{"prefix", prefix}});
+    hooks_.list(prefix, std::move(done));
+  };
+  hooks.known = [this, prefix] { return hooks_.known(prefix); };
+  return hooks;
+}
+
 WatchRelay::~WatchRelay() = default;
 
 void WatchRelay::OnEntries(const std::vector<RelayCandidate>& entries) {
--- a/src/entry/watch_relay.h
+++ b/src/entry/watch_relay.h
@@ -37,6 +37,12 @@
     std::function<void(const std::string& prefix, std::uint64_t from,
                        Duration wait, PolledWatch::PollDone done)>
         call;
+    /// Reads all objects below `prefix`, not stale.
+    std::function<void(const std::string& prefix,
+                       ObjectStore::Callback<ObjectStore::Listing> done)>
+        list;
+    /// Returns what this entry knows of the objects below `prefix`.
+    std::function<ObjectStore::Listing(const std::string& prefix)> known;
     /// Sends a question to the entry at `address`; false if it cannot be.
     std::function<bool(const std::string& address, std::uint64_t number,
                        const std::string& prefix, std::uint64_t from)>
@@ -93,6 +99,7 @@
     PolledWatch::PollDone done;
   };
 
+  WatchFeed::Hooks FeedHooks(const std::string& prefix);
   void AskEarly();
   bool AskOther(const RelayCandidate& relay, const std::string& prefix,
                 std::uint64_t from, PolledWatch::PollDone done);
--- a/src/store/list_watcher.cc
+++ b/src/store/list_watcher.cc
@@ -30,6 +30,15 @@
   return following() ? watch_->known_until(clock_()) : followed_until_;
 }
 
+ObjectStore::Listing ListWatcher::Known() const {
+  ObjectStore::Listing known;
+  known.version = std::max(version_, watch_ ? watch_->told_version() : 0);
+  for (const auto& [key, object] : state_) {
+    known.objects.push_back(object);
+  }
+  return known;
+}
+
 void ListWatcher::List() {
   CallOptions options = options_.list;
   options.may_be_stale = options_.first_may_be_stale && !listed_;
@@ -91,8 +100,10 @@
 void ListWatcher::OnEvents(const std::vector<WatchEvent>& events) {
   failures_ = 0;
   bool changed = false;
+  // Changes that are told together may bear the same version.
+  const std::uint64_t known = version_;
   for (const WatchEvent& it : events) {
-    changed = Apply(it) || changed;
+    changed = Apply(it, known) || changed;
   }
   // Once for all of them: whoever reads the whole state does so for each call.
   if (changed) {
@@ -100,11 +111,11 @@
   }
 }
 
-bool ListWatcher::Apply(const WatchEvent& event) {
-  if (event.version <= version_) {
+bool ListWatcher::Apply(const WatchEvent& event, std::uint64_t known) {
+  if (event.version <= known) {
     return false;
   }
-  version_ = event.version;
+  version_ = std::max(version_, event.version);
   if (event.value) {
     state_[event.key] = StoredObject{event.key, *event.value, event.version};
   } else {
--- a/src/store/list_watcher.h
+++ b/src/store/list_watcher.h
@@ -63,6 +63,9 @@
 
   const State& state() const { return state_; }
 
+  /// Returns the state with the version up to which every change is in it.
+  ObjectStore::Listing Known() const;
+
   /// Returns the store-wide version up to which the state is known; 0 before
   /// the first listing.
   std::uint64_t version() const { return version_; }
@@ -81,7 +84,7 @@
   void TakeListing(const ObjectStore::Listing& listing);
   void StartWatch();
   void OnEvents(const std::vector<WatchEvent>& events);
-  bool Apply(const WatchEvent& event);
+  bool Apply(const WatchEvent& event, std::uint64_t known);
   void OnWatchEnd(const Error& error);
   void RetryLater(const Error& error);
 
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -91,6 +91,10 @@
     /// Returns up to when every change is known here, at the time `now`. A
     /// watch that the store tells of each change at once knows all until `now`.
     virtual TimePoint known_until(TimePoint now) const { return now; }
+
+    /// Returns the version up to which every change has been told; 0 if the
+    /// watch does not count.
+    virtual std::uint64_t told_version() const { return 0; }
   };
 
   /// Takes changes that one answer told, in order; there is at least one.
--- a/src/store/polled_watch.h
+++ b/src/store/polled_watch.h
@@ -51,6 +51,7 @@
   PolledWatch& operator=(const PolledWatch&) = delete;
 
   TimePoint known_until(TimePoint now) const override;
+  std::uint64_t told_version() const override { return version_; }
 
  private:
   void Poll();
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -18,6 +18,7 @@
   TimePoint known_until(TimePoint now) const override {
     return watch_.known_until(now);
   }
+  std::uint64_t told_version() const override { return watch_.told_version(); }
 
  private:
   std::unique_ptr<RelayedPolls> polls_;
--- a/src/store/watch_feed.cc
+++ b/src/store/watch_feed.cc
@@ -1,14 +1,17 @@
 #include "store/watch_feed.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
+#include "store/listing_changes.h"
+
 namespace indigolead {
 
-WatchFeed::WatchFeed(const Options& options, Poll poll, Clock clock,
+WatchFeed::WatchFeed(const Options& options, Hooks hooks, Clock clock,
                      RunAfter run_after)
     : options_(options),
-      poll_(std::move(poll)),
+      hooks_(std::move(hooks)),
       clock_(std::move(clock)),
       run_after_(std::move(run_after)),
       called_at_(clock_() - options.least_gap),
@@ -59,11 +62,12 @@
 void WatchFeed::CallFrom(std::uint64_t from, Duration wait) {
   called_from_ = from;
   called_at_ = clock_();
-  poll_(from, wait, [this, alive = alive_](const Result<WatchBatch>& answer) {
-    if (*alive) {
-      OnAnswer(answer);
-    }
-  });
+  hooks_.poll(from, wait,
+              [this, alive = alive_](const Result<WatchBatch>& answer) {
+                if (*alive) {
+                  OnAnswer(answer);
+                }
+              });
 }
 
 void WatchFeed::OnAnswer(const Result<WatchBatch>& answer) {
@@ -73,12 +77,49 @@
     CallFrom(called_from_, Duration{0});
     return;
   }
+  if (forgotten && !rewound_) {
+    ListAnew(ErrorOf(answer));
+    return;
+  }
   planned_ = false;
   if (!IsOk(answer)) {
     OnFailed(ErrorOf(answer));
     return;
   }
   Keep(ValueOf(answer));
+  AnswerAll();
+}
+
+void WatchFeed::ListAnew(const Error& error) {
+  hooks_.list([this, alive = alive_,
+               error](const Result<ObjectStore::Listing>& result) {
+    if (*alive) {
+      OnListed(result, error);
+    }
+  });
+}
+
+void WatchFeed::OnListed(const Result<ObjectStore::Listing>& result,
+                         const Error& error) {
+  planned_ = false;
+  const ObjectStore::Listing known = hooks_.known();
+  // What this process knows is a measure only as of the last change kept.
+  if (!IsOk(result) || known.version != version_ ||
+      ValueOf(result).version < version_) {
+    OnFailed(error);
+    return;
+  }
+  const std::vector<WatchEvent> changes =
+      ChangesBetween(known, ValueOf(result));
+  events_.assign(changes.begin(), changes.end());
+  kept_from_ = version_;
+  version_ = ValueOf(result).version;
+  gap_until_ = version_;
+  Trim();
+  AnswerAll();
+}
+
+void WatchFeed::AnswerAll() {
   // Whoever is behind what was read came during the call.
   const auto behind = std::stable_partition(
       questions_.begin(), questions_.end(),
@@ -126,22 +167,33 @@
   events_.clear();
   version_ = 0;
   kept_from_ = 0;
+  gap_until_ = 0;
 }
 
 void WatchFeed::Keep(const WatchBatch& batch) {
   if (rewound_) {
     events_.clear();
     kept_from_ = called_from_;
+    gap_until_ = 0;
   }
   events_.insert(events_.end(), batch.events.begin(), batch.events.end());
   version_ = std::max(version_, batch.version);
+  Trim();
+}
+
+void WatchFeed::Trim() {
   while (events_.size() > options_.max_events) {
     kept_from_ = events_.front().version;
     events_.pop_front();
   }
 }
 
-WatchBatch WatchFeed::AnswerTo(const Question& question) const {
+Result<WatchBatch> WatchFeed::AnswerTo(const Question& question) const {
+  if (question.from > kept_from_ && question.from < gap_until_) {
+    return Error{ErrorCode::kNotFound, "relay.feed", "",
+                 "changes after version " + std::to_string(question.from) +
+                     " are known by their outcome only"};
+  }
   WatchBatch batch;
   const auto first = std::find_if(
       events_.begin(), events_.end(),
--- a/src/store/watch_feed.h
+++ b/src/store/watch_feed.h
@@ -22,7 +22,11 @@
 /// that breaks is made once more at once, without waiting for changes, before
 /// all who asked are told so: each of them would make one of its own.
 ///
-/// Runs on the thread of its store.
+/// A store that has forgotten its changes is listed once, and all who asked are
+/// told how the list differs from what this process knew. Hundreds of entries
+/// would each list everything otherwise, in the same moment.
+///
+/// Runs on the thread of its store. Memory: the changes kept.
 class WatchFeed {
  public:
   struct Options {
@@ -36,12 +40,20 @@
 
     friend bool operator==(const Options&, const Options&) = default;
   };
-  /// Makes one call of the store that waits for changes after `from`, for
-  /// `wait` at most. Must not answer from inside the call.
-  using Poll = std::function<void(std::uint64_t from, Duration wait,
-                                  PolledWatch::PollDone done)>;
+  struct Hooks {
+    /// Makes one call of the store that waits for changes after `from`, for
+    /// `wait` at most. Must not answer from inside the call.
+    std::function<void(std::uint64_t from, Duration wait,
+                       PolledWatch::PollDone done)>
+        poll;
+    /// Reads all objects, not stale. Must not answer from inside the call.
+    std::function<void(ObjectStore::Callback<ObjectStore::Listing> done)> list;
+    /// Returns what this process knows of the objects.
+    std::function<ObjectStore::Listing()> known;
+  };
 
-  WatchFeed(const Options& options, Poll poll, Clock clock, RunAfter run_after);
+  WatchFeed(const Options& options, Hooks hooks, Clock clock,
+            RunAfter run_after);
   ~WatchFeed();
   WatchFeed(const WatchFeed&) = delete;
   WatchFeed& operator=(const WatchFeed&) = delete;
@@ -62,20 +74,27 @@
   void CallFrom(std::uint64_t from, Duration wait);
   void OnAnswer(const Result<WatchBatch>& answer);
   void OnFailed(const Error& error);
+  void ListAnew(const Error& error);
+  void OnListed(const Result<ObjectStore::Listing>& result, const Error& error);
   void Keep(const WatchBatch& batch);
+  void Trim();
   void Forget();
-  WatchBatch AnswerTo(const Question& question) const;
+  void AnswerAll();
+  Result<WatchBatch> AnswerTo(const Question& question) const;
   std::uint64_t LeastAsked() const;
 
   Options options_;
-  Poll poll_;
+  Hooks hooks_;
   Clock clock_;
   RunAfter run_after_;
   std::vector<Question> questions_;
   std::deque<WatchEvent> events_;
   std::uint64_t kept_from_ = 0;  ///< All changes after it are in `events_`.
-  std::uint64_t version_ = 0;    ///< Up to which they are; 0: nothing is known.
-  bool planned_ = false;         ///< A call is planned or in flight.
+  /// What happened after `kept_from_` and before this is known by its outcome
+  /// only, which says nothing to whoever stands in between.
+  std::uint64_t gap_until_ = 0;
+  std::uint64_t version_ = 0;  ///< Up to which they are; 0: nothing is known.
+  bool planned_ = false;       ///< A call is planned or in flight.
   TimePoint called_at_{};
   std::uint64_t called_from_ = 0;
   /// The call reads again what was forgotten, for an asker that is behind.
--- a/tests/shell/watch_relay_fleet_test.cc
+++ b/tests/shell/watch_relay_fleet_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "entry/watch_relay.h"
+#include "store/listing_changes.h"
 #include "store/relayed_store.h"
 #include "tests/support/watch_world.h"
 
@@ -39,6 +41,7 @@
 
   /// `listed_after` its start each entry learns of the others.
   explicit RelayFleet(std::size_t entries, Duration listed_after = {}) {
+    store.Change();  // No store is at version 0.
     std::vector<RelayCandidate> listed;
     for (std::size_t it = 0; it < entries; ++it) {
       nodes_.push_back(std::make_unique<Node>());
@@ -63,6 +66,9 @@
     }
   }
 
+  /// The store refuses the lists that the entry asks for, and no other call.
+  void CannotList(std::size_t entry) { nodes_[entry]->cannot_list = true; }
+
   /// Returns the entry that relays to the entry `follower`.
   std::size_t RelayOf(std::size_t follower) const {
     return nodes_[follower]->asked;
@@ -91,7 +97,8 @@
   std::size_t Behind() const {
     return static_cast<std::size_t>(
         std::count_if(nodes_.begin(), nodes_.end(), [this](const auto& it) {
-          return it->watch && it->version < store.changed_at.size();
+          return it->watch && (it->version < store.changed_at.size() ||
+                               it->objects != store.objects);
         }));
   }
 
@@ -119,8 +126,10 @@
     std::unique_ptr<RelayedStore> relayed;
     std::unique_ptr<ObjectStore::Watch> watch;
     Trouble trouble = Trouble::kNone;
+    bool cannot_list = false;
     std::uint64_t version = 0;
-    std::size_t asked = 0;  ///< The entry asked last.
+    std::map<std::string, std::string> objects;  ///< As told so far.
+    std::size_t asked = 0;                       ///< The entry asked last.
   };
 
   static std::string NameOf(std::size_t entry) {
@@ -154,6 +163,31 @@
     store.Poll(from, wait, std::move(done));
   }
 
+  void List(std::size_t entry,
+            ObjectStore::Callback<ObjectStore::Listing> done) {
+    const Node& node = *nodes_[entry];
+    if (node.cannot_list || node.trouble == Trouble::kTurnedAway ||
+        node.trouble == Trouble::kCut) {
+      ++store.calls;
+      timeline.After(milliseconds(700), [done = std::move(done)] {
+        done(Error{ErrorCode::kUnavailable, "store.list", "store", "away"});
+      });
+      return;
+    }
+    store.List(std::move(done));
+  }
+
+  /// What the entry knows of the list.
+  ObjectStore::Listing Known(std::size_t entry) const {
+    const Node& node = *nodes_[entry];
+    ObjectStore::Listing known;
+    known.version = std::max(node.version, node.watch->told_version());
+    for (const auto& [key, value] : node.objects) {
+      known.objects.push_back({key, value, known.version});
+    }
+    return known;
+  }
+
   bool Heard(std::size_t from, std::size_t to) const {
     const auto speaks = [this](std::size_t entry) {
       const Trouble trouble = nodes_[entry]->trouble;
@@ -174,6 +208,12 @@
                                Duration wait, PolledWatch::PollDone done) {
       Call(entry, from, wait, std::move(done));
     };
+    hooks.list = [this, entry](
+                     const std::string&,
+                     ObjectStore::Callback<ObjectStore::Listing> done) {
+      List(entry, std::move(done));
+    };
+    hooks.known = [this, entry](const std::string&) { return Known(entry); };
     hooks.ask = [this, entry](const std::string& address, std::uint64_t number,
                               const std::string& prefix, std::uint64_t from) {
       const std::size_t to = std::stoul(address);
@@ -225,23 +265,33 @@
   void Start(std::size_t entry) {
     Node& node = *nodes_[entry];
     node.version = store.changed_at.size();
+    node.objects = store.objects;
     node.watch = node.relayed->StartWatch(
         kPrefix, node.version,
         [this, &node](const std::vector<WatchEvent>& events) {
+          const std::uint64_t known = node.version;
           for (const WatchEvent& it : events) {
-            if (it.version > node.version) {
-              const TimePoint changed_at = store.changed_at[it.version - 1];
-              if (node.trouble == Trouble::kNone) {
-                longest_unseen =
-                    std::max(longest_unseen, timeline.now - changed_at);
-              }
-              node.version = it.version;
+            if (it.version > known) {
+              Take(&node, it);
             }
           }
         },
         [this](const Error&) { ++ended; });
   }
 
+  void Take(Node* node, const WatchEvent& event) {
+    const TimePoint changed_at = store.changed_at[event.version - 1];
+    if (node->trouble == Trouble::kNone) {
+      longest_unseen = std::max(longest_unseen, timeline.now - changed_at);
+    }
+    node->version = event.version;
+    if (event.value) {
+      node->objects[event.key] = *event.value;
+    } else {
+      node->objects.erase(event.key);
+    }
+  }
+
   MetricsRegistry metrics_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::mt19937 random_{20261203};
@@ -342,9 +392,48 @@
 TEST_CASE("Entries notice at once that the store has forgotten its changes") {
   RelayFleet fleet(100);
   fleet.timeline.RunFor(milliseconds(700));
-  fleet.store.Compact();
-  fleet.timeline.RunFor(kAnswerWithin + milliseconds(500));
-  CHECK(fleet.ended == 100);  // Whoever owns a watch that ends lists anew.
+
+  SECTION("and are told what they have missed") {
+    fleet.store.Compact();
+    fleet.timeline.RunFor(kAnswerWithin + milliseconds(500));
+    CHECK(fleet.Behind() == 0);
+    CHECK(fleet.ended == 0);
+  }
+  SECTION("or that they must list, where those that relay cannot") {
+    for (std::size_t it = 0; it < 100; ++it) {
+      fleet.CannotList(it);
+    }
+    fleet.store.Compact();
+    fleet.timeline.RunFor(kAnswerWithin + milliseconds(500));
+    CHECK(fleet.ended == 100);  // Whoever owns a watch that ends lists anew.
+  }
+}
+
+/// Guards against hundreds of whole lists in one moment, when the store forgets
+/// its changes.
+TEST_CASE("A store that forgets its changes is listed once for each domain") {
+  for (const std::size_t entries : {50, 100, 300, 1000}) {
+    INFO(entries << " entries");
+    RelayFleet fleet(entries);
+    for (const int unseen : {1, 40, 0}) {
+      INFO(unseen << " changes unseen");
+      fleet.Swarm(8, seconds(5));
+      fleet.timeline.RunFor(milliseconds(700));
+      const std::uint64_t lists = fleet.store.lists;
+      const std::uint64_t calls = fleet.store.calls;
+      fleet.longest_unseen = Duration{0};
+      fleet.store.Compact(unseen);
+      fleet.timeline.RunFor(kAnswerWithin + milliseconds(500));
+      CHECK(fleet.Behind() == 0);
+      CHECK(fleet.longest_unseen <= kAnswerWithin + milliseconds(500));
+      CHECK(fleet.store.lists - lists <= kDomains);
+      CHECK(fleet.store.calls - calls <= 6 * kDomains);
+    }
+    fleet.Swarm(8, seconds(5));
+    fleet.timeline.RunFor(seconds(2));
+    CHECK(fleet.Behind() == 0);
+    CHECK(fleet.ended == 0);
+  }
 }
 
 /// Guards against hundreds of calls, each in place of one that broke at a
@@ -370,11 +459,18 @@
   for (int n = 0; n < 50; ++n) {
     store.Change();
   }
+  ObjectStore::Listing known = store.Listed();
+  WatchFeed::Hooks hooks;
+  hooks.poll = [&store](std::uint64_t from, Duration wait,
+                        PolledWatch::PollDone done) {
+    store.Poll(from, wait, std::move(done));
+  };
+  hooks.list = [&store](ObjectStore::Callback<ObjectStore::Listing> done) {
+    store.List(std::move(done));
+  };
+  hooks.known = [&known] { return known; };
   WatchFeed feed(
-      {kLeastGap, kAnswerWithin, 4096},
-      [&store](std::uint64_t from, Duration wait, PolledWatch::PollDone done) {
-        store.Poll(from, wait, std::move(done));
-      },
+      {kLeastGap, kAnswerWithin, 4096}, std::move(hooks),
       [&timeline] { return timeline.now; },
       [&timeline](Duration delay, std::function<void()> task) {
         timeline.After(delay, std::move(task));
@@ -400,6 +496,27 @@
     timeline.RunFor(seconds(3));
     CHECK(told.back() == 0);
   }
+  SECTION("but for what is known by its outcome only") {
+    for (int n = 0; n < 5; ++n) {
+      store.Change();
+    }
+    store.Compact();
+    std::vector<std::string> answers;
+    const auto ask_from = [&](std::uint64_t from) {
+      feed.Ask(from, [&answers](const Result<WatchBatch>& answer) {
+        answers.push_back(IsOk(answer)
+                              ? std::to_string(ValueOf(answer).events.size())
+                              : ToString(ErrorOf(answer)));
+      });
+    };
+    ask_from(50);
+    ask_from(53);  // Told by the store itself in between.
+    timeline.RunFor(seconds(3));
+    REQUIRE(answers.size() == 2);
+    const auto changes = ChangesBetween(known, store.Listed());
+    CHECK(answers[0] == std::to_string(changes.size()));
+    CHECK_THAT(answers[1], Catch::Matchers::Contains("outcome only"));
+  }
 }
 
 }  // namespace
--- a/tests/support/watch_world.h
+++ b/tests/support/watch_world.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -38,14 +39,15 @@
   std::multimap<TimePoint, std::function<void()>> tasks_;
 };
 
-/// A store with one list. Each change bears the next version; a waiting call
-/// is answered when there is one, or when its wait is over.
+/// A store with one list of a few objects. Each change bears the next version
+/// and writes or removes one of them; a waiting call is answered when there is
+/// one, or when its wait is over.
 class ListStore {
  public:
   explicit ListStore(Timeline* timeline) : timeline_(timeline) {}
 
   void Change() {
-    changed_at.push_back(timeline_->now);
+    Make();
     std::vector<Waiting> waiting;
     waiting.swap(waiting_);
     for (Waiting& it : waiting) {
@@ -77,6 +79,29 @@
     waiting_.push_back(std::move(call));
   }
 
+  /// Reads all objects.
+  void List(ObjectStore::Callback<ObjectStore::Listing> done) {
+    ++calls;
+    ++lists;
+    timeline_->After(kStoreAnswerTime, [this, done = std::move(done)] {
+      if (down) {
+        done(Error{ErrorCode::kUnavailable, "store.list", "store", "down"});
+      } else {
+        done(Listed());
+      }
+    });
+  }
+
+  /// Returns all objects as they are now.
+  ObjectStore::Listing Listed() const {
+    ObjectStore::Listing listing;
+    listing.version = changed_at.size();
+    for (const auto& [key, value] : objects) {
+      listing.objects.push_back({key, value, listing.version});
+    }
+    return listing;
+  }
+
   /// Breaks all calls that wait.
   void BreakWaiting() {
     std::vector<Waiting> waiting;
@@ -88,20 +113,41 @@
     }
   }
 
-  /// Breaks all calls that wait, without telling them of one more change, and
-  /// forgets all changes until that one.
-  void Compact() {
-    changed_at.push_back(timeline_->now);
+  /// Breaks all calls that wait, without telling them of `unseen` changes more,
+  /// and forgets all changes until the last of these.
+  void Compact(int unseen = 1) {
+    for (int n = 0; n < unseen; ++n) {
+      Make();
+    }
     forgotten_before_ = changed_at.size();
     BreakWaiting();
   }
 
   /// When the change of version n + 1 was made.
   std::vector<TimePoint> changed_at;
+  std::map<std::string, std::string> objects;
   std::uint64_t calls = 0;
+  std::uint64_t lists = 0;
   bool down = false;
 
  private:
+  static constexpr std::uint64_t kObjects = 16;
+  /// One change in so many removes its object, if there is one.
+  static constexpr std::uint64_t kRemovals = 5;
+
+  void Make() {
+    changed_at.push_back(timeline_->now);
+    const std::uint64_t version = changed_at.size();
+    WatchEvent event{"targets/t" + std::to_string(version * 7 % kObjects),
+                     "value " + std::to_string(version), version};
+    if (version % kRemovals == 0 && objects.erase(event.key) > 0) {
+      event.value.reset();
+    } else {
+      objects[event.key] = *event.value;
+    }
+    events_.push_back(std::move(event));
+  }
+
   struct Waiting {
     std::uint64_t id = 0;
     std::uint64_t from = 0;
@@ -112,7 +158,7 @@
     WatchBatch batch;
     batch.version = changed_at.size();
     for (std::uint64_t it = call.from; it < batch.version; ++it) {
-      batch.events.push_back({"targets/t", "value", it + 1});
+      batch.events.push_back(events_[it]);
     }
     timeline_->After(kStoreAnswerTime,
                      [done = std::move(call.done), batch] { done(batch); });
@@ -129,6 +175,7 @@
   }
 
   Timeline* timeline_;
+  std::vector<WatchEvent> events_;  ///< Of version n + 1 each.
   std::vector<Waiting> waiting_;
   std::uint64_t next_id_ = 0;
   std::uint64_t forgotten_before_ = 0;
