Notice that a waiting call of a relay was dropped before its askers do

From the logs of 73 entries: the store drops the waiting calls without a word.

A call that is overdue by a twentieth of the bound, half of the time that askers allow for the way, is repeated without a wait. That leaves as much for the repeat and a list.

Second, found in the same logs at 12.9 s: a relay that had been avoided for ten seconds asked on from where it had stopped, was told that this is forgotten, and failed all 73 that asked it. It now goes on from what they ask for. And one whose first call meets a store that has forgotten lists as well, from what its own process knows.

The test over 50 to 1,000 entries plays calls that break and calls that are dropped in silence; without the overdue call all watches end in the latter.

--- a/src/store/watch_feed.cc
+++ b/src/store/watch_feed.cc
@@ -51,9 +51,12 @@
   const TimePoint first = questions_.front().asked_at;
   const Duration wait =
       std::max<Duration>(first + options_.answer_within - now, Duration{0});
+  const std::uint64_t least = LeastAsked();
+  if (least > version_) {
+    Forget();  // Nobody needs what was missed while nobody asked.
+  }
   // An asker that is behind what is kept: the changes are read once more, from
   // where it stands, for all that are.
-  const std::uint64_t least = LeastAsked();
   rewound_ = version_ == 0 || least < kept_from_;
   again_ = false;
   CallFrom(rewound_ ? least : version_, wait);
@@ -62,22 +65,35 @@
 void WatchFeed::CallFrom(std::uint64_t from, Duration wait) {
   called_from_ = from;
   called_at_ = clock_();
+  const std::uint64_t number = ++call_;
   hooks_.poll(from, wait,
-              [this, alive = alive_](const Result<WatchBatch>& answer) {
-                if (*alive) {
+              [this, alive = alive_, number](const Result<WatchBatch>& answer) {
+                if (*alive && number == call_) {
                   OnAnswer(answer);
                 }
               });
+  run_after_(wait + options_.overdue_after, [this, alive = alive_, number] {
+    if (*alive && number == call_ && !again_) {
+      Repeat();
+    }
+  });
+}
+
+void WatchFeed::Repeat() {
+  again_ = true;
+  CallFrom(called_from_, Duration{0});
 }
 
 void WatchFeed::OnAnswer(const Result<WatchBatch>& answer) {
+  ++call_;  // Its time is not looked at any more.
   const bool forgotten =
       !IsOk(answer) && ErrorOf(answer).code == ErrorCode::kNotFound;
-  if (!IsOk(answer) && !forgotten && !std::exchange(again_, true)) {
-    CallFrom(called_from_, Duration{0});
+  if (!IsOk(answer) && !forgotten && !again_) {
+    Repeat();
     return;
   }
-  if (forgotten && !rewound_) {
+  const bool nothing_kept = version_ == 0;
+  if (forgotten && (nothing_kept || !rewound_)) {
     ListAnew(ErrorOf(answer));
     return;
   }
@@ -104,15 +120,15 @@
   planned_ = false;
   const ObjectStore::Listing known = hooks_.known();
   // What this process knows is a measure only as of the last change kept.
-  if (!IsOk(result) || known.version != version_ ||
-      ValueOf(result).version < version_) {
+  const bool fits = version_ == 0 || known.version == version_;
+  if (!IsOk(result) || !fits || ValueOf(result).version < known.version) {
     OnFailed(error);
     return;
   }
   const std::vector<WatchEvent> changes =
       ChangesBetween(known, ValueOf(result));
   events_.assign(changes.begin(), changes.end());
-  kept_from_ = version_;
+  kept_from_ = known.version;
   version_ = ValueOf(result).version;
   gap_until_ = version_;
   Trim();
--- a/src/store/watch_feed.h
+++ b/src/store/watch_feed.h
@@ -35,6 +35,10 @@
     /// A question is answered within this, changes or not, while the store is
     /// well.
     Duration answer_within = std::chrono::milliseconds(600);
+    /// A call that is not answered for so long after its wait is taken for one
+    /// that broke: the store may drop a waiting call without a word. Well
+    /// before those who ask give up.
+    Duration overdue_after = std::chrono::milliseconds(200);
     /// Changes kept for askers that are behind.
     std::size_t max_events = 4096;
 
@@ -72,6 +76,7 @@
   void CallSoon();
   void Call();
   void CallFrom(std::uint64_t from, Duration wait);
+  void Repeat();
   void OnAnswer(const Result<WatchBatch>& answer);
   void OnFailed(const Error& error);
   void ListAnew(const Error& error);
@@ -95,6 +100,7 @@
   std::uint64_t gap_until_ = 0;
   std::uint64_t version_ = 0;  ///< Up to which they are; 0: nothing is known.
   bool planned_ = false;       ///< A call is planned or in flight.
+  std::uint64_t call_ = 0;     ///< Number of the call in flight.
   TimePoint called_at_{};
   std::uint64_t called_from_ = 0;
   /// The call reads again what was forgotten, for an asker that is behind.
--- a/tests/shell/watch_relay_fleet_test.cc
+++ b/tests/shell/watch_relay_fleet_test.cc
@@ -202,6 +202,7 @@
     options.choice.failure_domain = CandidateOf(entry).failure_domain;
     options.feed.least_gap = kLeastGap;
     options.feed.answer_within = kAnswerWithin;
+    options.feed.overdue_after = kBound / 20;
     options.prefixes = {kPrefix};
     WatchRelay::Hooks hooks;
     hooks.call = [this, entry](const std::string&, std::uint64_t from,
@@ -412,17 +413,18 @@
 /// Guards against hundreds of whole lists in one moment, when the store forgets
 /// its changes.
 TEST_CASE("A store that forgets its changes is listed once for each domain") {
+  const auto cut = GENERATE(ListStore::Cut::kBroken, ListStore::Cut::kSilent);
   for (const std::size_t entries : {50, 100, 300, 1000}) {
     INFO(entries << " entries");
     RelayFleet fleet(entries);
     for (const int unseen : {1, 40, 0}) {
       INFO(unseen << " changes unseen");
       fleet.Swarm(8, seconds(5));
-      fleet.timeline.RunFor(milliseconds(700));
+      fleet.timeline.RunFor(milliseconds(1500));  // Calls wait by then.
       const std::uint64_t lists = fleet.store.lists;
       const std::uint64_t calls = fleet.store.calls;
       fleet.longest_unseen = Duration{0};
-      fleet.store.Compact(unseen);
+      fleet.store.Compact(unseen, cut);
       fleet.timeline.RunFor(kAnswerWithin + milliseconds(500));
       CHECK(fleet.Behind() == 0);
       CHECK(fleet.longest_unseen <= kAnswerWithin + milliseconds(500));
@@ -451,6 +453,28 @@
   CHECK(fleet.ended == 0);
 }
 
+/// Guards against a relay that fails all who ask it again because of changes
+/// that were forgotten while nobody asked.
+TEST_CASE("A relay that nobody asked for a while goes on from what is asked") {
+  RelayFleet fleet(100);
+  constexpr std::size_t kFollower = 42;
+  fleet.Swarm(2, seconds(5));
+  const std::size_t relay = fleet.RelayOf(kFollower);
+  fleet.SetTrouble(relay, Trouble::kMute);
+  fleet.timeline.RunFor(seconds(3));
+  fleet.SetTrouble(relay, Trouble::kNone);
+  REQUIRE(fleet.RelayOf(kFollower) != relay);
+  fleet.store.Compact();
+  fleet.Swarm(2, seconds(5));
+  const std::uint64_t lists = fleet.store.lists;
+  const std::uint64_t calls = fleet.store.calls;
+  fleet.Swarm(2, seconds(15));
+  CHECK(fleet.RelayOf(kFollower) == relay);
+  CHECK(fleet.store.lists == lists);
+  CHECK(fleet.store.calls - calls <= kDomains * (seconds(15) / kLeastGap + 1));
+  CHECK(fleet.ended == 0);
+}
+
 /// Guards against an entry that comes late and makes the relay forget what the
 /// others need.
 TEST_CASE("Entries that are behind are told all that they lack") {
@@ -470,7 +494,7 @@
   };
   hooks.known = [&known] { return known; };
   WatchFeed feed(
-      {kLeastGap, kAnswerWithin, 4096}, std::move(hooks),
+      {kLeastGap, kAnswerWithin, kBound / 20, 4096}, std::move(hooks),
       [&timeline] { return timeline.now; },
       [&timeline](Duration delay, std::function<void()> task) {
         timeline.After(delay, std::move(task));
--- a/tests/support/watch_world.h
+++ b/tests/support/watch_world.h
@@ -70,7 +70,7 @@
       });
       return;
     }
-    Waiting call{++next_id_, from, std::move(done)};
+    Waiting call{++next_id_, from, timeline_->now + wait, std::move(done)};
     if (from < changed_at.size()) {
       Answer(std::move(call));
       return;
@@ -113,14 +113,26 @@
     }
   }
 
-  /// Breaks all calls that wait, without telling them of `unseen` changes more,
-  /// and forgets all changes until the last of these.
-  void Compact(int unseen = 1) {
+  /// How calls that wait are cut off.
+  enum class Cut { kBroken, kSilent };
+
+  /// Cuts off all calls that wait, without telling them of `unseen` changes
+  /// more, and forgets all changes until the last of these.
+  void Compact(int unseen = 1, Cut cut = Cut::kBroken) {
     for (int n = 0; n < unseen; ++n) {
       Make();
     }
     forgotten_before_ = changed_at.size();
-    BreakWaiting();
+    if (cut == Cut::kBroken) {
+      BreakWaiting();
+      return;
+    }
+    for (const Waiting& it : waiting_) {
+      timeline_->After(it.until + kSlack - timeline_->now, [done = it.done] {
+        done(Error{ErrorCode::kTimeout, "store.watch", "store", "silent"});
+      });
+    }
+    waiting_.clear();
   }
 
   /// When the change of version n + 1 was made.
@@ -131,6 +143,8 @@
   bool down = false;
 
  private:
+  /// A call without an answer is given up so long after its wait.
+  static constexpr Duration kSlack = std::chrono::milliseconds(700);
   static constexpr std::uint64_t kObjects = 16;
   /// One change in so many removes its object, if there is one.
   static constexpr std::uint64_t kRemovals = 5;
@@ -151,6 +165,7 @@
   struct Waiting {
     std::uint64_t id = 0;
     std::uint64_t from = 0;
+    TimePoint until{};
     PolledWatch::PollDone done;
   };
 
