Share relaying among as many thin entries as it takes

One entry of a failure domain relays to all others, the one with the most processor.

As many of the first entries relay as it takes for each to spend a tenth of its processor on it; an entry that does not relay chooses among them by hash. One with a whole core relays to 1,000, so nothing changes where there is one. Tested for 8 to 1,000 entries: one relay for each 90 thin ones, none with more than twice its part; before, one had all 1,000.

--- a/src/core/membership/relay_choice.cc
+++ b/src/core/membership/relay_choice.cc
@@ -22,6 +22,27 @@
             [&rank](const RelayCandidate& a, const RelayCandidate& b) {
               return rank(a) > rank(b);
             });
+  // Its own among those that relay, or one that is this entry's own choice.
+  const auto own_rank = [this](const RelayCandidate& it) {
+    return std::tuple(it.name == options_.own_name,
+                      RendezvousWeight(options_.own_name, it.name));
+  };
+  std::sort(ranked_.begin(),
+            ranked_.begin() + static_cast<std::ptrdiff_t>(RelaysNeeded()),
+            [&own_rank](const RelayCandidate& a, const RelayCandidate& b) {
+              return own_rank(a) > own_rank(b);
+            });
+}
+
+std::size_t RelayChoice::RelaysNeeded() const {
+  double followers = 0;
+  std::size_t relays = 0;
+  while (relays < ranked_.size() &&
+         followers < static_cast<double>(ranked_.size())) {
+    followers += options_.followers_per_core * ranked_[relays].processor;
+    ++relays;
+  }
+  return relays;
 }
 
 void RelayChoice::OnFailed(const std::string& name, TimePoint now) {
--- a/src/core/membership/relay_choice.h
+++ b/src/core/membership/relay_choice.h
@@ -25,10 +25,11 @@
 /// Chooses the entry that relays the store's changes to this one.
 ///
 /// The entries of a failure domain prefer the same one, that with the most
-/// processor, without asking anyone: they have the same list. A relay that
-/// failed is avoided for a while, and all who saw it fail move to the same next
-/// one. Nothing is relayed between failure domains, so each domain depends on
-/// none of the others.
+/// processor, without asking anyone: they have the same list. Where its
+/// processor does not suffice for all of them, as many of the next are shared
+/// among them as it takes. A relay that failed is avoided for a while, and all
+/// who saw it fail move on to the next one. Nothing is relayed between failure
+/// domains, so each domain depends on none of the others.
 class RelayChoice {
  public:
   struct Options {
@@ -37,6 +38,10 @@
     /// With fewer entries in the failure domain each reads the store itself,
     /// which is then no more calls than a relay makes.
     std::size_t least_entries = 8;
+    /// Entries to which one with a whole core may relay. Each takes up to a ten
+    /// thousandth of a core of it in swarms of changes, so that relaying is a
+    /// tenth of what the entry has.
+    double followers_per_core = 1000;
     /// A relay that failed is not asked again for so long at first, twice as
     /// long after each failure more. One that is gone stays listed for minutes,
     /// and each time it is asked delays what all others learn.
@@ -65,6 +70,8 @@
     Duration length{0};
   };
 
+  std::size_t RelaysNeeded() const;
+
   Options options_;
   std::vector<RelayCandidate> ranked_;      ///< Of the own domain, best first.
   std::map<std::string, Avoided> avoided_;  ///< Failed since they answered.
--- a/tests/core/membership/relay_choice_test.cc
+++ b/tests/core/membership/relay_choice_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -85,5 +86,42 @@
   }
 }
 
+/// Guards against an entry with little processor that relays to so many others
+/// that it serves no callers.
+TEST_CASE("No entry relays to more others than its processor allows") {
+  constexpr double kThin = 0.09;
+  constexpr std::size_t kMost = 90;  // A thousandth of its processor for each.
+  for (const std::size_t entries : {8, 50, 90, 100, 200, 400, 1000}) {
+    for (const bool has_whole_core : {false, true}) {
+      INFO(entries << " entries, one with a whole core: " << has_whole_core);
+      std::vector<RelayCandidate> listed;
+      for (std::size_t it = 0; it < entries; ++it) {
+        listed.push_back({"entry-" + std::to_string(it), "bilbao",
+                          "10.0.0.1:7380",
+                          it == 0 && has_whole_core ? 1.0 : kThin});
+      }
+      std::map<std::string, std::size_t> followers;
+      for (const RelayCandidate& it : listed) {
+        RelayChoice choice = ChoiceOf(it.name);
+        choice.OnEntries(listed);
+        const auto best = choice.Best(kStart);
+        REQUIRE(best);
+        ++followers[best->name];
+      }
+      // Few relays, none of which has much more than its part.
+      const std::size_t relays =
+          has_whole_core ? 1 : (entries + kMost - 1) / kMost;
+      CHECK(followers.size() == relays);
+      for (const auto& [name, n] : followers) {
+        CHECK(n <= 2 * entries / relays);
+        // Whoever relays asks no other.
+        RelayChoice choice = ChoiceOf(name);
+        choice.OnEntries(listed);
+        CHECK(choice.Best(kStart)->name == name);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
