Give the lease up even if a renewal is in flight at the stop

A planned stop asked once for the lease to be given up. Was a renewal on its way in that moment, nothing followed: the next holder waited for the lapse.

The ticks go on during the stop and ask again. The test fails without it: the lease still names the entry that stopped.

--- a/src/entry/stage_service.cc
+++ b/src/entry/stage_service.cc
@@ -135,6 +135,11 @@
 
 void StageService::Tick() {
   ended_.clear();
+  if (stopped_) {
+    // Again and again: a renewal that was in flight goes first.
+    lease_.Resign();
+    return;
+  }
   for (auto& [name, service] : services_) {
     TellEngines(&service);
   }
--- a/src/entry/stage_service.h
+++ b/src/entry/stage_service.h
@@ -68,9 +68,10 @@
   void OnLoad(const std::string& service, const RoleLoad& load);
   /// Takes the number of entries: how closely this one watches the lease.
   void OnEntries(std::size_t entries);
-  /// Drives lease and orders; call several times a second.
+  /// Drives lease and orders; call several times a second, after `Stop` too.
   void Tick();
-  /// Gives no further order and gives the lease up.
+  /// Gives no further order and gives the lease up, with the ticks that follow
+  /// if a call of the store is still open.
   void Stop();
   /// Returns the number under which this entry may act as the only one, if it
   /// may: it holds the lease, and what the holder before it did is over.
--- a/tests/shell/stage_service_test.cc
+++ b/tests/shell/stage_service_test.cc
@@ -130,6 +130,24 @@
     platform_.Poke("control/lease", EncodeLease(record), 0);
   }
 
+  /// Stops the entry while the store has not yet answered a renewal.
+  void StopAmidRenewal() {
+    const auto puts = [this] { return platform_.calls().at("put"); };
+    const std::uint64_t before = puts();
+    while (puts() == before) {
+      io_.poll();
+      io_.restart();
+      now_ += milliseconds(200);
+      service_.Tick();
+    }
+    service_.Stop();
+  }
+  /// Returns the name in the lease; empty if nobody holds it.
+  std::string Holder() const {
+    const auto lease = platform_.Peek("control/lease");
+    return ValueOf(DecodeLease(lease->value, lease->version)).holder;
+  }
+
   int orders = 0;
   bool silent = false;
 
@@ -213,6 +231,18 @@
   }
 }
 
+/// Guards against a lease that stays with an entry which has stopped: nobody
+/// gives orders or reports usage until it lapses.
+TEST_CASE("A planned stop gives the lease up, a renewal in flight or not") {
+  Scene scene;
+  scene.AddEngines(4, 2);
+  scene.RunFor(seconds(6), kHalfAnswers);
+  REQUIRE(scene.Holder() == "front-1");
+  scene.StopAmidRenewal();
+  scene.RunFor(milliseconds(600), kHalfAnswers);
+  CHECK(scene.Holder().empty());
+}
+
 // A thousand engines register within a second. An entry that passed the whole
 // list on for each of them would serve no caller meanwhile: a thin one has a
 // tenth of a core. Copies of an engine's record are counted by what they
