Renew and list registrations of entries by the size of the fleet

From 200 entries on an entry renews by the size of the fleet, so that all write no more than 200 do; it counts as gone after two and a half intervals, as before, and where the fleet shrinks its next renewal comes sooner. A list that shows nobody new doubles the time to the next one, from 2 s to 20 s, once it shows this entry's own registration: an older one says nothing of those that started with it. Tested with 30 to 300 entries, and with 400 that shrink to ten: nobody alive is taken for gone.

--- a/src/core/membership/entry_roster.cc
+++ b/src/core/membership/entry_roster.cc
@@ -8,19 +8,29 @@
 void EntryRoster::OnListed(const std::vector<RosterRecord>& listed,
                            TimePoint now) {
   std::map<std::string, Seen> seen;
+  std::size_t known_names = 0;
   for (const RosterRecord& it : listed) {
     const auto known = seen_.find(it.name);
-    const bool unchanged =
-        known != seen_.end() && known->second.version == it.version;
-    seen[it.name] = unchanged ? known->second : Seen{it.version, now, it.relay};
+    const bool renewed =
+        known == seen_.end() || known->second.version != it.version;
+    known_names += known != seen_.end() ? 1 : 0;
+    seen[it.name] = renewed ? Seen{it.version, now, it.relay} : known->second;
   }
+  unchanged_ =
+      listed_ && known_names == seen.size() && known_names == seen_.size();
   seen_ = std::move(seen);
   listed_ = true;
 }
 
+std::uint64_t EntryRoster::own_version() const {
+  const auto own = seen_.find(options_.own_name);
+  return own == seen_.end() ? 0 : own->second.version;
+}
+
 bool EntryRoster::IsLive(const std::string& name, const Seen& seen,
                          TimePoint now) const {
-  return name == options_.own_name || now - seen.since < options_.expire_after;
+  return name == options_.own_name ||
+         now - seen.since < options_.pace.ExpireAfter(seen_.size());
 }
 
 std::size_t EntryRoster::live(TimePoint now) const {
--- a/src/core/membership/entry_roster.h
+++ b/src/core/membership/entry_roster.h
@@ -10,6 +10,7 @@
 
 #include "core/base/time.h"
 #include "core/membership/relay_choice.h"
+#include "core/membership/roster_pace.h"
 
 namespace indigolead {
 
@@ -45,9 +46,7 @@
  public:
   struct Options {
     std::string own_name;
-    /// A registration that has not changed for so long is of an entry that is
-    /// gone: more than two renewals, and one list that was missed.
-    Duration expire_after = std::chrono::seconds(150);
+    RosterPace pace{};
   };
 
   explicit EntryRoster(Options options) : options_(std::move(options)) {}
@@ -58,6 +57,18 @@
   /// Returns true once a list was taken.
   bool listed() const { return listed_; }
 
+  /// Returns true if the last list named the same entries as the one before.
+  bool unchanged() const { return unchanged_; }
+
+  /// Returns the version of this entry's own registration as listed; 0 if it
+  /// was not.
+  std::uint64_t own_version() const;
+
+  /// Returns the longest time between two renewals of this entry.
+  Duration RenewInterval() const {
+    return options_.pace.RenewInterval(seen_.size());
+  }
+
   /// Returns the number of entries alive, this one among them. Errs on the high
   /// side: an entry that is gone counts until it expires.
   std::size_t live(TimePoint now) const;
@@ -85,6 +96,7 @@
   Options options_;
   std::map<std::string, Seen> seen_;
   bool listed_ = false;
+  bool unchanged_ = false;
 };
 
 }  // namespace indigolead
--- a/src/entry/roster_keeper.cc
+++ b/src/entry/roster_keeper.cc
@@ -17,26 +17,32 @@
       clock_(std::move(clock)),
       log_(std::move(log)),
       roster_(options_.roster),
-      started_at_(clock_()),
-      renew_at_(started_at_),
+      retry_at_(clock_()),
       list_at_(Later(options_.first_interval)),
+      settled_interval_(options_.first_interval),
       alive_(std::make_shared<bool>(true)) {}
 
 RosterKeeper::~RosterKeeper() { *alive_ = false; }
 
 TimePoint RosterKeeper::Later(Duration interval) const {
-  // From half to the whole interval: entries that started together part.
-  const double share = 0.5 + 0.5 * hooks_.jitter();
-  return clock_() + std::chrono::duration_cast<Duration>(interval * share);
+  return clock_() +
+         std::chrono::duration_cast<Duration>(interval * DrawShare());
 }
 
-bool RosterKeeper::settling() const {
-  return clock_() - started_at_ < options_.settling_time;
+// By the fleet as it is now: where it has shrunk, the others expect a renewal
+// sooner than they did when the last one was made.
+bool RosterKeeper::RenewalIsDue(TimePoint now) const {
+  if (!renewed_at_) {
+    return now >= retry_at_;
+  }
+  const auto rest = std::chrono::duration_cast<Duration>(
+      roster_.RenewInterval() * renew_share_);
+  return now >= *renewed_at_ + rest;
 }
 
 void RosterKeeper::Tick() {
   const TimePoint now = clock_();
-  if (!renewing_ && !stopped_ && now >= renew_at_) {
+  if (!renewing_ && !stopped_ && RenewalIsDue(now)) {
     Renew();
   }
   if (!listing_ && !stopped_ && now >= list_at_) {
@@ -72,12 +78,14 @@
     if (!roster_.listed()) {
       list_at_ = clock_();
     }
-    renew_at_ = Later(options_.renew_interval);
+    renewed_at_ = clock_();
+    renew_share_ = DrawShare();
     return;
   }
   const Error& error = ErrorOf(result);
   log_(kRosterCallFailed, {{"error", ToString(error)}});
-  renew_at_ = Later(options_.retry_interval);
+  renewed_at_.reset();
+  retry_at_ = Later(options_.retry_interval);
   if (error.code != ErrorCode::kConflict) {
     return;  // If it took effect after all, the next one conflicts.
   }
@@ -88,10 +96,13 @@
                   error.detail.data() + error.detail.size(), own_version_);
 }
 
-Duration RosterKeeper::ListInterval() const {
-  const Duration interval =
-      settling() ? options_.first_interval : options_.list_interval;
-  return closely_ ? std::min(interval, options_.close_interval) : interval;
+// A list without this entry's own registration is older than that, and shows
+// nothing of those that started with it.
+void RosterKeeper::Settle() {
+  const bool shows_start = own_version_ != 0 && roster_.own_version() != 0;
+  if (shows_start && roster_.unchanged()) {
+    settled_interval_ = std::min(2 * settled_interval_, options_.list_interval);
+  }
 }
 
 void RosterKeeper::ListClosely(bool closely) {
@@ -131,7 +142,10 @@
     records.push_back({name, it.version, DecodeRelay(name, it.value)});
   }
   roster_.OnListed(records, clock_());
-  list_at_ = Later(ListInterval());
+  Settle();
+  list_at_ =
+      Later(closely_ ? std::min(settled_interval_, options_.close_interval)
+                     : settled_interval_);
   DeleteExpired();
   Tell();
   TellView();
--- a/src/entry/roster_keeper.h
+++ b/src/entry/roster_keeper.h
@@ -16,9 +16,9 @@
 /// Registers this entry in the store, renews the registration, and reads how
 /// many others there are.
 ///
-/// Every entry makes one write in `renew_interval` and one read that may be
-/// stale in `list_interval`: 420 entries make 7 writes and 21 such reads a
-/// second. Lives on the thread of its store.
+/// Every entry makes one write in the time that the pace of its roster allows,
+/// and one read that may be stale in `list_interval`; after its start more, at
+/// first, until the list is settled. Lives on the thread of its store.
 class RosterKeeper {
  public:
   struct Options {
@@ -28,13 +28,12 @@
     /// This entry as one that relays the store's changes to others; its name is
     /// that of the roster. No address: it does not.
     RelayCandidate relay;
-    Duration renew_interval = std::chrono::seconds(60);
     Duration list_interval = std::chrono::seconds(20);
     /// While something is parted by the list of entries at every moment.
     Duration close_interval = std::chrono::seconds(2);
-    /// Most intervals are these after a start, when many entries come at once.
+    /// The first interval after a start, when many entries come at once. Each
+    /// list that shows nobody new doubles it.
     Duration first_interval = std::chrono::seconds(2);
-    Duration settling_time = std::chrono::seconds(10);
     Duration retry_interval = std::chrono::seconds(2);
     Duration call_deadline = std::chrono::milliseconds(1500);
   };
@@ -72,9 +71,11 @@
   void Tell();
   void TellRelays();
   void TellView();
-  Duration ListInterval() const;
+  bool RenewalIsDue(TimePoint now) const;
+  void Settle();
   TimePoint Later(Duration interval) const;
-  bool settling() const;
+  /// Returns a draw from [0.5, 1): entries that started together part.
+  double DrawShare() const { return 0.5 + 0.5 * hooks_.jitter(); }
 
   ObjectStore* store_;
   Options options_;
@@ -82,9 +83,12 @@
   Clock clock_;
   EventLog log_;
   EntryRoster roster_;
-  TimePoint started_at_;
-  TimePoint renew_at_;
+  /// When the registration was written; nothing before, or after a failure.
+  std::optional<TimePoint> renewed_at_;
+  double renew_share_ = 1;  ///< Of the interval, drawn anew for each renewal.
+  TimePoint retry_at_;      ///< Of a write that failed.
   TimePoint list_at_;
+  Duration settled_interval_;  ///< Grows to `list_interval`.
   bool renewing_ = false;
   bool listing_ = false;
   bool stopped_ = false;
--- a/tests/core/membership/entry_roster_test.cc
+++ b/tests/core/membership/entry_roster_test.cc
@@ -10,7 +10,7 @@
 using Records = std::vector<RosterRecord>;
 
 TEST_CASE("Entries are counted by registrations that change") {
-  EntryRoster roster({"b", seconds(150)});
+  EntryRoster roster({"b"});
   const TimePoint start{seconds(1000)};
 
   SECTION("before any list there is this one") {
--- a/tests/shell/roster_keeper_test.cc
+++ b/tests/shell/roster_keeper_test.cc
@@ -1,7 +1,11 @@
 #include "entry/roster_keeper.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
 
 #include "tests/support/fake_object_store.h"
 
@@ -122,6 +126,72 @@
   }
 }
 
+/// Guards against renewals that grow with the fleet: each is a write.
+TEST_CASE("A large fleet renews no more often than one of 200 entries") {
+  // The rate of 200 entries: a renewal in half of the interval to all of it.
+  constexpr double kMostWrites = 200 / 30.0;
+  for (const std::size_t entries : {30, 100, 200, 300}) {
+    INFO(entries << " entries");
+    Scene scene;
+    for (std::size_t n = 0; n < entries; ++n) {
+      scene.Add("front-" + std::to_string(n));
+    }
+    scene.Run(seconds(20));
+    const auto puts = scene.Calls("put");
+    const auto lists = scene.Calls("list");
+    scene.Run(seconds(240));
+    const auto n = static_cast<double>(entries);
+    CHECK(static_cast<double>(scene.Calls("put") - puts) <= 240 * kMostWrites);
+    CHECK(static_cast<double>(scene.Calls("list") - lists) <= n * 240 / 10);
+    for (const auto& it : scene.entries) {
+      CHECK(it->counts == std::vector<std::size_t>{entries});
+    }
+  }
+}
+
+/// Guards against entries that count too few others, since those renew at the
+/// pace of the larger fleet that they belonged to.
+TEST_CASE("A fleet that shrinks loses nobody who is alive") {
+  Scene scene;
+  for (int n = 0; n < 400; ++n) {
+    scene.Add("front-" + std::to_string(n));
+  }
+  scene.Run(seconds(130));
+  while (scene.entries.size() > 10) {
+    scene.entries.back()->keeper.Stop();
+    scene.Run(milliseconds(200));
+    scene.entries.pop_back();
+  }
+  std::size_t least = 400;
+  for (int n = 0; n < 600; ++n) {
+    scene.Run(seconds(1));
+    for (const auto& it : scene.entries) {
+      least = std::min(least, it->counts.back());
+    }
+  }
+  CHECK(least == 10);
+}
+
+/// Guards against a list of all entries each second at each of them, for as
+/// long as a start lasts.
+TEST_CASE("Entries that start together list each other a few times") {
+  constexpr std::size_t kEntries = 100;
+  Scene scene;
+  for (std::size_t n = 0; n < kEntries; ++n) {
+    scene.Add("front-" + std::to_string(n));
+  }
+  scene.Run(seconds(10));
+  CHECK(scene.Calls("list") <= 4 * kEntries);
+
+  SECTION("and find one that comes a little later") {
+    scene.Add("front-late");
+    scene.Run(seconds(20));
+    for (const auto& it : scene.entries) {
+      CHECK(it->counts.back() == kEntries + 1);
+    }
+  }
+}
+
 // The store does a renewal and its answer is lost, or it is away for a while.
 // The entry goes on renewing, and no other takes it for gone.
 TEST_CASE("A registration outlasts lost answers and a store that is away") {
