Repeat a relay's overdue call until its askers are about to give up

By the calls that a relay logged it made one repeat, and that one got no answer either, where the calls of the entries half a second later were answered in 8 ms. By the code such a repeat was never looked at again: a call that breaks in the moment in which the store cuts all is repeated into the same moment. Not seen directly; the calls are logged as sums of ten seconds.

Each call without a wait is overdue after the same time now, and is repeated until those who ask are about to give up. The test plays calls that break with a store that stays mute for 100 ms, and stores that are mute for a second before, where entries give their relay up once.

--- a/src/store/watch_feed.cc
+++ b/src/store/watch_feed.cc
@@ -59,6 +59,7 @@
   // where it stands, for all that are.
   rewound_ = version_ == 0 || least < kept_from_;
   again_ = false;
+  repeat_until_ = first + options_.answer_within + options_.overdue_after;
   CallFrom(rewound_ ? least : version_, wait);
 }
 
@@ -73,23 +74,19 @@
                 }
               });
   run_after_(wait + options_.overdue_after, [this, alive = alive_, number] {
-    if (*alive && number == call_ && !again_) {
-      Repeat();
+    if (*alive && number == call_ && clock_() <= repeat_until_) {
+      again_ = false;  // It did not break.
+      CallFrom(called_from_, Duration{0});
     }
   });
 }
 
-void WatchFeed::Repeat() {
-  again_ = true;
-  CallFrom(called_from_, Duration{0});
-}
-
 void WatchFeed::OnAnswer(const Result<WatchBatch>& answer) {
   ++call_;  // Its time is not looked at any more.
   const bool forgotten =
       !IsOk(answer) && ErrorOf(answer).code == ErrorCode::kNotFound;
-  if (!IsOk(answer) && !forgotten && !again_) {
-    Repeat();
+  if (!IsOk(answer) && !forgotten && !std::exchange(again_, true)) {
+    CallFrom(called_from_, Duration{0});
     return;
   }
   const bool nothing_kept = version_ == 0;
--- a/src/store/watch_feed.h
+++ b/src/store/watch_feed.h
@@ -35,9 +35,9 @@
     /// A question is answered within this, changes or not, while the store is
     /// well.
     Duration answer_within = std::chrono::milliseconds(600);
-    /// A call that is not answered for so long after its wait is taken for one
-    /// that broke: the store may drop a waiting call without a word. Well
-    /// before those who ask give up.
+    /// A call that is not answered for so long after its wait is repeated
+    /// without one, until those who ask are about to give up: the store may
+    /// drop a call without a word, or keep silent for a while.
     Duration overdue_after = std::chrono::milliseconds(200);
     /// Changes kept for askers that are behind.
     std::size_t max_events = 4096;
@@ -76,7 +76,6 @@
   void CallSoon();
   void Call();
   void CallFrom(std::uint64_t from, Duration wait);
-  void Repeat();
   void OnAnswer(const Result<WatchBatch>& answer);
   void OnFailed(const Error& error);
   void ListAnew(const Error& error);
@@ -105,7 +104,8 @@
   std::uint64_t called_from_ = 0;
   /// The call reads again what was forgotten, for an asker that is behind.
   bool rewound_ = false;
-  bool again_ = false;  ///< The call in flight repeats one that broke.
+  bool again_ = false;        ///< The call in flight repeats one that broke.
+  TimePoint repeat_until_{};  ///< Later, calls that are overdue are left.
   /// Callbacks may come after this object is gone.
   std::shared_ptr<bool> alive_;
 };
--- a/tests/support/watch_world.h
+++ b/tests/support/watch_world.h
@@ -48,6 +48,9 @@
 
   void Change() {
     Make();
+    if (mute) {
+      return;
+    }
     std::vector<Waiting> waiting;
     waiting.swap(waiting_);
     for (Waiting& it : waiting) {
@@ -71,6 +74,10 @@
       return;
     }
     Waiting call{++next_id_, from, timeline_->now + wait, std::move(done)};
+    if (mute) {
+      waiting_.push_back(std::move(call));
+      return;
+    }
     if (from < changed_at.size()) {
       Answer(std::move(call));
       return;
@@ -123,6 +130,7 @@
       Make();
     }
     forgotten_before_ = changed_at.size();
+    mute = false;
     if (cut == Cut::kBroken) {
       BreakWaiting();
       return;
@@ -141,6 +149,7 @@
   std::uint64_t calls = 0;
   std::uint64_t lists = 0;
   bool down = false;
+  bool mute = false;  ///< Calls that come now are not answered.
 
  private:
   /// A call without an answer is given up so long after its wait.
@@ -179,6 +188,9 @@
                      [done = std::move(call.done), batch] { done(batch); });
   }
   void EndWait(std::uint64_t id) {
+    if (mute) {
+      return;
+    }
     const auto it =
         std::find_if(waiting_.begin(), waiting_.end(),
                      [id](const Waiting& call) { return call.id == id; });
