Serve with the first targets of a long list while the rest is read

After all entries were killed, 300 of them before 3,000 targets serve again after 4 to 5.5 s, 30 after half a second. Each must read all targets first: about 400 bytes each (arithmetic), 360 MB for all, three seconds of a store with 1,000 Mbit/s. It grows with entries times targets.

Tested for lists of one to 25 parts.

--- a/src/store/list_watcher.cc
+++ b/src/store/list_watcher.cc
@@ -42,8 +42,13 @@
 void ListWatcher::List() {
   CallOptions options = options_.list;
   options.may_be_stale = options_.first_may_be_stale && !listed_;
-  store_->List(
+  store_->ListInParts(
       options_.prefix, options,
+      [this, alive = alive_](const ObjectStore::Listing& part) {
+        if (*alive) {
+          OnPart(part);
+        }
+      },
       [this, alive = alive_](const Result<ObjectStore::Listing>& result) {
         if (*alive) {
           OnListed(result);
@@ -51,6 +56,17 @@
       });
 }
 
+void ListWatcher::OnPart(const ObjectStore::Listing& part) {
+  if (listed_ || !hooks_.on_part) {
+    return;
+  }
+  State state;
+  for (const StoredObject& it : part.objects) {
+    state.emplace(it.key, it);
+  }
+  hooks_.on_part(state);
+}
+
 void ListWatcher::OnListed(const Result<ObjectStore::Listing>& result) {
   if (!IsOk(result)) {
     RetryLater(ErrorOf(result));
--- a/src/store/list_watcher.h
+++ b/src/store/list_watcher.h
@@ -47,6 +47,9 @@
     std::function<void(const Error&)> on_error;
     /// Returns a number in [0, 1) that spreads the delays.
     std::function<double()> jitter;
+    /// A part of the first list was read, of one that takes several calls. May
+    /// be empty.
+    std::function<void(const State&)> on_part{};
   };
 
   /// `store` must outlive this object.
@@ -81,6 +84,7 @@
  private:
   void List();
   void OnListed(const Result<ObjectStore::Listing>& result);
+  void OnPart(const ObjectStore::Listing& part);
   void TakeListing(const ObjectStore::Listing& listing);
   void StartWatch();
   void OnEvents(const std::vector<WatchEvent>& events);
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/base/result.h"
@@ -115,6 +116,15 @@
   virtual void List(const std::string& prefix, const CallOptions& options,
                     Callback<Listing> done) = 0;
 
+  /// As `List`, and shows what was read so far to `on_part` before each further
+  /// call that a long list takes. Without such calls nothing is shown.
+  using OnPart = std::function<void(const Listing&)>;
+  virtual void ListInParts(const std::string& prefix,
+                           const CallOptions& options, OnPart /*on_part*/,
+                           Callback<Listing> done) {
+    List(prefix, options, std::move(done));
+  }
+
   /// Writes `value` if the object's version is `expected`. Returns the new
   /// version, or `kConflict` with the version found in `detail`.
   virtual void Put(const std::string& key, const std::string& value,
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -45,6 +45,12 @@
   store_->List(prefix, options, std::move(done));
 }
 
+void RelayedStore::ListInParts(const std::string& prefix,
+                               const CallOptions& options, OnPart on_part,
+                               Callback<Listing> done) {
+  store_->ListInParts(prefix, options, std::move(on_part), std::move(done));
+}
+
 void RelayedStore::Put(const std::string& key, const std::string& value,
                        ExpectedVersion expected, const CallOptions& options,
                        Callback<std::uint64_t> done) {
--- a/src/store/relayed_store.h
+++ b/src/store/relayed_store.h
@@ -47,6 +47,8 @@
            Callback<std::optional<StoredObject>> done) override;
   void List(const std::string& prefix, const CallOptions& options,
             Callback<Listing> done) override;
+  void ListInParts(const std::string& prefix, const CallOptions& options,
+                   OnPart on_part, Callback<Listing> done) override;
   void Put(const std::string& key, const std::string& value,
            ExpectedVersion expected, const CallOptions& options,
            Callback<std::uint64_t> done) override;
--- a/tests/platform/stale_lists_test.cc
+++ b/tests/platform/stale_lists_test.cc
@@ -1,5 +1,8 @@
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <string>
+#include <vector>
 
 #include "platform/object_store.h"
 #include "runtime/clock.h"
@@ -35,6 +38,42 @@
   CHECK(store.stale_lists() == (may_be_stale ? 3 : 0));
 }
 
+/// Guards against entries that all start at once and serve nobody until each
+/// has read thousands of targets.
+TEST_CASE("The first targets of a long list are told before the rest is read") {
+  constexpr std::size_t kPage = 4;
+  const std::size_t targets = GENERATE(3, 9, 30, 100);
+  MetadataStore store;
+  for (std::size_t n = 0; n < targets; ++n) {
+    store.Put("servers", "i-" + std::to_string(n), "x");
+  }
+  boost::asio::io_context io;
+  MetricsRegistry metrics;
+  platform::PlatformObjectStore client(&io, {store.address()}, BootTimeNow,
+                                       &metrics);
+  ListWatcher::Options options;
+  options.prefix = "servers/";
+  options.list = {CallPriority::kConfig, std::chrono::seconds(10)};
+  std::vector<std::size_t> told;
+  ListWatcher::Hooks hooks;
+  hooks.on_part = [&](const ListWatcher::State& it) {
+    told.push_back(it.size());
+  };
+  hooks.on_state = [&](const ListWatcher::State& it, std::uint64_t) {
+    told.push_back(it.size());
+    io.stop();
+  };
+  hooks.jitter = [] { return 0.5; };
+  ListWatcher watcher(&client, options, hooks, BootTimeNow, MakeRunAfter(&io),
+                      MakeNullEventLog());
+  watcher.Start();
+  io.run_for(std::chrono::seconds(10));
+  REQUIRE_FALSE(told.empty());
+  CHECK(told.front() == std::min(kPage, targets));
+  CHECK(told.back() == targets);
+  CHECK(std::is_sorted(told.begin(), told.end()));
+}
+
 /// Guards against a list that may be old where one is to be the newest: after
 /// the first one, and in a process that starts while callers come.
 TEST_CASE("Only the first list of a watcher may be old, if any") {
