--- a/src/core/membership/roster_pace.h
+++ b/src/core/membership/roster_pace.h
@@ -16,7 +16,8 @@
 /// share stays unused.
 struct RosterPace {
   Duration renew_interval = std::chrono::seconds(60);
-  /// Between two renewals of any entries, on the mean, where there are many.
+  /// Where there are many, two renewals of any entries are so far apart on the
+  /// mean, or up to half as far.
   Duration least_gap = std::chrono::milliseconds(300);
 
   /// Returns the longest time between two renewals of an entry of a fleet of
