Hold entries in the soak to a limit only once a target has named it

The rule counts from the moment at which a target first names its limit, in an answer; nobody was told here.

The check counted from when the stand-in was told to name it, and counts from the first answer that does now.

--- a/tests/platform/soak_process_test.cc
+++ b/tests/platform/soak_process_test.cc
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <map>
 #include <mutex>
+#include <set>
 #include <sstream>
 #include <thread>
 #include <vector>
@@ -157,22 +158,24 @@
 
   /// A target names a limit, or no longer does.
   void NameLimit(ModelWorker* worker) {
-    if (limited_since_.count(worker) > 0) {
+    if (limited_.count(worker) > 0) {
       EndLimit(worker);
       return;
     }
     worker->SetNamedLimit(kSoakLimit);
-    limited_since_[worker] = std::chrono::steady_clock::now();
+    limited_.insert(worker);
   }
 
   void EndLimit(ModelWorker* worker) {
-    const auto since = limited_since_.find(worker);
-    if (since == limited_since_.end()) {
+    if (limited_.erase(worker) == 0) {
       return;
     }
-    CHECK(MostInSpan(worker->arrivals(), since->second + kLimitContact) <=
-          MostAllowed(kSoakLimit));
-    limited_since_.erase(since);
+    // A target that garbles or resets all that it gets names its limit to
+    // nobody.
+    if (const auto named_at = worker->limit_named_at()) {
+      CHECK(MostInSpan(worker->arrivals(), *named_at + kLimitContact) <=
+            MostAllowed(kSoakLimit));
+    }
     worker->SetNamedLimit(std::nullopt);
   }
 
@@ -193,7 +196,7 @@
   RandomSource random_;
   RandomSource limit_random_;  ///< Apart, so that limits change nothing else.
   std::uint64_t version_ = 10;
-  std::map<ModelWorker*, std::chrono::steady_clock::time_point> limited_since_;
+  std::set<ModelWorker*> limited_;  ///< Those that are to name a limit.
 };
 
 void CheckAsked(PlatformScene* scene, const Asked& it) {
--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -73,7 +73,17 @@
 }
 
 void ModelWorker::SetNamedLimit(std::optional<double> limit) {
-  server_.Invoke([&] { named_limit_ = limit; });
+  server_.Invoke([&] {
+    named_limit_ = limit;
+    limit_named_at_.reset();
+  });
+}
+
+std::optional<std::chrono::steady_clock::time_point>
+ModelWorker::limit_named_at() {
+  std::optional<std::chrono::steady_clock::time_point> named_at;
+  server_.Invoke([&] { named_at = limit_named_at_; });
+  return named_at;
 }
 
 std::vector<std::chrono::steady_clock::time_point> ModelWorker::arrivals() {
@@ -190,17 +200,20 @@
   }
 }
 
-HttpHeaders ModelWorker::AnswerHeaders(const std::string& id) const {
+HttpHeaders ModelWorker::AnswerHeaders(const std::string& id) {
   HttpHeaders headers = CommonHeaders();
   headers.emplace_back("X-Request-Id", id);
   headers.emplace_back("X-Response-Signature", "sig-" + options_.id);
   return headers;
 }
 
-HttpHeaders ModelWorker::CommonHeaders() const {
+HttpHeaders ModelWorker::CommonHeaders() {
   if (!named_limit_) {
     return {};
   }
+  if (!limit_named_at_) {
+    limit_named_at_ = std::chrono::steady_clock::now();
+  }
   return {{"Server-Limit", std::to_string(*named_limit_)}};
 }
 
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -64,6 +64,9 @@
   /// Names a limit in all answers from now on, in requests a second, or none.
   /// It is named only: whatever comes is served.
   void SetNamedLimit(std::optional<double> limit);
+  /// Returns when an answer first named the limit that is named now; nothing if
+  /// none has yet, as where all answers are lost or garbled.
+  std::optional<std::chrono::steady_clock::time_point> limit_named_at();
   /// Returns when each request came, to run, to read a prompt or of any other
   /// kind.
   std::vector<std::chrono::steady_clock::time_point> arrivals();
@@ -77,9 +80,9 @@
   standins::Task Misbehave(standins::HttpExchange& exchange, bool* answer);
   standins::Task Answer(standins::HttpExchange& exchange);
   standins::Task Stream(standins::HttpExchange& exchange);
-  standins::HttpHeaders AnswerHeaders(const std::string& id) const;
+  standins::HttpHeaders AnswerHeaders(const std::string& id);
   /// Returns the headers that every answer has.
-  standins::HttpHeaders CommonHeaders() const;
+  standins::HttpHeaders CommonHeaders();
 
   Options options_;
   std::string stage_ = "decode";
@@ -91,6 +94,7 @@
   std::map<std::string, std::vector<std::string>> accounts_;
   int keys_seen_ = 0;
   std::optional<double> named_limit_;
+  std::optional<std::chrono::steady_clock::time_point> limit_named_at_;
   std::vector<std::chrono::steady_clock::time_point> arrivals_;
   standins::HttpServer server_;
 };
