Log what the retry budget allows and denies, and count what it charges

A repeat that was allowed or denied left no line, nor did what a process may save up and begin with: three ways in which repeats could pass the operator's bound could not be told apart. Each question to the budget is a line now (what was left, the most that may be saved up, by how many entries and how old a list), each change of the entry's part another, and two counters say how many further arrivals were charged and how many of them given back unmade.

No decision is changed.

--- a/src/core/admission/entry_retry_budget.h
+++ b/src/core/admission/entry_retry_budget.h
@@ -60,13 +60,17 @@
   /// not enough.
   bool TryTake(double arrivals) { return budget_.TryTake(arrivals); }
 
- private:
+  /// Returns the arrivals that are left.
+  double left() const { return budget_.left(); }
+
+  /// Returns the most arrivals that may be saved up now.
   double MostSaved(TimePoint now) const {
     const auto recent = static_cast<double>(requests_.Count(now));
     return std::max(options_.saved + options_.saved_per_request * recent,
                     options_.least_saved);
   }
 
+ private:
   Options options_;
   RecentCount requests_;
   RetryBudget budget_;
--- a/src/core/admission/retry_budget.h
+++ b/src/core/admission/retry_budget.h
@@ -43,6 +43,8 @@
   /// attempt that it had.
   bool TryTake(double arrivals = 1);
 
+  /// Returns the arrivals that are left.
+  double left() const { return level_; }
   std::uint64_t first_attempts() const { return first_attempts_; }
   std::uint64_t retries() const { return retries_; }
 
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -67,6 +67,12 @@
       retries_denied_(
           metrics->AddCounter("indigolead_retries_denied_total",
                               "Further attempts that the budget denied.")),
+      further_arrivals_(metrics->AddCounter(
+          "indigolead_further_arrivals_total",
+          "Arrivals at targets that the retry budget was charged for.")),
+      further_arrivals_unmade_(metrics->AddCounter(
+          "indigolead_further_arrivals_unmade_total",
+          "Arrivals given back to the retry budget: no target was asked.")),
       targets_(metrics->AddGauge("indigolead_targets_known",
                                  "Targets in the directory.")),
       limited_targets_(metrics->AddGauge(
@@ -138,6 +144,7 @@
   };
   hooks.on_no_arrival = [this](const CallerRequest& request) {
     BudgetOf(request.deployment).Grant(kArrivalsWhole);
+    further_arrivals_unmade_.Add(static_cast<std::uint64_t>(kArrivalsWhole));
   };
   hooks.on_call_end = [this](const std::string& instance, bool broke) {
     OnCallEnd(instance, broke);
@@ -215,6 +222,9 @@
   options_.retry_budget.saved = saved;
   options_.retry_budget.initial = at_start;
   const double grant = std::exchange(start_granted_, true) ? 0 : at_start;
+  log_(kRetryPartChanged, {{"saved", std::to_string(saved)},
+                           {"granted", std::to_string(grant)},
+                           {"entries", std::to_string(entries_.names.size())}});
   for (auto& [service, budget] : budgets_) {
     budget.SetSaved(saved, clock_());
     budget.Grant(grant);
@@ -324,8 +334,12 @@
   const bool one =
       request.prompt_parts.empty() || reach == AttemptReach::kReader;
   const double arrivals = one ? kArrivalsWhole : kArrivalsReadApart;
-  const bool granted = BudgetOf(request.deployment).TryTake(arrivals);
+  EntryRetryBudget& budget = BudgetOf(request.deployment);
+  const double left = budget.left();
+  const bool granted = budget.TryTake(arrivals);
   retries_denied_.Add(granted ? 0 : 1);
+  further_arrivals_.Add(granted ? static_cast<std::uint64_t>(arrivals) : 0);
+  LogRetry(request, arrivals, left, granted);
   return granted;
 }
 
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -159,6 +159,8 @@
   void OnAttemptEnd(const CallerRequest& request, const AttemptId& id,
                     AttemptOutcome outcome, TimePoint now);
   bool SpendRetry(const CallerRequest& request, AttemptReach reach);
+  void LogRetry(const CallerRequest& request, double arrivals, double left,
+                bool granted);
   EnginePlacement& PlacementOf(const std::string& service);
   EngineLimits LimitsOf(const std::string& service) const;
   EntryRetryBudget& BudgetOf(const std::string& service);
@@ -185,6 +187,7 @@
   FailureGuard guard_;
   TargetAddresses addresses_;
   SharedRateLimits limits_;  ///< By the targets' addresses.
+  EntryView entries_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<std::string, EnginePlacement> placements_;
   std::map<std::string, EntryRetryBudget> budgets_;
@@ -206,6 +209,8 @@
   Counter& broken_;
   Counter& abandoned_;
   Counter& retries_denied_;
+  Counter& further_arrivals_;
+  Counter& further_arrivals_unmade_;
   Gauge& targets_;
   Gauge& limited_targets_;
   Histogram& answer_seconds_;
--- a/src/entry/direct_dispatcher_limits.cc
+++ b/src/entry/direct_dispatcher_limits.cc
@@ -30,6 +30,7 @@
 
 void DirectDispatcher::OnEntries(EntryView view) {
   const LimitShare::Standing standing = limits_.standing();
+  entries_ = view;
   limits_.OnEntries(std::move(view), clock_());
   LogStanding(standing);
 }
--- a/src/entry/direct_dispatcher_log.cc
+++ b/src/entry/direct_dispatcher_log.cc
@@ -133,4 +133,21 @@
 
 void DirectDispatcher::CloseRequest(const RequestId& id) { open_.erase(id); }
 
+void DirectDispatcher::LogRetry(const CallerRequest& request, double arrivals,
+                                double left, bool granted) {
+  const std::string list_age =
+      entries_.listed_at ? Milliseconds(clock_() - *entries_.listed_at)
+                         : "none";
+  log_(kRetryCharged,
+       {{"request", request.caller_id},
+        {"service", request.deployment},
+        {"arrivals", std::to_string(static_cast<int>(arrivals))},
+        {"left", std::to_string(left)},
+        {"most",
+         std::to_string(BudgetOf(request.deployment).MostSaved(clock_()))},
+        {"entries", std::to_string(entries_.names.size())},
+        {"list_age_ms", list_age},
+        {"outcome", granted ? "granted" : "denied"}});
+}
+
 }  // namespace indigolead
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -99,6 +99,14 @@
     "A target's answer names a limit that is no number; what was believed "
     "stays."};
 
+inline constexpr EventInfo kRetryCharged{
+    1053, "retry-charged", EventSeverity::kInfo,
+    "A further attempt was asked of the retry budget: what was left, and by "
+    "which list of entries this entry's part was computed."};
+inline constexpr EventInfo kRetryPartChanged{
+    1054, "retry-part-changed", EventSeverity::kInfo,
+    "This entry's part of the retry allowance is another one."};
+
 inline constexpr EventInfo kRelayChanged{
     1049, "watch-relay-changed", EventSeverity::kInfo,
     "Another entry than before relays the store's changes to this one; none: "
