--- a/tests/platform/client_accounts_process_test.cc
+++ b/tests/platform/client_accounts_process_test.cc
@@ -170,7 +170,7 @@
 // must repeat the same words; a killed one leaves that to the next process.
 TEST_CASE(
     "Usage is reported once and exactly, through faults of its receiver") {
-  PlatformScene scene(/*reports_usage=*/true);
+  PlatformScene scene(PlatformScene::Options{.reports_usage = true});
   scene.store.Put("config", "main",
                   ConfigurationWith(5, {kSalonKey}, {kOwnerKey}));
   REQUIRE(BecomesWith(&scene, "unknown-secret", 401));
@@ -187,7 +187,7 @@
 }
 
 TEST_CASE("Usage survives the process that counted it") {
-  PlatformScene scene(/*reports_usage=*/true);
+  PlatformScene scene(PlatformScene::Options{.reports_usage = true});
   scene.store.Put("config", "main",
                   ConfigurationWith(5, {kSalonKey}, {kOwnerKey}));
   REQUIRE(BecomesWith(&scene, "unknown-secret", 401));
--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -62,6 +62,12 @@
   return accounts;
 }
 
+std::vector<ModelWorker::Arrival> ModelWorker::request_arrivals() {
+  std::vector<Arrival> arrivals;
+  server_.Invoke([&] { arrivals = request_arrivals_; });
+  return arrivals;
+}
+
 int ModelWorker::keys_seen() {
   int n = 0;
   server_.Invoke([&] { n = keys_seen_; });
@@ -98,6 +104,8 @@
   keys_seen_ += request.Header("Authorization").empty() ? 0 : 1;
   if (!IdOf(exchange).empty()) {
     accounts_[IdOf(exchange)].push_back(request.Header("X-Tenant"));
+    request_arrivals_.push_back({IdOf(exchange), arrivals_.back(),
+                                 request.Header("X-Stage") == "prefill"});
   }
   const std::string expected = request.Header("X-Expect-Instance");
   if (!expected.empty() && expected != options_.id) {
@@ -134,6 +142,9 @@
     co_return;
   }
   ++prefills_;
+  if (!IdOf(exchange).empty()) {
+    request_arrivals_.back().accepted = true;
+  }
   const Json reply = {{"kv-handle", "h" + std::to_string(prefills_)},
                       {"tokens", 100}};
   std::string body = reply.dump();
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -43,6 +43,13 @@
     kBreaksMidway,  ///< The first run of an id resets after two events.
   };
   static constexpr std::chrono::milliseconds kLateness{300};
+  /// A caller's request that came, to run or to have its prompt read.
+  struct Arrival {
+    std::string request_id;
+    std::chrono::steady_clock::time_point at;
+    bool is_reading = false;  ///< Its prompt is to be read, no more.
+    bool accepted = false;    ///< Of a reading: it was not rejected.
+  };
 
   explicit ModelWorker(Options options);
   ModelWorker(const ModelWorker&) = delete;
@@ -58,6 +65,10 @@
   /// Returns the client accounts told with each arrival of the request, to read
   /// its prompt or to run it.
   std::vector<std::string> accounts(const std::string& request_id);
+  /// Returns the callers' requests that came, in the order in which they did.
+  std::vector<Arrival> request_arrivals();
+  /// Returns the service whose target this is.
+  const std::string& service() const { return options_.service; }
   /// Returns how many arrivals had a caller's key with them.
   int keys_seen();
   void SetBehaviour(Behaviour behaviour);
@@ -92,6 +103,7 @@
   int running_ = 0;
   std::map<std::string, int> runs_;
   std::map<std::string, std::vector<std::string>> accounts_;
+  std::vector<Arrival> request_arrivals_;
   int keys_seen_ = 0;
   std::optional<double> named_limit_;
   std::optional<std::chrono::steady_clock::time_point> limit_named_at_;
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -35,7 +35,7 @@
             {"idle-timeout-ms", 5000}}}};
 }
 
-PlatformScene::PlatformScene(bool reports_usage) {
+PlatformScene::PlatformScene(const Options& options) : options_(options) {
   for (int n = 0; n < 6; ++n) {
     AddWorker("e" + std::to_string(n), "llm", true);
   }
@@ -43,8 +43,7 @@
   AddWorker("a1", "app", false);
   Register();
   store.Put("config", "main", MakeConfiguration(3));
-  settings_ =
-      WriteSettings("front-1", callers_address, ready_address, reports_usage);
+  settings_ = WriteSettings("front-1", callers_address, ready_address);
   setenv("INDIGOLEAD_BOOT", settings_.c_str(), 1);
   StartEntry();
   const bool ready = WaitUntil([&] { return Ready(); });
@@ -104,8 +103,8 @@
 
 void PlatformScene::AddEntry(const std::string& name) {
   FurtherEntry& added = further.emplace_back();
-  added.settings = WriteSettings(name, added.callers_address,
-                                 added.ready_address, /*reports_usage=*/false);
+  added.settings =
+      WriteSettings(name, added.callers_address, added.ready_address);
   added.Start();
 }
 
@@ -244,8 +243,7 @@
 
 std::string PlatformScene::WriteSettings(const std::string& name,
                                          const std::string& callers,
-                                         const std::string& ready,
-                                         bool reports_usage) {
+                                         const std::string& ready) {
   std::string path =
       (std::filesystem::temp_directory_path() /
        ("indigolead-settings-" + std::to_string(getpid()) + "-" + name))
@@ -257,8 +255,10 @@
       << "\nplatform.address=" << store_path.address()
       << "\nip=127.0.0.1\nport-range=" << PortOf(ReserveAddress())
       << "\nlimits.max-fds=1000\nbounds.grace-s=8\nbounds.lease-ms=500\n"
-         "bounds.contact-ms=3000\nbounds.retry-budget-ratio=0.2\n";
-  if (reports_usage) {
+         "bounds.contact-ms=3000\nbounds.retry-budget-ratio=0.2\n"
+         "bounds.retry-slack="
+      << options_.retry_slack << "\n";
+  if (options_.reports_usage && name == "front-1") {
     out << "cloud.address=" << usage.address()
         << "\ncloud.duties=usage_report\nbounds.report-window-s=1\n"
            "bounds.usage-late-s=4\n";
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -32,8 +32,14 @@
 /// and two plain targets.
 class PlatformScene {
  public:
-  /// With `reports_usage` the platform asks for usage, each second.
-  explicit PlatformScene(bool reports_usage = false);
+  struct Options {
+    bool reports_usage = false;  ///< The platform asks for usage each second.
+    /// What its operator allows of further arrivals beside a share of the
+    /// requests.
+    double retry_slack = 50;
+  };
+  PlatformScene() : PlatformScene(Options{}) {}
+  explicit PlatformScene(const Options& options);
   ~PlatformScene();
   PlatformScene(const PlatformScene&) = delete;
   PlatformScene& operator=(const PlatformScene&) = delete;
@@ -105,8 +111,9 @@
                  bool is_engine);
   /// Returns the path of the settings of the entry `name`.
   std::string WriteSettings(const std::string& name, const std::string& callers,
-                            const std::string& ready, bool reports_usage);
+                            const std::string& ready);
 
+  Options options_;
   std::map<const ModelWorker*, std::string> ids_;
   std::string settings_;
 };
--- /dev/null
+++ b/tests/platform/support/repeats.cc
@@ -0,0 +1,121 @@
+#include "tests/platform/support/repeats.h"
+
+#include <algorithm>
+#include <map>
+
+namespace indigolead::testing {
+
+using Time = std::chrono::steady_clock::time_point;
+
+namespace {
+
+using Arrivals = std::vector<ModelWorker::Arrival>;
+
+/// Returns the arrivals of each request beyond its first, in their order.
+std::map<std::string, Arrivals> FurtherOf(PlatformScene* scene,
+                                          const std::string& service) {
+  std::map<std::string, Arrivals> by_request;
+  for (ModelWorker& worker : scene->workers) {
+    if (worker.service() == service) {
+      for (ModelWorker::Arrival& it : worker.request_arrivals()) {
+        by_request[it.request_id].push_back(std::move(it));
+      }
+    }
+  }
+  for (auto& [id, arrivals] : by_request) {
+    std::sort(arrivals.begin(), arrivals.end(),
+              [](const auto& a, const auto& b) { return a.at < b.at; });
+    const auto first_reading = std::find_if(
+        arrivals.begin(), arrivals.end(),
+        [](const auto& it) { return it.is_reading && it.accepted; });
+    if (first_reading != arrivals.end()) {
+      arrivals.erase(first_reading);
+    }
+    if (!arrivals.empty()) {
+      arrivals.erase(arrivals.begin());
+    }
+  }
+  return by_request;
+}
+
+/// Returns the status that the request gets.
+int Send(const std::string& address, const SteadyCallers::Load& load,
+         const std::string& id) {
+  std::vector<std::pair<std::string, std::string>> headers = {
+      {"X-Request-Id", id},
+      {"X-Deadline-Ms", std::to_string(load.deadline_ms)}};
+  if (load.has_prompt) {
+    headers.emplace_back("X-Token-Usage", "100,4");
+    headers.emplace_back("X-Prefix-Hash", "5c:80,91:20");
+  }
+  return HttpCall(address, load.method, load.path, "prices", headers,
+                  std::chrono::seconds(10))
+      .status;
+}
+
+}  // namespace
+
+std::vector<Time> FurtherArrivals(PlatformScene* scene,
+                                  const std::string& service) {
+  std::vector<Time> further;
+  for (const auto& [id, arrivals] : FurtherOf(scene, service)) {
+    for (const ModelWorker::Arrival& it : arrivals) {
+      further.push_back(it.at);
+    }
+  }
+  std::sort(further.begin(), further.end());
+  return further;
+}
+
+std::map<std::string, std::size_t> FurtherArrivalsByRequest(
+    PlatformScene* scene, const std::string& service) {
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [id, arrivals] : FurtherOf(scene, service)) {
+    counts[id] = arrivals.size();
+  }
+  return counts;
+}
+
+SteadyCallers::SteadyCallers(PlatformScene* scene, const Load& load)
+    : scene_(scene), load_(load) {
+  addresses_.push_back(scene->callers_address);
+  for (const PlatformScene::FurtherEntry& it : scene->further) {
+    addresses_.push_back(it.callers_address);
+  }
+  for (int n = 0; n < kCallers; ++n) {
+    threads_.emplace_back([this, n] { Ask(n); });
+  }
+}
+
+std::vector<Time> SteadyCallers::Stop() {
+  stopping_ = true;
+  for (std::thread& it : threads_) {
+    it.join();
+  }
+  threads_.clear();
+  std::sort(sent_.begin(), sent_.end());
+  return sent_;
+}
+
+void SteadyCallers::Ask(int caller) {
+  const std::chrono::duration<double> gap(kCallers / load_.per_second);
+  const auto period =
+      std::chrono::duration_cast<std::chrono::steady_clock::duration>(gap);
+  auto next = std::chrono::steady_clock::now() + period * caller / kCallers;
+  for (std::size_t n = 0; !stopping_; ++n) {
+    std::this_thread::sleep_until(next);
+    next = std::max(next + period, std::chrono::steady_clock::now());
+    {
+      const std::lock_guard lock(mutex_);
+      sent_.push_back(std::chrono::steady_clock::now());
+    }
+    const std::string id = load_.path.substr(1, 4) + "-" +
+                           std::to_string(caller) + "-" + std::to_string(n);
+    const std::string& address =
+        addresses_[(n + static_cast<std::size_t>(caller)) % addresses_.size()];
+    const int status = Send(address, load_, id);
+    served_ += status == 200 ? 1 : 0;
+  }
+}
+
+}  // namespace indigolead::testing
