--- a/tests/platform/retry_budget_process_test.cc
+++ b/tests/platform/retry_budget_process_test.cc
@@ -105,6 +105,14 @@
   CHECK(worst.further > 0);
 }
 
+/// Reads what the entry logs for a second: a line that nobody reads is dropped.
+void DrainLog(Process* entry) {
+  for (int n = 0; n < 50; ++n) {
+    entry->output();
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+}
+
 /// Returns what the log of an entry says was charged for each request.
 std::map<std::string, int> ChargedByRequest(const std::string& log) {
   std::map<std::string, int> charged;
@@ -142,18 +150,24 @@
                                 .path = "/resume/1",
                                 .per_second = 10,
                                 .has_prompt = true});
+  SteadyCallers untold(&scene, {"POST", "/audit/2", 8});
   for (int n = 0; n < 100; ++n) {
     ModelWorker& worker = scene.workers[random() % scene.workers.size()];
     worker.SetBehaviour(kBehaviours[random() % std::size(kBehaviours)]);
-    scene.Register();       // With the stages that the entry has ordered.
-    scene.entry->output();  // Lines that nobody reads would be dropped.
+    scene.Register();  // With the stages that the entry has ordered.
+    scene.entry->output();
     std::this_thread::sleep_for(milliseconds(150));
   }
   scene.SetBehaviour(Behaviour::kSound);
-  std::this_thread::sleep_for(seconds(2));
-  for (SteadyCallers* it : {&desk, &menu, &audit, &resume}) {
+  const auto callers = {&desk, &menu, &audit, &resume, &untold};
+  for (SteadyCallers* it : callers) {
+    it->RequestStop();
+  }
+  DrainLog(&*scene.entry);
+  for (SteadyCallers* it : callers) {
     it->Stop();
   }
+  DrainLog(&*scene.entry);
   const std::map<std::string, int> charged =
       ChargedByRequest(scene.entry->output());
   std::size_t further = 0;
--- a/tests/platform/support/repeats.cc
+++ b/tests/platform/support/repeats.cc
@@ -98,6 +98,8 @@
 }
 
 void SteadyCallers::Ask(int caller) {
+  std::string kind = load_.path.substr(1);
+  std::replace(kind.begin(), kind.end(), '/', '-');
   const std::chrono::duration<double> gap(kCallers / load_.per_second);
   const auto period =
       std::chrono::duration_cast<std::chrono::steady_clock::duration>(gap);
@@ -109,8 +111,8 @@
       const std::lock_guard lock(mutex_);
       sent_.push_back(std::chrono::steady_clock::now());
     }
-    const std::string id = load_.path.substr(1, 4) + "-" +
-                           std::to_string(caller) + "-" + std::to_string(n);
+    const std::string id =
+        kind + "-" + std::to_string(caller) + "-" + std::to_string(n);
     const std::string& address =
         addresses_[(n + static_cast<std::size_t>(caller)) % addresses_.size()];
     const int status = Send(address, load_, id);
--- a/tests/platform/support/repeats.h
+++ b/tests/platform/support/repeats.h
@@ -41,6 +41,8 @@
   SteadyCallers(const SteadyCallers&) = delete;
   SteadyCallers& operator=(const SteadyCallers&) = delete;
 
+  /// Lets no further request begin, without waiting for those that have.
+  void RequestStop() { stopping_ = true; }
   /// Returns when each request was sent, sorted.
   std::vector<std::chrono::steady_clock::time_point> Stop();
   int served() const { return served_; }
