Give no further attempts for having started, but the allowance back with time

Callers notice nothing; targets get more repeats than their operator allows when entries are killed in a series: 140 in 10 s where 118 are allowed (four real processes, killed six times 2.1 s apart).

Cause: each process began with 0.3 of the fixed allowance through the number of entries, whatever the one before it had spent, and nothing bounds the processes of a window. Class: a part of a shared bound that is handed out per process, not per time. Evidence: in the log of the reproduction each process is granted 4.05 once it has listed the entries (retry-part-changed) and spends it before the next kill; four grants of 16 come to the excess.

A process begins with nothing now, and the same 0.3 comes back in a window, so that any number of processes of an entry gets no more than one. Sum over all entries in any window: 0.6 saved up, 0.3 come back, and 0.14 + 0.03 of 0.2 by requests, whatever starts and ends. Entries with few requests find a try again sooner than before; right after a start the first one takes 7 requests of the entry or, on a small fleet, a second or two.

The test of a fleet of any size plays the class that entries use, killed five times in a window instead of once. "Faults of targets" lets the entry earn its further attempts first: its checks are unchanged.

--- a/src/core/admission/entry_retry_budget.h
+++ b/src/core/admission/entry_retry_budget.h
@@ -2,8 +2,11 @@
 #define INDIGOLEAD_CORE_ADMISSION_ENTRY_RETRY_BUDGET_H_
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 
 #include "core/admission/recent_count.h"
+#include "core/admission/retry_allowance.h"
 #include "core/admission/retry_budget.h"
 #include "core/base/time.h"
 
@@ -14,8 +17,13 @@
 /// The operator bounds what all entries make together in a window: a share of
 /// its requests, and a fixed allowance. Entries ask nobody, so each keeps to a
 /// bound of its own, and the sum of these keeps the operator's: each earns
-/// `share` with every request, and saves up its part of the allowance (`saved`)
-/// and `saved_per_request` of its own requests of the last window.
+/// `share` with every request and its part of the allowance with time, and
+/// saves up that part and `saved_per_request` of its own requests of the last
+/// window.
+///
+/// A process begins with nothing. Whatever it were given at its start, entries
+/// that are killed again and again would be given once for each process, and
+/// no part of the operator's bound covers any number of them.
 ///
 /// The load: a hundred entries with two or three requests a second each, of
 /// which one in seven fails and is worth a second try. With a part of the
@@ -26,7 +34,7 @@
  public:
   struct Options {
     double share = 0.14;
-    double saved = 10;
+    RetryPart part{10, 0};
     double initial = 0;  ///< Arrivals that a process begins with.
     double saved_per_request = 0;
     Duration window = std::chrono::seconds(10);  ///< The operator's.
@@ -37,28 +45,34 @@
   explicit EntryRetryBudget(const Options& options)
       : options_(options),
         requests_(options.window),
-        budget_({options.share, std::max(options.saved, options.least_saved),
+        budget_({options.share,
+                 std::max(options.part.saved, options.least_saved),
                  options.initial}) {}
 
   /// Sets the entry's part of the allowance.
-  void SetSaved(double saved, TimePoint now) {
-    options_.saved = saved;
+  void SetPart(const RetryPart& part, TimePoint now) {
+    Refill(now);
+    options_.part = part;
     budget_.SetBurst(MostSaved(now));
   }
 
-  /// Adds arrivals, up to the most that are saved up.
-  void Grant(double arrivals) { budget_.Grant(arrivals); }
+  /// Gives back arrivals that were taken and not made.
+  void GiveBack(double arrivals) { budget_.Grant(arrivals); }
 
   /// A request came.
   void OnRequest(TimePoint now) {
     requests_.Add(now);
+    Refill(now);
     budget_.SetBurst(MostSaved(now));
     budget_.OnFirstAttempt();
   }
 
   /// Takes a further attempt that makes `arrivals`. Returns false if there is
   /// not enough.
-  bool TryTake(double arrivals) { return budget_.TryTake(arrivals); }
+  bool TryTake(double arrivals, TimePoint now) {
+    Refill(now);
+    return budget_.TryTake(arrivals);
+  }
 
   /// Returns the arrivals that are left.
   double left() const { return budget_.left(); }
@@ -66,14 +80,24 @@
   /// Returns the most arrivals that may be saved up now.
   double MostSaved(TimePoint now) const {
     const auto recent = static_cast<double>(requests_.Count(now));
-    return std::max(options_.saved + options_.saved_per_request * recent,
+    return std::max(options_.part.saved + options_.saved_per_request * recent,
                     options_.least_saved);
   }
 
  private:
+  /// Adds what has come back since the last time.
+  void Refill(TimePoint now) {
+    const std::chrono::duration<double> elapsed =
+        now - refilled_at_.value_or(now);
+    const std::chrono::duration<double> window = options_.window;
+    budget_.Grant(options_.part.refilled * (elapsed / window));
+    refilled_at_ = now;
+  }
+
   Options options_;
   RecentCount requests_;
   RetryBudget budget_;
+  std::optional<TimePoint> refilled_at_;
 };
 
 }  // namespace indigolead
--- a/src/core/admission/retry_allowance.h
+++ b/src/core/admission/retry_allowance.h
@@ -6,6 +6,14 @@
 
 namespace indigolead {
 
+/// One entry's part of a `RetryAllowance`.
+struct RetryPart {
+  double saved = 0;     ///< Arrivals that the entry may save up.
+  double refilled = 0;  ///< Arrivals that come back in a window.
+
+  friend bool operator==(const RetryPart&, const RetryPart&) = default;
+};
+
 /// Further arrivals at a service's targets that all entries together may make
 /// on top of a share of the traffic.
 ///
@@ -17,12 +25,11 @@
 class RetryAllowance {
  public:
   double arrivals = 50;  ///< Of all entries, for each service.
-  /// Of it, what all entries may have saved up.
+  /// Of it, what all entries may have saved up at the beginning of a window,
+  /// and what comes back to them in it. The last tenth is for arrivals that
+  /// were allowed just before the window and come in it.
   double share_saved = 0.6;
-  /// Of it, what processes that start anew are given, all of them together: if
-  /// every entry is killed just after it has spent its part, both are spent.
-  /// The last tenth is for entries that are not on everybody's list yet.
-  double share_at_start = 0.3;
+  double share_refilled = 0.3;
   /// Entries assumed before any list was read: more than most fleets have, for
   /// a start while the store is away.
   std::size_t assumed_entries = 64;
@@ -30,19 +37,11 @@
   friend bool operator==(const RetryAllowance&,
                          const RetryAllowance&) = default;
 
-  /// Returns the arrivals that one of `entries` may save up.
-  double SavedByOneOf(std::optional<std::size_t> entries) const {
-    return share_saved * arrivals / Divisor(entries);
-  }
-  /// Returns the arrivals that a process of one of `entries` begins with.
-  double AtStartOfOneOf(std::optional<std::size_t> entries) const {
-    return share_at_start * arrivals / Divisor(entries);
-  }
-
- private:
-  double Divisor(std::optional<std::size_t> entries) const {
+  /// Returns the part of one of `entries`.
+  RetryPart PartOfOneOf(std::optional<std::size_t> entries) const {
     const std::size_t n = entries.value_or(assumed_entries);
-    return static_cast<double>(n == 0 ? 1 : n);
+    const double part = arrivals / static_cast<double>(n == 0 ? 1 : n);
+    return {share_saved * part, share_refilled * part};
   }
 };
 
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -143,7 +143,7 @@
     return SpendRetry(request, AttemptReach::kReader);
   };
   hooks.on_no_arrival = [this](const CallerRequest& request) {
-    BudgetOf(request.deployment).Grant(kArrivalsWhole);
+    BudgetOf(request.deployment).GiveBack(kArrivalsWhole);
     further_arrivals_unmade_.Add(static_cast<std::uint64_t>(kArrivalsWhole));
   };
   hooks.on_call_end = [this](const std::string& instance, bool broke) {
@@ -218,16 +218,12 @@
   directory_.OnStoreFollowed(clock_());
 }
 
-void DirectDispatcher::SetSavedArrivals(double saved, double at_start) {
-  options_.retry_budget.saved = saved;
-  options_.retry_budget.initial = at_start;
-  const double grant = std::exchange(start_granted_, true) ? 0 : at_start;
-  log_(kRetryPartChanged, {{"saved", std::to_string(saved)},
-                           {"granted", std::to_string(grant)},
-                           {"entries", std::to_string(entries_.names.size())}});
+void DirectDispatcher::SetRetryPart(const RetryPart& part) {
+  options_.retry_budget.part = part;
+  log_(kRetryPartChanged, {{"saved", std::to_string(part.saved)},
+                           {"refilled", std::to_string(part.refilled)}});
   for (auto& [service, budget] : budgets_) {
-    budget.SetSaved(saved, clock_());
-    budget.Grant(grant);
+    budget.SetPart(part, clock_());
   }
 }
 
@@ -335,8 +331,8 @@
       request.prompt_parts.empty() || reach == AttemptReach::kReader;
   const double arrivals = one ? kArrivalsWhole : kArrivalsReadApart;
   EntryRetryBudget& budget = BudgetOf(request.deployment);
-  const double left = budget.left();
-  const bool granted = budget.TryTake(arrivals);
+  const bool granted = budget.TryTake(arrivals, clock_());
+  const double left = budget.left() + (granted ? arrivals : 0);
   retries_denied_.Add(granted ? 0 : 1);
   further_arrivals_.Add(granted ? static_cast<std::uint64_t>(arrivals) : 0);
   LogRetry(request, arrivals, left, granted);
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -84,10 +84,9 @@
   void OnTargetsKnownUntil(TimePoint known_until) {
     directory_.OnKnownUntil(known_until);
   }
-  /// Sets this entry's part of the arrivals that all entries may save up for
-  /// further attempts at one service, and what it begins with. The latter is
-  /// granted once.
-  void SetSavedArrivals(double saved, double at_start);
+  /// Sets this entry's part of the arrivals that all entries may make for
+  /// further attempts at one service, beside a share of its requests.
+  void SetRetryPart(const RetryPart& part);
 
   /// Takes the list of entries, among which targets' limits are parted.
   void OnEntries(EntryView view);
@@ -197,7 +196,6 @@
     TimePoint until;  ///< What it holds may be copied until then.
   };
   std::map<std::string, Leaving> leaving_;
-  bool start_granted_ = false;
   std::unordered_map<RequestId, Open> open_;
   /// Decided by `Route` for the `OnSent` that follows it.
   std::optional<EnginePlace> decided_;
--- a/tests/core/admission/retry_allowance_test.cc
+++ b/tests/core/admission/retry_allowance_test.cc
@@ -7,7 +7,6 @@
 
 #include "core/admission/entry_retry_budget.h"
 #include "core/admission/recent_count.h"
-#include "core/admission/retry_budget.h"
 #include "core/base/random.h"
 
 namespace indigolead {
@@ -16,31 +15,45 @@
 TEST_CASE("The allowance is parted among the entries") {
   RetryAllowance allowance;
   allowance.arrivals = 50;
-  CHECK(allowance.SavedByOneOf(4) == Approx(7.5));
-  CHECK(allowance.AtStartOfOneOf(4) == Approx(3.75));
-  CHECK(allowance.SavedByOneOf(100) == Approx(0.3));
-  CHECK(allowance.SavedByOneOf(0) == Approx(30));
-  CHECK(allowance.SavedByOneOf(std::nullopt) == Approx(50 * 0.6 / 64));
+  CHECK(allowance.PartOfOneOf(4) == RetryPart{7.5, 3.75});
+  CHECK(allowance.PartOfOneOf(100) == RetryPart{0.3, 0.15});
+  CHECK(allowance.PartOfOneOf(0) == RetryPart{30, 15});
+  CHECK(allowance.PartOfOneOf(std::nullopt).saved == Approx(50 * 0.6 / 64));
+}
+
+TEST_CASE("What an entry has used of its part comes back within two windows") {
+  TimePoint now{std::chrono::seconds(1000)};
+  EntryRetryBudget budget({.share = 0, .part = {6, 3}});
+  CHECK_FALSE(budget.TryTake(1, now));  // Nothing for having started.
+  now += std::chrono::seconds(4);
+  CHECK(budget.TryTake(1, now));
+  CHECK_FALSE(budget.TryTake(1, now));
+  now += std::chrono::seconds(100);
+  CHECK(budget.TryTake(6, now));
+  CHECK_FALSE(budget.TryTake(1, now));
+  now += std::chrono::seconds(10);
+  CHECK(budget.TryTake(3, now));
+  CHECK_FALSE(budget.TryTake(1, now));
 }
 
 /// Entries of one fleet, each bounded alone.
 struct Fleet {
   Fleet(std::size_t entries, const RetryAllowance& allowance, double share) {
     options.share = share;
-    options.initial = allowance.AtStartOfOneOf(entries);
-    options.burst = std::max(allowance.SavedByOneOf(entries), kAttempt);
-    budgets.assign(entries, RetryBudget(options));
+    options.part = allowance.PartOfOneOf(entries);
+    options.least_saved = kAttempt;
+    budgets.assign(entries, EntryRetryBudget(options));
   }
 
   static constexpr double kAttempt = 2;  ///< Arrivals of one attempt.
-  RetryBudget::Options options;
-  std::vector<RetryBudget> budgets;
+  EntryRetryBudget::Options options;
+  std::vector<EntryRetryBudget> budgets;
 };
 
 // A failure domain is lost: every attempt fails at once, every request wants
-// further attempts, and then all processes are killed and start anew. In
-// no window may the targets of a service see more further arrivals than the
-// operator's bound; and some must be allowed, on a large fleet too.
+// further attempts, and all processes are killed and start anew, five times in
+// a window. In no window may the targets of a service see more further arrivals
+// than the operator's bound; and some must be allowed, on a large fleet too.
 TEST_CASE("A fleet of any size keeps the bound on further arrivals") {
   const std::size_t entries = GENERATE(1, 4, 25, 100, 420);
   const std::size_t window = GENERATE(500, 4000, 40000);  // Requests.
@@ -49,28 +62,33 @@
   constexpr double kSlack = 88;
   const auto requests = static_cast<double>(window);
   const double saved = Fleet::kAttempt * static_cast<double>(entries);
-  if (saved > kSlack + (kRatio - kShare) * requests) {
+  RetryAllowance allowance;
+  allowance.arrivals = kSlack;
+  if (saved >
+      (1 - allowance.share_refilled) * kSlack + (kRatio - kShare) * requests) {
     return;  // One attempt saved up at each entry is more than the bound has.
   }
   INFO(entries << " entries, " << window << " requests in a window");
-  RetryAllowance allowance;
-  allowance.arrivals = kSlack;
   Fleet fleet(entries, allowance, kShare);
   const RandomSource random = MakeSeededRandom(4711);
+  TimePoint now{std::chrono::seconds(1000)};
+  const auto gap = std::chrono::duration_cast<Duration>(
+      fleet.options.window / static_cast<double>(window));
   std::deque<double> further;
   double in_window = 0;
   double worst = 0;
   for (std::size_t step = 0; step < 6 * window; ++step) {
+    now += gap;
     // A calm time first, in which everyone saves up.
     const bool failing = step > 3 * window;
-    RetryBudget& budget = fleet.budgets[random() % entries];
-    budget.OnFirstAttempt();
+    EntryRetryBudget& budget = fleet.budgets[random() % entries];
+    budget.OnRequest(now);
     double arrivals = 0;
     for (int wish = 0; failing && wish < 4; ++wish) {
-      arrivals += budget.TryTake(Fleet::kAttempt) ? Fleet::kAttempt : 0;
+      arrivals += budget.TryTake(Fleet::kAttempt, now) ? Fleet::kAttempt : 0;
     }
-    if (step == 4 * window) {  // All are killed, and start anew.
-      fleet.budgets.assign(entries, RetryBudget(fleet.options));
+    if (step > 4 * window && step % (window / 5) == 0) {  // All are killed.
+      fleet.budgets.assign(entries, EntryRetryBudget(fleet.options));
     }
     further.push_back(arrivals);
     in_window += arrivals;
@@ -101,8 +119,7 @@
     RetryAllowance allowance;
     allowance.arrivals = kSlack;
     options_.share = 0.7 * kRatio;
-    options_.saved = allowance.SavedByOneOf(kEntries);
-    options_.initial = allowance.AtStartOfOneOf(kEntries);
+    options_.part = allowance.PartOfOneOf(kEntries);
     options_.saved_per_request = saved_per_request;
     Restart();
   }
@@ -122,7 +139,7 @@
       const bool fails = ToUnitInterval(random_()) < failing;
       for (int it = 0; fails && it < wishes; ++it) {
         ++wanted;
-        if (budget.TryTake(1)) {
+        if (budget.TryTake(1, now_)) {
           ++granted;
           further_.push_back(now_);
         }
--- a/tests/platform/direct_carrier_test.cc
+++ b/tests/platform/direct_carrier_test.cc
@@ -141,7 +141,7 @@
     options.flow.retry_failed_answers = true;
     options.flow.charge_refused_attempts = true;
     options.flow.no_target_wait = Duration{0};
-    options.retry_budget = {0.2, 10, 10};
+    options.retry_budget = {0.2, {10, 0}, 10};
     return options;
   }
 
--- a/tests/platform/direct_prompt_test.cc
+++ b/tests/platform/direct_prompt_test.cc
@@ -38,7 +38,7 @@
 class Scene {
  public:
   explicit Scene(Script reader,
-                 const EntryRetryBudget::Options& budget = {0, 10, 10},
+                 const EntryRetryBudget::Options& budget = {0, {10, 0}, 10},
                  Script near = Send(kAnswer))
       : Scene(std::vector<Script>{std::move(reader)}, budget, std::move(near)) {
   }
@@ -279,7 +279,7 @@
 // budget allows; charged more, callers are refused who need not be.
 TEST_CASE("A further attempt after a failed reading costs one arrival") {
   SECTION("with none left none is made") {
-    Scene scene(Send(kFailure), {0, 0, 0});
+    Scene scene(Send(kFailure), {0, {0, 0}, 0});
     scene.Ask();
     CHECK(scene.AwaitStatus() == 503);
     CHECK(scene.reads() == 1);
@@ -287,13 +287,13 @@
     CHECK(scene.Logged({"attempt-refused", "reader=reader"}));
   }
   SECTION("with two left two are made, not three") {
-    Scene scene(Send(kFailure), {0, 2, 2});
+    Scene scene(Send(kFailure), {0, {2, 0}, 2});
     scene.Ask();
     CHECK(scene.AwaitStatus() == 503);
     CHECK(scene.reads() == 3);
   }
   SECTION("also if the reader breaks off, for its call may be repeated") {
-    Scene scene({Reset(), Send(kRead)}, {0, 1, 1});
+    Scene scene({Reset(), Send(kRead)}, {0, {1, 0}, 1});
     scene.Ask();
     CHECK(scene.AwaitStatus() == 200);
     CHECK(scene.reads() == 2);
@@ -304,14 +304,14 @@
 // and so does the second reading, which a first attempt has no part in.
 TEST_CASE("A further attempt after a refused run costs two arrivals") {
   SECTION("with one left none is made, and the one is kept") {
-    Scene scene(Send(kRead), {0, 1, 1}, Send(kChangingRole));
+    Scene scene(Send(kRead), {0, {1, 0}, 1}, Send(kChangingRole));
     scene.LoseFarEngine();
     scene.Ask();
     CHECK(scene.AwaitStatus() == 503);
     CHECK(scene.near_runs() == 1);
   }
   SECTION("with three left one is made, not two") {
-    Scene scene(Send(kRead), {0, 3, 3}, Send(kChangingRole));
+    Scene scene(Send(kRead), {0, {3, 0}, 3}, Send(kChangingRole));
     scene.LoseFarEngine();
     scene.Ask();
     CHECK(scene.AwaitStatus() == 503);
@@ -324,7 +324,7 @@
 // its caller must not be refused for want of allowance while a second engine
 // reads beside it.
 TEST_CASE("A prompt whose reader cannot be reached goes to another for free") {
-  Scene scene(Send(kRead), /*budget=*/{0, 0, 0});
+  Scene scene(Send(kRead), /*budget=*/{0, {0, 0}, 0});
   scene.AddUnreachableReader();
   for (std::uint64_t part = 10; part < 30; ++part) {
     scene.Ask(milliseconds(1500), part);
@@ -341,13 +341,13 @@
       GENERATE("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
                "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
   SECTION("with one left it is made") {
-    Scene scene({Send(refusal), Send(kRead)}, {0, 1, 1});
+    Scene scene({Send(refusal), Send(kRead)}, {0, {1, 0}, 1});
     scene.Ask();
     CHECK(scene.AwaitStatus() == 200);
     CHECK(scene.reads() == 2);
   }
   SECTION("with none left it is not") {
-    Scene scene({Send(refusal), Send(kRead)}, {0, 0, 0});
+    Scene scene({Send(refusal), Send(kRead)}, {0, {0, 0}, 0});
     scene.Ask();
     CHECK(scene.AwaitStatus() == 503);
     CHECK(scene.reads() == 1);
@@ -359,7 +359,7 @@
 // engine takes it over, and the caller notices nothing.
 TEST_CASE("A prompt that was read is taken over by a second engine") {
   SECTION("for one arrival, without reading it again") {
-    Scene scene(Send(kRead), {0, 1, 1}, Send(kChangingRole));
+    Scene scene(Send(kRead), {0, {1, 0}, 1}, Send(kChangingRole));
     scene.Ask();
     CHECK(scene.AwaitStatus() == 200);
     CHECK(scene.reads() == 1);
@@ -368,14 +368,14 @@
     CHECK(scene.Logged({"runner-refused", "target=near", "next=far"}));
   }
   SECTION("not without an arrival left") {
-    Scene scene(Send(kRead), {0, 0, 0}, Send(kChangingRole));
+    Scene scene(Send(kRead), {0, {0, 0}, 0}, Send(kChangingRole));
     scene.Ask();
     CHECK(scene.AwaitStatus() == 503);
     CHECK(scene.run_state() == RunState::kNotRun);
     CHECK(scene.far_runs() == 0);
   }
   SECTION("for nothing if the first one cannot be reached") {
-    Scene scene(Send(kRead), {0, 0, 0});
+    Scene scene(Send(kRead), {0, {0, 0}, 0});
     scene.LoseNearEngine();
     scene.Ask();
     CHECK(scene.AwaitStatus() == 200);
@@ -383,7 +383,7 @@
     CHECK(scene.far_runs() == 1);
   }
   SECTION("an engine that may have run it is no reason to ask another") {
-    Scene scene(Send(kRead), {0, 10, 10}, Reset());
+    Scene scene(Send(kRead), {0, {10, 0}, 10}, Reset());
     scene.Ask();
     CHECK(scene.AwaitStatus() == 502);
     CHECK(scene.far_runs() == 0);
@@ -394,7 +394,7 @@
 // copies that part from there, a thirtieth of the time of reading it. A home
 // that leaves still holds what it has read; the new home copies it.
 TEST_CASE("A reader copies the shared part from its likely holder") {
-  Scene scene(Send(kRead), {0, 10, 10});
+  Scene scene(Send(kRead), {0, {10, 0}, 10});
   scene.AddSecondReader();
   scene.Ask();
   CHECK(scene.AwaitStatus() == 200);
@@ -426,7 +426,7 @@
 // On a large fleet an entry's part of the allowance is less than one attempt.
 // Its own traffic must still earn one, or no request would ever be tried again.
 TEST_CASE("An entry of a large fleet earns a whole attempt by its traffic") {
-  Scene scene(Send(kFailure), {.share = 1, .saved = 0.1, .initial = 0});
+  Scene scene(Send(kFailure), {.share = 1, .part = {0.1, 0}});
   scene.Ask();
   scene.AwaitStatus();
   CHECK(scene.reads() == 2);
@@ -447,7 +447,7 @@
 // The nearer of two engines resets every stream before its head, and so never
 // has any in flight.
 TEST_CASE("An engine that resets its streams is soon left alone") {
-  Scene scene(Send(kRead), {0, 10, 10}, Reset());
+  Scene scene(Send(kRead), {0, {10, 0}, 10}, Reset());
   int lost = 0;
   for (int n = 0; n < 8; ++n) {
     scene.Ask();
--- a/tests/platform/fault_table_process_test.cc
+++ b/tests/platform/fault_table_process_test.cc
@@ -117,6 +117,7 @@
   }));
   INFO("targets " << row.fault);
   PlatformScene scene;
+  scene.EarnFurtherAttempts();
   scene.SetBehaviour(row.behaviour);
   CheckOutcomes(AskAll(&scene, row.deadline_ms), row.expected);
   // The fault over, everything is served: no state of it stays behind.
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -152,6 +152,16 @@
   return AskAt(callers_address, method, path, id, deadline_ms);
 }
 
+void PlatformScene::EarnFurtherAttempts() {
+  // Each earns 0.14 of an arrival, and an attempt makes two at an engine.
+  constexpr int kRequests = 16;
+  for (int n = 0; n < kRequests; ++n) {
+    const std::string id = "earns-" + std::to_string(n);
+    REQUIRE(Ask("GET", "/desk/1", id).status == 200);
+    REQUIRE(Ask("POST", "/audit/1", id).status == 200);
+  }
+}
+
 HttpAnswer PlatformScene::AskWithKey(const std::string& key,
                                      const std::string& method,
                                      const std::string& path,
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -81,6 +81,10 @@
   HttpAnswer AskWithKey(const std::string& key, const std::string& method,
                         const std::string& path, const std::string& id);
 
+  /// Asks for what is served, until the entry has earned a further attempt at
+  /// each service: it begins with none.
+  void EarnFurtherAttempts();
+
   /// Writes each worker's registration as it is now.
   void Register();
   void SetBehaviour(ModelWorker::Behaviour behaviour);
--- a/tests/support/retry_fleet.cc
+++ b/tests/support/retry_fleet.cc
@@ -50,8 +50,7 @@
     budget.share = kEarnedShare * options.rule.ratio;
     budget.saved_per_request = kSavedShare * options.rule.ratio;
     budget.window = options.rule.window;
-    budget.saved = allowance_.SavedByOneOf(std::nullopt);
-    budget.initial = allowance_.AtStartOfOneOf(std::nullopt);
+    budget.part = allowance_.PartOfOneOf(std::nullopt);
     budget.least_saved = options.arrivals_of_attempt;
     return budget;
   }
@@ -68,10 +67,7 @@
   RosterKeeper::Hooks Hooks() {
     RosterKeeper::Hooks hooks;
     hooks.on_count = [this](std::size_t entries) {
-      budget_.SetSaved(allowance_.SavedByOneOf(entries), fleet_->now_);
-      budget_.Grant(std::exchange(granted_, true)
-                        ? 0
-                        : allowance_.AtStartOfOneOf(entries));
+      budget_.SetPart(allowance_.PartOfOneOf(entries), fleet_->now_);
     };
     hooks.jitter = [this] { return ToUnitInterval(fleet_->random_()); };
     return hooks;
@@ -80,7 +76,6 @@
   RetryFleet* fleet_;
   RetryAllowance allowance_;
   EntryRetryBudget budget_;
-  bool granted_ = false;
   FakeObjectStore store_;
   RosterKeeper keeper_;
 };
@@ -184,7 +179,7 @@
   EntryRetryBudget& budget = slot.process->budget();
   budget.OnRequest(now_);
   for (int it = 0; it < wishes; ++it) {
-    if (!budget.TryTake(options_.arrivals_of_attempt)) {
+    if (!budget.TryTake(options_.arrivals_of_attempt, now_)) {
       break;
     }
     further_.insert(further_.end(),
