Divide the retry allowance only by lists on which all entries agree

Callers notice nothing; targets get more repeats than their operator allows while entries that stopped come back, or start together: four real processes stopped and started three times gave 68 in 10 s where 66 are allowed; a fleet that starts as a whole while lists are a few seconds old 146 of 118 at 4 entries, 614 at 100.

Cause: an entry took its part by the number on the first list that it got. One that lists before the others have registered, or gets an old list, counts itself alone and takes the whole; a planned stop takes the registration back, so that those who stay divide by fewer before the successor counts. Class: shares of a bound by views that differ. Evidence: entries-counted of the reproduction, 1 to 4 at entries that started together; no break in any world without stops, starts or old lists once processes begin with nothing.

An entry has a part from 30 s after its registration, and while its own list is younger than 22 s, as limits that targets name have it already (EntryStanding, now shared). Entries list each other within 20 s and a list is at most 8 s old as it is read, so whoever has a part is on every list by which another takes one, and parts add up to the whole at most. It is decided when a repeat is asked for, so that a process that stood still does not use what it had. Before that an entry makes what its requests earn.

Weighed: lists more often (calls of the store, the largest price of large fleets); a mark in the registration that its entry had joined, so that a killed one need not wait: more to go wrong for half a minute of a part.

--- a/src/core/admission/limit_share.cc
+++ b/src/core/admission/limit_share.cc
@@ -23,12 +23,8 @@
 
 LimitShare::Standing LimitShare::StandingOf(const EntryView& view,
                                             TimePoint now) const {
-  if (!view.registered_at || !view.listed_at ||
-      now - *view.registered_at < options_.join_time) {
-    return Standing::kNotJoined;
-  }
-  return now - *view.listed_at < options_.fresh_list ? Standing::kFresh
-                                                     : Standing::kStale;
+  return indigolead::StandingOf(view, {options_.join_time, options_.fresh_list},
+                                now);
 }
 
 std::size_t LimitShare::MostParticipants(double limit_rps) const {
--- a/src/core/admission/limit_share.h
+++ b/src/core/admission/limit_share.h
@@ -7,6 +7,7 @@
 
 #include "core/base/time.h"
 #include "core/membership/entry_roster.h"
+#include "core/membership/entry_standing.h"
 
 namespace indigolead {
 
@@ -56,12 +57,8 @@
     Duration fresh_list = std::chrono::seconds(5);
     double stale_factor = 0.5;
   };
-  /// What time alone decides of an entry's shares.
-  enum class Standing {
-    kNotJoined,  ///< Not on every list yet, or no longer: it has no share.
-    kStale,      ///< Its own list is old.
-    kFresh,
-  };
+  /// An entry that has not joined has no share.
+  using Standing = EntryStanding;
 
   explicit LimitShare(Options options) : options_(options) {}
 
--- a/src/core/admission/retry_allowance.h
+++ b/src/core/admission/retry_allowance.h
@@ -1,8 +1,12 @@
 #ifndef INDIGOLEAD_CORE_ADMISSION_RETRY_ALLOWANCE_H_
 #define INDIGOLEAD_CORE_ADMISSION_RETRY_ALLOWANCE_H_
 
+#include <algorithm>
+#include <chrono>
 #include <cstddef>
-#include <optional>
+
+#include "core/membership/entry_roster.h"
+#include "core/membership/entry_standing.h"
 
 namespace indigolead {
 
@@ -22,6 +26,11 @@
 /// failure domain is lost. The symptom: targets that are left are overrun, and
 /// the operator's bound on repeated work is broken, on large fleets only. Each
 /// entry has an equal part instead; what it does not use, no other one may.
+///
+/// Lists differ while entries come and go. An entry has a part only once every
+/// list by which another takes one has it too, and while its own list is young:
+/// no two entries count fewer than there are, so the parts add up to the whole
+/// at most.
 class RetryAllowance {
  public:
   double arrivals = 50;  ///< Of all entries, for each service.
@@ -30,17 +39,26 @@
   /// were allowed just before the window and come in it.
   double share_saved = 0.6;
   double share_refilled = 0.3;
-  /// Entries assumed before any list was read: more than most fleets have, for
-  /// a start while the store is away.
-  std::size_t assumed_entries = 64;
+  /// Entries list each other within 20 s, and a list may be 8 s old when it is
+  /// read.
+  StandingTimes times{std::chrono::seconds(30), std::chrono::seconds(22)};
 
   friend bool operator==(const RetryAllowance&,
                          const RetryAllowance&) = default;
 
-  /// Returns the part of one of `entries`.
-  RetryPart PartOfOneOf(std::optional<std::size_t> entries) const {
-    const std::size_t n = entries.value_or(assumed_entries);
-    const double part = arrivals / static_cast<double>(n == 0 ? 1 : n);
+  /// Returns where the entry of `view` stands.
+  EntryStanding Standing(const EntryView& view, TimePoint now) const {
+    return StandingOf(view, times, now);
+  }
+
+  /// Returns the part of the entry of `view`; none unless its standing is
+  /// fresh.
+  RetryPart PartOf(const EntryView& view, TimePoint now) const {
+    if (Standing(view, now) != EntryStanding::kFresh) {
+      return {};
+    }
+    const std::size_t n = std::max<std::size_t>(view.names.size(), 1);
+    const double part = arrivals / static_cast<double>(n);
     return {share_saved * part, share_refilled * part};
   }
 };
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -218,12 +218,24 @@
   directory_.OnStoreFollowed(clock_());
 }
 
-void DirectDispatcher::SetRetryPart(const RetryPart& part) {
+void DirectDispatcher::FollowRetryPart() {
+  if (!options_.retry_allowance) {
+    return;
+  }
+  const RetryAllowance& allowance = *options_.retry_allowance;
+  const TimePoint now = clock_();
+  const RetryPart part = allowance.PartOf(entries_, now);
+  if (part == options_.retry_budget.part) {
+    return;
+  }
   options_.retry_budget.part = part;
-  log_(kRetryPartChanged, {{"saved", std::to_string(part.saved)},
-                           {"refilled", std::to_string(part.refilled)}});
+  log_(kRetryPartChanged,
+       {{"saved", std::to_string(part.saved)},
+        {"refilled", std::to_string(part.refilled)},
+        {"standing", std::string(NameOf(allowance.Standing(entries_, now)))},
+        {"entries", std::to_string(entries_.names.size())}});
   for (auto& [service, budget] : budgets_) {
-    budget.SetPart(part, clock_());
+    budget.SetPart(part, now);
   }
 }
 
@@ -259,6 +271,7 @@
   const LimitShare::Standing standing = limits_.standing();
   limits_.Tick(clock_());
   LogStanding(standing);
+  FollowRetryPart();
   Apply(directory_.Tick(clock_()));
   flow_.Tick(clock_());
   Flush();
@@ -378,6 +391,7 @@
 }
 
 EntryRetryBudget& DirectDispatcher::BudgetOf(const std::string& service) {
+  FollowRetryPart();  // A process that stood still wakes with an old list.
   const auto held = budgets_.find(service);
   if (held != budgets_.end()) {
     return held->second;
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/admission/entry_retry_budget.h"
+#include "core/admission/retry_allowance.h"
 #include "core/admission/shared_rate_limits.h"
 #include "core/base/random.h"
 #include "core/membership/target_addresses.h"
@@ -41,6 +42,8 @@
     EnginePlacement::Options placement;
     FailureGuard::Options guard;
     EntryRetryBudget::Options retry_budget;  ///< Of each service.
+    /// Divided among the entries in place of a fixed part of each budget.
+    std::optional<RetryAllowance> retry_allowance;
     LimitShare::Options limit_share;
     /// Bounds on the time after which a caller may come back who was refused
     /// since every target had named a limit.
@@ -84,11 +87,8 @@
   void OnTargetsKnownUntil(TimePoint known_until) {
     directory_.OnKnownUntil(known_until);
   }
-  /// Sets this entry's part of the arrivals that all entries may make for
-  /// further attempts at one service, beside a share of its requests.
-  void SetRetryPart(const RetryPart& part);
-
-  /// Takes the list of entries, among which targets' limits are parted.
+  /// Takes the list of entries, among which targets' limits and the allowance
+  /// of further attempts are parted.
   void OnEntries(EntryView view);
   /// Returns true while a target names a limit.
   bool any_limited() const { return limits_.size() > 0; }
@@ -158,6 +158,8 @@
   void OnAttemptEnd(const CallerRequest& request, const AttemptId& id,
                     AttemptOutcome outcome, TimePoint now);
   bool SpendRetry(const CallerRequest& request, AttemptReach reach);
+  /// Takes over what lists and time have made of this entry's part.
+  void FollowRetryPart();
   void LogRetry(const CallerRequest& request, double arrivals, double left,
                 bool granted);
   EnginePlacement& PlacementOf(const std::string& service);
--- a/src/entry/direct_dispatcher_limits.cc
+++ b/src/entry/direct_dispatcher_limits.cc
@@ -10,18 +10,6 @@
 namespace indigolead {
 namespace {
 
-std::string_view StandingName(LimitShare::Standing standing) {
-  switch (standing) {
-    case LimitShare::Standing::kNotJoined:
-      return "not-joined";
-    case LimitShare::Standing::kStale:
-      return "stale";
-    case LimitShare::Standing::kFresh:
-      break;
-  }
-  return "fresh";
-}
-
 std::string LimitText(const std::optional<double>& limit) {
   return limit ? std::to_string(*limit) : "none";
 }
@@ -39,8 +27,8 @@
   // Without limits lists are read seldom, and the standing says nothing.
   if (limits_.standing() != before && any_limited()) {
     log_(kLimitStandingChanged,
-         {{"standing", std::string(StandingName(limits_.standing()))},
-          {"before", std::string(StandingName(before))},
+         {{"standing", std::string(NameOf(limits_.standing()))},
+          {"before", std::string(NameOf(before))},
           {"targets", std::to_string(limits_.size())}});
   }
 }
@@ -109,7 +97,7 @@
         {"limit_per_s", LimitText(change.after)},
         {"before", LimitText(change.before)},
         {"source", source},
-        {"standing", std::string(StandingName(limits_.standing()))},
+        {"standing", std::string(NameOf(limits_.standing()))},
         {"share_per_s",
          std::to_string(limits_.ShareOf(LimitKeyOf(instance)).per_second)}});
 }
--- a/tests/core/admission/retry_allowance_test.cc
+++ b/tests/core/admission/retry_allowance_test.cc
@@ -12,13 +12,48 @@
 namespace indigolead {
 namespace {
 
+constexpr TimePoint kNow{std::chrono::seconds(1000)};
+
+/// Returns the view of one of `entries` that has long joined.
+EntryView ViewOf(std::size_t entries) {
+  EntryView view;
+  view.own_name = "e1";
+  view.names.assign(entries, "e1");
+  view.listed_at = kNow;
+  view.registered_at = kNow - std::chrono::hours(1);
+  return view;
+}
+
 TEST_CASE("The allowance is parted among the entries") {
   RetryAllowance allowance;
   allowance.arrivals = 50;
-  CHECK(allowance.PartOfOneOf(4) == RetryPart{7.5, 3.75});
-  CHECK(allowance.PartOfOneOf(100) == RetryPart{0.3, 0.15});
-  CHECK(allowance.PartOfOneOf(0) == RetryPart{30, 15});
-  CHECK(allowance.PartOfOneOf(std::nullopt).saved == Approx(50 * 0.6 / 64));
+  CHECK(allowance.PartOf(ViewOf(4), kNow) == RetryPart{7.5, 3.75});
+  CHECK(allowance.PartOf(ViewOf(100), kNow) == RetryPart{0.3, 0.15});
+  CHECK(allowance.PartOf(ViewOf(0), kNow) == RetryPart{30, 15});
+}
+
+/// Guards against parts by lists that lack entries, or of entries that others
+/// do not count.
+TEST_CASE("An entry has a part while all lists agree on it") {
+  const RetryAllowance allowance;
+  EntryView view = ViewOf(4);
+  REQUIRE(allowance.PartOf(view, kNow).saved > 0);
+
+  SECTION("none before it has been on every list") {
+    view.registered_at = kNow - std::chrono::seconds(29);
+    CHECK(allowance.PartOf(view, kNow) == RetryPart{});
+    CHECK(allowance.PartOf(view, kNow + std::chrono::seconds(1)).saved > 0);
+  }
+  SECTION("none once it has taken its registration back") {
+    view.registered_at.reset();
+    CHECK(allowance.PartOf(view, kNow) == RetryPart{});
+  }
+  SECTION("none by a list that may lack newcomers, or without any") {
+    CHECK(allowance.PartOf(view, kNow + std::chrono::seconds(22)) ==
+          RetryPart{});
+    view.listed_at.reset();
+    CHECK(allowance.PartOf(view, kNow) == RetryPart{});
+  }
 }
 
 TEST_CASE("What an entry has used of its part comes back within two windows") {
@@ -40,7 +75,7 @@
 struct Fleet {
   Fleet(std::size_t entries, const RetryAllowance& allowance, double share) {
     options.share = share;
-    options.part = allowance.PartOfOneOf(entries);
+    options.part = allowance.PartOf(ViewOf(entries), kNow);
     options.least_saved = kAttempt;
     budgets.assign(entries, EntryRetryBudget(options));
   }
@@ -119,7 +154,7 @@
     RetryAllowance allowance;
     allowance.arrivals = kSlack;
     options_.share = 0.7 * kRatio;
-    options_.part = allowance.PartOfOneOf(kEntries);
+    options_.part = allowance.PartOf(ViewOf(kEntries), kNow);
     options_.saved_per_request = saved_per_request;
     Restart();
   }
--- a/tests/shell/retry_fleet_test.cc
+++ b/tests/shell/retry_fleet_test.cc
@@ -29,6 +29,7 @@
   RetryFleet fleet(options);
   fleet.Run(seconds(120));
   fleet.SetFailing(true);
+  fleet.Run(seconds(1));
   for (int n = 0; n < 12; ++n) {
     fleet.KillAll();
     fleet.StartAll();
--- a/tests/support/retry_fleet.cc
+++ b/tests/support/retry_fleet.cc
@@ -35,7 +35,11 @@
             &store_, KeeperOptions(name, ++fleet->incarnations_), Hooks(),
             [fleet] { return fleet->now_; }, MakeNullEventLog()) {}
 
-  EntryRetryBudget& budget() { return budget_; }
+  /// Returns the budget, with the part that the entry has now.
+  EntryRetryBudget& budget() {
+    budget_.SetPart(allowance_.PartOf(view_, fleet_->now_), fleet_->now_);
+    return budget_;
+  }
   RosterKeeper& keeper() { return keeper_; }
 
  private:
@@ -50,7 +54,7 @@
     budget.share = kEarnedShare * options.rule.ratio;
     budget.saved_per_request = kSavedShare * options.rule.ratio;
     budget.window = options.rule.window;
-    budget.part = allowance_.PartOfOneOf(std::nullopt);
+    budget.part = {};
     budget.least_saved = options.arrivals_of_attempt;
     return budget;
   }
@@ -66,9 +70,8 @@
 
   RosterKeeper::Hooks Hooks() {
     RosterKeeper::Hooks hooks;
-    hooks.on_count = [this](std::size_t entries) {
-      budget_.SetPart(allowance_.PartOfOneOf(entries), fleet_->now_);
-    };
+    hooks.on_count = [](std::size_t) {};
+    hooks.on_view = [this](const EntryView& it) { view_ = it; };
     hooks.jitter = [this] { return ToUnitInterval(fleet_->random_()); };
     return hooks;
   }
@@ -76,6 +79,7 @@
   RetryFleet* fleet_;
   RetryAllowance allowance_;
   EntryRetryBudget budget_;
+  EntryView view_;
   FakeObjectStore store_;
   RosterKeeper keeper_;
 };
