Leave the list of entries before others take this one for gone

An entry that cannot renew its registration (the store refuses writes, or it stood still for minutes) is taken for gone by the others after 2.5 renewals, who then divide among themselves what it goes on using: further attempts, and limits that targets name.

The entry now takes itself for gone after two renewals without one that was confirmed (registration-lapsed, 1055), has no part from then on, and joins anew once it is renewed. "An entry whose registration is not renewed*": kept its standing for good before.

--- a/src/core/membership/entry_roster.h
+++ b/src/core/membership/entry_roster.h
@@ -69,6 +69,9 @@
     return options_.pace.RenewInterval(seen_.size());
   }
 
+  /// Returns the time without a renewal after which this entry has left.
+  Duration LeaveAfter() const { return options_.pace.LeaveAfter(seen_.size()); }
+
   /// Returns the number of entries alive, this one among them. Errs on the high
   /// side: an entry that is gone counts until it expires.
   std::size_t live(TimePoint now) const;
--- a/src/core/membership/roster_pace.h
+++ b/src/core/membership/roster_pace.h
@@ -33,6 +33,12 @@
     return RenewInterval(entries) * 5 / 2;
   }
 
+  /// Returns the time without a renewal after which an entry no longer counts
+  /// itself among the others: before any of them takes it for gone.
+  Duration LeaveAfter(std::size_t entries) const {
+    return RenewInterval(entries) * 2;
+  }
+
   friend bool operator==(const RosterPace&, const RosterPace&) = default;
 };
 
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -78,6 +78,10 @@
 inline constexpr EventInfo kRosterCallFailed{
     1035, "roster-call-failed", EventSeverity::kWarning,
     "A registration could not be written or read; it is tried again."};
+inline constexpr EventInfo kRosterLeft{
+    1055, "registration-lapsed", EventSeverity::kWarning,
+    "This entry's registration could not be renewed for so long that others "
+    "may take it for gone; it has no part of what entries share until it is."};
 inline constexpr EventInfo kTargetAvoided{
     1036, "target-avoided", EventSeverity::kWarning,
     "A target's calls break one after the other; it gets work only where no "
--- a/src/entry/roster_keeper.cc
+++ b/src/entry/roster_keeper.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "entry/event_fields.h"
 #include "entry/events.h"
 #include "entry/relay_registration.h"
 
@@ -42,6 +43,7 @@
 
 void RosterKeeper::Tick() {
   const TimePoint now = clock_();
+  LeaveIfNotRenewed(now);
   if (!renewing_ && !stopped_ && RenewalIsDue(now)) {
     Renew();
   }
@@ -53,6 +55,7 @@
 
 void RosterKeeper::Renew() {
   renewing_ = true;
+  renewal_sent_at_ = clock_();
   // Another value each time, or the store would not count it as a change.
   const std::string value = "incarnation=" + options_.incarnation +
                             "\nrenewals=" + std::to_string(++renewals_) + "\n" +
@@ -67,10 +70,21 @@
               });
 }
 
+// The others take an entry for gone that they have not seen renewed, and divide
+// what it shared among themselves.
+void RosterKeeper::LeaveIfNotRenewed(TimePoint now) {
+  if (registered_at_ && now - confirmed_at_ >= roster_.LeaveAfter()) {
+    log_(kRosterLeft, {{"renewed_ms_ago", Milliseconds(now - confirmed_at_)}});
+    registered_at_.reset();
+    TellView();
+  }
+}
+
 void RosterKeeper::OnRenewed(const Result<std::uint64_t>& result) {
   renewing_ = false;
   if (IsOk(result)) {
     own_version_ = ValueOf(result);
+    confirmed_at_ = renewal_sent_at_;
     if (!registered_at_ && !stopped_) {
       registered_at_ = clock_();
       TellView();
--- a/src/entry/roster_keeper.h
+++ b/src/entry/roster_keeper.h
@@ -67,6 +67,8 @@
   void OnRenewed(const Result<std::uint64_t>& result);
   void List();
   void OnListed(const ObjectStore::Listing& listing);
+  /// Takes this entry for gone where the others are about to.
+  void LeaveIfNotRenewed(TimePoint now);
   void DeleteExpired();
   void Tell();
   void TellRelays();
@@ -95,6 +97,8 @@
   bool closely_ = false;
   std::optional<TimePoint> listed_at_;
   std::optional<TimePoint> registered_at_;
+  TimePoint renewal_sent_at_;  ///< Of the last call.
+  TimePoint confirmed_at_;  ///< When the last renewal that succeeded was sent.
   std::uint64_t renewals_ = 0;
   std::uint64_t own_version_ = 0;  ///< Zero: not known to be registered.
   std::optional<std::size_t> told_;
--- a/tests/shell/roster_keeper_test.cc
+++ b/tests/shell/roster_keeper_test.cc
@@ -252,5 +252,28 @@
   }
 }
 
+/// Guards against an entry that goes on using its part of what entries divide
+/// after the others have taken it for gone.
+TEST_CASE(
+    "An entry whose registration is not renewed leaves before it expires") {
+  Scene scene;
+  Scene::Entry& entry = scene.Add("a");
+  scene.Run(seconds(90));
+  const auto registered_at = entry.view.registered_at;
+  REQUIRE(registered_at);
+  standins::PlatformFaults faults;
+  faults.refuse = true;
+  scene.platform.SetFaults(faults);
+  scene.Run(RosterPace().ExpireAfter(1));
+  CHECK_FALSE(entry.view.registered_at);
+
+  SECTION("and joins anew once it is renewed") {
+    scene.platform.SetFaults({});
+    scene.Run(seconds(10));
+    REQUIRE(entry.view.registered_at);
+    CHECK(*entry.view.registered_at > *registered_at);
+  }
+}
+
 }  // namespace
 }  // namespace indigolead::testing
