Count the lines that a slow reader did not take

While tests read a log to add up what was charged for each request, 5 s of it were missing and no line said so: what a reader had not taken within a second was dropped, and not counted. So a request without a line looked as if nothing had been charged for it.

--- a/src/observe/line_writer.cc
+++ b/src/observe/line_writer.cc
@@ -60,7 +60,8 @@
                                  [this] { return stopping_; });
       stopping = stopping_;
     }
-    WriteAll(TakeWaiting());
+    const std::string text = TakeWaiting();
+    CountDropped(text, WriteSome(text));
     if (stopping) {
       return;
     }
@@ -85,12 +86,19 @@
   return text;
 }
 
-void LineWriter::WriteAll(const std::string& text) {
+void LineWriter::CountDropped(const std::string& text, std::size_t written) {
+  const auto rest = text.begin() + static_cast<std::ptrdiff_t>(written);
+  const auto n = std::count(rest, text.end(), '\n');
+  const std::lock_guard<std::mutex> lock(mutex_);
+  dropped_ += static_cast<std::uint64_t>(n);
+}
+
+std::size_t LineWriter::WriteSome(const std::string& text) {
   std::size_t written = 0;
   while (written < text.size()) {
     pollfd ready{options_.descriptor, POLLOUT, 0};
     if (poll(&ready, 1, kReaderWaitMs) <= 0) {
-      return;
+      return written;
     }
     // A pipe that polls as writable has room for this much, and a longer write
     // would wait for its reader.
@@ -98,10 +106,11 @@
         std::min<std::size_t>(text.size() - written, PIPE_BUF);
     const auto n = write(options_.descriptor, text.data() + written, most);
     if (n < 0 && errno != EINTR && errno != EAGAIN) {
-      return;
+      return written;
     }
     written += n > 0 ? static_cast<std::size_t>(n) : 0;
   }
+  return written;
 }
 
 }  // namespace indigolead
--- a/src/observe/line_writer.h
+++ b/src/observe/line_writer.h
@@ -46,7 +46,9 @@
  private:
   void Run();
   std::string TakeWaiting();
-  void WriteAll(const std::string& text);
+  /// Returns the bytes that the reader took.
+  std::size_t WriteSome(const std::string& text);
+  void CountDropped(const std::string& text, std::size_t written);
 
   Options options_;
   mutable std::mutex mutex_;
--- a/tests/shell/line_writer_test.cc
+++ b/tests/shell/line_writer_test.cc
@@ -3,8 +3,11 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
+#include <thread>
 
 namespace indigolead {
 namespace {
@@ -91,5 +94,25 @@
   CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(8));
 }
 
+/// Guards against a log with a hole that nobody is told of.
+TEST_CASE("Lines that a slow reader did not take are counted") {
+  Pipe pipe;
+  LineWriter::Options options = OptionsFor(pipe);
+  options.max_lines_per_s = 1000;
+  LineWriter writer(options);
+  const std::string line(999, 'x');
+  for (int n = 0; n < 200; ++n) {  // Three times what a pipe holds.
+    writer.Push(line + "\n");
+  }
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (writer.dropped() == 0 && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  const auto seen = pipe.ReadAll();
+  const auto whole =
+      static_cast<std::uint64_t>(std::count(seen.begin(), seen.end(), '\n'));
+  CHECK(writer.dropped() + whole == 200);
+}
+
 }  // namespace
 }  // namespace indigolead
