--- a/tests/platform/support/repeats.cc
+++ b/tests/platform/support/repeats.cc
@@ -77,7 +77,7 @@
 }
 
 SteadyCallers::SteadyCallers(PlatformScene* scene, const Load& load)
-    : scene_(scene), load_(load) {
+    : load_(load) {
   addresses_.push_back(scene->callers_address);
   for (const PlatformScene::FurtherEntry& it : scene->further) {
     addresses_.push_back(it.callers_address);
--- a/tests/platform/support/repeats.h
+++ b/tests/platform/support/repeats.h
@@ -52,10 +52,8 @@
 
   void Ask(int caller);
 
-  PlatformScene* scene_;
   Load load_;
-  /// Of all entries, when the callers began.
-  std::vector<std::string> addresses_;
+  std::vector<std::string> addresses_;  ///< Of all entries.
   std::atomic<bool> stopping_{false};
   std::atomic<int> served_{0};
   std::mutex mutex_;
