Hold the soak of real processes to the operator's bound on repeats

It checked answers, runs and limits; what targets saw again was in no check of real processes that fail at random.

--- a/tests/platform/soak_process_test.cc
+++ b/tests/platform/soak_process_test.cc
@@ -1,8 +1,10 @@
 // Everything fails at random between real processes, for as long as is asked:
 // INDIGOLEAD_SOAK_S seconds (6 by default), by the seed INDIGOLEAD_SOAK_SEED.
 
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -16,7 +18,9 @@
 
 #include "core/base/random.h"
 #include "tests/platform/support/platform_scene.h"
+#include "tests/platform/support/repeats.h"
 #include "tests/support/limit_rule.h"
+#include "tests/support/retry_rule.h"
 
 namespace indigolead::testing {
 namespace {
@@ -34,6 +38,7 @@
 struct Asked {
   std::string id;
   Kind kind = Kind::kSafe;
+  std::chrono::steady_clock::time_point sent_at;
   int status = 0;
   std::string body;
 };
@@ -75,6 +80,7 @@
       Asked it;
       it.id = "c" + std::to_string(number) + "-" + std::to_string(n);
       it.kind = static_cast<Kind>(random() % 4);
+      it.sent_at = std::chrono::steady_clock::now();
       const int deadline_ms = 400 + static_cast<int>(random() % 1600);
       const HttpAnswer answer =
           scene_->Ask(it.kind == Kind::kSafe ? "GET" : "POST",
@@ -217,6 +223,24 @@
   }
 }
 
+/// Checks what the targets of a service saw of its requests again.
+void CheckRepeats(PlatformScene* scene, const std::vector<Asked>& asked,
+                  const std::string& service) {
+  std::vector<std::chrono::steady_clock::time_point> sent;
+  for (const Asked& it : asked) {
+    const bool plain = it.kind == Kind::kSafe || it.kind == Kind::kUnsafe;
+    if (plain == (service == "app")) {
+      sent.push_back(it.sent_at);
+    }
+  }
+  std::sort(sent.begin(), sent.end());
+  const RetryRule rule{.slack = PlatformScene::Options{}.retry_slack};
+  const RetryWindow worst =
+      WorstRetryWindow(rule, sent, FurtherArrivals(scene, service));
+  INFO(service << ": " << worst);
+  CHECK(worst.further <= worst.allowed);
+}
+
 /// Returns the memory that the process has in use, in MB.
 std::uint64_t MemoryOf(pid_t pid) {
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
@@ -230,9 +254,9 @@
 
 // Targets, store, paths and the entry fail one after the other and together,
 // while callers ask. What may run once runs once at most, what is denied has
-// not run, what is answered is whole, a target that names a limit gets no more;
-// and once the troubles are over, all is served again, in the memory that an
-// entry has.
+// not run, what is answered is whole, a target that names a limit gets no more,
+// and repeats keep to what the operator allows; once the troubles are over, all
+// is served again, in the memory that an entry has.
 TEST_CASE("A soak of faults breaks no promise, and ends served") {
   const std::uint64_t seed = NumberFrom("INDIGOLEAD_SOAK_SEED", 1);
   const auto length = seconds(NumberFrom("INDIGOLEAD_SOAK_S", 6));
@@ -249,6 +273,8 @@
     troubles.End();
     asked = callers.Stop();
   }
+  CheckRepeats(&scene, asked, "app");
+  CheckRepeats(&scene, asked, "llm");
   std::map<int, int> by_status;
   std::map<std::string, int> by_code;
   for (const Asked& it : asked) {
