--- a/src/core/admission/entry_retry_budget.h
+++ b/src/core/admission/entry_retry_budget.h
@@ -21,9 +21,8 @@
 /// saves up that part and `saved_per_request` of its own requests of the last
 /// window.
 ///
-/// A process begins with nothing. Whatever it were given at its start, entries
-/// that are killed again and again would be given once for each process, and
-/// no part of the operator's bound covers any number of them.
+/// A process begins with nothing: entries that are killed again and again
+/// would get a grant at each start, beyond any bound on the sum.
 ///
 /// The load: a hundred entries with two or three requests a second each, of
 /// which one in seven fails and is worth a second try. With a part of the
--- a/src/core/admission/retry_allowance.h
+++ b/src/core/admission/retry_allowance.h
@@ -28,9 +28,9 @@
 /// entry has an equal part instead; what it does not use, no other one may.
 ///
 /// Lists differ while entries come and go. An entry has a part only once every
-/// list by which another takes one has it too, and while its own list is young:
-/// no two entries count fewer than there are, so the parts add up to the whole
-/// at most.
+/// list by which another takes one has it too, and while its own list is young.
+/// So whoever has a part counts all who have one, and the parts add up to the
+/// whole at most.
 class RetryAllowance {
  public:
   double arrivals = 50;  ///< Of all entries, for each service.
