Log when a target asks for rest or says that it leaves, and what is written meanwhile

Every call of an entry to a target, whatever it is for, now goes through one client that sees the moment before its first byte and the head of its answer. The dialect reads Retry-After of a 503 and Server-Leaving; the dispatcher notes and logs both (target-asked-rest, target-rest-over, call-during-rest, target-told-leaving, target-notice-unreadable) and acts on neither yet. Gauge indigolead_targets_at_rest, counter indigolead_calls_during_rest_total.

Tests: reading of both fields (absent, 0, fraction, negative, date, twice, a year, no number), rests that overlap, end and are forgotten.

--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -70,21 +70,11 @@
   Target& target = targets_[record.id];
   target.record = record;
   target.link = SideLink{++next_link_};
-  target.client = MakeClient(record.address);
+  target.client = MakeClient(record);
   flow_->OnSideUp(target.link, InfoOf(record), clock_());
   flow_->OnLeaving(record.id, record.leaving, clock_());
 }
 
-std::unique_ptr<TargetClient> DirectCarrier::MakeClient(
-    const std::string& address) {
-  if (options_.make_client) {
-    return options_.make_client(address);
-  }
-  HttpTargetClient::Options options = options_.client;
-  options.address = address;
-  return std::make_unique<HttpTargetClient>(io_, std::move(options));
-}
-
 void DirectCarrier::OnTarget(const TargetChange& change) {
   const TargetRecord& record = change.target;
   const TimePoint now = clock_();
@@ -128,7 +118,7 @@
   // lost with it, and may not be repeated. A new client begins without any.
   // Calls that are open end by themselves, since nobody can tell here to which
   // of the runs they went; the new run may be answering them.
-  it->second.client = MakeClient(record.address);
+  it->second.client = MakeClient(record);
   flow_->OnSideChanged(it->second.link, InfoOf(record), clock_());
 }
 
@@ -432,25 +422,6 @@
   }
 }
 
-void DirectCarrier::TellLimit(const std::string& instance, const Run& run,
-                              int status,
-                              const std::vector<HttpHeader>& headers) {
-  const TargetRecord* target = FindTarget(instance);
-  if (!target || target->run != run.called || !hooks_.on_limit_notice ||
-      !dialect_.named_limit) {
-    return;
-  }
-  const auto limit = dialect_.named_limit(*target, headers);
-  if (!IsOk(limit)) {
-    log_(kTargetLimitUnreadable, {{"request", run.request->caller_id},
-                                  {"error", ToString(ErrorOf(limit))}});
-    return;
-  }
-  const bool served = status < 300 && dialect_.meaning(status, headers) ==
-                                          AnswerMeaning::kAnswer;
-  hooks_.on_limit_notice(instance, {ValueOf(limit), served, run.called_at});
-}
-
 AttemptReach DirectCarrier::ReachBeforeRun(const Run& run) {
   return run.reader.empty() ? AttemptReach::kNothing : AttemptReach::kReader;
 }
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -80,6 +80,14 @@
     /// The head of a target's answer came; it names a limit, or none.
     std::function<void(const std::string& instance, const LimitNotice&)>
         on_limit_notice;
+    /// The first byte of a call to a target, of any kind, is about to be
+    /// written.
+    std::function<void(const std::string& instance)> on_write;
+    /// The head of a target's answer, of any kind, asks this entry for rest.
+    std::function<void(const std::string& instance, Duration length)>
+        on_rest_asked;
+    /// The head of a target's answer, of any kind, says that it leaves.
+    std::function<void(const std::string& instance)> on_leaving_told;
     /// Called after the flow was told something.
     std::function<void()> flush;
   };
@@ -142,7 +150,11 @@
   TargetClient* ClientOf(const std::string& instance);
   void Add(const TargetRecord& record);
   void Restart(const TargetRecord& record);
-  std::unique_ptr<TargetClient> MakeClient(const std::string& address);
+  std::unique_ptr<TargetClient> MakeClient(const TargetRecord& record);
+  /// Tells what the head of any answer says of its target, whose record was
+  /// `target` as the call was made.
+  void TellNotices(const TargetRecord& target, int status,
+                   const std::vector<HttpHeader>& headers);
   void StartPrefill(const AttemptId& id, const std::string& at);
   Duration PrefillWait(Duration left) const;
   std::string CopyAddress(const AttemptId& id) const;
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -78,6 +78,13 @@
       limited_targets_(metrics->AddGauge(
           "indigolead_targets_limited",
           "Targets that name a limit on the requests that they take.")),
+      targets_at_rest_(metrics->AddGauge(
+          "indigolead_targets_at_rest",
+          "Targets that want no request of this entry for a while.")),
+      calls_during_rest_(metrics->AddCounter(
+          "indigolead_calls_during_rest_total",
+          "Calls of any kind that were about to be written to a target at "
+          "rest.")),
       answer_seconds_(metrics->AddHistogram(
           "indigolead_answer_seconds",
           "Time from taking a request to the head of its answer.")),
@@ -156,6 +163,13 @@
                                  const LimitNotice& notice) {
     OnLimitNotice(instance, notice);
   };
+  hooks.on_write = [this](const std::string& instance) { OnWrite(instance); };
+  hooks.on_rest_asked = [this](const std::string& instance, Duration length) {
+    OnRestAsked(instance, length);
+  };
+  hooks.on_leaving_told = [this](const std::string& instance) {
+    OnLeavingTold(instance);
+  };
   hooks.flush = [this] { Flush(); };
   return hooks;
 }
@@ -255,6 +269,7 @@
         it.kind == TargetChange::Kind::kRestarted) {
       PlacementOf(it.target.service).Forget(it.target.id);
       guard_.Forget(it.target.id);
+      rests_.Forget(it.target.id);
     }
     if (it.kind != TargetChange::Kind::kRemoved) {
       OnSharedLimit(it.target);
@@ -271,6 +286,7 @@
   const LimitShare::Standing standing = limits_.standing();
   limits_.Tick(clock_());
   LogStanding(standing);
+  EndRests();
   FollowRetryPart();
   Apply(directory_.Tick(clock_()));
   flow_.Tick(clock_());
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/admission/entry_retry_budget.h"
 #include "core/admission/retry_allowance.h"
 #include "core/admission/shared_rate_limits.h"
+#include "core/admission/target_rests.h"
 #include "core/base/random.h"
 #include "core/membership/target_addresses.h"
 #include "core/membership/target_directory.h"
@@ -150,6 +151,13 @@
   /// an earlier target of an address reaches the one that has it now.
   const std::string& LimitKeyOf(const std::string& instance) const;
   bool MaySendTo(const std::string& instance, TimePoint now) const;
+  /// Returns the targets that may have given an answer of `instance`: all that
+  /// are listed at its address.
+  std::vector<std::string> MaySpeakFor(const std::string& instance) const;
+  void OnRestAsked(const std::string& instance, Duration length);
+  void OnLeavingTold(const std::string& instance);
+  void OnWrite(const std::string& instance);
+  void EndRests();
   void NoteLimitChange(const std::string& instance, const LimitChange& change,
                        const std::string& source);
   void LogStanding(LimitShare::Standing before);
@@ -189,6 +197,7 @@
   FailureGuard guard_;
   TargetAddresses addresses_;
   SharedRateLimits limits_;  ///< By the targets' addresses.
+  TargetRests rests_;
   EntryView entries_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<std::string, EnginePlacement> placements_;
@@ -214,6 +223,8 @@
   Counter& further_arrivals_unmade_;
   Gauge& targets_;
   Gauge& limited_targets_;
+  Gauge& targets_at_rest_;
+  Counter& calls_during_rest_;
   Histogram& answer_seconds_;
   Histogram& refusal_seconds_;
 };
--- /dev/null
+++ b/src/entry/direct_dispatcher_notices.cc
@@ -0,0 +1,54 @@
+// What targets say of themselves in any of their answers: that they want rest,
+// or that they leave.
+
+#include "entry/direct_dispatcher.h"
+#include "entry/event_fields.h"
+#include "entry/events.h"
+
+namespace indigolead {
+
+std::vector<std::string> DirectDispatcher::MaySpeakFor(
+    const std::string& instance) const {
+  const std::string* address = addresses_.Find(instance);
+  if (!address) {
+    return {};
+  }
+  const TargetAddresses::Ids& ids = addresses_.HoldersOf(*address);
+  return {ids.begin(), ids.end()};
+}
+
+void DirectDispatcher::OnRestAsked(const std::string& instance,
+                                   Duration length) {
+  for (const std::string& it : MaySpeakFor(instance)) {
+    const Duration left = rests_.OnAsked(it, length, clock_());
+    log_(kTargetAskedRest, {{"target", it},
+                            {"answered", instance},
+                            {"asked_ms", Milliseconds(length)},
+                            {"left_ms", Milliseconds(left)}});
+  }
+  targets_at_rest_.Set(static_cast<std::int64_t>(rests_.size()));
+}
+
+void DirectDispatcher::OnLeavingTold(const std::string& instance) {
+  log_(kTargetToldLeaving, {{"target", instance}});
+}
+
+void DirectDispatcher::OnWrite(const std::string& instance) {
+  const Duration left = rests_.WaitFor(instance, clock_());
+  if (left > Duration{0}) {
+    calls_during_rest_.Add();
+    log_(kCallDuringRest, {{"target", instance},
+                           {"left_ms", Milliseconds(left)},
+                           {"outcome", "sent"}});
+  }
+}
+
+void DirectDispatcher::EndRests() {
+  const std::vector<std::string> over = rests_.Tick(clock_());
+  for (const std::string& it : over) {
+    log_(kTargetRestOver, {{"target", it}});
+  }
+  targets_at_rest_.Set(static_cast<std::int64_t>(rests_.size()));
+}
+
+}  // namespace indigolead
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -103,6 +103,25 @@
     "A target's answer names a limit that is no number; what was believed "
     "stays."};
 
+inline constexpr EventInfo kTargetAskedRest{
+    1056, "target-asked-rest", EventSeverity::kInfo,
+    "A target turned a request away and wants no other of this entry for a "
+    "while."};
+inline constexpr EventInfo kTargetRestOver{
+    1057, "target-rest-over", EventSeverity::kInfo,
+    "A target that asked for rest may get requests of this entry again."};
+inline constexpr EventInfo kCallDuringRest{
+    1058, "call-during-rest", EventSeverity::kWarning,
+    "A call was about to be written to a target that wants none: what became "
+    "of the call."};
+inline constexpr EventInfo kTargetToldLeaving{
+    1059, "target-told-leaving", EventSeverity::kInfo,
+    "A target's answer says that it leaves."};
+inline constexpr EventInfo kTargetNoticeUnreadable{
+    1060, "target-notice-unreadable", EventSeverity::kWarning,
+    "A target's answer asks for rest or says that it leaves, in words that "
+    "cannot be read; what was believed stays."};
+
 inline constexpr EventInfo kRetryCharged{
     1053, "retry-charged", EventSeverity::kInfo,
     "A further attempt was asked of the retry budget: what was left, and by "
--- a/src/entry/target_dialect.h
+++ b/src/entry/target_dialect.h
@@ -70,6 +70,15 @@
   std::function<Result<std::optional<double>>(
       const TargetRecord& target, const std::vector<HttpHeader>& headers)>
       named_limit;
+  /// Returns for how long the target wants no request of this entry, by the
+  /// head of an answer; zero if it does not say so.
+  std::function<Result<Duration>(const TargetRecord& target, int status,
+                                 const std::vector<HttpHeader>& headers)>
+      asked_rest;
+  /// Returns true if the head of an answer says that its target leaves.
+  std::function<Result<bool>(const TargetRecord& target,
+                             const std::vector<HttpHeader>& headers)>
+      says_leaving;
 };
 
 }  // namespace indigolead
--- /dev/null
+++ b/src/entry/watched_target_client.h
@@ -0,0 +1,35 @@
+#ifndef INDIGOLEAD_ENTRY_WATCHED_TARGET_CLIENT_H_
+#define INDIGOLEAD_ENTRY_WATCHED_TARGET_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "target/target_client.h"
+
+namespace indigolead {
+
+/// Client that lets its owner see each call to one target, whatever the call
+/// is for: the moment before its first byte is written, and the head of its
+/// answer.
+class WatchedTargetClient : public TargetClient {
+ public:
+  struct Watcher {
+    /// The first byte is about to be written.
+    std::function<void()> on_write;
+    std::function<void(int status, const std::vector<HttpHeader>&)> on_head;
+  };
+
+  WatchedTargetClient(std::unique_ptr<TargetClient> client, Watcher watcher);
+
+  std::unique_ptr<Call> Start(TargetRequest request, Hooks hooks) override;
+
+ private:
+  std::unique_ptr<TargetClient> client_;
+  /// Shared with the calls, which may outlive their client.
+  std::shared_ptr<const Watcher> watcher_;
+};
+
+}  // namespace indigolead
+
+#endif  // INDIGOLEAD_ENTRY_WATCHED_TARGET_CLIENT_H_
--- a/tests/platform/target_words_test.cc
+++ b/tests/platform/target_words_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 TargetRecord Target() {
   TargetRecord target;
@@ -157,5 +158,51 @@
   CHECK(ErrorOf(limit_of({{"Server-Limit", bad}})).peer == "i-7");
 }
 
+TEST_CASE("A target's rest is a number of seconds") {
+  const TargetDialect dialect = MakePlatformDialect();
+  const auto rest = [&](int status, std::vector<HttpHeader> headers) {
+    return dialect.asked_rest(Target(), status, headers);
+  };
+  SECTION("told with 503, whether or not the answer proves that nothing ran") {
+    CHECK(ValueOf(rest(503, {{"Retry-After", "3"}})) == seconds(3));
+    CHECK(ValueOf(rest(503, {{"retry-after", "0.25"}})) == milliseconds(250));
+    CHECK(ValueOf(rest(503, {{"X-Not-Executed", "1"}, {"Retry-After", "2"}})) ==
+          seconds(2));
+    CHECK(ValueOf(rest(503, {{"Retry-After", "31536000"}})) ==
+          seconds(31536000));
+  }
+  SECTION("the longest, where it is told twice") {
+    CHECK(ValueOf(rest(503, {{"Retry-After", "3"}, {"Retry-After", "1"}})) ==
+          seconds(3));
+  }
+  SECTION("none with another status, without the field, or with zero") {
+    CHECK(ValueOf(rest(200, {{"Retry-After", "3"}})) == Duration{0});
+    CHECK(ValueOf(rest(503, {})) == Duration{0});
+    CHECK(ValueOf(rest(503, {{"Retry-After", "0"}})) == Duration{0});
+  }
+  SECTION("and an error that names what is wrong, where it is no number") {
+    for (const char* it : {"-1", "soon", "", "nan", "inf", "3 s",
+                           "Thu, 01 Jan 2026 00:00:00 GMT"}) {
+      INFO(it);
+      const auto error = rest(503, {{"Retry-After", it}});
+      REQUIRE_FALSE(IsOk(error));
+      CHECK(ErrorOf(error).peer == "i-7");
+      CHECK(ErrorOf(error).detail ==
+            "\"" + std::string(it) + "\" is not a number of seconds");
+    }
+  }
+}
+
+TEST_CASE("A target says in any answer that it leaves") {
+  const TargetDialect dialect = MakePlatformDialect();
+  const auto leaving = [&](std::vector<HttpHeader> headers) {
+    return dialect.says_leaving(Target(), headers);
+  };
+  CHECK(ValueOf(leaving({{"server-leaving", "1"}})));
+  CHECK_FALSE(ValueOf(leaving({{"Server-Leaving", "0"}})));
+  CHECK_FALSE(ValueOf(leaving({})));
+  CHECK_FALSE(IsOk(leaving({{"Server-Leaving", "perhaps"}})));
+}
+
 }  // namespace
 }  // namespace indigolead::platform
