Play targets that ask for rest or say that they leave (red)

A target that says Server-Leaving still gets requests when 2 s have passed, since nothing but the list counts.

Targets shed part or all, for rests of 0.3 to 6 s, told to readings, runs and freed handles; targets say that they leave before the list does, or without it ever doing so.

A call of the world's that is stopped before its first byte now ends, as with the real client; it hung until its deadline.

--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -92,6 +92,27 @@
   return named_at;
 }
 
+void ModelWorker::SetAskedRest(std::optional<double> seconds) {
+  server_.Invoke([&] { asked_rest_ = seconds; });
+}
+
+std::vector<ModelWorker::Rest> ModelWorker::rests() {
+  std::vector<Rest> rests;
+  server_.Invoke([&] { rests = rests_; });
+  return rests;
+}
+
+void ModelWorker::SetSaysLeaving(bool leaving) {
+  server_.Invoke([&] { says_leaving_ = leaving; });
+}
+
+std::optional<std::chrono::steady_clock::time_point>
+ModelWorker::said_leaving_at() {
+  std::optional<std::chrono::steady_clock::time_point> at;
+  server_.Invoke([&] { at = said_leaving_at_; });
+  return at;
+}
+
 std::vector<std::chrono::steady_clock::time_point> ModelWorker::arrivals() {
   std::vector<std::chrono::steady_clock::time_point> arrivals;
   server_.Invoke([&] { arrivals = arrivals_; });
@@ -116,6 +137,8 @@
     co_await exchange.Reply(200, std::move(body), CommonHeaders());
   } else if (request.path == "/api/order") {
     co_await Order(exchange);
+  } else if (asked_rest_ && !IdOf(exchange).empty()) {
+    co_await AskForRest(exchange);
   } else if (request.Header("X-Stage") == "prefill") {
     co_await Prefill(exchange);
   } else {
@@ -136,6 +159,17 @@
   }
 }
 
+Task ModelWorker::AskForRest(HttpExchange& exchange) {
+  rests_.push_back(
+      {arrivals_.back(),
+       std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+           std::chrono::duration<double>(*asked_rest_))});
+  HttpHeaders headers = CommonHeaders();
+  headers.emplace_back("X-Not-Executed", "1");
+  headers.emplace_back("Retry-After", std::to_string(*asked_rest_));
+  co_await exchange.Reply(503, "", std::move(headers));
+}
+
 Task ModelWorker::Prefill(HttpExchange& exchange) {
   if (stage_ != "prefill") {
     co_await exchange.Reply(421, "", {});
@@ -219,13 +253,17 @@
 }
 
 HttpHeaders ModelWorker::CommonHeaders() {
-  if (!named_limit_) {
-    return {};
+  const auto now = std::chrono::steady_clock::now();
+  HttpHeaders headers;
+  if (named_limit_) {
+    limit_named_at_ = limit_named_at_.value_or(now);
+    headers.emplace_back("Server-Limit", std::to_string(*named_limit_));
   }
-  if (!limit_named_at_) {
-    limit_named_at_ = std::chrono::steady_clock::now();
+  if (says_leaving_) {
+    said_leaving_at_ = said_leaving_at_.value_or(now);
+    headers.emplace_back("Server-Leaving", "1");
   }
-  return {{"Server-Limit", std::to_string(*named_limit_)}};
+  return headers;
 }
 
 Task ModelWorker::Answer(HttpExchange& exchange) {
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "standins/http_server.h"
+#include "tests/support/rest_rule.h"
 
 namespace indigolead::testing {
 
@@ -78,12 +79,24 @@
   /// Returns when an answer first named the limit that is named now; nothing if
   /// none has yet, as where all answers are lost or garbled.
   std::optional<std::chrono::steady_clock::time_point> limit_named_at();
+  using Rest = AskedRest<std::chrono::steady_clock::time_point>;
+  /// Turns all callers' requests away from now on and asks for rest of that
+  /// many seconds, or none.
+  void SetAskedRest(std::optional<double> seconds);
+  /// Returns the rests that were asked for.
+  std::vector<Rest> rests();
+  /// Says in all answers from now on that it leaves, or not.
+  void SetSaysLeaving(bool leaving);
+  /// Returns when an answer first said that it leaves; nothing if none has.
+  std::optional<std::chrono::steady_clock::time_point> said_leaving_at();
   /// Returns when each request came, to run, to read a prompt or of any other
   /// kind.
   std::vector<std::chrono::steady_clock::time_point> arrivals();
 
  private:
   standins::Task Handle(standins::HttpExchange& exchange);
+  /// Turns the request away and asks for rest.
+  standins::Task AskForRest(standins::HttpExchange& exchange);
   standins::Task Prefill(standins::HttpExchange& exchange);
   standins::Task Run(standins::HttpExchange& exchange);
   standins::Task Order(standins::HttpExchange& exchange);
@@ -108,6 +121,10 @@
   std::optional<double> named_limit_;
   std::optional<std::chrono::steady_clock::time_point> limit_named_at_;
   std::vector<std::chrono::steady_clock::time_point> arrivals_;
+  std::optional<double> asked_rest_;  ///< In seconds.
+  std::vector<Rest> rests_;
+  bool says_leaving_ = false;
+  std::optional<std::chrono::steady_clock::time_point> said_leaving_at_;
   standins::HttpServer server_;
 };
 
--- /dev/null
+++ b/tests/platform/target_rest_process_test.cc
@@ -0,0 +1,156 @@
+// Targets that ask an entry for rest or say that they leave, before an entry in
+// a process of its own.
+
+#include <algorithm>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/support/platform_scene.h"
+#include "tests/support/rest_rule.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kRestS = 3;  ///< Seconds that targets ask for.
+
+/// Callers of one entry who ask on and on with a pause between.
+class Callers {
+ public:
+  Callers(PlatformScene* scene, std::string method, std::string path)
+      : scene_(scene), method_(std::move(method)), path_(std::move(path)) {
+    for (int n = 0; n < kCallers; ++n) {
+      threads_.emplace_back([this] { Ask(); });
+    }
+  }
+  ~Callers() { Stop(); }
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+  void Stop() {
+    stopping_ = true;
+    for (std::thread& it : threads_) {
+      it.join();
+    }
+    threads_.clear();
+  }
+  int served() const { return served_; }
+  int not_served() const { return not_served_; }
+
+ private:
+  static constexpr int kCallers = 6;
+  static constexpr milliseconds kPause{30};
+
+  void Ask() {
+    while (!stopping_) {
+      const std::string id = "r-" + std::to_string(++next_id_);
+      const bool served = scene_->Ask(method_, path_, id).status == 200;
+      ++(served ? served_ : not_served_);
+      std::this_thread::sleep_for(kPause);
+    }
+  }
+
+  PlatformScene* scene_;
+  std::string method_;
+  std::string path_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> next_id_{0};
+  std::atomic<int> served_{0};
+  std::atomic<int> not_served_{0};
+  std::vector<std::thread> threads_;
+};
+
+/// Returns the most requests that came in the time of one rest to any target.
+int MostDuringAnyRest(PlatformScene* scene) {
+  int most = 0;
+  for (ModelWorker& it : scene->workers) {
+    most = std::max(most, MostDuringRest(it.rests(), it.arrivals()));
+  }
+  return most;
+}
+
+/// Guards against requests to a target that has turned one away and asked for
+/// rest.
+TEST_CASE("A target that asks for rest gets it", "[rest]") {
+  PlatformScene scene;
+  REQUIRE(WaitUntil([&] { return scene.Ready(); }));
+  REQUIRE(WaitUntil([&] { return scene.Staged("prefill") == 3; }));
+  scene.Register();
+  std::this_thread::sleep_for(seconds(1));
+  scene.EarnFurtherAttempts();
+
+  SECTION("a plain target, whose work goes to the other one") {
+    Callers callers(&scene, "GET", "/desk/1");
+    scene.worker("a0").SetAskedRest(kRestS);
+    std::this_thread::sleep_for(seconds(8));
+    callers.Stop();
+    CHECK_FALSE(scene.worker("a0").rests().empty());
+    CHECK(MostDuringAnyRest(&scene) <= kRestAllowed);
+    CHECK(callers.served() > 0);
+  }
+  SECTION("engines, all that read prompts or all that make answers") {
+    const std::string stage = GENERATE("prefill", "decode");
+    INFO(stage);
+    Callers callers(&scene, "POST", "/audit/1");
+    for (ModelWorker& it : scene.workers) {
+      if (it.stage() == stage && it.service() == "llm") {
+        it.SetAskedRest(kRestS);
+      }
+    }
+    std::this_thread::sleep_for(seconds(8));
+    callers.Stop();
+    CHECK(MostDuringAnyRest(&scene) <= kRestAllowed);
+    for (ModelWorker& it : scene.workers) {
+      it.SetAskedRest(std::nullopt);
+    }
+    std::this_thread::sleep_for(seconds(static_cast<int>(kRestS)));
+    CHECK(scene.Ask("POST", "/audit/1", "after").status == 200);
+  }
+  SECTION("every target of a service, of which callers hear at once") {
+    Callers callers(&scene, "GET", "/desk/1");
+    for (ModelWorker& it : scene.workers) {
+      it.SetAskedRest(kRestS);
+    }
+    std::this_thread::sleep_for(seconds(8));
+    callers.Stop();
+    CHECK(MostDuringAnyRest(&scene) <= kRestAllowed);
+    const auto asked = std::chrono::steady_clock::now();
+    const HttpAnswer answer = scene.Ask("GET", "/desk/1", "last");
+    CHECK(answer.status == 503);
+    CHECK(std::chrono::steady_clock::now() - asked < seconds(1));
+    for (ModelWorker& it : scene.workers) {
+      it.SetAskedRest(std::nullopt);
+    }
+    // Its word is kept: what it named as the time is enough.
+    std::this_thread::sleep_for(seconds(static_cast<int>(kRestS)));
+    CHECK(scene.Ask("GET", "/desk/1", "after").status == 200);
+  }
+}
+
+/// Guards against requests to a target that has said in an answer that it
+/// leaves, while the list still shows it as ready.
+TEST_CASE("A target that says that it leaves gets no request", "[rest]") {
+  constexpr milliseconds kDrain{2000};  ///< As the platform grants.
+  PlatformScene scene;
+  REQUIRE(WaitUntil([&] { return scene.Ready(); }));
+  ModelWorker& target = scene.worker("a0");
+  Callers callers(&scene, "GET", "/desk/1");
+  std::this_thread::sleep_for(seconds(1));
+  target.SetSaysLeaving(true);
+  std::this_thread::sleep_for(seconds(5));
+  callers.Stop();
+  const auto said_at = target.said_leaving_at();
+  REQUIRE(said_at);
+  const auto arrivals = target.arrivals();
+  CHECK(std::none_of(arrivals.begin(), arrivals.end(),
+                     [&](auto at) { return at > *said_at + kDrain; }));
+  CHECK(callers.served() > 0);
+  CHECK(callers.not_served() == 0);
+}
+
+}  // namespace
+}  // namespace indigolead::testing
--- a/tests/support/direct_world.cc
+++ b/tests/support/direct_world.cc
@@ -37,6 +37,9 @@
   for (Duration at{0}; at < kTraffic; at += milliseconds(700)) {
     time_.After(at, [this] { NextLimit(); });
   }
+  for (Duration at{0}; at < kTraffic; at += milliseconds(400)) {
+    time_.After(at, [this] { NextNotice(); });
+  }
   for (Duration at{0}; at < kTraffic + kRest; at += milliseconds(100)) {
     for (int n = 0; n < entries; ++n) {
       time_.After(at + Between(Duration{0}, milliseconds(600)), [this, n] {
@@ -65,8 +68,9 @@
 
 }  // namespace direct_world
 
-DirectWorldReport PlayDirectWorld(std::uint64_t seed) {
-  return direct_world::World(seed).Play();
+DirectWorldReport PlayDirectWorld(std::uint64_t seed,
+                                  const DirectWorldOptions& options) {
+  return direct_world::World(seed, options).Play();
 }
 
 }  // namespace indigolead::testing
--- a/tests/support/direct_world.h
+++ b/tests/support/direct_world.h
@@ -17,6 +17,14 @@
   int cut = 0;      ///< Their entry was killed.
   int retries = 0;  ///< Further attempts sent.
   int resumed = 0;  ///< Streams that went on at another target.
+  int rests = 0;    ///< Times that an entry was asked for rest.
+  int leaving = 0;  ///< Answers that said that their target leaves.
+};
+
+/// What may happen in a random world beside what always does.
+struct DirectWorldOptions {
+  bool rests = false;    ///< Targets turn requests away and ask for rest.
+  bool leaving = false;  ///< Targets say in their answers that they leave.
 };
 
 /// Plays entries before targets in time of its own, without a network: the
@@ -28,7 +36,8 @@
 /// others; calls are late, hang, arrive after they were given up; lists of
 /// targets are late and the store goes; entries freeze and are killed; callers
 /// leave. Promises that are checked are listed with the test.
-DirectWorldReport PlayDirectWorld(std::uint64_t seed);
+DirectWorldReport PlayDirectWorld(std::uint64_t seed,
+                                  const DirectWorldOptions& options = {});
 
 }  // namespace indigolead::testing
 
--- a/tests/support/direct_world/targets.cc
+++ b/tests/support/direct_world/targets.cc
@@ -45,9 +45,11 @@
         return;
       }
       if (call->hooks.on_before_write && !call->hooks.on_before_write()) {
+        End(call, ErrorCode::kUnavailable);
         return;
       }
       call->written = true;
+      CheckNotices(*call);
       CountForLimit(*call);
       const std::string id = FieldOf(call->request, kId);
       if (!id.empty()) {
@@ -84,13 +86,14 @@
 }
 
 void World::Answer(const std::shared_ptr<Call>& call, int status,
-                   std::string body) {
+                   std::string body, std::vector<HttpHeader> headers) {
+  headers.push_back({"Content-Length", std::to_string(body.size())});
   ToEntry(call->entry, call->life,
-          [this, call, status, body = std::move(body)] {
+          [this, call, status, body = std::move(body),
+           headers = std::move(headers)] {
             if (call->open && !call->ended) {
               call->hooks.on_head(
-                  status, WithLimit(*call, {{"Content-Length",
-                                             std::to_string(body.size())}}));
+                  status, WithNotices(*call, WithLimit(*call, headers)));
             }
             if (call->open && !call->ended && !body.empty()) {
               call->hooks.on_body(body);
@@ -117,6 +120,9 @@
     return;
   }
   const std::string operation = FieldOf(call->request, kOperation);
+  if (Shed(call, *target)) {
+    return;
+  }
   if (operation == "release") {
     target->handles.erase(FieldOf(call->request, kSource));
     Answer(call, 200, "");
@@ -214,7 +220,8 @@
     ToEntry(call->entry, call->life, [this, call] {
       if (call->open && !call->ended) {
         call->hooks.on_head(
-            200, WithLimit(*call, {{"Content-Type", "text/event-stream"}}));
+            200, WithNotices(*call, WithLimit(*call, {{"Content-Type",
+                                                       "text/event-stream"}})));
       }
     });
     StreamEvent(call, id, first, breaks_at);
--- a/tests/support/direct_world/words.cc
+++ b/tests/support/direct_world/words.cc
@@ -4,8 +4,8 @@
 
 namespace indigolead::testing::direct_world {
 
-std::string FieldOf(const TargetRequest& request, const char* name) {
-  for (const HttpHeader& it : request.headers) {
+std::string FieldOf(const std::vector<HttpHeader>& headers, const char* name) {
+  for (const HttpHeader& it : headers) {
     if (it.name == name) {
       return it.value;
     }
@@ -13,6 +13,10 @@
   return "";
 }
 
+std::string FieldOf(const TargetRequest& request, const char* name) {
+  return FieldOf(request.headers, name);
+}
+
 int EventsOf(const std::string& id) {
   return 3 + static_cast<int>(std::hash<std::string>{}(id) % 6);
 }
@@ -96,6 +100,19 @@
     }
     return std::optional<double>();
   };
+  dialect.asked_rest =
+      [](const TargetRecord& /*target*/, int status,
+         const std::vector<HttpHeader>& headers) -> Result<Duration> {
+    const std::string rest = FieldOf(headers, kRestMs);
+    return status == 503 && !rest.empty()
+               ? Duration(std::chrono::milliseconds(std::stol(rest)))
+               : Duration{0};
+  };
+  dialect.says_leaving =
+      [](const TargetRecord& /*target*/,
+         const std::vector<HttpHeader>& headers) -> Result<bool> {
+    return !FieldOf(headers, kLeaving).empty();
+  };
   return dialect;
 }
 
--- a/tests/support/direct_world/words.h
+++ b/tests/support/direct_world/words.h
@@ -2,6 +2,7 @@
 #define INDIGOLEAD_TESTS_SUPPORT_DIRECT_WORLD_WORDS_H_
 
 #include <string>
+#include <vector>
 
 #include "entry/target_dialect.h"
 
@@ -16,8 +17,13 @@
 inline constexpr char kResume[] = "Resume";
 /// Field of an answer: requests a second that its target takes.
 inline constexpr char kLimit[] = "Limit";
+/// Field of a refusal: milliseconds for which its target wants nothing.
+inline constexpr char kRestMs[] = "RestMs";
+/// Field of an answer: its target leaves.
+inline constexpr char kLeaving[] = "Leaving";
 
-/// Returns the value of a field of a call; empty if absent.
+/// Returns the value of a field; empty if absent.
+std::string FieldOf(const std::vector<HttpHeader>& headers, const char* name);
 std::string FieldOf(const TargetRequest& request, const char* name);
 
 /// Returns the events of the stream that answers a request.
--- a/tests/support/direct_world/world.h
+++ b/tests/support/direct_world/world.h
@@ -40,6 +40,12 @@
   std::vector<TimePoint> counted;  ///< Calls of those who knew.
 };
 
+/// What a target does that has too much to do.
+struct Shedding {
+  double share = 1;  ///< Of the requests that it turns away.
+  Duration rest{0};  ///< It asks for.
+};
+
 /// One target, as it truly is.
 struct Target {
   TargetRecord record;
@@ -50,6 +56,10 @@
   std::uint64_t handles_made = 0;
   std::set<std::string> handles;
   std::optional<NamedLimit> limit;
+  std::optional<Shedding> shedding;
+  /// Until when each life of an entry knows that it wants nothing.
+  std::map<std::uint64_t, TimePoint> rests;
+  bool says_leaving = false;
 };
 
 struct Call;
@@ -87,9 +97,11 @@
 /// Entries, callers and targets of one random world.
 class World {
  public:
-  explicit World(std::uint64_t seed)
-      : random_(MakeSeededRandom(seed)),
-        limit_random_(MakeSeededRandom(~seed)) {}
+  World(std::uint64_t seed, const DirectWorldOptions& options)
+      : options_(options),
+        random_(MakeSeededRandom(seed)),
+        limit_random_(MakeSeededRandom(~seed)),
+        notice_random_(MakeSeededRandom(seed ^ kNoticeSeed)) {}
 
   DirectWorldReport Play();
 
@@ -144,11 +156,23 @@
   void CountForLimit(const Call& call);
   std::vector<HttpHeader> WithLimit(const Call& call,
                                     std::vector<HttpHeader> headers);
+  void NextNotice();
+  void BeginShedding(Target* target);
+  void BeginLeaving(Target* target);
+  /// Turns the call away if its target sheds it.
+  bool Shed(const std::shared_ptr<Call>& call, const Target& target);
+  /// Checks that a call which is written may be.
+  void CheckNotices(const Call& call);
+  /// Returns the headers with what the target says of itself, and takes it
+  /// that the entry is told.
+  std::vector<HttpHeader> WithNotices(const Call& call,
+                                      std::vector<HttpHeader> headers);
 
   Target* At(const std::string& address);
   Target* RandomTarget();
   void End(const std::shared_ptr<Call>& call, ErrorCode code);
-  void Answer(const std::shared_ptr<Call>& call, int status, std::string body);
+  void Answer(const std::shared_ptr<Call>& call, int status, std::string body,
+              std::vector<HttpHeader> headers = {});
   void Arrive(const std::shared_ptr<Call>& call);
   void Prefill(const std::shared_ptr<Call>& call, Target* target);
   void Run(const std::shared_ptr<Call>& call, Target* target);
@@ -158,8 +182,12 @@
                    int number, int breaks_at);
   void Body(const std::shared_ptr<Call>& call, std::string data);
 
+  static constexpr std::uint64_t kNoticeSeed = 0x7e57;
+
+  DirectWorldOptions options_;
   RandomSource random_;
   RandomSource limit_random_;  ///< Apart, so that limits change nothing else.
+  RandomSource notice_random_;
   Timeline time_;
   boost::asio::io_context io_;
   std::vector<std::unique_ptr<Target>> targets_;
