Send nothing to a target that has asked this entry for rest

Cause: nobody read the time. A 503 was one refusal like another, after which an engine was a second choice for 250 ms to 2 s, and a plain target the last choice for that one request. Evidence: the entries' logs choose the same engine again 0.3, 0.9 and 2.3 s after it asked; in the reproduction 313 to 548 requests reach one target in one rest, and call-during-rest lines count them as chosen while it lasts. Of the same class, as the reproduction's worlds show: what was placed or waited for a connection before, freed handles and orders.

Now a target at rest is closed to this entry, like one whose share of a limit is used up: for the choice of plain targets, of readers and of those that make answers. Whatever else is on its way, of any kind, passes one client that asks once more before the first byte; what is held back there is no failure of the target, has not run, and goes elsewhere without a charge. Where all targets of a kind rest callers are told at once, with the time of the kind that rests longest. Handles at a resting engine are left to expire; orders to it wait.

Why it is enough: every call of an entry goes through that client, and a rest is noted by the same client before anything else reads the answer. A rest is of one run of a target: a new run or a successor at its address has asked for none.

New: what callers get, without a network (target_notices_test.cc).

--- a/src/core/placement/engine_placement.cc
+++ b/src/core/placement/engine_placement.cc
@@ -40,11 +40,11 @@
          (role == EngineRole::kMixed && wanted == EngineRole::kDecode);
 }
 
-/// Returns true if a limit is what keeps work of `wanted` from some engine.
-bool AnyLimited(const std::vector<PlacementEngine>& engines,
-                EngineRole wanted) {
+/// Returns true if being closed is what keeps work of `wanted` from some
+/// engine.
+bool AnyClosed(const std::vector<PlacementEngine>& engines, EngineRole wanted) {
   return std::any_of(engines.begin(), engines.end(), [wanted](const auto& it) {
-    return it.limited && !it.leaving && Fits(it.role, wanted);
+    return it.closed && !it.leaving && Fits(it.role, wanted);
   });
 }
 
@@ -105,17 +105,17 @@
   auto decoders = Usable(engines, EngineRole::kDecode, now);
   auto readers = Usable(engines, EngineRole::kPrefill, now);
   if (decoders.empty()) {
-    return AnyLimited(engines, EngineRole::kDecode)
-               ? PlacementDecision(EnginesLimited{})
+    return AnyClosed(engines, EngineRole::kDecode)
+               ? PlacementDecision(EnginesClosed{})
                : PlacementDecision(NoEngine{});
   }
   if (AllFull(decoders, now)) {
     // Its prompt would be read in vain.
     return Busy(options_.avoid_after_refusal, Duration{0});
   }
-  if (readers.empty() && AnyLimited(engines, EngineRole::kPrefill)) {
+  if (readers.empty() && AnyClosed(engines, EngineRole::kPrefill)) {
     // Prompts read by engines that make answers stop the answers beside them.
-    return EnginesLimited{};
+    return EnginesClosed{};
   }
   if (readers.empty()) {
     return PlaceWhole(request, decoders, now);
@@ -155,7 +155,7 @@
     const std::string& reader) const {
   auto holders = readers;
   for (const PlacementEngine& it : engines) {
-    if ((it.leaving || it.limited) && it.role == EngineRole::kPrefill) {
+    if ((it.leaving || it.closed) && it.role == EngineRole::kPrefill) {
       holders.push_back(&it);
     }
   }
@@ -239,7 +239,7 @@
   std::vector<const PlacementEngine*> usable;
   std::vector<const PlacementEngine*> second_choice;
   for (const PlacementEngine& it : engines) {
-    if (it.leaving || it.limited || !Fits(it.role, role)) {
+    if (it.leaving || it.closed || !Fits(it.role, role)) {
       continue;
     }
     const EngineState* state = Find(it.instance);
--- a/src/core/placement/engine_placement.h
+++ b/src/core/placement/engine_placement.h
@@ -28,9 +28,9 @@
   bool tried = false;    ///< An earlier attempt of this request went there.
   bool avoided = false;  ///< Its calls have broken one after the other.
   bool leaving = false;  ///< Gets no work; what it holds may be copied yet.
-  /// Names a limit, and this entry may send it nothing now; what it holds may
-  /// be copied.
-  bool limited = false;
+  /// May be sent nothing by this entry now: by a limit that it names, or since
+  /// it asked for rest. What it holds may be copied.
+  bool closed = false;
 
   friend bool operator==(const PlacementEngine&,
                          const PlacementEngine&) = default;
@@ -56,11 +56,9 @@
   friend bool operator==(const EnginesBusy&, const EnginesBusy&) = default;
 };
 
-/// Every engine that could take the request names a limit, and this entry has
-/// used up its share of it.
-struct EnginesLimited {
-  friend bool operator==(const EnginesLimited&,
-                         const EnginesLimited&) = default;
+/// Every engine that could take the request is closed.
+struct EnginesClosed {
+  friend bool operator==(const EnginesClosed&, const EnginesClosed&) = default;
 };
 
 /// No engine can make the answer.
@@ -69,7 +67,7 @@
 };
 
 using PlacementDecision =
-    std::variant<EnginePlace, EnginesBusy, EnginesLimited, NoEngine>;
+    std::variant<EnginePlace, EnginesBusy, EnginesClosed, NoEngine>;
 
 /// Places the two halves of a generation on a fleet whose engines either read
 /// prompts or make answers.
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 #include "entry/events.h"
@@ -30,6 +31,12 @@
   return "mixed";
 }
 
+/// Returns true if nothing of the call that ended so was written.
+bool IsUnsent(const Error& error) {
+  return error.code == ErrorCode::kUnavailable ||
+         error.code == ErrorCode::kOverloaded;
+}
+
 }  // namespace
 
 /// Running checksum of a body, as the end frame states it.
@@ -128,6 +135,9 @@
 }
 
 TargetClient* DirectCarrier::ClientForExtraCall(const std::string& instance) {
+  if (hooks_.may_write && !IsOk(hooks_.may_write(instance))) {
+    return nullptr;
+  }
   TargetClient* client = ClientOf(instance);
   if (client && hooks_.on_extra_call) {
     hooks_.on_extra_call(instance);
@@ -217,7 +227,7 @@
               IsOk(answer) ? Status(Unit{}) : Status(ErrorOf(answer)));
   if (!IsOk(answer)) {
     const Error& error = ErrorOf(answer);
-    const bool unsent = error.code == ErrorCode::kUnavailable;
+    const bool unsent = IsUnsent(error);
     RefuseRun(id, {"prefill_failed",
                    unsent ? AttemptReach::kNothing : AttemptReach::kReader,
                    ToString(error)});
@@ -389,9 +399,10 @@
   if (!IsOk(status)) {
     const Error& error = ErrorOf(status);
     if (!run->written) {
+      const bool held_back = error.code == ErrorCode::kOverloaded;
       if (!RunElsewhere(id, run, ToString(error))) {
-        RefuseRun(
-            id, {"target_unreachable", ReachBeforeRun(*run), ToString(error)});
+        RefuseRun(id, {held_back ? "target_at_rest" : "target_unreachable",
+                       ReachBeforeRun(*run), ToString(error), held_back});
       }
       return;
     }
@@ -415,9 +426,10 @@
   if (target && target->run != called) {
     return;  // Of the run before, which says nothing of this one.
   }
-  const bool ran_out =
-      !IsOk(status) && ErrorOf(status).code == ErrorCode::kTimeout;
-  if (hooks_.on_call_end && !ran_out) {
+  const bool says_nothing =
+      !IsOk(status) && (ErrorOf(status).code == ErrorCode::kTimeout ||
+                        ErrorOf(status).code == ErrorCode::kOverloaded);
+  if (hooks_.on_call_end && !says_nothing) {
     hooks_.on_call_end(instance, !IsOk(status));
   }
 }
@@ -446,22 +458,24 @@
 }
 
 void DirectCarrier::FreeHandle(const KvHandle& handle) {
-  for (const auto& [name, target] : targets_) {
-    if (target.record.address != handle.source_address) {
-      continue;
-    }
-    const std::uint64_t number = ++next_release_;
-    TargetRequest request = dialect_.release(handle);
-    request.deadline = options_.release_deadline;
-    // Its outcome does not matter: a handle that is not freed expires.
-    releases_[number] = FetchAnswer(
-        ClientForExtraCall(name), std::move(request), options_.max_handle_bytes,
-        [this, number](const Result<TargetAnswer>&) {
-          // Not from inside the call that ends here.
-          boost::asio::post(*io_, [this, number] { releases_.erase(number); });
-        });
-    return;
-  }
+  const auto held_at =
+      std::find_if(targets_.begin(), targets_.end(), [&handle](const auto& it) {
+        return it.second.record.address == handle.source_address;
+      });
+  TargetClient* client =
+      held_at == targets_.end() ? nullptr : ClientForExtraCall(held_at->first);
+  if (!client) {
+    return;  // A handle that is not freed expires.
+  }
+  const std::uint64_t number = ++next_release_;
+  TargetRequest request = dialect_.release(handle);
+  request.deadline = options_.release_deadline;
+  releases_[number] = FetchAnswer(
+      client, std::move(request), options_.max_handle_bytes,
+      [this, number](const Result<TargetAnswer>&) {
+        // Not from inside the call that ends here.
+        boost::asio::post(*io_, [this, number] { releases_.erase(number); });
+      });
 }
 
 void DirectCarrier::Act(const SendCredit& action) {
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -73,16 +73,17 @@
     /// What was allowed so was not made after all.
     std::function<void(const CallerRequest&)> on_no_arrival;
     /// A call to a target ended as it should, or broke: its connection was
-    /// lost or could not be made. A call that ran out of time is neither.
+    /// lost or could not be made. A call that ran out of time is neither, nor
+    /// is one that was not to be written.
     std::function<void(const std::string& instance, bool broke)> on_call_end;
     /// A request that no route decided goes to a target.
     std::function<void(const std::string& instance)> on_extra_call;
     /// The head of a target's answer came; it names a limit, or none.
     std::function<void(const std::string& instance, const LimitNotice&)>
         on_limit_notice;
-    /// The first byte of a call to a target, of any kind, is about to be
-    /// written.
-    std::function<void(const std::string& instance)> on_write;
+    /// Asked immediately before the first byte of any call to a target is
+    /// written. An error of `kOverloaded` stops it.
+    std::function<Status(const std::string& instance)> may_write;
     /// The head of a target's answer, of any kind, asks this entry for rest.
     std::function<void(const std::string& instance, Duration length)>
         on_rest_asked;
@@ -108,8 +109,9 @@
   void Act(const SendCancel& action);
   void Act(const SendResume& action);
 
-  /// Returns the client of a target, for one call beside the attempts, or
-  /// null. The call counts like any other request to the target.
+  /// Returns the client of a target, for one call beside the attempts, or null
+  /// if the target is gone or may not be called now. The call counts like any
+  /// other request to the target.
   TargetClient* ClientForExtraCall(const std::string& instance);
   const TargetRecord* FindTarget(const std::string& instance) const;
   std::size_t running() const { return runs_.size(); }
--- a/src/entry/direct_carrier_notices.cc
+++ b/src/entry/direct_carrier_notices.cc
@@ -17,10 +17,8 @@
     client = std::make_unique<HttpTargetClient>(io_, std::move(options));
   }
   WatchedTargetClient::Watcher watcher;
-  watcher.on_write = [this, id = record.id] {
-    if (hooks_.on_write) {
-      hooks_.on_write(id);
-    }
+  watcher.may_write = [this, id = record.id] {
+    return hooks_.may_write ? hooks_.may_write(id) : Status(Unit{});
   };
   watcher.on_head = [this, record](int status,
                                    const std::vector<HttpHeader>& headers) {
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -81,10 +81,10 @@
       targets_at_rest_(metrics->AddGauge(
           "indigolead_targets_at_rest",
           "Targets that want no request of this entry for a while.")),
-      calls_during_rest_(metrics->AddCounter(
-          "indigolead_calls_during_rest_total",
-          "Calls of any kind that were about to be written to a target at "
-          "rest.")),
+      calls_held_back_(metrics->AddCounter(
+          "indigolead_calls_held_back_total",
+          "Calls of any kind that were held back at the last moment, since "
+          "their target had asked for rest.")),
       answer_seconds_(metrics->AddHistogram(
           "indigolead_answer_seconds",
           "Time from taking a request to the head of its answer.")),
@@ -163,7 +163,9 @@
                                  const LimitNotice& notice) {
     OnLimitNotice(instance, notice);
   };
-  hooks.on_write = [this](const std::string& instance) { OnWrite(instance); };
+  hooks.may_write = [this](const std::string& instance) {
+    return MayWrite(instance);
+  };
   hooks.on_rest_asked = [this](const std::string& instance, Duration length) {
     OnRestAsked(instance, length);
   };
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -46,9 +46,10 @@
     /// Divided among the entries in place of a fixed part of each budget.
     std::optional<RetryAllowance> retry_allowance;
     LimitShare::Options limit_share;
-    /// Bounds on the time after which a caller may come back who was refused
-    /// since every target had named a limit.
-    Duration least_limited_wait = std::chrono::milliseconds(200);
+    /// Least time after which a caller may come back who was refused since
+    /// every target was closed: by a limit that it names, or since it rests.
+    Duration least_closed_wait = std::chrono::milliseconds(200);
+    /// Bounds that time where limits alone are the reason.
     Duration longest_limited_wait = std::chrono::milliseconds(2500);
     /// A target that leaves holds what it has read for so long yet: at least
     /// the time for which a planned shutdown goes on serving.
@@ -133,9 +134,12 @@
   RouteResult RouteToService(const std::string& service,
                              const std::vector<Candidate>& candidates,
                              TimePoint now) const;
-  Refusal TargetsLimited(const std::string& service,
-                         const std::vector<Candidate>& candidates,
-                         TimePoint now) const;
+  /// Returns the time until targets of each kind take a request of this entry.
+  Duration WaitForTargets(const std::vector<Candidate>& candidates,
+                          TimePoint now) const;
+  Refusal TargetsClosed(const std::string& service,
+                        const std::vector<Candidate>& candidates,
+                        TimePoint now) const;
   std::vector<PlacementEngine> EnginesOf(
       const std::string& service, const std::vector<Candidate>& candidates,
       TimePoint now) const;
@@ -150,13 +154,19 @@
   /// Returns what limits of a target are kept by: its address. What is sent for
   /// an earlier target of an address reaches the one that has it now.
   const std::string& LimitKeyOf(const std::string& instance) const;
-  bool MaySendTo(const std::string& instance, TimePoint now) const;
+  /// Returns the time until the target may be sent a request; zero if it may.
+  Duration WaitToSend(const std::string& instance, TimePoint now) const;
+  bool MaySendTo(const std::string& instance, TimePoint now) const {
+    return WaitToSend(instance, now) == Duration{0};
+  }
   /// Returns the targets that may have given an answer of `instance`: all that
   /// are listed at its address.
   std::vector<std::string> MaySpeakFor(const std::string& instance) const;
   void OnRestAsked(const std::string& instance, Duration length);
   void OnLeavingTold(const std::string& instance);
-  void OnWrite(const std::string& instance);
+  /// Stops what was decided before its target asked for rest, and what no
+  /// choice among targets decides.
+  Status MayWrite(const std::string& instance);
   void EndRests();
   void NoteLimitChange(const std::string& instance, const LimitChange& change,
                        const std::string& source);
@@ -224,7 +234,7 @@
   Gauge& targets_;
   Gauge& limited_targets_;
   Gauge& targets_at_rest_;
-  Counter& calls_during_rest_;
+  Counter& calls_held_back_;
   Histogram& answer_seconds_;
   Histogram& refusal_seconds_;
 };
--- a/src/entry/direct_dispatcher_limits.cc
+++ b/src/entry/direct_dispatcher_limits.cc
@@ -39,9 +39,15 @@
   return address ? *address : instance;
 }
 
-bool DirectDispatcher::MaySendTo(const std::string& instance,
-                                 TimePoint now) const {
-  return !any_limited() || limits_.MaySend(LimitKeyOf(instance), now);
+Duration DirectDispatcher::WaitToSend(const std::string& instance,
+                                      TimePoint now) const {
+  const Duration rest = rests_.WaitFor(instance, now);
+  if (!any_limited()) {
+    return rest;
+  }
+  const Duration longest = options_.longest_limited_wait;
+  const auto limit = limits_.WaitFor(LimitKeyOf(instance), now);
+  return std::max(rest, std::min(limit.value_or(longest), longest));
 }
 
 void DirectDispatcher::FollowAddress(const TargetChange& change) {
--- a/src/entry/direct_dispatcher_notices.cc
+++ b/src/entry/direct_dispatcher_notices.cc
@@ -33,14 +33,15 @@
   log_(kTargetToldLeaving, {{"target", instance}});
 }
 
-void DirectDispatcher::OnWrite(const std::string& instance) {
+Status DirectDispatcher::MayWrite(const std::string& instance) {
   const Duration left = rests_.WaitFor(instance, clock_());
-  if (left > Duration{0}) {
-    calls_during_rest_.Add();
-    log_(kCallDuringRest, {{"target", instance},
-                           {"left_ms", Milliseconds(left)},
-                           {"outcome", "sent"}});
+  if (left == Duration{0}) {
+    return Unit{};
   }
+  calls_held_back_.Add();
+  log_(kCallHeldBack, {{"target", instance}, {"left_ms", Milliseconds(left)}});
+  return Error{ErrorCode::kOverloaded, "target.write", instance,
+               "the target wants no request for " + Milliseconds(left) + " ms"};
 }
 
 void DirectDispatcher::EndRests() {
--- a/src/entry/direct_dispatcher_route.cc
+++ b/src/entry/direct_dispatcher_route.cc
@@ -106,8 +106,8 @@
             Milliseconds(busy->first_event) + " ms.",
         busy->retry_after};
   }
-  if (std::holds_alternative<EnginesLimited>(decision)) {
-    return TargetsLimited(request.deployment, candidates, now);
+  if (std::holds_alternative<EnginesClosed>(decision)) {
+    return TargetsClosed(request.deployment, candidates, now);
   }
   if (const auto* place = std::get_if<EnginePlace>(&decision)) {
     decided_ = *place;
@@ -116,20 +116,41 @@
   return NoTarget(request.deployment);
 }
 
-Refusal DirectDispatcher::TargetsLimited(
+// The work of engines needs one that reads and one that makes the answer, so
+// the kind that is closed for longer decides.
+Duration DirectDispatcher::WaitForTargets(
+    const std::vector<Candidate>& candidates, TimePoint now) const {
+  std::map<EngineRole, Duration> least;
+  for (const Candidate& it : candidates) {
+    const Duration wait = WaitToSend(it.side->instance, now);
+    const auto [held, added] = least.try_emplace(RoleOf(*it.side), wait);
+    held->second = std::min(held->second, wait);
+  }
+  Duration longest = options_.least_closed_wait;
+  for (const auto& [role, wait] : least) {
+    longest = std::max(longest, wait);
+  }
+  return longest;
+}
+
+Refusal DirectDispatcher::TargetsClosed(
     const std::string& service, const std::vector<Candidate>& candidates,
     TimePoint now) const {
-  Duration least = options_.longest_limited_wait;
-  for (const Candidate& it : candidates) {
-    const auto wait = limits_.WaitFor(LimitKeyOf(it.side->instance), now);
-    if (wait && *wait > Duration{0}) {
-      least = std::min(least, *wait);
-    }
+  const Duration wait = WaitForTargets(candidates, now);
+  const bool at_rest = std::any_of(
+      candidates.begin(), candidates.end(), [&](const Candidate& it) {
+        return rests_.WaitFor(it.side->instance, now) > Duration{0};
+      });
+  if (at_rest) {
+    return {503, RunState::kNotRun, "targets_at_rest",
+            "The targets of " + service + " want no request for " +
+                Milliseconds(wait) + " ms.",
+            wait};
   }
   return {503, RunState::kNotRun, "targets_limited",
           "The targets of " + service +
               " have named limits, and this entry has used up its share.",
-          std::max(least, options_.least_limited_wait)};
+          wait};
 }
 
 RouteResult DirectDispatcher::RouteToService(
@@ -155,7 +176,7 @@
     }
   }
   if (!best) {
-    return TargetsLimited(service, candidates, now);
+    return TargetsClosed(service, candidates, now);
   }
   return RouteTo{best->side->instance, ""};
 }
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -110,10 +110,10 @@
 inline constexpr EventInfo kTargetRestOver{
     1057, "target-rest-over", EventSeverity::kInfo,
     "A target that asked for rest may get requests of this entry again."};
-inline constexpr EventInfo kCallDuringRest{
-    1058, "call-during-rest", EventSeverity::kWarning,
-    "A call was about to be written to a target that wants none: what became "
-    "of the call."};
+inline constexpr EventInfo kCallHeldBack{
+    1058, "call-held-back", EventSeverity::kInfo,
+    "A call was held back at the last moment, since its target has asked for "
+    "rest."};
 inline constexpr EventInfo kTargetToldLeaving{
     1059, "target-told-leaving", EventSeverity::kInfo,
     "A target's answer says that it leaves."};
--- a/src/entry/stage_service.cc
+++ b/src/entry/stage_service.cc
@@ -161,7 +161,8 @@
 void StageService::Send(const std::string& service, const StageOrder& order) {
   TargetClient* client = carrier_->ClientForExtraCall(order.instance);
   if (!client) {
-    Finish(service, order, StageOrderOutcome::kRefused, "the engine is gone");
+    Finish(service, order, StageOrderOutcome::kRefused,
+           "the engine is gone or wants no call now");
     return;
   }
   calls_[order.instance] = FetchAnswer(
@@ -179,7 +180,8 @@
   TargetClient* client = carrier_->ClientForExtraCall(order.instance);
   if (!IsOk(answer) || !target || !client) {
     Finish(service, order, StageOrderOutcome::kRefused,
-           IsOk(answer) ? "the engine is gone" : ToString(ErrorOf(answer)));
+           IsOk(answer) ? "the engine is gone or wants no call now"
+                        : ToString(ErrorOf(answer)));
     return;
   }
   const auto count = dialect_.read_order_count(*target, ValueOf(answer));
@@ -210,7 +212,9 @@
            "status " + std::to_string(ValueOf(answer).status));
     return;
   }
-  const bool no_effect = ErrorOf(answer).code == ErrorCode::kUnavailable;
+  const ErrorCode code = ErrorOf(answer).code;
+  const bool no_effect =
+      code == ErrorCode::kUnavailable || code == ErrorCode::kOverloaded;
   Finish(service, order,
          no_effect ? StageOrderOutcome::kRefused : StageOrderOutcome::kUnknown,
          ToString(ErrorOf(answer)));
--- a/src/entry/watched_target_client.cc
+++ b/src/entry/watched_target_client.cc
@@ -11,13 +11,11 @@
 
 std::unique_ptr<TargetClient::Call> WatchedTargetClient::Start(
     TargetRequest request, Hooks hooks) {
-  hooks.on_before_write = [watcher = watcher_,
+  const auto allowed = std::make_shared<Status>(Unit{});
+  hooks.on_before_write = [watcher = watcher_, allowed,
                            next = std::move(hooks.on_before_write)] {
-    const bool written = !next || next();
-    if (written) {
-      watcher->on_write();
-    }
-    return written;
+    *allowed = watcher->may_write();
+    return IsOk(*allowed) && (!next || next());
   };
   hooks.on_head = [watcher = watcher_, next = std::move(hooks.on_head)](
                       int status, std::vector<HttpHeader> headers) {
@@ -26,6 +24,11 @@
       next(status, std::move(headers));
     }
   };
+  hooks.on_end = [allowed, next = std::move(hooks.on_end)](Status status) {
+    if (next) {
+      next(IsOk(*allowed) ? std::move(status) : *allowed);
+    }
+  };
   return client_->Start(std::move(request), std::move(hooks));
 }
 
--- a/src/entry/watched_target_client.h
+++ b/src/entry/watched_target_client.h
@@ -9,14 +9,15 @@
 
 namespace indigolead {
 
-/// Client that lets its owner see each call to one target, whatever the call
-/// is for: the moment before its first byte is written, and the head of its
-/// answer.
+/// Client that lets its owner watch each call to one target, whatever the call
+/// is for: it may stop the call before its first byte is written, and sees the
+/// head of its answer.
 class WatchedTargetClient : public TargetClient {
  public:
   struct Watcher {
-    /// The first byte is about to be written.
-    std::function<void()> on_write;
+    /// Asked immediately before the first byte is written. An error stops the
+    /// call, and is its end.
+    std::function<Status()> may_write;
     std::function<void(int status, const std::vector<HttpHeader>&)> on_head;
   };
 
--- /dev/null
+++ b/tests/platform/target_notices_test.cc
@@ -0,0 +1,319 @@
+// What callers get, and what targets see, when targets ask for rest or say that
+// they leave; without a network, in time of its own.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "entry/direct_dispatcher.h"
+#include "platform/target_words.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// One target, as it truly is.
+struct FakeTarget {
+  std::vector<HttpHeader> headers;  ///< Of all its answers.
+  bool refuses = false;             ///< 503, proved not to have run.
+  bool connects = true;             ///< Else calls wait for their connection.
+  int arrivals = 0;
+  std::vector<std::function<void()>> waiting;  ///< For their connection.
+};
+
+class FakeClient : public TargetClient {
+ public:
+  FakeClient(boost::asio::io_context* io, FakeTarget* target)
+      : io_(io), target_(target) {}
+
+  std::unique_ptr<Call> Start(TargetRequest request, Hooks hooks) override {
+    auto call = std::make_unique<FakeCall>();
+    const bool reads =
+        std::any_of(request.headers.begin(), request.headers.end(),
+                    [](const HttpHeader& it) { return it.name == "X-Stage"; });
+    const auto connected = [target = target_, reads, hooks = std::move(hooks),
+                            open = std::weak_ptr(call->open)] {
+      if (!open.expired()) {
+        Write(target, reads, hooks);
+      }
+    };
+    if (target_->connects) {
+      boost::asio::post(*io_, connected);
+    } else {
+      target_->waiting.push_back(connected);
+    }
+    return call;
+  }
+
+ private:
+  struct FakeCall : Call {
+    void PauseReading(bool /*pause*/) override {}
+    std::shared_ptr<bool> open = std::make_shared<bool>(true);
+  };
+
+  static void Write(FakeTarget* target, bool reads, const Hooks& hooks) {
+    if (hooks.on_before_write && !hooks.on_before_write()) {
+      hooks.on_end(Error{ErrorCode::kUnavailable, "call", "", "stopped"});
+      return;
+    }
+    ++target->arrivals;
+    std::vector<HttpHeader> headers = target->headers;
+    if (target->refuses) {
+      headers.push_back({"X-Not-Executed", "1"});
+    }
+    hooks.on_head(target->refuses ? 503 : 200, headers);
+    hooks.on_body(reads ? R"({"kv-handle":"h1"})" : "menu");
+    hooks.on_end(Unit{});
+  }
+
+  boost::asio::io_context* io_;
+  FakeTarget* target_;
+};
+
+/// An entry before targets at the addresses by which tests name them.
+class Scene {
+ public:
+  Scene()
+      : dispatcher_(
+            &io_, Options(), platform::MakePlatformDialect(), Hooks(),
+            [this] { return now_; },
+            [this] {
+              return Id128{++next_id_, 7};
+            },
+            MakeSeededRandom(1), MakeNullEventLog(), &metrics_) {
+    RouteConfiguration routes;
+    routes.version = 1;
+    routes.services = {{"app", 100, std::nullopt},
+                       {"llm", 100, EngineTraits{}}};
+    dispatcher_.OnRoutes(routes);
+  }
+
+  /// Lists a target of `service` under `id` at `address`.
+  TargetRecord& List(const std::string& id, const std::string& address,
+                     const std::string& service = "app",
+                     EngineRole role = EngineRole::kMixed) {
+    TargetRecord& record = listed_[id];
+    record.id = id;
+    record.service = service;
+    record.address = address;
+    record.role = role;
+    Tell();
+    return record;
+  }
+  void Unlist(const std::string& id) {
+    listed_.erase(id);
+    Tell();
+  }
+  /// Tells the entry the list of targets.
+  void Tell() {
+    std::vector<TargetRecord> listed;
+    for (const auto& [id, record] : listed_) {
+      listed.push_back(record);
+    }
+    dispatcher_.OnStoreFollowed();
+    dispatcher_.OnTargets(listed);
+    Pass(Duration{0});
+  }
+
+  FakeTarget& At(const std::string& address) { return targets_[address]; }
+  void AskForRest(const std::string& address, const std::string& rest) {
+    At(address).refuses = true;
+    At(address).headers = {{"Retry-After", rest}};
+  }
+  void Serve(const std::string& address) {
+    At(address).refuses = false;
+    At(address).headers.clear();
+  }
+  void Connect(const std::string& address) {
+    At(address).connects = true;
+    for (const auto& it : std::exchange(At(address).waiting, {})) {
+      boost::asio::post(io_, it);
+    }
+    Pass(Duration{0});
+  }
+
+  void Pass(Duration length) {
+    const TimePoint end = now_ + length;
+    do {
+      io_.restart();
+      io_.poll();
+      now_ = std::min(now_ + milliseconds(20), end);
+      dispatcher_.Tick();
+    } while (now_ < end);
+    io_.restart();
+    io_.poll();
+  }
+
+  /// Asks as a caller whose request may run once.
+  void Ask(const std::string& service = "app") {
+    refusal_.reset();
+    answered_ = false;
+    auto request = std::make_shared<CallerRequest>();
+    request->id = RequestId{Id128{++next_id_, 1}};
+    request->caller_id = "r-" + std::to_string(next_id_);
+    request->deployment = service;
+    request->path = "/menu";
+    request->repeatability = Repeatability::kOnce;
+    request->max_attempts = 3;
+    if (service == "llm") {
+      request->prompt_parts = {{1, 80}, {2, 20}};
+    }
+    request->received_at = now_;
+    request->deadline = now_ + seconds(8);
+    dispatcher_.OnRequest(request);
+    Pass(Duration{0});
+  }
+  bool answered() const { return answered_; }
+  const std::optional<Refusal>& refusal() const { return refusal_; }
+  DirectCarrier& carrier() { return dispatcher_.carrier(); }
+
+ private:
+  DirectDispatcher::Options Options() {
+    DirectDispatcher::Options options;
+    options.flow.no_target_wait = Duration{0};
+    options.flow.charge_refused_attempts = true;
+    options.retry_budget = {0.2, {100, 0}, 100};
+    options.carrier.make_client = [this](const std::string& address) {
+      return std::make_unique<FakeClient>(&io_, &targets_[address]);
+    };
+    return options;
+  }
+  DirectDispatcher::Hooks Hooks() {
+    DirectDispatcher::Hooks hooks;
+    hooks.to_callers = [this](const ToCallers& message) {
+      answered_ = answered_ || std::holds_alternative<AnswerWhole>(message);
+      if (const auto* it = std::get_if<AnswerRefusal>(&message)) {
+        refusal_ = it->refusal;
+      }
+    };
+    return hooks;
+  }
+
+  boost::asio::io_context io_;
+  TimePoint now_{seconds(1000)};
+  MetricsRegistry metrics_;
+  std::uint64_t next_id_ = 0;
+  std::map<std::string, FakeTarget> targets_;
+  std::map<std::string, TargetRecord> listed_;
+  bool answered_ = false;
+  std::optional<Refusal> refusal_;
+  DirectDispatcher dispatcher_;
+};
+
+TEST_CASE("A target that asks for rest") {
+  Scene scene;
+  scene.List("a", "10.0.0.1:80");
+  scene.AskForRest("10.0.0.1:80", "3");
+  scene.Ask();
+  REQUIRE_FALSE(scene.answered());
+  REQUIRE(scene.At("10.0.0.1:80").arrivals == 1);
+  scene.Serve("10.0.0.1:80");
+
+  SECTION("gets nothing while it rests, and callers are served elsewhere") {
+    scene.List("b", "10.0.0.2:80");
+    for (int n = 0; n < 10; ++n) {
+      scene.Ask();
+      CHECK(scene.answered());
+      scene.Pass(milliseconds(200));
+    }
+    CHECK(scene.At("10.0.0.1:80").arrivals == 1);
+    CHECK(scene.At("10.0.0.2:80").arrivals == 10);
+  }
+  SECTION("as the only one, has its callers told at once when it is back") {
+    scene.Pass(seconds(1));
+    scene.Ask();
+    REQUIRE(scene.refusal());
+    CHECK(scene.refusal()->run == RunState::kNotRun);
+    CHECK(scene.refusal()->code == "targets_at_rest");
+    CHECK(scene.refusal()->retry_after <= seconds(2));
+    CHECK(scene.refusal()->retry_after > milliseconds(1900));
+    scene.Pass(scene.refusal()->retry_after);
+    scene.Ask();
+    CHECK(scene.answered());
+  }
+  SECTION("gets no orders and frees no handles meanwhile") {
+    CHECK(scene.carrier().ClientForExtraCall("a") == nullptr);
+    scene.Pass(seconds(3));
+    CHECK(scene.carrier().ClientForExtraCall("a") != nullptr);
+  }
+  SECTION("may get requests as soon as a new run of it has registered") {
+    scene.List("a", "10.0.0.1:80").run = TargetRun{1};
+    scene.Tell();
+    scene.List("a", "10.0.0.1:80").run = TargetRun{2};
+    scene.Tell();
+    scene.Ask();
+    CHECK(scene.answered());
+  }
+  SECTION("leaves its address to a target that has asked for nothing") {
+    scene.Unlist("a");
+    scene.List("b", "10.0.0.1:80");
+    scene.Ask();
+    CHECK(scene.answered());
+  }
+}
+
+/// Guards against requests that wait for a connection and are written though
+/// their target has asked for rest meanwhile.
+TEST_CASE("What was decided before a rest is not written") {
+  Scene scene;
+  scene.List("a", "10.0.0.1:80");
+  scene.AskForRest("10.0.0.1:80", "3");
+  scene.At("10.0.0.1:80").connects = false;
+  scene.Ask();
+  scene.At("10.0.0.1:80").connects = true;
+  scene.Ask();
+  REQUIRE(scene.At("10.0.0.1:80").arrivals == 1);
+
+  SECTION("it goes to another target") {
+    scene.List("b", "10.0.0.2:80");
+    scene.Connect("10.0.0.1:80");
+    CHECK(scene.answered());
+    CHECK(scene.At("10.0.0.2:80").arrivals == 1);
+  }
+  SECTION("it is refused where there is none, and has not run") {
+    scene.Connect("10.0.0.1:80");
+    REQUIRE(scene.refusal());
+    CHECK(scene.refusal()->run == RunState::kNotRun);
+  }
+  CHECK(scene.At("10.0.0.1:80").arrivals == 1);
+}
+
+TEST_CASE("Engines at rest") {
+  Scene scene;
+  scene.List("reader", "10.0.0.1:80", "llm", EngineRole::kPrefill);
+  scene.List("runner", "10.0.0.2:80", "llm", EngineRole::kDecode);
+  SECTION("that read: no prompt is read by those that make answers") {
+    scene.AskForRest("10.0.0.1:80", "3");
+    scene.Ask("llm");
+    scene.Ask("llm");
+    CHECK(scene.At("10.0.0.1:80").arrivals == 1);
+    CHECK(scene.At("10.0.0.2:80").arrivals == 0);
+    REQUIRE(scene.refusal());
+    CHECK(scene.refusal()->code == "targets_at_rest");
+  }
+  SECTION("that make answers: no prompt is read in vain") {
+    scene.AskForRest("10.0.0.2:80", "3");
+    scene.Ask("llm");
+    REQUIRE(scene.At("10.0.0.1:80").arrivals == 2);  // The handle is freed.
+    scene.Ask("llm");
+    CHECK(scene.At("10.0.0.1:80").arrivals == 2);
+    CHECK(scene.At("10.0.0.2:80").arrivals == 1);
+  }
+  SECTION("of both kinds: callers hear of the one that rests longer") {
+    scene.AskForRest("10.0.0.2:80", "1");
+    scene.Ask("llm");  // Asked by the one that makes answers.
+    scene.List("other", "10.0.0.3:80", "llm", EngineRole::kDecode);
+    scene.AskForRest("10.0.0.1:80", "3");
+    scene.Ask("llm");  // Asked by the one that reads.
+    REQUIRE(scene.refusal());
+    CHECK(scene.refusal()->retry_after > milliseconds(2500));
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
