Send no new work to a target that says in an answer that it leaves

A target that leaves says Server-Leaving: 1 in every answer, and went on getting requests for as long as the list showed it as ready.

Cause: the list was the only word on leaving. While the store is away, slow, or this entry is cut off from it, the list is old, and the target's own answers, which are newer, were not read.

Now any answer that says so, of any kind of call, makes the target leave in the directory, by the same change as the list would. It stays so for this run, whatever later lists say; a new run, or another id, begins anew. An answer speaks for all targets that are listed at its address: what is sent for one that is gone reaches its successor.

New: the directory's part, and what callers get (target_notices_test.cc): told with an answer, a refusal, a reading, to a request for an earlier target of the address.

--- a/src/core/membership/target_directory.cc
+++ b/src/core/membership/target_directory.cc
@@ -37,7 +37,9 @@
   const auto found = targets_.find(record.id);
   if (found == targets_.end()) {
     if (targets_.size() < options_.max_targets) {
-      targets_[record.id] = Entry{record, record.leaving, std::nullopt};
+      Entry& added = targets_[record.id];
+      added.record = record;
+      added.told_leaving = record.leaving;
       changes->push_back({TargetChange::Kind::kAdded, record});
     }
     return;
@@ -48,11 +50,12 @@
   const bool restarted = IsOtherRun(entry.record, record);
   entry.record = record;
   if (restarted) {
+    entry.says_leaving = false;
     changes->push_back({TargetChange::Kind::kRestarted, record});
   } else if (updated) {
     changes->push_back({TargetChange::Kind::kUpdated, record});
   }
-  if (record.leaving) {
+  if (record.leaving || entry.says_leaving) {
     Leave(&entry, changes);
   } else if (entry.told_leaving) {
     entry.told_leaving = false;
@@ -66,6 +69,16 @@
   }
 }
 
+std::vector<TargetChange> TargetDirectory::OnLeavingTold(
+    const std::string& id) {
+  std::vector<TargetChange> changes;
+  if (const auto it = targets_.find(id); it != targets_.end()) {
+    it->second.says_leaving = true;
+    Leave(&it->second, &changes);
+  }
+  return changes;
+}
+
 void TargetDirectory::OnStoreLost(TimePoint /*now*/) {
   store_lost_ = true;
   ever_lost_ = ever_lost_ || followed_since_.has_value();
--- a/src/core/membership/target_directory.h
+++ b/src/core/membership/target_directory.h
@@ -65,6 +65,9 @@
 /// To believe such a list at once would leave no target for that time; so
 /// absence counts only once the list is known as it was `return_grace` after
 /// the store's return.
+///
+/// What a target says itself is newer than any list: one that has said that it
+/// leaves gets no new work of this entry in this run, whatever lists say later.
 class TargetDirectory {
  public:
   struct Options {
@@ -81,6 +84,8 @@
   /// Takes a whole list. Returns what changed.
   std::vector<TargetChange> OnListed(const std::vector<TargetRecord>& listed,
                                      TimePoint now);
+  /// The target has said that it leaves. Returns what changed.
+  std::vector<TargetChange> OnLeavingTold(const std::string& id);
   /// The store cannot be followed, or can be again.
   void OnStoreLost(TimePoint now);
   void OnStoreFollowed(TimePoint now);
@@ -98,7 +103,8 @@
  private:
   struct Entry {
     TargetRecord record;
-    bool told_leaving = false;
+    bool told_leaving = false;  ///< The changes returned last say so.
+    bool says_leaving = false;  ///< The target itself does, in this run.
     std::optional<TimePoint> missing_since;
   };
 
--- a/src/entry/direct_dispatcher_notices.cc
+++ b/src/entry/direct_dispatcher_notices.cc
@@ -30,7 +30,13 @@
 }
 
 void DirectDispatcher::OnLeavingTold(const std::string& instance) {
-  log_(kTargetToldLeaving, {{"target", instance}});
+  for (const std::string& it : MaySpeakFor(instance)) {
+    const std::vector<TargetChange> changes = directory_.OnLeavingTold(it);
+    if (!changes.empty()) {
+      log_(kTargetToldLeaving, {{"target", it}, {"answered", instance}});
+    }
+    Apply(changes);
+  }
 }
 
 Status DirectDispatcher::MayWrite(const std::string& instance) {
--- a/tests/core/membership/target_directory_test.cc
+++ b/tests/core/membership/target_directory_test.cc
@@ -65,6 +65,26 @@
             std::vector<Kind>{Kind::kUpdated});
     }
   }
+  SECTION("one that says itself that it leaves is leaving, once") {
+    CHECK(KindsOf(directory.OnLeavingTold("a")) ==
+          std::vector<Kind>{Kind::kLeaving});
+    CHECK(directory.OnLeavingTold("a").empty());
+    SECTION("whatever the list says later") {
+      CHECK(directory.OnListed({Target("a"), Target("b")}, now).empty());
+      directory.OnListed({Target("b")}, now);
+      CHECK(directory.OnListed({Target("a"), Target("b")}, now).empty());
+    }
+    SECTION("until it registers another run") {
+      TargetRecord run = Target("a");
+      run.run = TargetRun{1};
+      directory.OnListed({run, Target("b")}, now);
+      run.run = TargetRun{2};
+      CHECK(KindsOf(directory.OnListed({run, Target("b")}, now)) ==
+            std::vector<Kind>{Kind::kRestarted, Kind::kReturned});
+      CHECK(directory.OnListed({run, Target("b")}, now).empty());
+    }
+    CHECK(directory.OnLeavingTold("unknown").empty());
+  }
   SECTION("one that is off the list is leaving at once") {
     CHECK(KindsOf(directory.OnListed({Target("b")}, now)) ==
           std::vector<Kind>{Kind::kLeaving});
--- a/tests/platform/target_notices_test.cc
+++ b/tests/platform/target_notices_test.cc
@@ -283,6 +283,72 @@
   CHECK(scene.At("10.0.0.1:80").arrivals == 1);
 }
 
+TEST_CASE("A target that says in an answer that it leaves") {
+  Scene scene;
+  scene.List("a", "10.0.0.1:80");
+  scene.At("10.0.0.1:80").headers = {{"Server-Leaving", "1"}};
+
+  SECTION("gets no other request, while callers are served elsewhere") {
+    scene.Ask();
+    REQUIRE(scene.answered());
+    scene.List("b", "10.0.0.2:80");  // The list still has it as ready.
+    for (int n = 0; n < 5; ++n) {
+      scene.Ask();
+      CHECK(scene.answered());
+    }
+    CHECK(scene.At("10.0.0.1:80").arrivals == 1);
+  }
+  SECTION("as the only one, has its callers refused at once") {
+    scene.Ask();
+    scene.Ask();
+    REQUIRE(scene.refusal());
+    CHECK(scene.refusal()->run == RunState::kNotRun);
+  }
+  SECTION("says so in a refusal too") {
+    scene.At("10.0.0.1:80").refuses = true;
+    scene.Ask();
+    scene.At("10.0.0.1:80").refuses = false;
+    scene.Ask();
+    CHECK(scene.At("10.0.0.1:80").arrivals == 1);
+  }
+  SECTION("gets requests again in a new run") {
+    scene.List("a", "10.0.0.1:80").run = TargetRun{1};
+    scene.Tell();
+    scene.Ask();
+    scene.List("a", "10.0.0.1:80").run = TargetRun{2};
+    scene.Tell();
+    scene.Ask();
+    CHECK(scene.answered());
+    CHECK(scene.At("10.0.0.1:80").arrivals == 2);
+  }
+  SECTION("to what is sent for an earlier target of its address") {
+    // The earlier one is gone and still listed; it is asked first.
+    scene.Unlist("a");
+    scene.List("0-gone", "10.0.0.1:80");
+    scene.List("a", "10.0.0.1:80");
+    scene.Ask();
+    scene.Ask();
+    CHECK(scene.At("10.0.0.1:80").arrivals == 1);
+  }
+}
+
+/// Guards against what is said while a prompt is read or a handle freed, which
+/// no caller's answer has.
+TEST_CASE("An engine that says while it reads that it leaves reads no more") {
+  Scene scene;
+  scene.List("reader", "10.0.0.1:80", "llm", EngineRole::kPrefill);
+  scene.List("other", "10.0.0.2:80", "llm", EngineRole::kPrefill);
+  scene.List("runner", "10.0.0.3:80", "llm", EngineRole::kDecode);
+  for (const char* it : {"10.0.0.1:80", "10.0.0.2:80"}) {
+    scene.At(it).headers = {{"Server-Leaving", "1"}};
+  }
+  scene.Ask("llm");
+  scene.Ask("llm");
+  scene.Ask("llm");
+  CHECK(scene.At("10.0.0.1:80").arrivals == 1);
+  CHECK(scene.At("10.0.0.2:80").arrivals == 1);
+}
+
 TEST_CASE("Engines at rest") {
   Scene scene;
   scene.List("reader", "10.0.0.1:80", "llm", EngineRole::kPrefill);
