--- a/tests/platform/soak_process_test.cc
+++ b/tests/platform/soak_process_test.cc
@@ -20,6 +20,7 @@
 #include "tests/platform/support/platform_scene.h"
 #include "tests/platform/support/repeats.h"
 #include "tests/support/limit_rule.h"
+#include "tests/support/rest_rule.h"
 #include "tests/support/retry_rule.h"
 
 namespace indigolead::testing {
@@ -108,7 +109,8 @@
   Troubles(PlatformScene* scene, std::uint64_t seed)
       : scene_(scene),
         random_(MakeSeededRandom(seed)),
-        limit_random_(MakeSeededRandom(~seed)) {}
+        limit_random_(MakeSeededRandom(~seed)),
+        notice_random_(MakeSeededRandom(seed * 3 + 1)) {}
 
   void Next() {
     constexpr Behaviour kBehaviours[] = {
@@ -121,6 +123,9 @@
     if (limit_random_() % 8 == 0) {
       NameLimit(&scene_->workers[limit_random_() % scene_->workers.size()]);
     }
+    if (notice_random_() % 4 == 0) {
+      NextNotice();
+    }
     ModelWorker& worker = scene_->workers[Below(scene_->workers.size())];
     switch (Below(8)) {
       case 0:
@@ -138,10 +143,12 @@
         scene_->entry->Pause();
         std::this_thread::sleep_for(milliseconds(50 + Below(700)));
         scene_->entry->Resume();
+        excuses_.push_back(std::chrono::steady_clock::now());
         break;
       case 6:
         scene_->entry->Kill();
         scene_->StartEntry();
+        excuses_.push_back(std::chrono::steady_clock::now());
         break;
       default:
         scene_->Register();
@@ -152,6 +159,10 @@
   void End() {
     for (ModelWorker& it : scene_->workers) {
       EndLimit(&it);
+      it.SetAskedRest(std::nullopt);
+      CHECK(MostDuringRest(it.rests(), it.arrivals(), excuses_) <=
+            kRestAllowed);
+      CHECK(AfterLeaving(it.said_leaving_at(), it.arrivals(), excuses_) == 0);
     }
     scene_->SetBehaviour(Behaviour::kSound);
     scene_->store.SetFaults({});
@@ -162,6 +173,19 @@
  private:
   std::uint64_t Below(std::uint64_t n) { return random_() % n; }
 
+  /// A target asks for rest or no longer does; one engine and one plain target
+  /// come to say that they leave.
+  void NextNotice() {
+    constexpr std::optional<double> kRests[] = {std::nullopt, 0.3, 1, 2.5};
+    const std::uint64_t n = notice_random_();
+    if (n % 8 == 0) {
+      scene_->worker(n % 16 == 0 ? "e1" : "a0").SetSaysLeaving(true);
+      return;
+    }
+    scene_->workers[n / 8 % scene_->workers.size()].SetAskedRest(
+        kRests[notice_random_() % std::size(kRests)]);
+  }
+
   /// A target names a limit, or no longer does.
   void NameLimit(ModelWorker* worker) {
     if (limited_.count(worker) > 0) {
@@ -201,6 +225,9 @@
   PlatformScene* scene_;
   RandomSource random_;
   RandomSource limit_random_;  ///< Apart, so that limits change nothing else.
+  RandomSource notice_random_;
+  /// When the entry was started or set going again.
+  std::vector<std::chrono::steady_clock::time_point> excuses_;
   std::uint64_t version_ = 10;
   std::set<ModelWorker*> limited_;  ///< Those that are to name a limit.
 };
@@ -255,6 +282,7 @@
 // Targets, store, paths and the entry fail one after the other and together,
 // while callers ask. What may run once runs once at most, what is denied has
 // not run, what is answered is whole, a target that names a limit gets no more,
+// one that asks for rest gets it, one that says that it leaves is left alone,
 // and repeats keep to what the operator allows; once the troubles are over, all
 // is served again, in the memory that an entry has.
 TEST_CASE("A soak of faults breaks no promise, and ends served") {
--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -106,9 +106,9 @@
   server_.Invoke([&] { says_leaving_ = leaving; });
 }
 
-std::optional<std::chrono::steady_clock::time_point>
+std::vector<std::chrono::steady_clock::time_point>
 ModelWorker::said_leaving_at() {
-  std::optional<std::chrono::steady_clock::time_point> at;
+  std::vector<std::chrono::steady_clock::time_point> at;
   server_.Invoke([&] { at = said_leaving_at_; });
   return at;
 }
@@ -260,7 +260,7 @@
     headers.emplace_back("Server-Limit", std::to_string(*named_limit_));
   }
   if (says_leaving_) {
-    said_leaving_at_ = said_leaving_at_.value_or(now);
+    said_leaving_at_.push_back(now);
     headers.emplace_back("Server-Leaving", "1");
   }
   return headers;
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -87,8 +87,8 @@
   std::vector<Rest> rests();
   /// Says in all answers from now on that it leaves, or not.
   void SetSaysLeaving(bool leaving);
-  /// Returns when an answer first said that it leaves; nothing if none has.
-  std::optional<std::chrono::steady_clock::time_point> said_leaving_at();
+  /// Returns when answers said that it leaves.
+  std::vector<std::chrono::steady_clock::time_point> said_leaving_at();
   /// Returns when each request came, to run, to read a prompt or of any other
   /// kind.
   std::vector<std::chrono::steady_clock::time_point> arrivals();
@@ -124,7 +124,7 @@
   std::optional<double> asked_rest_;  ///< In seconds.
   std::vector<Rest> rests_;
   bool says_leaving_ = false;
-  std::optional<std::chrono::steady_clock::time_point> said_leaving_at_;
+  std::vector<std::chrono::steady_clock::time_point> said_leaving_at_;
   standins::HttpServer server_;
 };
 
--- a/tests/platform/target_rest_process_test.cc
+++ b/tests/platform/target_rest_process_test.cc
@@ -134,7 +134,6 @@
 /// Guards against requests to a target that has said in an answer that it
 /// leaves, while the list still shows it as ready.
 TEST_CASE("A target that says that it leaves gets no request", "[rest]") {
-  constexpr milliseconds kDrain{2000};  ///< As the platform grants.
   PlatformScene scene;
   REQUIRE(WaitUntil([&] { return scene.Ready(); }));
   ModelWorker& target = scene.worker("a0");
@@ -143,11 +142,8 @@
   target.SetSaysLeaving(true);
   std::this_thread::sleep_for(seconds(5));
   callers.Stop();
-  const auto said_at = target.said_leaving_at();
-  REQUIRE(said_at);
-  const auto arrivals = target.arrivals();
-  CHECK(std::none_of(arrivals.begin(), arrivals.end(),
-                     [&](auto at) { return at > *said_at + kDrain; }));
+  REQUIRE_FALSE(target.said_leaving_at().empty());
+  CHECK(AfterLeaving(target.said_leaving_at(), target.arrivals()) == 0);
   CHECK(callers.served() > 0);
   CHECK(callers.not_served() == 0);
 }
--- a/tests/support/rest_rule.h
+++ b/tests/support/rest_rule.h
@@ -5,13 +5,18 @@
 #include <chrono>
 #include <vector>
 
-// The rule on targets that ask an entry for rest, as their operator states it:
-// no more than `kRestAllowed` requests of that entry reach the target between
-// `kRestReaction` after it has asked and the end of the time.
+// The rules on what targets say of themselves, as their operator states them.
+//
+// A target asks an entry for rest: no more than `kRestAllowed` requests of that
+// entry reach it between `kRestReaction` after it has asked and the end of the
+// time. A target says in an answer that it leaves: no request of that entry
+// reaches it later than `kLeavingDrain` after that. A restart or a freeze of
+// the entry since then excuses it.
 namespace indigolead::testing {
 
 inline constexpr std::chrono::milliseconds kRestReaction{500};
 inline constexpr int kRestAllowed = 2;
+inline constexpr std::chrono::seconds kLeavingDrain{2};
 
 /// A rest that a target asked an entry for.
 template <typename Time>
@@ -20,21 +25,47 @@
   typename Time::duration length;
 };
 
-/// Returns the most of `arrivals` in the time of any one rest.
+/// Returns true if one of `excuses` lies between the two times.
+template <typename Time>
+bool IsExcused(const std::vector<Time>& excuses, Time from, Time to) {
+  return std::any_of(excuses.begin(), excuses.end(),
+                     [&](Time it) { return it >= from && it <= to; });
+}
+
+/// Returns the most of `arrivals` in the time of any one rest. `excuses` are
+/// the times at which the entry was killed, stopped or set going.
 template <typename Time>
 int MostDuringRest(const std::vector<AskedRest<Time>>& rests,
-                   const std::vector<Time>& arrivals) {
+                   const std::vector<Time>& arrivals,
+                   const std::vector<Time>& excuses = {}) {
   std::ptrdiff_t most = 0;
   for (const AskedRest<Time>& rest : rests) {
-    most = std::max(
-        most, std::count_if(arrivals.begin(), arrivals.end(), [&](Time at) {
-          return at > rest.asked_at + kRestReaction &&
-                 at < rest.asked_at + rest.length;
-        }));
+    const Time end = rest.asked_at + rest.length;
+    const auto counts = [&](Time at) {
+      return at > rest.asked_at + kRestReaction && at < end &&
+             !IsExcused(excuses, rest.asked_at, at);
+    };
+    most =
+        std::max(most, std::count_if(arrivals.begin(), arrivals.end(), counts));
   }
   return static_cast<int>(most);
 }
 
+/// Returns how many of `arrivals` came though one of the answers at `said_at`
+/// had said that the target leaves.
+template <typename Time>
+int AfterLeaving(const std::vector<Time>& said_at,
+                 const std::vector<Time>& arrivals,
+                 const std::vector<Time>& excuses = {}) {
+  const auto counts = [&](Time at) {
+    return std::any_of(said_at.begin(), said_at.end(), [&](Time said) {
+      return at > said + kLeavingDrain && !IsExcused(excuses, said, at);
+    });
+  };
+  return static_cast<int>(
+      std::count_if(arrivals.begin(), arrivals.end(), counts));
+}
+
 }  // namespace indigolead::testing
 
 #endif  // INDIGOLEAD_TESTS_SUPPORT_REST_RULE_H_
