Hear what a target says of itself also if its run became known late

Notices were compared with the run that the target had as its client was made; a target that registers without its run and names it later keeps its client, and all that it said of rest and leaving was dropped for good. Now notices are told by the client they came by: a new run has a new one.

--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -77,7 +77,7 @@
   Target& target = targets_[record.id];
   target.record = record;
   target.link = SideLink{++next_link_};
-  target.client = MakeClient(record);
+  RenewClient(&target);
   flow_->OnSideUp(target.link, InfoOf(record), clock_());
   flow_->OnLeaving(record.id, record.leaving, clock_());
 }
@@ -125,7 +125,7 @@
   // lost with it, and may not be repeated. A new client begins without any.
   // Calls that are open end by themselves, since nobody can tell here to which
   // of the runs they went; the new run may be answering them.
-  it->second.client = MakeClient(record);
+  RenewClient(&it->second);
   flow_->OnSideChanged(it->second.link, InfoOf(record), clock_());
 }
 
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -123,6 +123,7 @@
     TargetRecord record;
     SideLink link;
     std::unique_ptr<TargetClient> client;
+    std::uint64_t client_number = 0;  ///< Another one for each client.
   };
   struct Run {
     SideLink link;
@@ -152,11 +153,13 @@
   TargetClient* ClientOf(const std::string& instance);
   void Add(const TargetRecord& record);
   void Restart(const TargetRecord& record);
-  std::unique_ptr<TargetClient> MakeClient(const TargetRecord& record);
-  /// Tells what the head of any answer says of its target, whose record was
-  /// `target` as the call was made.
-  void TellNotices(const TargetRecord& target, int status,
-                   const std::vector<HttpHeader>& headers);
+  /// Gives the target a client of its present run.
+  void RenewClient(Target* target);
+  std::unique_ptr<TargetClient> MakeClient(const std::string& address);
+  /// Tells what the head of any answer that came by the client of that number
+  /// says of its target.
+  void TellNotices(const std::string& instance, std::uint64_t client_number,
+                   int status, const std::vector<HttpHeader>& headers);
   void StartPrefill(const AttemptId& id, const std::string& at);
   Duration PrefillWait(Duration left) const;
   std::string CopyAddress(const AttemptId& id) const;
@@ -202,6 +205,7 @@
   std::map<std::uint64_t, std::unique_ptr<TargetClient::Call>> releases_;
   std::uint64_t next_release_ = 0;
   std::uint64_t next_link_ = 0;
+  std::uint64_t next_client_ = 0;
 };
 
 }  // namespace indigolead
--- a/src/entry/direct_carrier_notices.cc
+++ b/src/entry/direct_carrier_notices.cc
@@ -7,40 +7,46 @@
 namespace indigolead {
 
 std::unique_ptr<TargetClient> DirectCarrier::MakeClient(
-    const TargetRecord& record) {
-  std::unique_ptr<TargetClient> client;
+    const std::string& address) {
   if (options_.make_client) {
-    client = options_.make_client(record.address);
-  } else {
-    HttpTargetClient::Options options = options_.client;
-    options.address = record.address;
-    client = std::make_unique<HttpTargetClient>(io_, std::move(options));
+    return options_.make_client(address);
   }
+  HttpTargetClient::Options options = options_.client;
+  options.address = address;
+  return std::make_unique<HttpTargetClient>(io_, std::move(options));
+}
+
+void DirectCarrier::RenewClient(Target* target) {
+  const std::string& id = target->record.id;
+  const std::uint64_t number = ++next_client_;
   WatchedTargetClient::Watcher watcher;
-  watcher.may_write = [this, id = record.id] {
+  watcher.may_write = [this, id] {
     return hooks_.may_write ? hooks_.may_write(id) : Status(Unit{});
   };
-  watcher.on_head = [this, record](int status,
-                                   const std::vector<HttpHeader>& headers) {
-    TellNotices(record, status, headers);
+  watcher.on_head = [this, id, number](int status,
+                                       const std::vector<HttpHeader>& headers) {
+    TellNotices(id, number, status, headers);
   };
-  return std::make_unique<WatchedTargetClient>(std::move(client),
-                                               std::move(watcher));
+  target->client_number = number;
+  target->client = std::make_unique<WatchedTargetClient>(
+      MakeClient(target->record.address), std::move(watcher));
 }
 
-void DirectCarrier::TellNotices(const TargetRecord& target, int status,
+void DirectCarrier::TellNotices(const std::string& instance,
+                                std::uint64_t client_number, int status,
                                 const std::vector<HttpHeader>& headers) {
-  const TargetRecord* known = FindTarget(target.id);
-  if (!known || known->run != target.run) {
+  const auto it = targets_.find(instance);
+  if (it == targets_.end() || it->second.client_number != client_number) {
     return;  // Of the run before, which says nothing of this one.
   }
+  const TargetRecord& target = it->second.record;
   const auto rest = dialect_.asked_rest
                         ? dialect_.asked_rest(target, status, headers)
                         : Result<Duration>(Duration{0});
   if (!IsOk(rest)) {
     log_(kTargetNoticeUnreadable, {{"error", ToString(ErrorOf(rest))}});
   } else if (ValueOf(rest) > Duration{0} && hooks_.on_rest_asked) {
-    hooks_.on_rest_asked(target.id, ValueOf(rest));
+    hooks_.on_rest_asked(instance, ValueOf(rest));
   }
   const auto leaving = dialect_.says_leaving
                            ? dialect_.says_leaving(target, headers)
@@ -48,7 +54,7 @@
   if (!IsOk(leaving)) {
     log_(kTargetNoticeUnreadable, {{"error", ToString(ErrorOf(leaving))}});
   } else if (ValueOf(leaving) && hooks_.on_leaving_told) {
-    hooks_.on_leaving_told(target.id);
+    hooks_.on_leaving_told(instance);
   }
 }
 
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -83,8 +83,8 @@
           "Targets that want no request of this entry for a while.")),
       calls_held_back_(metrics->AddCounter(
           "indigolead_calls_held_back_total",
-          "Calls of any kind that were held back at the last moment, since "
-          "their target had asked for rest.")),
+          "Calls of any kind that were not written, since their target had "
+          "asked for rest.")),
       answer_seconds_(metrics->AddHistogram(
           "indigolead_answer_seconds",
           "Time from taking a request to the head of its answer.")),
--- a/tests/platform/target_notices_test.cc
+++ b/tests/platform/target_notices_test.cc
@@ -249,6 +249,16 @@
     scene.Ask();
     CHECK(scene.answered());
   }
+  SECTION("is heard also if its run became known after it was listed") {
+    scene.List("a", "10.0.0.1:80").run = TargetRun{1};
+    scene.Tell();
+    scene.Pass(seconds(3));
+    scene.AskForRest("10.0.0.1:80", "3");
+    scene.Ask();
+    REQUIRE(scene.At("10.0.0.1:80").arrivals == 2);
+    scene.Ask();
+    CHECK(scene.At("10.0.0.1:80").arrivals == 2);
+  }
   SECTION("leaves its address to a target that has asked for nothing") {
     scene.Unlist("a");
     scene.List("b", "10.0.0.1:80");
