--- a/tests/support/direct_world.cc
+++ b/tests/support/direct_world.cc
@@ -40,14 +40,14 @@
   for (Duration at{0}; at < kTraffic; at += milliseconds(900)) {
     time_.After(at, [this] { NextNotice(); });
   }
-  for (Duration at{0}; at < kTraffic + kRest; at += milliseconds(100)) {
+  for (Duration at{0}; at < kTraffic + kQuiet; at += milliseconds(100)) {
     for (int n = 0; n < entries; ++n) {
       time_.After(at + Between(Duration{0}, milliseconds(600)), [this, n] {
         ToEntry(n, entries_[n].life, [this, n] { TellTargets(n); });
       });
     }
   }
-  time_.RunUntil(start + kTraffic + kRest);
+  time_.RunUntil(start + kTraffic + kQuiet);
   for (auto& [number, entry] : entries_) {
     CheckBudget(entry);
     if (entry.dispatcher->open_requests() > 0 ||
--- a/tests/support/direct_world/world.h
+++ b/tests/support/direct_world/world.h
@@ -19,7 +19,7 @@
 inline constexpr Duration kTick = std::chrono::milliseconds(25);
 inline constexpr Duration kTraffic =
     std::chrono::seconds(12);  ///< Requests come that long.
-inline constexpr Duration kRest =
+inline constexpr Duration kQuiet =
     std::chrono::seconds(12);  ///< Longer than any deadline.
 /// A final answer may come that much after its deadline: two ticks.
 inline constexpr Duration kSlack = std::chrono::milliseconds(60);
