--- a/src/core/membership/target_directory.h
+++ b/src/core/membership/target_directory.h
@@ -1,6 +1,7 @@
 #ifndef INDIGOLEAD_CORE_MEMBERSHIP_TARGET_DIRECTORY_H_
 #define INDIGOLEAD_CORE_MEMBERSHIP_TARGET_DIRECTORY_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -93,6 +94,10 @@
   /// watch rests between two calls; a target that came back during a rest looks
   /// missing until the next. Unless this is called, changes come at once.
   void OnKnownUntil(TimePoint known_until) { known_until_ = known_until; }
+  /// Returns how old the list taken last is; zero where its age is not told.
+  Duration Age(TimePoint now) const {
+    return now - std::min(known_until_.value_or(now), now);
+  }
   /// Returns the changes that time alone brings. Call several times a second.
   std::vector<TargetChange> Tick(TimePoint now);
 
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
+#include "entry/event_fields.h"
 #include "entry/events.h"
 
 namespace indigolead {
@@ -410,9 +411,11 @@
                       ? AttemptOutcome::kDeadline
                       : AttemptOutcome::kTargetFailed;
     end.detail = error.detail;
-    log_(kTargetBroke, {{"request", run->request->caller_id},
-                        {"target", run->instance},
-                        {"error", ToString(error)}});
+    log_(kTargetBroke,
+         {{"request", run->request->caller_id},
+          {"target", run->instance},
+          {"fingerprint", FingerprintText(run->request->fingerprint)},
+          {"error", ToString(error)}});
   }
   const SideLink link = run->link;
   runs_.erase(id);
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -341,6 +341,8 @@
                         {"work", work},
                         {"attempt", std::to_string(number)},
                         {"config", std::to_string(request.config_revision)},
+                        {"fingerprint", FingerprintText(request.fingerprint)},
+                        {"targets_age_ms", Milliseconds(directory_.Age(now))},
                         {"after_ms", Milliseconds(now - request.received_at)},
                         {"left_ms", Milliseconds(request.deadline - now)}});
 }
--- a/src/entry/quarantine_keeper.cc
+++ b/src/entry/quarantine_keeper.cc
@@ -1,11 +1,12 @@
 #include "entry/quarantine_keeper.h"
 
 #include <chrono>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
 
+#include "entry/event_fields.h"
+
 namespace indigolead {
 namespace {
 
@@ -21,10 +22,7 @@
 }  // namespace
 
 std::string QuarantineKey(Fingerprint fingerprint) {
-  char digits[17];
-  std::snprintf(digits, sizeof digits, "%016llx",
-                static_cast<unsigned long long>(fingerprint));
-  return std::string(kPrefix) + digits;
+  return kPrefix + FingerprintText(fingerprint);
 }
 
 std::string EncodeQuarantine(const SuspicionNotice& notice) {
