Play requests that crash their targets, and changes that an entry learns late (red)

Stand-ins that are taken down are now truly down: child processes had inherited their listening sockets, and the kernel went on accepting for them.

--- /dev/null
+++ b/tests/platform/crashing_request_process_test.cc
@@ -0,0 +1,145 @@
+// One request that crashes every target that runs it, repeated by its caller
+// at several entries in processes of their own.
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/support/platform_scene.h"
+#include "tests/support/crash_rule.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Time = std::chrono::steady_clock::time_point;
+
+/// A caller that asks for one path on and on, at each entry in turn, under a
+/// new id each time.
+class RepeatingCaller {
+ public:
+  RepeatingCaller(std::vector<std::string> entries, std::string method,
+                  std::string path, milliseconds pause)
+      : entries_(std::move(entries)),
+        method_(std::move(method)),
+        path_(std::move(path)),
+        pause_(pause),
+        thread_([this] { Ask(); }) {}
+  ~RepeatingCaller() { Stop(); }
+  RepeatingCaller(const RepeatingCaller&) = delete;
+  RepeatingCaller& operator=(const RepeatingCaller&) = delete;
+
+  void Stop() {
+    stopping_ = true;
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+  int asked() const { return asked_; }
+  int served() const { return served_; }
+
+ private:
+  void Ask() {
+    while (!stopping_) {
+      const int n = asked_++;
+      const std::string& entry =
+          entries_[static_cast<std::size_t>(n) % entries_.size()];
+      const HttpAnswer answer = PlatformScene::AskAt(
+          entry, method_, path_, path_ + "#" + std::to_string(n), 3000);
+      served_ += answer.status == 200 ? 1 : 0;
+      std::this_thread::sleep_for(pause_);
+    }
+  }
+
+  std::vector<std::string> entries_;
+  std::string method_;
+  std::string path_;
+  milliseconds pause_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> asked_{0};
+  std::atomic<int> served_{0};
+  std::thread thread_;
+};
+
+std::vector<Time> ArrivalsOf(PlatformScene* scene, const std::string& path) {
+  std::vector<Time> arrivals;
+  for (ModelWorker& worker : scene->workers) {
+    for (const ModelWorker::Arrival& it : worker.request_arrivals()) {
+      if (it.path == path) {
+        arrivals.push_back(it.at);
+      }
+    }
+  }
+  return arrivals;
+}
+
+std::vector<Time> CrashesOf(PlatformScene* scene) {
+  std::vector<Time> crashes;
+  for (ModelWorker& worker : scene->workers) {
+    const std::vector<Time> of_worker = worker.crashes();
+    crashes.insert(crashes.end(), of_worker.begin(), of_worker.end());
+  }
+  return crashes;
+}
+
+/// Lets time pass in which targets register as they do each second.
+void PassTime(PlatformScene* scene, seconds length) {
+  const Time end = std::chrono::steady_clock::now() + length;
+  while (std::chrono::steady_clock::now() < end) {
+    scene->Register();
+    std::this_thread::sleep_for(milliseconds(250));
+  }
+}
+
+/// Guards against a request that crashes one target after the other, since each
+/// entry passes its caller's repeats on like any other request.
+TEST_CASE("A request that crashes its targets is not sent on and on",
+          "[crash]") {
+  PlatformScene scene;
+  REQUIRE(WaitUntil([&] { return scene.Staged("prefill") == 3; }));
+  scene.AddEntry("front-2");
+  scene.AddEntry("front-3");
+  REQUIRE(WaitUntil([&] { return scene.AllReady(); }, seconds(30)));
+  const std::vector<std::string> entries = {scene.callers_address,
+                                            scene.further[0].callers_address,
+                                            scene.further[1].callers_address};
+  const auto [method, crashing, innocent] =
+      GENERATE(table<std::string, std::string, std::string>(
+          {{"GET", "/desk/crash", "/desk/1"},
+           {"POST", "/menu/crash", "/menu/1"},
+           {"POST", "/audit/crash", "/audit/1"},
+           {"POST", "/resume/crash", "/resume/1"}}));
+  INFO(crashing);
+  for (ModelWorker& it : scene.workers) {
+    it.SetCrashesOn(crashing);
+  }
+  scene.Register();
+  RepeatingCaller bad(entries, method, crashing, milliseconds(150));
+  RepeatingCaller good(entries, method, innocent, milliseconds(20));
+  PassTime(&scene, seconds(7));
+  const int served = good.served();
+  PassTime(&scene, seconds(2));
+  CHECK(good.served() > served + 20);
+
+  // Processes that start know nothing of before.
+  scene.entry->Kill();
+  scene.StartEntry();
+  scene.further[0].process->Kill();
+  scene.further[0].Start();
+  PassTime(&scene, seconds(5));
+  bad.Stop();
+  good.Stop();
+  const std::vector<Time> crashes = CrashesOf(&scene);
+  CHECK(crashes.size() >= kCrashesToStop);
+  CHECK(bad.asked() > 20);
+  CHECK(SentOnAfterCrashes(crashes, ArrivalsOf(&scene, crashing)) <=
+        kSentOnAllowed);
+  const HttpAnswer refused = scene.Ask(method, crashing, "last");
+  CHECK(refused.status == 503);
+  CHECK_FALSE(refused.Header("Retry-After").empty());
+}
+
+}  // namespace
+}  // namespace indigolead::testing
--- a/tests/platform/stale_lists_test.cc
+++ b/tests/platform/stale_lists_test.cc
@@ -1,11 +1,14 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "platform/entry_options.h"
 #include "platform/object_store.h"
 #include "runtime/clock.h"
+#include "standins/relay_server.h"
 #include "store/list_watcher.h"
 #include "tests/platform/support/metadata_store.h"
 
@@ -101,5 +104,96 @@
   CHECK(store.stale_lists() == (first ? 1 : 0));
 }
 
+/// A watch of the targets as an entry of a small fleet has it, whose operator
+/// wants a leaving target to get nothing after 2 s.
+class FollowedTargets {
+ public:
+  explicit FollowedTargets(const std::string& store_address)
+      : store_(&io_, OptionsFor(store_address), BootTimeNow, &metrics_) {
+    ListWatcher::Hooks hooks;
+    hooks.on_state = [this](const ListWatcher::State& it, std::uint64_t) {
+      seen_ = it.count("servers/" + awaited_) > 0;
+    };
+    hooks.jitter = [] { return 0.999; };
+    watcher_.emplace(&store_, platform::WatchOptions(settings_, "servers/"),
+                     hooks, BootTimeNow, MakeRunAfter(&io_),
+                     MakeNullEventLog());
+    watcher_->Start();
+  }
+
+  void Await(std::string name) { awaited_ = std::move(name); }
+  bool seen() const { return seen_; }
+  bool following() const { return watcher_->following(); }
+  void Run(std::chrono::milliseconds length) { io_.run_for(length); }
+  /// Makes calls at the same time, whose connections are kept.
+  void MakeCalls(int calls) {
+    for (int n = 0; n < calls; ++n) {
+      store_.List("entries/", {}, [](const Result<ObjectStore::Listing>&) {});
+    }
+  }
+
+ private:
+  platform::PlatformObjectStore::Options OptionsFor(
+      const std::string& store_address) {
+    settings_.store_address = store_address;
+    settings_.leaving_bound = kBound;
+    settings_.configuration_bound = kBound;
+    settings_.contact_time = std::chrono::seconds(3);
+    return platform::StoreOptions(settings_);
+  }
+
+ public:
+  static constexpr std::chrono::milliseconds kBound{2000};
+
+ private:
+  boost::asio::io_context io_;
+  MetricsRegistry metrics_;
+  platform::PlatformSettings settings_;
+  platform::PlatformObjectStore store_;
+  std::string awaited_;
+  bool seen_ = false;
+  std::optional<ListWatcher> watcher_;
+};
+
+/// Guards against a target that gets requests for seconds after it left, since
+/// one call of the store went unanswered.
+TEST_CASE("A change is known within its bound though connections go silent") {
+  const int kept = GENERATE(0, 1, 6);
+  const auto into_wait = std::chrono::milliseconds(GENERATE(20, 700, 1300));
+  INFO(kept << " connections kept, " << into_wait.count() << " ms into a call");
+  MetadataStore store;
+  store.Put("servers", "a", "x");
+  standins::RelayServer path(0, store.address());
+  FollowedTargets targets(path.address());
+  targets.Run(std::chrono::milliseconds(300));
+  REQUIRE(targets.following());
+  targets.MakeCalls(kept);
+  store.Put("servers", "b", "x");  // Ends the call that waits.
+  targets.Run(std::chrono::milliseconds(250) + into_wait);
+  path.SilenceOpenConnections();
+  store.Put("servers", "leaving", "x");
+  targets.Await("leaving");
+  targets.Run(FollowedTargets::kBound);
+  CHECK(targets.seen());
+}
+
+/// Guards against the same where the store answers a call that waits late or
+/// never, and others at once.
+TEST_CASE("A change is known within its bound though a waiting call is lost") {
+  MetadataStore store;
+  store.Put("servers", "a", "x");
+  FollowedTargets targets(store.address());
+  targets.Run(std::chrono::milliseconds(300));
+  REQUIRE(targets.following());
+  standins::PlatformFaults faults;
+  faults.silence_watches = true;
+  store.SetFaults(faults);
+  targets.Run(std::chrono::milliseconds(100));
+  store.Put("servers", "leaving", "x");
+  targets.Await("leaving");
+  targets.Run(FollowedTargets::kBound);
+  CHECK(targets.seen());
+}
+
 }  // namespace
 }  // namespace indigolead::testing
--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -1,5 +1,6 @@
 #include "tests/platform/support/model_worker.h"
 
+#include <boost/system/system_error.hpp>
 #include <utility>
 
 namespace indigolead::testing {
@@ -22,6 +23,7 @@
 ModelWorker::ModelWorker(Options options)
     : options_(std::move(options)),
       server_(0, [this](HttpExchange& exchange) { return Handle(exchange); }) {
+  down_ = std::make_unique<boost::asio::steady_timer>(server_.io());
   server_.Start();
 }
 
@@ -35,6 +37,11 @@
   if (options_.is_engine) {
     registration["stage"] = stage();
   }
+  server_.Invoke([&] {
+    if (!crashes_on_.empty()) {
+      registration["born"] = born_;
+    }
+  });
   return registration;
 }
 
@@ -78,6 +85,50 @@
   server_.Invoke([&] { behaviour_ = behaviour; });
 }
 
+void ModelWorker::SetCrashesOn(std::string path) {
+  server_.Invoke([&] { crashes_on_ = std::move(path); });
+}
+
+std::vector<std::chrono::steady_clock::time_point> ModelWorker::crashes() {
+  std::vector<std::chrono::steady_clock::time_point> crashes;
+  server_.Invoke([&] { crashes = crashes_; });
+  return crashes;
+}
+
+Task ModelWorker::CrashIfAsked(HttpExchange& exchange, bool* crashed) {
+  *crashed = !crashes_on_.empty() && exchange.request().path == crashes_on_;
+  if (!*crashed) {
+    co_return;
+  }
+  co_await exchange.Sleep(kCrashAfter);
+  if (!exchange.open()) {
+    co_return;  // Another request has crashed it meanwhile.
+  }
+  crashes_.push_back(std::chrono::steady_clock::now());
+  running_ = 0;
+  orders_ = 0;
+  StayDown(kDownFor);
+}
+
+void ModelWorker::StayDown(std::chrono::milliseconds length) {
+  server_.SetDownHere(true);
+  down_->expires_after(length);
+  down_->async_wait([this](const boost::system::error_code& ec) {
+    if (!ec) {
+      StartAnew();
+    }
+  });
+}
+
+void ModelWorker::StartAnew() {
+  try {
+    server_.SetDownHere(false);
+    ++born_;
+  } catch (const boost::system::system_error&) {
+    StayDown(kStep);  // Somebody else's connection has the port.
+  }
+}
+
 void ModelWorker::SetNamedLimit(std::optional<double> limit) {
   server_.Invoke([&] {
     named_limit_ = limit;
@@ -125,7 +176,7 @@
   keys_seen_ += request.Header("Authorization").empty() ? 0 : 1;
   if (!IdOf(exchange).empty()) {
     accounts_[IdOf(exchange)].push_back(request.Header("X-Tenant"));
-    request_arrivals_.push_back({IdOf(exchange), arrivals_.back(),
+    request_arrivals_.push_back({IdOf(exchange), arrivals_.back(), request.path,
                                  request.Header("X-Stage") == "prefill"});
   }
   const std::string expected = request.Header("X-Expect-Instance");
@@ -202,6 +253,11 @@
   }
   ++runs_[exchange.request().Header("X-Request-Id")];
   ++running_;
+  bool crashed = false;
+  co_await CrashIfAsked(exchange, &crashed);
+  if (crashed) {
+    co_return;
+  }
   bool answer = false;
   co_await Misbehave(exchange, &answer);
   if (answer && options_.is_engine) {
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -1,8 +1,11 @@
 #ifndef INDIGOLEAD_TESTS_PLATFORM_SUPPORT_MODEL_WORKER_H_
 #define INDIGOLEAD_TESTS_PLATFORM_SUPPORT_MODEL_WORKER_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
@@ -44,10 +47,15 @@
     kBreaksMidway,  ///< The first run of an id resets after two events.
   };
   static constexpr std::chrono::milliseconds kLateness{300};
+  /// From the begin of a run that crashes the target to the crash, and from
+  /// there to its next start.
+  static constexpr std::chrono::milliseconds kCrashAfter{60};
+  static constexpr std::chrono::milliseconds kDownFor{700};
   /// A caller's request that came, to run or to have its prompt read.
   struct Arrival {
     std::string request_id;
     std::chrono::steady_clock::time_point at;
+    std::string path;
     bool is_reading = false;  ///< Its prompt is to be read, no more.
     bool accepted = false;    ///< Of a reading: it was not rejected.
   };
@@ -73,6 +81,11 @@
   /// Returns how many arrivals had a caller's key with them.
   int keys_seen();
   void SetBehaviour(Behaviour behaviour);
+  /// Crashes with all that it runs shortly after it has begun to run a request
+  /// of that path, and starts anew a moment later. No path: never.
+  void SetCrashesOn(std::string path);
+  /// Returns when it crashed.
+  std::vector<std::chrono::steady_clock::time_point> crashes();
   /// Names a limit in all answers from now on, in requests a second, or none.
   /// It is named only: whatever comes is served.
   void SetNamedLimit(std::optional<double> limit);
@@ -101,6 +114,10 @@
   standins::Task Run(standins::HttpExchange& exchange);
   standins::Task Order(standins::HttpExchange& exchange);
   standins::Task Wait(standins::HttpExchange& exchange);
+  /// Crashes if the request is one that it crashes on.
+  standins::Task CrashIfAsked(standins::HttpExchange& exchange, bool* crashed);
+  void StayDown(std::chrono::milliseconds length);
+  void StartAnew();
   standins::Task Misbehave(standins::HttpExchange& exchange, bool* answer);
   standins::Task Answer(standins::HttpExchange& exchange);
   standins::Task Stream(standins::HttpExchange& exchange);
@@ -113,6 +130,10 @@
   std::uint64_t orders_ = 0;
   int prefills_ = 0;
   Behaviour behaviour_ = Behaviour::kSound;
+  std::string crashes_on_;
+  std::vector<std::chrono::steady_clock::time_point> crashes_;
+  std::unique_ptr<boost::asio::steady_timer> down_;
+  std::int64_t born_ = 1;  ///< Another number for each start.
   int running_ = 0;
   std::map<std::string, int> runs_;
   std::map<std::string, std::vector<std::string>> accounts_;
--- a/tests/platform/target_notices_test.cc
+++ b/tests/platform/target_notices_test.cc
@@ -306,6 +306,34 @@
   CHECK(scene.avoided() == 0);  // It is no failure of the target.
 }
 
+/// Guards against requests that were placed before their target left, and are
+/// written to it later.
+TEST_CASE("What was placed before its target left is not written") {
+  Scene scene;
+  scene.List("a", "1");
+  scene.At("1").connects = false;
+  scene.Ask();
+  SECTION("it goes to another target") {
+    scene.List("b", "2");
+    scene.List("a", "1").leaving = true;
+    scene.Tell();
+    scene.Connect("1");
+    CHECK(scene.At("1").arrivals == 0);
+    CHECK(scene.At("2").arrivals == 1);
+    CHECK(scene.answered());
+    CHECK(scene.avoided() == 0);
+  }
+  SECTION("it is refused where there is none, and has not run") {
+    scene.List("a", "1").leaving = true;
+    scene.Tell();
+    scene.Connect("1");
+    CHECK(scene.At("1").arrivals == 0);
+    REQUIRE(scene.refusal());
+    CHECK(scene.refusal()->run == RunState::kNotRun);
+    CHECK(scene.refusal()->status == 503);
+  }
+}
+
 TEST_CASE("A target that says in an answer that it leaves") {
   Scene scene;
   scene.List("a", "10.0.0.1:80");
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -25,6 +25,9 @@
   }
   dup2(output_fd, STDOUT_FILENO);
   dup2(output_fd, STDERR_FILENO);
+  // A child that held the listening sockets of this process's stand-ins would
+  // keep their ports answering after they were taken down.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   sigset_t none;
   sigemptyset(&none);
   sigprocmask(SIG_SETMASK, &none, nullptr);
