Stop requests under which three targets have crashed, at all entries

What callers saw: one request crashed each engine that began to run it.

Cause: nothing on the path without sides knew under which requests a target ended. Quarantine rests on a gate beside each target, and its fingerprint was not computed here.

Ruled out: own further attempts (the record has one engine for each attempt of the caller).

Now the fingerprint names a request whatever its id. A broken call is followed by one that runs nothing, and only a refused connection makes a crash of the break. Each entry writes the crashes that it saw to one object of the store and watches those of all others, so counts add up, outlive processes, and no write has a rival. The third crash stops the request for an hour: 503 with the time left, before any target is asked, also where its prompt has been read. Any answer clears a request, so those that ran beside go on.

tests/platform/direct_carrier_test.cc: its scripts are for callers' requests and would be taken by the calls that ask for life, so these are not made there; all its checks stay.

--- /dev/null
+++ b/src/core/request/crash_ledger.cc
@@ -0,0 +1,221 @@
+#include "core/request/crash_ledger.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace indigolead {
+namespace {
+
+CrashRecord* FindRecord(CrashReport* report, const TargetCrash& crash) {
+  const auto it = std::find_if(
+      report->crashes.begin(), report->crashes.end(),
+      [&](const CrashRecord& held) { return held.crash == crash; });
+  return it == report->crashes.end() ? nullptr : &*it;
+}
+
+/// Adds what is not in the list yet.
+template <typename T>
+void AddNew(const std::vector<T>& added, std::vector<T>* list) {
+  for (const T& it : added) {
+    if (std::find(list->begin(), list->end(), it) == list->end()) {
+      list->push_back(it);
+    }
+  }
+}
+
+ClearedRequest* FindCleared(CrashReport* report, Fingerprint request) {
+  const auto it = std::find_if(
+      report->cleared.begin(), report->cleared.end(),
+      [&](const ClearedRequest& held) { return held.request == request; });
+  return it == report->cleared.end() ? nullptr : &*it;
+}
+
+void Merge(const CrashRecord& record, CrashReport* report) {
+  if (CrashRecord* held = FindRecord(report, record.crash)) {
+    AddNew(record.running, &held->running);
+  } else {
+    report->crashes.push_back(record);
+  }
+}
+
+void Merge(const ClearedRequest& cleared, CrashReport* report) {
+  if (ClearedRequest* held = FindCleared(report, cleared.request)) {
+    AddNew(cleared.crashes, &held->crashes);
+  } else {
+    report->cleared.push_back(cleared);
+  }
+}
+
+}  // namespace
+
+void CrashLedger::OnCrash(const TargetCrash& crash,
+                          const std::vector<Fingerprint>& running,
+                          TimePoint now) {
+  Merge(CrashRecord{crash, running}, &own_);
+  Rebuild(now);
+  BoundOwn(now);
+}
+
+CrashLedger::Telling CrashLedger::OnAnswered(Fingerprint request,
+                                             TimePoint now) {
+  const auto it = crashes_under_.find(request);
+  if (it == crashes_under_.end()) {
+    return Telling::kNot;
+  }
+  const ClearedRequest cleared{request, {it->second.begin(), it->second.end()}};
+  const bool urgent = it->second.size() + 1 >= options_.crashes_to_stop;
+  Merge(cleared, &own_);
+  Rebuild(now);
+  return urgent ? Telling::kNow : Telling::kSoon;
+}
+
+void CrashLedger::OnReports(std::vector<CrashReport> reports, TimePoint now) {
+  others_ = std::move(reports);
+  Rebuild(now);
+}
+
+void CrashLedger::OnEarlierReport(const CrashReport& report, TimePoint now) {
+  const CrashReport since = std::exchange(own_, report);
+  for (const CrashRecord& it : since.crashes) {
+    Merge(it, &own_);
+  }
+  for (const ClearedRequest& it : since.cleared) {
+    Merge(it, &own_);
+  }
+  Rebuild(now);
+  BoundOwn(now);
+}
+
+bool CrashLedger::Counts(const TargetCrash& crash, TimePoint now) const {
+  const auto since = known_since_.find(crash);
+  return since != known_since_.end() && now - since->second < options_.keep;
+}
+
+bool CrashLedger::Tick(TimePoint now) {
+  const TimePoint before = std::exchange(ticked_at_, now);
+  const bool any_over = std::any_of(
+      known_since_.begin(), known_since_.end(), [&](const auto& it) {
+        const TimePoint end = it.second + options_.keep;
+        return end > before && end <= now;
+      });
+  if (!any_over) {
+    return false;
+  }
+  const CrashReport held = own_;
+  std::erase_if(own_.crashes,
+                [&](const CrashRecord& it) { return !Counts(it.crash, now); });
+  std::erase_if(own_.cleared, [&](const ClearedRequest& it) {
+    return std::none_of(
+        it.crashes.begin(), it.crashes.end(),
+        [&](const TargetCrash& crash) { return Counts(crash, now); });
+  });
+  Rebuild(now);
+  return own_ != held;
+}
+
+void CrashLedger::Learn(const CrashReport& report,
+                        const std::map<TargetCrash, TimePoint>& before,
+                        TimePoint now) {
+  for (const CrashRecord& it : report.crashes) {
+    const auto known = before.find(it.crash);
+    known_since_.emplace(it.crash, known == before.end() ? now : known->second);
+  }
+}
+
+void CrashLedger::Rebuild(TimePoint now) {
+  const auto before = std::exchange(known_since_, {});
+  Learn(own_, before, now);
+  for (const CrashReport& it : others_) {
+    Learn(it, before, now);
+  }
+  crashes_under_.clear();
+  Add(own_, now);
+  for (const CrashReport& it : others_) {
+    Add(it, now);
+  }
+  for (const ClearedRequest& it : own_.cleared) {
+    Clear(it);
+  }
+  for (const CrashReport& report : others_) {
+    for (const ClearedRequest& it : report.cleared) {
+      Clear(it);
+    }
+  }
+}
+
+void CrashLedger::Add(const CrashReport& report, TimePoint now) {
+  for (const CrashRecord& record : report.crashes) {
+    if (!Counts(record.crash, now)) {
+      continue;
+    }
+    for (const Fingerprint it : record.running) {
+      crashes_under_[it].insert(record.crash);
+    }
+  }
+}
+
+void CrashLedger::Clear(const ClearedRequest& cleared) {
+  const auto it = crashes_under_.find(cleared.request);
+  if (it == crashes_under_.end()) {
+    return;
+  }
+  for (const TargetCrash& crash : cleared.crashes) {
+    it->second.erase(crash);
+  }
+  if (it->second.empty()) {
+    crashes_under_.erase(it);
+  }
+}
+
+std::size_t CrashLedger::CrashesUnder(Fingerprint request) const {
+  const auto it = crashes_under_.find(request);
+  return it == crashes_under_.end() ? 0 : it->second.size();
+}
+
+std::optional<Duration> CrashLedger::StoppedFor(Fingerprint request,
+                                                TimePoint now) const {
+  if (CrashesUnder(request) < options_.crashes_to_stop) {
+    return std::nullopt;
+  }
+  std::vector<TimePoint> since;
+  for (const TargetCrash& it : crashes_under_.at(request)) {
+    since.push_back(known_since_.at(it));
+  }
+  std::sort(since.begin(), since.end(), std::greater<>());
+  const TimePoint until = since[options_.crashes_to_stop - 1] + options_.keep;
+  return until > now ? std::optional<Duration>(until - now) : std::nullopt;
+}
+
+std::size_t CrashLedger::OwnRequests() const {
+  std::size_t n = own_.cleared.size();
+  for (const CrashRecord& it : own_.crashes) {
+    n += it.running.size();
+  }
+  return n;
+}
+
+void CrashLedger::BoundOwn(TimePoint now) {
+  if (OwnRequests() <= options_.max_requests) {
+    return;
+  }
+  const auto may_run = [this](Fingerprint it) {
+    return CrashesUnder(it) < options_.crashes_to_stop;
+  };
+  for (CrashRecord& it : own_.crashes) {
+    if (OwnRequests() > options_.max_requests) {
+      std::erase_if(it.running, may_run);
+    }
+  }
+  while (!own_.cleared.empty() && OwnRequests() > options_.max_requests) {
+    own_.cleared.erase(own_.cleared.begin());
+  }
+  while (OwnRequests() > options_.max_requests) {
+    own_.crashes.erase(own_.crashes.begin());
+  }
+  std::erase_if(own_.crashes,
+                [](const CrashRecord& it) { return it.running.empty(); });
+  Rebuild(now);
+}
+
+}  // namespace indigolead
--- a/src/core/request/quarantine.h
+++ b/src/core/request/quarantine.h
@@ -14,13 +14,10 @@
 
 #include "core/base/ids.h"
 #include "core/base/time.h"
+#include "core/request/fingerprint.h"
 
 namespace indigolead {
 
-/// Names requests that a target cannot tell apart: a hash of client account
-/// and body.
-using Fingerprint = std::uint64_t;
-
 /// Death of one target.
 struct TargetDeath {
   std::string instance;
--- /dev/null
+++ b/src/entry/crash_detector.cc
@@ -0,0 +1,70 @@
+#include "entry/crash_detector.h"
+
+#include <utility>
+
+#include "entry/events.h"
+
+namespace indigolead {
+
+CrashDetector::CrashDetector(const Options& options, Hooks hooks, Clock clock,
+                             EventLog log)
+    : options_(options),
+      hooks_(std::move(hooks)),
+      clock_(std::move(clock)),
+      log_(std::move(log)) {}
+
+void CrashDetector::OnBroken(const TargetCrash& run, Fingerprint request) {
+  const auto [it, added] = suspected_.try_emplace(run);
+  Suspected& suspected = it->second;
+  if (suspected.crashed) {
+    hooks_.on_crash(run, {request});
+    return;
+  }
+  suspected.running.push_back(request);
+  if (added) {
+    suspected.until = clock_() + options_.same_crash;
+    Call(run);
+  }
+}
+
+void CrashDetector::Call(const TargetCrash& run) {
+  ++suspected_.at(run).calls;
+  hooks_.call(run.target,
+              [this, run](const Status& status) { OnCalled(run, status); });
+}
+
+void CrashDetector::OnCalled(const TargetCrash& run, const Status& status) {
+  const auto it = suspected_.find(run);
+  if (it == suspected_.end()) {
+    return;
+  }
+  Suspected& suspected = it->second;
+  const bool refused =
+      !IsOk(status) && ErrorOf(status).code == ErrorCode::kUnavailable;
+  const bool broke =
+      !IsOk(status) && ErrorOf(status).code == ErrorCode::kUnknownEffect;
+  if (broke && suspected.calls < options_.max_calls) {
+    Call(run);
+    return;
+  }
+  log_(refused ? kTargetCrashed : kTargetSurvived,
+       {{"target", run.target},
+        {"run", std::to_string(run.run)},
+        {"running", std::to_string(suspected.running.size())},
+        {"call", IsOk(status) ? "answered" : ToString(ErrorOf(status))}});
+  if (!refused) {
+    suspected_.erase(it);
+    return;
+  }
+  suspected.crashed = true;
+  suspected.until = clock_() + options_.same_crash;
+  hooks_.on_crash(run, std::exchange(suspected.running, {}));
+}
+
+void CrashDetector::Tick() {
+  const TimePoint now = clock_();
+  std::erase_if(suspected_,
+                [now](const auto& it) { return now >= it.second.until; });
+}
+
+}  // namespace indigolead
--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -229,6 +229,7 @@
   if (!IsOk(answer)) {
     const Error& error = ErrorOf(answer);
     const bool unsent = IsUnsent(error);
+    TellBroken(reader, *run, error);
     RefuseRun(id, {"prefill_failed",
                    unsent ? AttemptReach::kNothing : AttemptReach::kReader,
                    ToString(error)});
@@ -411,6 +412,7 @@
                       ? AttemptOutcome::kDeadline
                       : AttemptOutcome::kTargetFailed;
     end.detail = error.detail;
+    TellBroken(run->instance, *run, error);
     log_(kTargetBroke,
          {{"request", run->request->caller_id},
           {"target", run->instance},
@@ -470,17 +472,40 @@
   if (!client) {
     return;  // A handle that is not freed expires.
   }
-  const std::uint64_t number = ++next_release_;
   TargetRequest request = dialect_.release(handle);
   request.deadline = options_.release_deadline;
-  releases_[number] = FetchAnswer(
+  CallBeside(client, std::move(request), [](const Status&) {});
+}
+
+void DirectCarrier::AskAlive(const std::string& instance,
+                             std::function<void(const Status&)> done) {
+  TargetClient* client = ClientForExtraCall(instance);
+  if (client && dialect_.ask_alive) {
+    CallBeside(client, dialect_.ask_alive(*FindTarget(instance)),
+               std::move(done));
+  }
+}
+
+void DirectCarrier::CallBeside(TargetClient* client, TargetRequest request,
+                               std::function<void(const Status&)> done) {
+  const std::uint64_t number = ++next_call_beside_;
+  calls_beside_[number] = FetchAnswer(
       client, std::move(request), options_.max_handle_bytes,
-      [this, number](const Result<TargetAnswer>&) {
+      [this, number, done = std::move(done)](const Result<TargetAnswer>& it) {
         // Not from inside the call that ends here.
-        boost::asio::post(*io_, [this, number] { releases_.erase(number); });
+        boost::asio::post(*io_,
+                          [this, number] { calls_beside_.erase(number); });
+        done(IsOk(it) ? Status(Unit{}) : Status(ErrorOf(it)));
       });
 }
 
+void DirectCarrier::TellBroken(const std::string& instance, const Run& run,
+                               const Error& error) {
+  if (error.code == ErrorCode::kUnknownEffect && hooks_.on_request_broke) {
+    hooks_.on_request_broke(instance, run.called, *run.request);
+  }
+}
+
 void DirectCarrier::Act(const SendCredit& action) {
   Run* run = Find(action.attempt);
   if (!run) {
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -76,6 +76,11 @@
     /// lost or could not be made. A call that ran out of time is neither, nor
     /// is one that was not to be written.
     std::function<void(const std::string& instance, bool broke)> on_call_end;
+    /// The connection of a request that had been written broke.
+    std::function<void(const std::string& instance,
+                       const std::optional<TargetRun>& run,
+                       const CallerRequest&)>
+        on_request_broke;
     /// A request that no route decided goes to a target.
     std::function<void(const std::string& instance)> on_extra_call;
     /// The head of a target's answer came; it names a limit, or none.
@@ -109,6 +114,10 @@
   void Act(const SendCancel& action);
   void Act(const SendResume& action);
 
+  /// Makes a call that runs nothing, to find out whether a target is alive.
+  /// Never calls `done` if the target is gone or may not be called now.
+  void AskAlive(const std::string& instance,
+                std::function<void(const Status&)> done);
   /// Returns the client of a target, for one call beside the attempts, or null
   /// if the target is gone or may not be called now. The call counts like any
   /// other request to the target.
@@ -189,6 +198,10 @@
   static AttemptReach ReachBeforeRun(const Run& run);
   void RefuseRun(const AttemptId& id, Refused why);
   void FreeHandle(const KvHandle& handle);
+  void CallBeside(TargetClient* client, TargetRequest request,
+                  std::function<void(const Status&)> done);
+  void TellBroken(const std::string& instance, const Run& run,
+                  const Error& error);
   Run* Find(const AttemptId& id);
   void Flush();
 
@@ -201,9 +214,9 @@
   EventLog log_;
   std::map<std::string, Target> targets_;
   std::unordered_map<AttemptId, Run> runs_;
-  /// Calls that free handles, by number, until they end.
-  std::map<std::uint64_t, std::unique_ptr<TargetClient::Call>> releases_;
-  std::uint64_t next_release_ = 0;
+  /// Calls beside the attempts, by number, until they end.
+  std::map<std::uint64_t, std::unique_ptr<TargetClient::Call>> calls_beside_;
+  std::uint64_t next_call_beside_ = 0;
   std::uint64_t next_link_ = 0;
   std::uint64_t next_client_ = 0;
 };
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -53,6 +53,7 @@
                clock, log),
       directory_(options_.directory),
       guard_(options_.guard),
+      crashes_(options_.crashes, CrashHooks(), clock, log),
       limits_(options_.limit_share, random_),
       accounts_(metrics),
       answered_(metrics->AddCounter("indigolead_requests_answered_total",
@@ -156,6 +157,11 @@
   hooks.on_call_end = [this](const std::string& instance, bool broke) {
     OnCallEnd(instance, broke);
   };
+  hooks.on_request_broke = [this](const std::string& instance,
+                                  const std::optional<TargetRun>& run,
+                                  const CallerRequest& request) {
+    OnRequestBroke(instance, run, request);
+  };
   hooks.on_extra_call = [this](const std::string& instance) {
     limits_.OnSent(LimitKeyOf(instance), clock_());
   };
@@ -289,6 +295,7 @@
   limits_.Tick(clock_());
   LogStanding(standing);
   EndRests();
+  crashes_.Tick();
   FollowRetryPart();
   Apply(directory_.Tick(clock_()));
   flow_.Tick(clock_());
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -21,6 +21,7 @@
 #include "core/request/request_flow.h"
 #include "core/request/route_table.h"
 #include "entry/account_counters.h"
+#include "entry/crash_detector.h"
 #include "entry/direct_carrier.h"
 #include "entry/messages.h"
 #include "observe/event_log.h"
@@ -42,6 +43,7 @@
     TargetDirectory::Options directory;
     EnginePlacement::Options placement;
     FailureGuard::Options guard;
+    CrashDetector::Options crashes;
     EntryRetryBudget::Options retry_budget;  ///< Of each service.
     /// Divided among the entries in place of a fixed part of each budget.
     std::optional<RetryAllowance> retry_allowance;
@@ -65,6 +67,14 @@
     /// Tells the other entries of a target's limit, in requests a second, or
     /// that it has none any more.
     std::function<void(const TargetRecord&, std::optional<double>)> share_limit;
+    /// A target crashed under these requests of this entry.
+    std::function<void(const TargetCrash&, const std::vector<Fingerprint>&)>
+        on_crash;
+    /// A target has answered the request, and well.
+    std::function<void(Fingerprint)> on_answered;
+    /// Returns for how long the request is not to run, since targets crash
+    /// under it; nothing if it may.
+    std::function<std::optional<Duration>(Fingerprint)> stopped_for;
     /// A target began to run the request, or may have: once for each request.
     std::function<void(const CallerRequest&, TimePoint)> on_begun;
   };
@@ -123,9 +133,14 @@
   };
 
   RequestFlowHooks FlowHooks();
+  CrashDetector::Hooks CrashHooks();
   DirectCarrier::Hooks CarrierHooks();
   RouteResult Route(const CallerRequest& request,
                     const std::vector<Candidate>& candidates, TimePoint now);
+  std::optional<Refusal> RefuseCrashing(const CallerRequest& request) const;
+  void OnRequestBroke(const std::string& instance,
+                      const std::optional<TargetRun>& run,
+                      const CallerRequest& request);
   RouteResult RouteToEngine(const CallerRequest& request,
                             const std::vector<Candidate>& candidates,
                             TimePoint now);
@@ -205,6 +220,7 @@
   DirectCarrier carrier_;
   TargetDirectory directory_;
   FailureGuard guard_;
+  CrashDetector crashes_;
   TargetAddresses addresses_;
   SharedRateLimits limits_;  ///< By the targets' addresses.
   TargetRests rests_;
--- /dev/null
+++ b/src/entry/direct_dispatcher_crashes.cc
@@ -0,0 +1,48 @@
+// Requests under which targets crash.
+
+#include "entry/direct_dispatcher.h"
+#include "entry/event_fields.h"
+
+namespace indigolead {
+
+CrashDetector::Hooks DirectDispatcher::CrashHooks() {
+  CrashDetector::Hooks hooks;
+  hooks.call = [this](const std::string& target,
+                      std::function<void(const Status&)> done) {
+    carrier_.AskAlive(target, std::move(done));
+  };
+  hooks.on_crash = [this](const TargetCrash& crash,
+                          const std::vector<Fingerprint>& running) {
+    if (hooks_.on_crash) {
+      hooks_.on_crash(crash, running);
+    }
+  };
+  return hooks;
+}
+
+void DirectDispatcher::OnRequestBroke(const std::string& instance,
+                                      const std::optional<TargetRun>& run,
+                                      const CallerRequest& request) {
+  const SideTable::Side* side = flow_.sides().Find(instance);
+  if (!side || !SideTable::TakesWork(*side)) {
+    return;  // One that leaves cuts off what has not ended.
+  }
+  crashes_.OnBroken({instance, run ? run->started_ms : 0}, request.fingerprint);
+}
+
+std::optional<Refusal> DirectDispatcher::RefuseCrashing(
+    const CallerRequest& request) const {
+  const auto left = hooks_.stopped_for ? hooks_.stopped_for(request.fingerprint)
+                                       : std::nullopt;
+  if (!left) {
+    return std::nullopt;
+  }
+  return Refusal{503, RunState::kNotRun, "request_crashes_targets",
+                 "Targets of " + request.deployment +
+                     " crashed while they ran this request; no other gets it "
+                     "for " +
+                     Milliseconds(*left) + " ms.",
+                 *left};
+}
+
+}  // namespace indigolead
--- a/src/entry/direct_dispatcher_log.cc
+++ b/src/entry/direct_dispatcher_log.cc
@@ -81,6 +81,9 @@
   NoteEndedRun(&it->second);
   if (status < kFirstFailure) {
     NoteBegun(&it->second, clock_());  // An answer that came all at once.
+    if (hooks_.on_answered) {
+      hooks_.on_answered(it->second.request->fingerprint);
+    }
   }
   const Open& open = it->second;
   const Duration after = clock_() - open.request->received_at;
--- a/src/entry/direct_dispatcher_route.cc
+++ b/src/entry/direct_dispatcher_route.cc
@@ -31,6 +31,9 @@
                                     const std::vector<Candidate>& candidates,
                                     TimePoint now) {
   decided_.reset();
+  if (auto refusal = RefuseCrashing(request)) {
+    return *refusal;
+  }
   if (candidates.empty()) {
     return NoTarget(request.deployment);
   }
@@ -44,6 +47,9 @@
 
 std::optional<std::string> DirectDispatcher::ChooseRunner(
     const AttemptId& id, const CallerRequest& request) {
+  if (RefuseCrashing(request)) {
+    return std::nullopt;  // It became known while the prompt was read.
+  }
   const auto engines =
       EnginesOf(request.deployment,
                 flow_.sides().CandidatesFor(request.deployment, {}), clock_());
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -121,6 +121,22 @@
     "A target's answer asks for rest or says that it leaves, in words that "
     "cannot be read; what was believed stays."};
 
+inline constexpr EventInfo kTargetCrashed{
+    1061, "target-crashed", EventSeverity::kWarning,
+    "A target's connections broke and nobody listens there: it crashed under "
+    "the requests that ran."};
+inline constexpr EventInfo kTargetSurvived{
+    1062, "target-survived", EventSeverity::kInfo,
+    "A connection to a target broke, which is no crash: the target answers, or "
+    "is silent."};
+inline constexpr EventInfo kCrashesTold{
+    1063, "crashes-told", EventSeverity::kInfo,
+    "The other entries were told of the crashes that this entry has seen; if "
+    "that failed, they are told again."};
+inline constexpr EventInfo kCrashReportUnreadable{
+    1064, "crash-report-unreadable", EventSeverity::kWarning,
+    "What an entry tells of crashes cannot be read and is left out."};
+
 inline constexpr EventInfo kRetryCharged{
     1053, "retry-charged", EventSeverity::kInfo,
     "A further attempt was asked of the retry budget: what was left, and by "
--- a/src/entry/target_dialect.h
+++ b/src/entry/target_dialect.h
@@ -61,6 +61,8 @@
       read_handle;
   /// Makes the call that frees a handle which is not used.
   std::function<TargetRequest(const KvHandle& handle)> release;
+  /// Makes a call that runs nothing and that a live target answers at once.
+  std::function<TargetRequest(const TargetRecord& target)> ask_alive;
   /// Judges the head of an answer.
   std::function<AnswerMeaning(int status,
                               const std::vector<HttpHeader>& headers)>
--- a/tests/platform/direct_carrier_test.cc
+++ b/tests/platform/direct_carrier_test.cc
@@ -50,9 +50,9 @@
 
   /// For each target the scripts of its first, second ... request.
   explicit Scene(const std::vector<std::vector<Script>>& scripts)
-      : dispatcher_(&io_, Options(), platform::MakePlatformDialect(), Hooks(),
-                    BootTimeNow, MakeRandomIdSource(), MakeSeededRandom(1),
-                    CountingLog(), &metrics_) {
+      : dispatcher_(&io_, Options(), Dialect(), Hooks(), BootTimeNow,
+                    MakeRandomIdSource(), MakeSeededRandom(1), CountingLog(),
+                    &metrics_) {
     RouteConfiguration routes;
     routes.version = 1;
     routes.services = {{"app", 100, std::nullopt}};
@@ -125,6 +125,13 @@
   std::size_t running() { return dispatcher_.carrier().running(); }
 
  private:
+  /// Without calls that ask whether a target is alive: they would take the
+  /// scripts of callers' requests.
+  static TargetDialect Dialect() {
+    TargetDialect dialect = platform::MakePlatformDialect();
+    dialect.ask_alive = {};
+    return dialect;
+  }
   static TargetRecord Target(const std::string& id,
                              const ScriptedServer& server) {
     TargetRecord record;
--- /dev/null
+++ b/tests/shell/crash_detector_test.cc
@@ -0,0 +1,89 @@
+#include "entry/crash_detector.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Status Failed(ErrorCode code) { return Error{code, "target.call", "i-1", ""}; }
+
+TEST_CASE("A broken connection") {
+  TimePoint now{seconds(1000)};
+  std::vector<std::function<void(const Status&)>> calls;
+  std::vector<Fingerprint> crashed;
+  CrashDetector::Hooks hooks;
+  hooks.call = [&](const std::string&, std::function<void(const Status&)> it) {
+    calls.push_back(std::move(it));
+  };
+  hooks.on_crash = [&](const TargetCrash& crash,
+                       const std::vector<Fingerprint>& running) {
+    CHECK(crash == TargetCrash{"i-1", 5});
+    crashed.insert(crashed.end(), running.begin(), running.end());
+  };
+  CrashDetector detector(
+      CrashDetector::Options{}, hooks, [&] { return now; }, MakeNullEventLog());
+  const TargetCrash run{"i-1", 5};
+  detector.OnBroken(run, 1);
+  detector.OnBroken(run, 2);
+  REQUIRE(calls.size() == 1);
+
+  SECTION("is a crash if nobody listens any more") {
+    calls[0](Failed(ErrorCode::kUnavailable));
+    CHECK(crashed == std::vector<Fingerprint>{1, 2});
+    SECTION("to which breaks that are read later belong") {
+      detector.OnBroken(run, 3);
+      CHECK(calls.size() == 1);
+      CHECK(crashed == std::vector<Fingerprint>{1, 2, 3});
+    }
+    SECTION("but no break of much later") {
+      now += seconds(2);
+      detector.Tick();
+      detector.OnBroken(run, 3);
+      CHECK(calls.size() == 2);
+      CHECK(crashed.size() == 2);
+    }
+  }
+  SECTION("is none if the target answers") {
+    calls[0](Unit{});
+    CHECK(crashed.empty());
+    SECTION("and the next one is looked at anew") {
+      detector.OnBroken(run, 3);
+      REQUIRE(calls.size() == 2);
+      calls[1](Failed(ErrorCode::kUnavailable));
+      CHECK(crashed == std::vector<Fingerprint>{3});
+    }
+  }
+  SECTION("is none if the target is silent") {
+    calls[0](Failed(ErrorCode::kTimeout));
+    CHECK(crashed.empty());
+  }
+  SECTION("is looked at again if the call broke as well") {
+    calls[0](Failed(ErrorCode::kUnknownEffect));
+    REQUIRE(calls.size() == 2);
+    calls[1](Failed(ErrorCode::kUnavailable));
+    CHECK(crashed == std::vector<Fingerprint>{1, 2});
+  }
+  SECTION("is none if every call breaks") {
+    calls[0](Failed(ErrorCode::kUnknownEffect));
+    calls[1](Failed(ErrorCode::kUnknownEffect));
+    calls[2](Failed(ErrorCode::kUnknownEffect));
+    CHECK(calls.size() == 3);
+    CHECK(crashed.empty());
+  }
+  SECTION("says nothing while the target cannot be called") {
+    now += seconds(2);
+    detector.Tick();
+    detector.OnBroken(run, 3);
+    CHECK(calls.size() == 2);
+    CHECK(crashed.empty());
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
--- /dev/null
+++ b/tests/shell/crash_service_test.cc
@@ -0,0 +1,134 @@
+#include "entry/crash_service.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "entry/crash_report_json.h"
+#include "runtime/clock.h"
+#include "tests/support/fuzz.h"
+#include "tests/support/store_world.h"
+
+namespace indigolead {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::MakeStoreWorld;
+using testing::StoreWorld;
+
+constexpr Fingerprint kBad = 7;
+
+TargetCrash Crash(int n) { return {"i-" + std::to_string(n), 5}; }
+
+/// One entry's view of the crashes, by a store that it shares with others.
+class Entry {
+ public:
+  Entry(StoreWorld* world, const std::string& name)
+      : service_(
+            &world->store(), &world->store(), MakeOptions(name),
+            [] { return 0.5; }, BootTimeNow, MakeRunAfter(&world->io()),
+            MakeNullEventLog(), &metrics_) {
+    service_.Start();
+  }
+
+  CrashService& operator*() { return service_; }
+  CrashService* operator->() { return &service_; }
+  bool Stops(Fingerprint request) const {
+    return service_.StoppedFor(request).has_value();
+  }
+
+ private:
+  static CrashService::Options MakeOptions(const std::string& name) {
+    CrashService::Options options;
+    options.instance = name;
+    options.watch.list = {CallPriority::kConfig, std::chrono::seconds(2)};
+    options.watch.min_backoff = milliseconds(20);
+    options.watch.max_backoff = milliseconds(100);
+    options.write.deadline = milliseconds(300);
+    options.write_again = milliseconds(50);
+    options.clear_together = milliseconds(100);
+    return options;
+  }
+
+  MetricsRegistry metrics_;
+  CrashService service_;
+};
+
+/// Guards against crashes that each entry counts alone, and against counts that
+/// are lost with a process.
+TEST_CASE("Entries stop a request by the crashes that all of them saw") {
+  auto world = MakeStoreWorld(GENERATE("fake", "platform"));
+  Entry a(world.get(), "front-1");
+  Entry b(world.get(), "front-2");
+  REQUIRE(world->RunUntil([&] { return a->listed() && b->listed(); }));
+  a->OnCrash(Crash(1), {kBad, 11});
+  b->OnCrash(Crash(2), {kBad, 12});
+
+  SECTION("also one that starts later, and one that starts anew") {
+    b->OnCrash(Crash(3), {kBad});
+    CHECK(world->RunUntil([&] { return a.Stops(kBad) && b.Stops(kBad); }));
+    Entry c(world.get(), "front-3");
+    CHECK(world->RunUntil([&] { return c.Stops(kBad); }));
+    Entry anew(world.get(), "front-1");
+    CHECK(world->RunUntil([&] { return anew.Stops(kBad); }));
+
+    SECTION("which keeps what its former process saw") {
+      anew->OnCrash(Crash(4), {11});
+      anew->OnCrash(Crash(5), {11});
+      CHECK(world->RunUntil([&] { return b.Stops(11); }));
+      CHECK(b.Stops(kBad));
+    }
+  }
+  SECTION("though the store is away as it happens") {
+    world->SetDown(true);
+    a->OnCrash(Crash(3), {kBad});
+    world->SetDown(false);
+    CHECK(world->RunUntil([&] { return a.Stops(kBad) && b.Stops(kBad); }));
+  }
+  SECTION("not one that was answered in between") {
+    REQUIRE(world->RunUntil([&] {
+      const auto other = world->Peek("crashes/front-2");
+      return other && other->value.find("i-2") != std::string::npos;
+    }));
+    a->OnAnswered(kBad);
+    REQUIRE(world->RunUntil([&] {
+      a->Tick();
+      const auto own = world->Peek("crashes/front-1");
+      return own && own->value.find("\"cleared\":[]") == std::string::npos;
+    }));
+    b->OnCrash(Crash(3), {kBad});
+    Entry c(world.get(), "front-3");
+    CHECK(world->RunUntil([&] { return c->listed(); }));
+    CHECK_FALSE(c.Stops(kBad));
+  }
+}
+
+TEST_CASE("What an entry tells of crashes") {
+  const CrashReport report{
+      {{Crash(1), {kBad, ~Fingerprint{0}}}, {Crash(2), {}}},
+      {{11, {Crash(1)}}}};
+  const std::string text = EncodeCrashReport(report);
+
+  SECTION("is read as it was written") {
+    CHECK(ValueOf(DecodeCrashReport("front-1", text)) == report);
+  }
+  SECTION("is an error that names who wrote it and what is wrong") {
+    const auto read = DecodeCrashReport(
+        "front-1",
+        R"({"crashes":[{"target":"i-1","run":5,"running":["x"]}],"cleared":[]})");
+    REQUIRE_FALSE(IsOk(read));
+    CHECK(ErrorOf(read).peer == "front-1");
+    CHECK(ErrorOf(read).detail ==
+          R"("x" in "running" of crash "i-1" is no fingerprint)");
+  }
+  SECTION("may be anything, which is an error or a report") {
+    Fuzz({text}, [](const std::string& bytes) {
+      const auto read = DecodeCrashReport("front-1", bytes);
+      CHECK((!IsOk(read) || IsOk(DecodeCrashReport(
+                                "front-1", EncodeCrashReport(ValueOf(read))))));
+    });
+  }
+}
+
+}  // namespace
+}  // namespace indigolead
