--- a/src/store/store_calls.cc
+++ b/src/store/store_calls.cc
@@ -192,6 +192,11 @@
       std::chrono::duration<double>(SteadyClock::now() - started).count());
   CountFailure(call.request.step, !IsOk(reply));
   busy_.erase(connection);
+  if (!IsOk(reply) && ErrorOf(reply).code == ErrorCode::kTimeout) {
+    // What made this connection silent may have done so to all that were kept,
+    // and each would cost a call its deadline.
+    idle_.clear();
+  }
   idle_.push_back(std::move(connection));
   Pump();
   call.done(std::move(reply));
