Write no new work to a target that has come to leave since it was placed

Cause: a request waits for its connection, or for its prompt to be read, after its target was chosen; the last look before the first byte asked whether the target is at rest, not whether it leaves. Calls that give work say so, and are stopped at that moment; freed handles and reports still go to a target that leaves. What is stopped has not run, costs nothing and goes elsewhere, as with rest.

--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -136,7 +136,7 @@
 }
 
 TargetClient* DirectCarrier::ClientForExtraCall(const std::string& instance) {
-  if (hooks_.may_write && !IsOk(hooks_.may_write(instance))) {
+  if (hooks_.may_write && !IsOk(hooks_.may_write(instance, false))) {
     return nullptr;
   }
   TargetClient* client = ClientOf(instance);
@@ -194,16 +194,16 @@
   }
   run.called = FindTarget(at)->run;
   run.called_at = clock_();
-  run.call = FetchAnswer(
-      client,
+  TargetRequest call =
       dialect_.prefill(*run.request, *FindTarget(at),
                        {PrefillWait(run.deadline - clock_()), std::nullopt,
-                        run.resume_after, CopyAddress(id)}),
-      options_.max_handle_bytes,
-      [this, id, at](const Result<TargetAnswer>& answer) {
-        OnHandle(id, at, answer);
-        Flush();
-      });
+                        run.resume_after, CopyAddress(id)});
+  call.is_new_work = true;
+  run.call = FetchAnswer(client, std::move(call), options_.max_handle_bytes,
+                         [this, id, at](const Result<TargetAnswer>& answer) {
+                           OnHandle(id, at, answer);
+                           Flush();
+                         });
 }
 
 std::string DirectCarrier::CopyAddress(const AttemptId& id) const {
@@ -330,10 +330,11 @@
   };
   run.called = FindTarget(run.instance)->run;
   run.called_at = clock_();
-  run.call = client->Start(
+  TargetRequest call =
       dialect_.run(*run.request, *FindTarget(run.instance),
-                   {run.deadline - clock_(), run.handle, run.resume_after}),
-      std::move(hooks));
+                   {run.deadline - clock_(), run.handle, run.resume_after});
+  call.is_new_work = true;
+  run.call = client->Start(std::move(call), std::move(hooks));
 }
 
 void DirectCarrier::OnHead(const AttemptId& id, int status,
@@ -403,7 +404,7 @@
     if (!run->written) {
       const bool held_back = error.code == ErrorCode::kOverloaded;
       if (!RunElsewhere(id, run, ToString(error))) {
-        RefuseRun(id, {held_back ? "target_at_rest" : "target_unreachable",
+        RefuseRun(id, {held_back ? "call_held_back" : "target_unreachable",
                        ReachBeforeRun(*run), ToString(error), held_back});
       }
       return;
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -88,7 +88,8 @@
         on_limit_notice;
     /// Asked immediately before the first byte of any call to a target is
     /// written. An error of `kOverloaded` stops it.
-    std::function<Status(const std::string& instance)> may_write;
+    std::function<Status(const std::string& instance, bool is_new_work)>
+        may_write;
     /// The head of a target's answer, of any kind, asks this entry for rest.
     std::function<void(const std::string& instance, Duration length)>
         on_rest_asked;
--- a/src/entry/direct_carrier_notices.cc
+++ b/src/entry/direct_carrier_notices.cc
@@ -20,8 +20,9 @@
   const std::string& id = target->record.id;
   const std::uint64_t number = ++next_client_;
   WatchedTargetClient::Watcher watcher;
-  watcher.may_write = [this, id] {
-    return hooks_.may_write ? hooks_.may_write(id) : Status(Unit{});
+  watcher.may_write = [this, id](bool is_new_work) {
+    return hooks_.may_write ? hooks_.may_write(id, is_new_work)
+                            : Status(Unit{});
   };
   watcher.on_head = [this, id, number](int status,
                                        const std::vector<HttpHeader>& headers) {
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -85,7 +85,7 @@
       calls_held_back_(metrics->AddCounter(
           "indigolead_calls_held_back_total",
           "Calls of any kind that were not written, since their target had "
-          "asked for rest.")),
+          "asked for rest or leaves.")),
       answer_seconds_(metrics->AddHistogram(
           "indigolead_answer_seconds",
           "Time from taking a request to the head of its answer.")),
@@ -169,8 +169,8 @@
                                  const LimitNotice& notice) {
     OnLimitNotice(instance, notice);
   };
-  hooks.may_write = [this](const std::string& instance) {
-    return MayWrite(instance);
+  hooks.may_write = [this](const std::string& instance, bool is_new_work) {
+    return MayWrite(instance, is_new_work);
   };
   hooks.on_rest_asked = [this](const std::string& instance, Duration length) {
     OnRestAsked(instance, length);
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -179,9 +179,9 @@
   std::vector<std::string> MaySpeakFor(const std::string& instance) const;
   void OnRestAsked(const std::string& instance, Duration length);
   void OnLeavingTold(const std::string& instance);
-  /// Stops what was decided before its target asked for rest, and what no
-  /// choice among targets decides.
-  Status MayWrite(const std::string& instance);
+  /// Stops what was decided before its target asked for rest or left, and what
+  /// no choice among targets decides.
+  Status MayWrite(const std::string& instance, bool is_new_work);
   void EndRests();
   void NoteLimitChange(const std::string& instance, const LimitChange& change,
                        const std::string& source);
--- a/src/entry/direct_dispatcher_notices.cc
+++ b/src/entry/direct_dispatcher_notices.cc
@@ -39,15 +39,21 @@
   }
 }
 
-Status DirectDispatcher::MayWrite(const std::string& instance) {
+Status DirectDispatcher::MayWrite(const std::string& instance,
+                                  bool is_new_work) {
   const Duration left = rests_.WaitFor(instance, clock_());
-  if (left == Duration{0}) {
+  const SideTable::Side* side = flow_.sides().Find(instance);
+  const bool leaves = side && !SideTable::TakesWork(*side);
+  if (left == Duration{0} && !(is_new_work && leaves)) {
     return Unit{};
   }
+  const std::string reason =
+      left > Duration{0}
+          ? "the target wants no request for " + Milliseconds(left) + " ms"
+          : "the target leaves";
   calls_held_back_.Add();
-  log_(kCallHeldBack, {{"target", instance}, {"left_ms", Milliseconds(left)}});
-  return Error{ErrorCode::kOverloaded, "target.write", instance,
-               "the target wants no request for " + Milliseconds(left) + " ms"};
+  log_(kCallHeldBack, {{"target", instance}, {"reason", reason}});
+  return Error{ErrorCode::kOverloaded, "target.write", instance, reason};
 }
 
 void DirectDispatcher::EndRests() {
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -112,7 +112,7 @@
     "A target that asked for rest may get requests of this entry again."};
 inline constexpr EventInfo kCallHeldBack{
     1058, "call-held-back", EventSeverity::kInfo,
-    "A call was not written, since its target has asked for rest."};
+    "A call was not written, since its target has asked for rest or leaves."};
 inline constexpr EventInfo kTargetToldLeaving{
     1059, "target-told-leaving", EventSeverity::kInfo,
     "A target's answer says that it leaves."};
--- a/src/entry/watched_target_client.cc
+++ b/src/entry/watched_target_client.cc
@@ -13,8 +13,9 @@
     TargetRequest request, Hooks hooks) {
   const auto allowed = std::make_shared<Status>(Unit{});
   hooks.on_before_write = [watcher = watcher_, allowed,
+                           is_new_work = request.is_new_work,
                            next = std::move(hooks.on_before_write)] {
-    *allowed = watcher->may_write();
+    *allowed = watcher->may_write(is_new_work);
     return IsOk(*allowed) && (!next || next());
   };
   hooks.on_head = [watcher = watcher_, next = std::move(hooks.on_head)](
--- a/src/entry/watched_target_client.h
+++ b/src/entry/watched_target_client.h
@@ -17,7 +17,7 @@
   struct Watcher {
     /// Asked immediately before the first byte is written. An error stops the
     /// call, and is its end.
-    std::function<Status()> may_write;
+    std::function<Status(bool is_new_work)> may_write;
     std::function<void(int status, const std::vector<HttpHeader>&)> on_head;
   };
 
--- a/src/target/target_client.h
+++ b/src/target/target_client.h
@@ -33,6 +33,7 @@
   /// another value belongs to an earlier request on the connection and is
   /// dropped; the one that follows is taken.
   HttpHeader echoed = {};
+  bool is_new_work = false;  ///< Not for a target that leaves.
 
   friend bool operator==(const TargetRequest&, const TargetRequest&) = default;
 };
