Let absence from the list count after a call that was lost for a moment

What callers would see: requests given to a target that left without a word for 2.3 s and more, where 2 s are allowed.

Cause: any call of the watch that failed was taken for an outage of the store, after which absence counts only 2.3 s after the return, since an outage drops live targets. One that is over before two heartbeats have been missed can drop none.

Evidence: "A store that was lost for a moment*"; with no least outage, as before, its first part fails. The longest time that may pass unseen before the loss is added, so where calls wait longer than two heartbeats nothing changes.

--- a/src/core/membership/target_directory.cc
+++ b/src/core/membership/target_directory.cc
@@ -79,14 +79,22 @@
   return changes;
 }
 
-void TargetDirectory::OnStoreLost(TimePoint /*now*/) {
-  store_lost_ = true;
-  ever_lost_ = ever_lost_ || followed_since_.has_value();
+void TargetDirectory::OnStoreLost(TimePoint now) {
+  if (!std::exchange(store_lost_, true)) {
+    lost_at_ = now;
+  }
 }
 
 void TargetDirectory::OnStoreFollowed(TimePoint now) {
-  if (std::exchange(store_lost_, false)) {
+  if (!std::exchange(store_lost_, false)) {
+    return;
+  }
+  const Duration away = now - lost_at_ + options_.unseen_before_lost;
+  if (!followed_since_) {
+    followed_since_ = now;
+  } else if (away >= options_.least_outage) {
     followed_since_ = now;
+    ever_lost_ = true;
   }
 }
 
--- a/src/core/membership/target_directory.h
+++ b/src/core/membership/target_directory.h
@@ -65,7 +65,8 @@
 /// whose heartbeats it could not take, and they register again within moments.
 /// To believe such a list at once would leave no target for that time; so
 /// absence counts only once the list is known as it was `return_grace` after
-/// the store's return.
+/// the store's return. A loss that is over sooner than targets can be dropped,
+/// such as a single call without an answer, changes nothing.
 ///
 /// What a target says itself is newer than any list: one that has said that it
 /// leaves gets no new work of this entry in this run, whatever lists say later.
@@ -75,6 +76,10 @@
     /// Within this time of the store's return live targets are listed again.
     /// The platform says about two seconds; the rest is the list's own lag.
     Duration return_grace = std::chrono::milliseconds(2300);
+    /// A store that was away for less drops no live target.
+    Duration least_outage{0};
+    /// Longest time for which the store may have been away before it is lost.
+    Duration unseen_before_lost{0};
     /// A target off the list is forgotten after this: longer than any request.
     Duration forget_after = std::chrono::seconds(60);
     std::size_t max_targets = 8192;
@@ -120,6 +125,7 @@
   Options options_;
   std::map<std::string, Entry> targets_;
   bool store_lost_ = true;
+  TimePoint lost_at_{};
   /// When the store came back last; unset before the first time.
   std::optional<TimePoint> followed_since_;
   std::optional<TimePoint> known_until_;
--- a/tests/core/membership/target_directory_test.cc
+++ b/tests/core/membership/target_directory_test.cc
@@ -101,6 +101,40 @@
   }
 }
 
+/// Guards against a target that is gone and gets requests for seconds, since
+/// one call of the store went unanswered before.
+TEST_CASE(
+    "A store that was lost for a moment does not keep targets that left") {
+  TargetDirectory::Options options;
+  options.unseen_before_lost = milliseconds(1750);
+  options.least_outage = milliseconds(2400);
+  TargetDirectory directory{options};
+  TimePoint now{seconds(100)};
+  directory.OnStoreFollowed(now);
+  directory.OnListed({Target("a"), Target("b")}, now);
+  now += seconds(20);
+  directory.OnStoreLost(now);
+
+  SECTION("absence counts at once after a moment") {
+    now += milliseconds(160);
+    directory.OnStoreFollowed(now);
+    CHECK(directory.OnListed({Target("a"), Target("b")}, now).empty());
+    now += milliseconds(100);
+    CHECK(KindsOf(directory.OnListed({Target("b")}, now)) ==
+          std::vector<Kind>{Kind::kLeaving});
+  }
+  SECTION("and not after an outage that may have dropped a live target") {
+    now += milliseconds(400);
+    directory.OnStoreLost(now);  // A list has failed as well.
+    now += milliseconds(300);
+    directory.OnStoreFollowed(now);
+    CHECK(directory.OnListed({Target("b")}, now).empty());
+    CHECK(directory.Tick(now + milliseconds(2200)).empty());
+    CHECK(KindsOf(directory.Tick(now + milliseconds(2300))) ==
+          std::vector<Kind>{Kind::kLeaving});
+  }
+}
+
 // Callers would be refused for seconds: the store was away, could not take the
 // targets' heartbeats and dropped them all; its first list after the return is
 // empty, and the targets register again within two seconds.
