Have the stand-in of the store wake a watch for its own kind only

Fixtures that count callers' requests leave out the calls that ask whether a target is alive; the counts that they check stay.

--- a/tests/platform/direct_prompt_test.cc
+++ b/tests/platform/direct_prompt_test.cc
@@ -170,11 +170,20 @@
     });
   }
 
-  std::size_t reads() const { return reader_.requests().size(); }
-  std::size_t near_runs() const { return near_.requests().size(); }
-  std::size_t far_runs() const { return far_.requests().size(); }
+  std::size_t reads() const { return RunsAt(reader_); }
+  std::size_t near_runs() const { return RunsAt(near_); }
+  std::size_t far_runs() const { return RunsAt(far_); }
 
  private:
+  /// Returns the requests of callers that came, and not the calls that only ask
+  /// whether the target is alive.
+  static std::size_t RunsAt(const ScriptedServer& server) {
+    const std::vector<std::string> requests = server.requests();
+    return static_cast<std::size_t>(std::count_if(
+        requests.begin(), requests.end(), [](const std::string& it) {
+          return it.find("/api/report") == std::string::npos;
+        }));
+  }
   static TargetRecord Target(const std::string& id,
                              const ScriptedServer& server,
                              const std::string& failure_domain, EngineRole role,
--- a/tests/platform/support/metadata_store.cc
+++ b/tests/platform/support/metadata_store.cc
@@ -235,13 +235,18 @@
   const milliseconds wait(exchange.request().QueryNumber("wait-ms", 0));
   const std::uint64_t epoch = watch_epoch_;
   ++watch_calls_;
-  if (from >= compacted_ && from <= revision_ &&
-      EventsSince(kind, from).empty()) {
-    // Woken by changes of other kinds too: then the watch ends empty, early.
-    ++waiting_watches_;
-    co_await changed_->Wait(wait);
-    --waiting_watches_;
+  const auto end = std::chrono::steady_clock::now() + wait;
+  const auto has_nothing_to_tell = [&] {
+    return from >= compacted_ && from <= revision_ && epoch == watch_epoch_ &&
+           EventsSince(kind, from).empty();
+  };
+  ++waiting_watches_;
+  while (has_nothing_to_tell() && std::chrono::steady_clock::now() < end) {
+    // Woken by changes of other kinds too.
+    co_await changed_->Wait(std::chrono::ceil<milliseconds>(
+        end - std::chrono::steady_clock::now()));
   }
+  --waiting_watches_;
   while (faults_.silence_watches && exchange.open()) {
     co_await exchange.Sleep(kStallStep);
   }
