--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -70,7 +70,7 @@
     /// A target crashed under these requests of this entry.
     std::function<void(const TargetCrash&, const std::vector<Fingerprint>&)>
         on_crash;
-    /// A target has answered the request, and well.
+    /// A target has answered the request with success.
     std::function<void(Fingerprint)> on_answered;
     /// Returns for how long the request is not to run, since targets crash
     /// under it; nothing if it may.
@@ -137,6 +137,8 @@
   DirectCarrier::Hooks CarrierHooks();
   RouteResult Route(const CallerRequest& request,
                     const std::vector<Candidate>& candidates, TimePoint now);
+  /// Returns the refusal of a request that is stopped since targets crash under
+  /// it; nothing if it may run.
   std::optional<Refusal> RefuseCrashing(const CallerRequest& request) const;
   void OnRequestBroke(const std::string& instance,
                       const std::optional<TargetRun>& run,
