Log how a target's answer ended, and where among its events

No line said whether an answer had a length, chunks or neither, nor whether its end came inside an event, so the three hypotheses could not be told apart. An answer that ended by the close of its connection, or inside an event, now has a line (answer-end-doubtful; target-answer-end-doubtful at a side) with framing, bytes and position, and two counters. No decision reads it yet.

EventScanner finds the events of a stream by all line ends of the format, however its bytes are cut; 24 streams in parts of 1, 2, 3 and 100 bytes pass.

--- a/src/entry/direct_carrier.cc
+++ b/src/entry/direct_carrier.cc
@@ -324,6 +324,9 @@
     OnHead(id, status, std::move(headers));
   };
   hooks.on_body = [this, id](std::string_view data) { OnBody(id, data); };
+  hooks.on_body_end = [this, id](const AnswerBodyEnd& end) {
+    OnBodyEnd(id, end);
+  };
   hooks.on_end = [this, id](const Status& status) {
     OnEnd(id, status);
     Flush();
@@ -379,6 +382,23 @@
   Flush();
 }
 
+void DirectCarrier::OnBodyEnd(const AttemptId& id, const AnswerBodyEnd& end) {
+  const Run* run = Find(id);
+  if (!run || !IsDoubtful(end)) {
+    return;
+  }
+  log_(kAnswerEndDoubtful,
+       {{"request", run->request->caller_id},
+        {"target", run->instance},
+        {"status", std::to_string(end.status)},
+        {"framing", std::string(NameOf(end.framing))},
+        {"bytes", std::to_string(end.body_bytes)},
+        {"position", std::string(end.position ? NameOf(*end.position) : "")}});
+  if (hooks_.on_doubtful_end) {
+    hooks_.on_doubtful_end(end);
+  }
+}
+
 void DirectCarrier::OnEnd(const AttemptId& id, const Status& status) {
   Run* run = Find(id);
   if (!run) {
--- a/src/entry/direct_carrier.h
+++ b/src/entry/direct_carrier.h
@@ -72,6 +72,9 @@
     std::function<bool(const CallerRequest&)> may_arrive_again;
     /// What was allowed so was not made after all.
     std::function<void(const CallerRequest&)> on_no_arrival;
+    /// The body of a target's answer to a request ended as its framing says,
+    /// which alone does not show that it is whole.
+    std::function<void(const AnswerBodyEnd&)> on_doubtful_end;
     /// A call to a target ended as it should, or broke: its connection was
     /// lost or could not be made. A call that ran out of time is neither, nor
     /// is one that was not to be written.
@@ -180,6 +183,7 @@
                 const Result<TargetAnswer>& answer);
   void OnHead(const AttemptId& id, int status, std::vector<HttpHeader> headers);
   void OnBody(const AttemptId& id, std::string_view data);
+  void OnBodyEnd(const AttemptId& id, const AnswerBodyEnd& end);
   void OnEnd(const AttemptId& id, const Status& status);
   /// Why an attempt did not start its request.
   struct Refused {
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -86,6 +86,13 @@
           "indigolead_calls_held_back_total",
           "Calls of any kind that were not written, since their target had "
           "asked for rest or leaves.")),
+      answers_ended_by_close_(metrics->AddCounter(
+          "indigolead_answers_ended_by_close_total",
+          "Answers of targets with neither a length nor chunks that ended with "
+          "their connection.")),
+      streams_ended_inside_event_(metrics->AddCounter(
+          "indigolead_streams_ended_inside_event_total",
+          "Streams of targets that ended in order, but inside an event.")),
       answer_seconds_(metrics->AddHistogram(
           "indigolead_answer_seconds",
           "Time from taking a request to the head of its answer.")),
@@ -154,6 +161,11 @@
     BudgetOf(request.deployment).GiveBack(kArrivalsWhole);
     further_arrivals_unmade_.Add(static_cast<std::uint64_t>(kArrivalsWhole));
   };
+  hooks.on_doubtful_end = [this](const AnswerBodyEnd& end) {
+    answers_ended_by_close_.Add(end.framing == BodyFraming::kClose ? 1 : 0);
+    streams_ended_inside_event_.Add(
+        end.position == StreamPosition::kInsideEvent ? 1 : 0);
+  };
   hooks.on_call_end = [this](const std::string& instance, bool broke) {
     OnCallEnd(instance, broke);
   };
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -253,6 +253,8 @@
   Gauge& limited_targets_;
   Gauge& targets_at_rest_;
   Counter& calls_held_back_;
+  Counter& answers_ended_by_close_;
+  Counter& streams_ended_inside_event_;
   Histogram& answer_seconds_;
   Histogram& refusal_seconds_;
 };
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -52,6 +52,11 @@
 inline constexpr EventInfo kTargetBroke{
     1025, "attempt-broke", EventSeverity::kWarning,
     "An attempt broke after its first byte was written; it may have run."};
+inline constexpr EventInfo kAnswerEndDoubtful{
+    1065, "answer-end-doubtful", EventSeverity::kInfo,
+    "A target's answer has neither a length nor chunks and ended with its "
+    "connection, or its end came inside an event: how much came, and where "
+    "among the events the end was."};
 inline constexpr EventInfo kTargetListChanged{
     1026, "target-changed", EventSeverity::kInfo,
     "What the entry believes of a target changed."};
--- a/src/side/events.h
+++ b/src/side/events.h
@@ -26,6 +26,10 @@
 inline constexpr EventInfo kTargetCallBroke{
     2012, "target-call-broke", EventSeverity::kWarning,
     "A call broke after its first byte was written to the target."};
+inline constexpr EventInfo kTargetAnswerEndDoubtful{
+    2013, "target-answer-end-doubtful", EventSeverity::kInfo,
+    "The target's answer has neither a length nor chunks and ended with its "
+    "connection, or its end came inside an event."};
 inline constexpr EventInfo kOrderPhaseChanged{
     2030, "order-phase-changed", EventSeverity::kInfo,
     "An order for the target went on to its next phase."};
--- a/src/side/target_worker.cc
+++ b/src/side/target_worker.cc
@@ -138,6 +138,9 @@
   hooks.on_body = [this, id](std::string_view data) {
     Emit(CallBodyEvent{id, std::string(data)});
   };
+  hooks.on_body_end = [this, id](const AnswerBodyEnd& end) {
+    OnBodyEnd(id, end);
+  };
   hooks.on_end = [this, id](const Status& status) { OnEnd(id, status); };
   RunningCall& call = calls_[id];
   call.stream_id = stream;
@@ -157,6 +160,18 @@
   return true;
 }
 
+void TargetWorker::OnBodyEnd(const AttemptId& id, const AnswerBodyEnd& end) {
+  if (IsDoubtful(end)) {
+    log_(
+        kTargetAnswerEndDoubtful,
+        {{"attempt", ToHex(id.value)},
+         {"status", std::to_string(end.status)},
+         {"framing", std::string(NameOf(end.framing))},
+         {"bytes", std::to_string(end.body_bytes)},
+         {"position", std::string(end.position ? NameOf(*end.position) : "")}});
+  }
+}
+
 void TargetWorker::OnEnd(const AttemptId& id, const Status& status) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) {
--- a/src/side/target_worker.h
+++ b/src/side/target_worker.h
@@ -75,6 +75,7 @@
   void CancelCall(const AttemptId& id);
   void PauseCall(const PauseCallCommand& command);
   bool BeforeWrite(const AttemptId& id, TimePoint start_by);
+  void OnBodyEnd(const AttemptId& id, const AnswerBodyEnd& end);
   void OnEnd(const AttemptId& id, const Status& status);
   void OnBroken(BrokenCall broken);
   void Probe(int tries_left);
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -300,6 +300,7 @@
     }
     dropping_ = IsOfAnotherRequest();
     if (!dropping_) {
+      WatchEvents();
       hooks_.on_head(static_cast<int>(parser_->get().result_int()),
                      ResponseHeaders());
     }
@@ -308,6 +309,17 @@
     }
   }
 
+  void WatchEvents() {
+    const auto& head = parser_->get();
+    const auto type = head[http::field::content_type];
+    const auto encoding = head[http::field::content_encoding];
+    if (request_.method() != http::verb::head &&
+        IsEventStream({type.data(), type.size()},
+                      {encoding.data(), encoding.size()})) {
+      events_.emplace();
+    }
+  }
+
   bool IsOfAnotherRequest() const {
     if (echoed_.name.empty()) {
       return false;
@@ -354,7 +366,12 @@
     DrainParsed(&ec);
     const auto n = buffer_.size() - parser_->get().body().size;
     if (n > 0 && !dropping_) {
-      hooks_.on_body(std::string_view(buffer_.data(), n));
+      const std::string_view data(buffer_.data(), n);
+      body_bytes_ += n;
+      if (events_) {
+        events_->Scan(data);
+      }
+      hooks_.on_body(data);
     }
     if (stopped_) {
       return;
@@ -390,6 +407,9 @@
       ReadNextAnswer();
       return;
     }
+    if (hooks_.on_body_end) {
+      hooks_.on_body_end(BodyEnd());
+    }
     if (parser_->keep_alive() && write_done_ && !write_failed_) {
       KeepConnection();
     } else {
@@ -403,6 +423,21 @@
     }
   }
 
+  AnswerBodyEnd BodyEnd() const {
+    AnswerBodyEnd end;
+    end.status = static_cast<int>(parser_->get().result_int());
+    end.body_bytes = body_bytes_;
+    if (parser_->chunked()) {
+      end.framing = BodyFraming::kChunks;
+    } else if (parser_->need_eof()) {
+      end.framing = BodyFraming::kClose;
+    }
+    if (events_) {
+      end.position = events_->position();
+    }
+    return end;
+  }
+
   void ReadNextAnswer() {
     if (!parser_->keep_alive()) {
       Finish(ErrorCode::kUnknownEffect, "closed after another's answer");
@@ -445,6 +480,8 @@
   std::unique_ptr<Connection> connection_;
   std::optional<Parser> parser_;
   std::string buffer_;
+  std::uint64_t body_bytes_ = 0;
+  std::optional<EventScanner> events_;  ///< Of a stream of events.
   bool written_ = false;
   bool write_done_ = false;
   bool write_failed_ = false;
--- a/src/target/target_client.h
+++ b/src/target/target_client.h
@@ -11,6 +11,7 @@
 
 #include "core/base/result.h"
 #include "core/base/time.h"
+#include "core/request/answer_end.h"
 
 namespace indigolead {
 
@@ -52,6 +53,8 @@
     std::function<bool()> on_before_write;
     std::function<void(int status, std::vector<HttpHeader>)> on_head;
     std::function<void(std::string_view data)> on_body;
+    /// The body ended as its framing says; `on_end` follows.
+    std::function<void(const AnswerBodyEnd&)> on_body_end;
     /// The answer is whole, or the error says how far the call came:
     /// `kUnavailable` before the first byte was written, else
     /// `kUnknownEffect` or `kTimeout`.
--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -131,6 +131,8 @@
     stream_.socket().close(ec);
   }
 
+  void Close() override { Finish(); }
+
   bool open() const override { return open_; }
 
   Task Sleep(std::chrono::milliseconds ms) override {
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -64,9 +64,12 @@
   /// Sends bytes as they are, for answers that are none.
   virtual Task WriteRaw(std::string bytes) = 0;
 
-  /// Closes the connection without sending anything more.
+  /// Resets the connection.
   virtual void Abort() = 0;
 
+  /// Closes the connection in order: the caller gets all that was sent.
+  virtual void Close() = 0;
+
   /// Returns false once the connection has failed or was aborted. Writes then
   /// do nothing.
   virtual bool open() const = 0;
--- /dev/null
+++ b/tests/core/request/event_scanner_test.cc
@@ -0,0 +1,98 @@
+#include "core/request/event_scanner.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "core/request/answer_end.h"
+
+namespace indigolead {
+namespace {
+
+using Position = StreamPosition;
+
+/// What a scanner says after a stream.
+struct Scanned {
+  Position position = Position::kNoEvent;
+  std::size_t whole = 0;  ///< Bytes before the unfinished event.
+};
+
+/// Scans `stream`, cut into parts of `part` bytes.
+Scanned Scan(std::string_view stream, std::size_t part) {
+  EventScanner scanner;
+  Scanned scanned;
+  for (std::size_t at = 0; at < stream.size(); at += part) {
+    const std::size_t n = scanner.Scan(stream.substr(at, part));
+    if (n > 0) {
+      scanned.whole = at + n;
+    }
+  }
+  scanned.position = scanner.position();
+  return scanned;
+}
+
+struct Row {
+  std::string stream;
+  Position position;
+  std::size_t whole;
+};
+
+TEST_CASE("EventScanner finds where a stream of events stands") {
+  const Row row = GENERATE(values<Row>({
+      {"", Position::kNoEvent, 0},
+      {"\n\n", Position::kNoEvent, 2},
+      {": hello\n", Position::kNoEvent, 8},
+      {": hel", Position::kInsideEvent, 0},
+      {"\xEF\xBB\xBF", Position::kNoEvent, 3},
+      {"\xEF\xBB\xBF: hello\n", Position::kNoEvent, 11},
+      {"d", Position::kInsideEvent, 0},
+      {"id: 1", Position::kInsideEvent, 0},
+      {"id: 1\n", Position::kInsideEvent, 0},
+      {"id: 1\ndata: ge", Position::kInsideEvent, 0},
+      {"data: gel\n", Position::kInsideEvent, 0},
+      {"data: gel\n\n", Position::kBetweenEvents, 11},
+      {"data: gel\r\r", Position::kBetweenEvents, 11},
+      {"data: gel\r\n", Position::kInsideEvent, 0},
+      {"data: gel\r\n\r", Position::kBetweenEvents, 12},
+      {"data: gel\r\n\r\n", Position::kBetweenEvents, 13},
+      {"data: gel\n\r\n", Position::kBetweenEvents, 12},
+      {"data: gel\r\n\n", Position::kBetweenEvents, 12},
+      {"data: gel\n\n\n", Position::kBetweenEvents, 12},
+      {"data: gel\n\nd", Position::kInsideEvent, 11},
+      {"data: gel\n\n: bye\n", Position::kBetweenEvents, 17},
+      {"data: gel\n: in\n", Position::kInsideEvent, 0},
+      {"data: gel\n: in\n\n", Position::kBetweenEvents, 16},
+      {"data: gel\n\nid: 2\ndata: x\n", Position::kInsideEvent, 11},
+  }));
+  INFO(row.stream);
+  const std::size_t part = GENERATE(1, 2, 3, 100);
+  INFO("in parts of " << part << " bytes");
+  const Scanned scanned = Scan(row.stream, part);
+  CHECK(scanned.position == row.position);
+  CHECK(scanned.whole == row.whole);
+}
+
+TEST_CASE("Streams of events are known by their type and encoding") {
+  CHECK(IsEventStream("text/event-stream", ""));
+  CHECK(IsEventStream("Text/Event-Stream; charset=utf-8", "Identity"));
+  CHECK_FALSE(IsEventStream("text/event-stream", "gzip"));
+  CHECK_FALSE(IsEventStream("text/event", ""));
+  CHECK_FALSE(IsEventStream("application/json", ""));
+  CHECK_FALSE(IsEventStream("", ""));
+}
+
+TEST_CASE("An end is doubtful if its framing alone does not prove it") {
+  AnswerBodyEnd end;
+  end.status = 200;
+  CHECK_FALSE(IsDoubtful(end));
+  end.framing = BodyFraming::kClose;
+  CHECK(IsDoubtful(end));
+  end.framing = BodyFraming::kChunks;
+  CHECK_FALSE(IsDoubtful(end));
+  end.position = Position::kInsideEvent;
+  CHECK(IsDoubtful(end));
+  end.position = Position::kBetweenEvents;
+  CHECK_FALSE(IsDoubtful(end));
+}
+
+}  // namespace
+}  // namespace indigolead
