Take a stream that ends inside an event for broken off, however it is framed

Streams that might have gone on at another target did not.

Cause: an answer may have neither a length nor chunks and end with its connection. The client of targets asked only whether the close was regular, which it also is where a target's process dies after its last write. All that stands on a whole answer went wrong with it: the target counted as good, the request as answered (which clears it of crashes), nothing was repeated.

Why this works: the end is judged where it is read, by framing and events together, so every user of the client is told of a break, at sides too. Inside an event no framing makes a stream whole. A success that closes before any event is broken off as well; without the close as its only end it may be empty. What is no stream of events, or is encoded, is left to its framing: nothing else is known of it.

--- a/src/core/request/answer_end.h
+++ b/src/core/request/answer_end.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "core/request/event_scanner.h"
@@ -30,6 +31,13 @@
   friend bool operator==(const AnswerBodyEnd&, const AnswerBodyEnd&) = default;
 };
 
+/// Returns why the answer was broken off although its framing was kept; nothing
+/// if it is whole, as far as anybody can know.
+///
+/// A target that dies may close its connections in order. Where that is all
+/// that ends a stream of events, only the events show whether it is whole.
+std::optional<std::string> WhyBrokenOff(const AnswerBodyEnd& end);
+
 /// Returns true if the framing alone does not show that the answer is whole.
 bool IsDoubtful(const AnswerBodyEnd& end);
 
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -407,8 +407,13 @@
       ReadNextAnswer();
       return;
     }
+    const AnswerBodyEnd end = BodyEnd();
     if (hooks_.on_body_end) {
-      hooks_.on_body_end(BodyEnd());
+      hooks_.on_body_end(end);
+    }
+    if (const auto why = WhyBrokenOff(end)) {
+      Finish(ErrorCode::kUnknownEffect, "body: " + *why);
+      return;
     }
     if (parser_->keep_alive() && write_done_ && !write_failed_) {
       KeepConnection();
--- a/src/target/target_client.h
+++ b/src/target/target_client.h
@@ -53,7 +53,8 @@
     std::function<bool()> on_before_write;
     std::function<void(int status, std::vector<HttpHeader>)> on_head;
     std::function<void(std::string_view data)> on_body;
-    /// The body ended as its framing says; `on_end` follows.
+    /// The body ended as its framing says; `on_end` follows, with an error if
+    /// the answer was broken off all the same.
     std::function<void(const AnswerBodyEnd&)> on_body_end;
     /// The answer is whole, or the error says how far the call came:
     /// `kUnavailable` before the first byte was written, else
--- /dev/null
+++ b/tests/core/request/answer_end_test.cc
@@ -0,0 +1,43 @@
+#include "core/request/answer_end.h"
+
+#include <catch2/catch.hpp>
+
+namespace indigolead {
+namespace {
+
+using Framing = BodyFraming;
+using Position = StreamPosition;
+
+struct Row {
+  AnswerBodyEnd end;
+  bool broken_off;
+};
+
+TEST_CASE("An answer's end is judged by its framing and its events") {
+  const Row row = GENERATE(values<Row>({
+      // What is no stream of events is whole if its framing was kept.
+      {{200, Framing::kLength, 4, std::nullopt}, false},
+      {{200, Framing::kChunks, 4, std::nullopt}, false},
+      {{200, Framing::kClose, 4, std::nullopt}, false},
+      {{200, Framing::kClose, 0, std::nullopt}, false},
+      // No framing makes half an event whole.
+      {{200, Framing::kLength, 9, Position::kInsideEvent}, true},
+      {{200, Framing::kChunks, 9, Position::kInsideEvent}, true},
+      {{200, Framing::kClose, 9, Position::kInsideEvent}, true},
+      {{500, Framing::kClose, 9, Position::kInsideEvent}, true},
+      {{200, Framing::kClose, 9, Position::kBetweenEvents}, false},
+      {{200, Framing::kChunks, 9, Position::kBetweenEvents}, false},
+      // An empty stream is whole only where that was stated.
+      {{200, Framing::kLength, 0, Position::kNoEvent}, false},
+      {{200, Framing::kChunks, 0, Position::kNoEvent}, false},
+      {{200, Framing::kClose, 0, Position::kNoEvent}, true},
+      {{500, Framing::kClose, 0, Position::kNoEvent}, false},
+  }));
+  INFO(row.end.status << ", framed by " << NameOf(row.end.framing) << ", "
+                      << (row.end.position ? NameOf(*row.end.position)
+                                           : "no stream"));
+  CHECK(WhyBrokenOff(row.end).has_value() == row.broken_off);
+}
+
+}  // namespace
+}  // namespace indigolead
--- a/tests/platform/soak_process_test.cc
+++ b/tests/platform/soak_process_test.cc
@@ -35,6 +35,12 @@
 /// Requests a second that a target in need takes.
 constexpr double kSoakLimit = 10;
 
+/// The stream of an engine, whose events all have the same length.
+constexpr char kWholeStream[] =
+    "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\n"
+    "id: 3\ndata: token3\n\nid: 4\ndata: token4\n\n";
+constexpr std::uint64_t kEventBytes = 20;
+
 /// One request and what its caller got.
 struct Asked {
   std::string id;
@@ -110,7 +116,8 @@
       : scene_(scene),
         random_(MakeSeededRandom(seed)),
         limit_random_(MakeSeededRandom(~seed)),
-        notice_random_(MakeSeededRandom(seed * 3 + 1)) {}
+        notice_random_(MakeSeededRandom(seed * 3 + 1)),
+        body_random_(MakeSeededRandom(seed * 5 + 2)) {}
 
   void Next() {
     constexpr Behaviour kBehaviours[] = {
@@ -126,6 +133,9 @@
     if (notice_random_() % 4 == 0) {
       NextNotice();
     }
+    if (body_random_() % 4 == 0) {
+      NextBodyEnd();
+    }
     ModelWorker& worker = scene_->workers[Below(scene_->workers.size())];
     switch (Below(8)) {
       case 0:
@@ -160,6 +170,7 @@
     for (ModelWorker& it : scene_->workers) {
       EndLimit(&it);
       it.SetAskedRest(std::nullopt);
+      it.SetBodyEnd({});
       CHECK(MostDuringRest(it.rests(), it.arrivals(), excuses_) <=
             kRestAllowed);
       CHECK(AfterLeaving(it.said_leaving_at(), it.arrivals(), excuses_) == 0);
@@ -186,6 +197,20 @@
         kRests[notice_random_() % std::size(kRests)]);
   }
 
+  /// The bodies of a target's answers end with their connection, or its streams
+  /// end inside an event, or both, or neither any more.
+  void NextBodyEnd() {
+    ModelWorker::BodyEnd end;
+    end.by_close = body_random_() % 2 == 0;
+    if (body_random_() % 2 == 0) {
+      const std::uint64_t event = body_random_() % 4;
+      const std::uint64_t part = 1 + body_random_() % (kEventBytes - 1);
+      end.cut_after = event * kEventBytes + part;
+    }
+    end.cut_resumed = body_random_() % 2 == 0;
+    scene_->workers[body_random_() % scene_->workers.size()].SetBodyEnd(end);
+  }
+
   /// A target names a limit, or no longer does.
   void NameLimit(ModelWorker* worker) {
     if (limited_.count(worker) > 0) {
@@ -226,6 +251,7 @@
   RandomSource random_;
   RandomSource limit_random_;  ///< Apart, so that limits change nothing else.
   RandomSource notice_random_;
+  RandomSource body_random_;
   /// When the entry was started or set going again.
   std::vector<std::chrono::steady_clock::time_point> excuses_;
   std::uint64_t version_ = 10;
@@ -246,7 +272,8 @@
     CHECK(runs > 0);
     const bool is_stream =
         it.kind == Kind::kStream || it.kind == Kind::kResumable;
-    CHECK(it.body.find(is_stream ? "token4" : "menu of") != std::string::npos);
+    CHECK((is_stream ? it.body == kWholeStream
+                     : it.body == "menu of a0" || it.body == "menu of a1"));
   }
 }
 
--- a/tests/shell/callers_server_test.cc
+++ b/tests/shell/callers_server_test.cc
@@ -173,8 +173,8 @@
   CHECK(client.reset());
 }
 
-/// Guards against callers of HTTP/1.0 that wait for ever, where all of an answer
-/// had been written before its end came.
+/// Guards against callers of HTTP/1.0 that wait for ever, where all of an
+/// answer had been written before its end came.
 TEST_CASE("A whole answer of unknown length to HTTP/1.0 ends with its close") {
   CallersFixture entry;
   RawClient client(entry.address());
