Find the events of a stream that goes on by every line end of the format

What callers saw: a resumable stream whose lines end with CR, or with different line ends, came all at once at its end. Ids were read with a CR in them and sent so to the next target. Half an event that was held back was delivered as the end of a whole stream, if a carrier reported the end as regular.

Cause: the cursor knew two byte sequences as the end of an event and one as that of a line; at a regular end it gave out whatever it held.

Why this works: cursor and client find events by one scanner, so they cannot disagree. A regular end with an event held back is a broken stream, which goes on elsewhere.

The section of the cursor's test that gave a part out at the end is replaced by one that says no stream ends there.

--- a/src/core/request/event_cursor.cc
+++ b/src/core/request/event_cursor.cc
@@ -1,46 +1,49 @@
 #include "core/request/event_cursor.h"
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace indigolead {
 namespace {
 
-/// Returns the end of the last whole event in `text`; 0 if there is none.
-std::size_t EndOfWhole(std::string_view text) {
-  constexpr std::string_view kUnix = "\n\n";
-  constexpr std::string_view kHttp = "\r\n\r\n";
-  const auto unix_end = text.rfind(kUnix);
-  const auto http_end = text.rfind(kHttp);
-  std::size_t end = 0;
-  if (unix_end != std::string_view::npos) {
-    end = unix_end + kUnix.size();
-  }
-  if (http_end != std::string_view::npos) {
-    end = std::max(end, http_end + kHttp.size());
-  }
-  return end;
+/// Returns true if a header field can carry `id`.
+bool IsUsable(std::string_view id) {
+  return std::none_of(id.begin(), id.end(),
+                      [](unsigned char it) { return std::iscntrl(it) != 0; });
 }
 
 }  // namespace
 
 std::string EventCursor::Take(std::string_view data) {
-  partial_.append(data);
-  const std::size_t end = EndOfWhole(partial_);
-  std::string whole = partial_.substr(0, end);
-  partial_.erase(0, end);
+  const std::size_t end = scanner_.Scan(data);
+  if (end == 0) {
+    partial_.append(data);
+    return {};
+  }
+  std::string whole = std::exchange(partial_, {});
+  whole.append(data.substr(0, end));
+  partial_.append(data.substr(end));
   NoteIds(whole);
   return whole;
 }
 
-std::string EventCursor::TakePartial() { return std::exchange(partial_, {}); }
+void EventCursor::DropPartial() {
+  partial_.clear();
+  scanner_ = EventScanner();
+  any_line_ = false;
+}
 
 void EventCursor::NoteIds(std::string_view events) {
   constexpr std::string_view kField = "id:";
+  if (!any_line_ && events.starts_with(kByteOrderMark)) {
+    events.remove_prefix(kByteOrderMark.size());
+  }
+  any_line_ = true;
   while (!events.empty()) {
-    const auto end = events.find('\n');
+    const auto end = std::min(events.find_first_of("\r\n"), events.size());
     std::string_view line = events.substr(0, end);
-    events = end == std::string_view::npos ? "" : events.substr(end + 1);
+    events.remove_prefix(std::min(end + 1, events.size()));
     if (!line.starts_with(kField)) {
       continue;
     }
@@ -48,10 +51,9 @@
     if (line.starts_with(' ')) {
       line.remove_prefix(1);
     }
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
+    if (IsUsable(line)) {
+      last_id_ = std::string(line);
     }
-    last_id_ = std::string(line);
   }
 }
 
--- a/src/core/request/event_cursor.h
+++ b/src/core/request/event_cursor.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <string_view>
 
+#include "core/request/event_scanner.h"
+
 namespace indigolead {
 
 /// Position in a stream of server-sent events, for going on at another target.
@@ -17,11 +19,14 @@
   /// now; the rest is held back.
   std::string Take(std::string_view data);
 
-  /// Forgets the held part of an event that will not be finished.
-  void DropPartial() { partial_.clear(); }
+  /// Forgets the held part of an event that will not be finished; what comes
+  /// next is the beginning of another target's stream.
+  void DropPartial();
 
-  /// Returns what is held back, at the stream's regular end.
-  std::string TakePartial();
+  /// Returns true if an event has begun and is not whole.
+  bool is_inside_event() const {
+    return scanner_.position() == StreamPosition::kInsideEvent;
+  }
 
   /// Returns the id of the last whole event that had one; empty before.
   const std::string& last_id() const { return last_id_; }
@@ -29,6 +34,8 @@
  private:
   void NoteIds(std::string_view events);
 
+  EventScanner scanner_;
+  bool any_line_ = false;  ///< Of the present target's stream.
   std::string partial_;
   std::string last_id_;
 };
--- a/src/core/request/event_scanner.cc
+++ b/src/core/request/event_scanner.cc
@@ -5,11 +5,6 @@
 #include "core/request/header_fields.h"
 
 namespace indigolead {
-namespace {
-
-constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
-
-}  // namespace
 
 bool IsEventStream(std::string_view content_type,
                    std::string_view content_encoding) {
--- a/src/core/request/event_scanner.h
+++ b/src/core/request/event_scanner.h
@@ -6,6 +6,9 @@
 
 namespace indigolead {
 
+/// May come before the first line of a stream of events.
+inline constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+
 /// Returns true if a body with these header values is a stream of server-sent
 /// events whose bytes can be read as such.
 bool IsEventStream(std::string_view content_type,
--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -15,10 +15,14 @@
 
 /// Returns true if the answer's parts matter as they come. Any other answer is
 /// worth more whole than early.
-bool IsEventStream(const std::vector<HeaderField>& headers) {
-  constexpr std::string_view kEventStream = "text/event-stream";
-  const std::string_view type = FindHeader(headers, "content-type");
-  return EqualsIgnoringCase(type.substr(0, kEventStream.size()), kEventStream);
+bool IsStreamed(const std::vector<HeaderField>& headers) {
+  return IsEventStream(FindHeader(headers, "content-type"), "");
+}
+
+/// Returns true if the events of the answer can be told apart.
+bool HasReadableEvents(const std::vector<HeaderField>& headers) {
+  return IsEventStream(FindHeader(headers, "content-type"),
+                       FindHeader(headers, "content-encoding"));
 }
 
 }  // namespace
@@ -312,8 +316,9 @@
   it->held_since = now;
   it->answer.status = status;
   it->answer.headers = std::move(headers);
-  if (IsEventStream(it->answer.headers)) {
-    if (it->request->may_resume && status == kOk) {
+  if (IsStreamed(it->answer.headers)) {
+    if (it->request->may_resume && status == kOk &&
+        HasReadableEvents(it->answer.headers)) {
       it->cursor.emplace();
     }
     DeliverHead(*it);
@@ -323,7 +328,7 @@
 void RequestFlow::OnResumedHead(Request& it, int status,
                                 const std::vector<HeaderField>& headers,
                                 TimePoint now) {
-  if (status == kOk && IsEventStream(headers)) {
+  if (status == kOk && HasReadableEvents(headers)) {
     // The caller keeps the head of the first target.
     it.head_taken = true;
     return;
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -277,7 +277,6 @@
   bool MayRetry(const Request& it, Ending ending, AttemptReach reach,
                 TimePoint now);
   bool IsFailedAnswer(const Request& it) const;
-  void DeliverRest(Request& it);
   void CompleteAnswer(Request& it, TimePoint now);
   void Refuse(Request& it, Refusal refusal, TimePoint now);
   void Settle(Request& it, ClaimSettlement settlement,
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -37,8 +37,14 @@
   if (it == nullptr || !AcceptFrame(*it, link, end.sequence, now)) {
     return;
   }
-  if (end.outcome == AttemptOutcome::kComplete && it->head_taken &&
-      it->attempt->Matches(end)) {
+  const bool agrees = end.outcome == AttemptOutcome::kComplete &&
+                      it->head_taken && it->attempt->Matches(end);
+  if (agrees && it->cursor && it->cursor->is_inside_event()) {
+    EndAttempt(*it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
+               Because("stream_cut", "The stream ended inside an event."), now);
+    return;
+  }
+  if (agrees) {
     if (IsFailedAnswer(*it) &&
         MayRetry(*it, Ending::kAmbiguous, AttemptReach::kTarget, now)) {
       FinishAttempt(*it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
@@ -230,23 +236,12 @@
     if (whole) {
       actions_.push_back(AnswerWhole{it.request->id, std::move(it.answer)});
     } else {
-      DeliverRest(it);
       actions_.push_back(AnswerEnd{it.request->id});
     }
   }
   Forget(it, now);
 }
 
-void RequestFlow::DeliverRest(Request& it) {
-  if (!it.cursor) {
-    return;
-  }
-  std::string rest = it.cursor->TakePartial();
-  if (!rest.empty()) {
-    actions_.push_back(AnswerData{it.request->id, std::move(rest)});
-  }
-}
-
 void RequestFlow::Refuse(Request& it, Refusal refusal, TimePoint now) {
   // Only what is provable may be said: one earlier attempt that may have run
   // makes the whole request unknown.
--- a/tests/core/request/stream_resume_test.cc
+++ b/tests/core/request/stream_resume_test.cc
@@ -22,8 +22,10 @@
     cursor.DropPartial();
     CHECK(cursor.Take("id: 2\ndata: 22\n\n") == "id: 2\ndata: 22\n\n");
   }
-  SECTION("or given out at the regular end") {
-    CHECK(cursor.TakePartial() == "id: 2\nda");
+  SECTION("or is what no whole stream ends with") {
+    CHECK(cursor.is_inside_event());
+    CHECK(cursor.Take("ta: 22\n\n") == "id: 2\ndata: 22\n\n");
+    CHECK_FALSE(cursor.is_inside_event());
   }
   SECTION("line ends of both kinds end an event") {
     CHECK(cursor.Take("ta: x\r\n\r\n") == "id: 2\ndata: x\r\n\r\n");
@@ -58,7 +60,7 @@
     CHECK(cursor.last_id().empty());
   }
   SECTION("and an id that no header can carry is none") {
-    CHECK(cursor.Take("id: 1\n\nid: 2\x01\n\n").size() == 16);
+    CHECK(cursor.Take("id: 1\n\nid: 2\x01\n\n").size() == 15);
     CHECK(cursor.last_id() == "1");
   }
 }
