Reset a stream that breaks inside an event

What callers saw, where breaks are told by an error event: half an event, completed by the empty line that comes before the error event, and so handed to the application as a whole one.

Why this works: bytes that were sent cannot be taken back, so nothing may follow them. A reset cannot be taken for an end. Between events the error event comes as before.

--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -109,9 +109,10 @@
 void Session::OnAnswer(AnswerHead&& head) {
   AppendHead(head.status, head.headers, request_text_,
              FramingFor(head.status, std::nullopt), &out_);
-  event_stream_ = FindHeader(head.headers, "content-type")
-                      .substr(0, kEventStreamType.size()) == kEventStreamType;
-  last_bytes_ = "\n\n";
+  if (IsEventStream(FindHeader(head.headers, "content-type"),
+                    FindHeader(head.headers, "content-encoding"))) {
+    events_.emplace();
+  }
   ScheduleWrite();
 }
 
@@ -120,10 +121,8 @@
   if (!to_head_) {
     chunked_ ? AppendChunk(data.data, &out_) : void(out_ += data.data);
   }
-  if (event_stream_) {
-    last_bytes_ += data.data.substr(data.data.size() -
-                                    std::min<std::size_t>(data.data.size(), 2));
-    last_bytes_.erase(0, last_bytes_.size() - 2);
+  if (events_) {
+    events_->Scan(data.data);
   }
   ScheduleWrite();
 }
@@ -146,7 +145,7 @@
 
 void Session::OnAnswer(AnswerAbort&& abort) {
   keep_alive_ = false;
-  if (!event_stream_ || !host_->interface.error_events) {
+  if (!CanSendErrorEvent()) {
     // A reset cannot be mistaken for the end of the body, which a plain close
     // is to a caller that speaks HTTP/1.0.
     boost::system::error_code ec;
@@ -154,8 +153,7 @@
     Close();
     return;
   }
-  std::string event = last_bytes_ == "\n\n" ? "" : "\n\n";
-  event +=
+  const std::string event =
       "event: error\ndata: " + ErrorJson(abort.refusal, request_text_) + "\n\n";
   chunked_ ? AppendChunk(event, &out_) : void(out_ += event);
   // No last chunk: even a reader that ignores the event sees a broken body.
@@ -163,6 +161,12 @@
   ScheduleWrite();
 }
 
+bool Session::CanSendErrorEvent() const {
+  // An event that follows half of another one would complete it.
+  return host_->interface.error_events && events_ &&
+         events_->position() != StreamPosition::kInsideEvent;
+}
+
 void Session::ScheduleWrite() {
   if (write_scheduled_ || write_active_) {
     return;
@@ -226,7 +230,7 @@
 void Session::FinishAnswer() {
   Release(&writing_);
   written_ = 0;
-  event_stream_ = false;
+  events_.reset();
   if (forwarded_) {
     forwarded_ = false;
     host_->finished(request_, /*gone=*/false);
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -15,15 +15,13 @@
 #include <string_view>
 
 #include "core/config/settings.h"
+#include "core/request/event_scanner.h"
 #include "core/request/request_types.h"
 #include "entry/caller_interface.h"
 #include "entry/http_answer.h"
 
 namespace indigolead {
 
-/// Media type of server-sent events.
-inline constexpr std::string_view kEventStreamType = "text/event-stream";
-
 class Session;
 
 /// What a session needs from the server that owns it.
@@ -102,6 +100,7 @@
   void ScheduleWrite();
   void WriteSome();
   void OnWritten(const boost::system::error_code& ec, std::size_t n);
+  bool CanSendErrorEvent() const;
   void FinishAnswer();
   void Drain();
   void DiscardInput();
@@ -122,9 +121,8 @@
   bool to_head_ = false;
   unsigned version_ = 11;
   bool chunked_ = false;
-  bool event_stream_ = false;
+  std::optional<EventScanner> events_;  ///< Of a stream of events.
   bool answer_ended_ = false;
-  std::string last_bytes_;  ///< Ending of the event stream written so far.
 
   std::string out_;      ///< Waits to be written.
   std::string writing_;  ///< Being written, from `written_` on.
