Reset an answer to HTTP/1.0 that only its close would end

What callers saw: to HTTP/1.0 an answer of unknown length ends with its connection. One that broke, or whose caller did not read in time, was closed in order and looked whole. Found by reading, from the incident: the entry did to its callers what targets did to it.

Why this works: wherever such a connection is closed before its answer is written, the close is a reset.

Failed before: An answer of unknown length to HTTP/1.0 is reset if it breaks.

--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -59,8 +59,12 @@
   if (state_ == State::kClosed) {
     return;
   }
-  state_ = State::kClosed;
   boost::system::error_code ec;
+  if (state_ == State::kAnswering && close_ends_body_) {
+    // A reset cannot be mistaken for the end of the body.
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+  }
+  state_ = State::kClosed;
   socket_.close(ec);
   if (forwarded_) {
     forwarded_ = false;
@@ -75,8 +79,9 @@
   framing.version = version_;
   framing.to_head = to_head_;
   const bool bodiless = HasNoBody(status) || to_head_;
-  if (!bodiless && !length && version_ == 10) {
-    keep_alive_ = false;  // Only closing can end this body.
+  close_ends_body_ = !bodiless && !length && version_ == 10;
+  if (close_ends_body_) {
+    keep_alive_ = false;
   }
   chunked_ = !bodiless && !length && version_ == 11;
   framing.chunked = chunked_;
@@ -146,8 +151,6 @@
 void Session::OnAnswer(AnswerAbort&& abort) {
   keep_alive_ = false;
   if (!CanSendErrorEvent()) {
-    // A reset cannot be mistaken for the end of the body, which a plain close
-    // is to a caller that speaks HTTP/1.0.
     boost::system::error_code ec;
     socket_.set_option(asio::socket_base::linger(true, 0), ec);
     Close();
@@ -163,7 +166,7 @@
 
 bool Session::CanSendErrorEvent() const {
   // An event that follows half of another one would complete it.
-  return host_->interface.error_events && events_ &&
+  return host_->interface.error_events && events_ && !close_ends_body_ &&
          events_->position() != StreamPosition::kInsideEvent;
 }
 
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -121,6 +121,7 @@
   bool to_head_ = false;
   unsigned version_ = 11;
   bool chunked_ = false;
+  bool close_ends_body_ = false;  ///< Nothing else tells the caller its end.
   std::optional<EventScanner> events_;  ///< Of a stream of events.
   bool answer_ended_ = false;
 
