End an answer whose end comes after all of it has been written

What callers saw: over HTTP/1.0 a streamed answer that was written before its end was known never ended; the connection stayed open without a time limit. HEAD of a streamed answer likewise, which has nothing to write at its end either. Over HTTP/1.1 the last chunk hid it.

Cause: the end of an answer was acted upon only after a write, and here none follows.

Failed before: A whole answer of unknown length to HTTP/1.0 ends with its close.

--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -190,6 +190,7 @@
     Release(&writing_);
     written_ = 0;
     if (out_.empty()) {
+      FinishIfWritten();
       return;
     }
     std::swap(out_, writing_);
@@ -223,9 +224,16 @@
     WriteSome();
     return;
   }
-  if (state_ == State::kAnswering && answer_ended_) {
+  FinishIfWritten();
+}
+
+void Session::FinishIfWritten() {
+  if (state_ != State::kAnswering) {
+    return;
+  }
+  if (answer_ended_) {
     FinishAnswer();
-  } else if (state_ == State::kAnswering) {
+  } else {
     deadline_ = TimePoint::max();  // The target's turn, not the caller's.
   }
 }
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -101,6 +101,8 @@
   void WriteSome();
   void OnWritten(const boost::system::error_code& ec, std::size_t n);
   bool CanSendErrorEvent() const;
+  /// Acts on that nothing waits to be written any more.
+  void FinishIfWritten();
   void FinishAnswer();
   void Drain();
   void DiscardInput();
