Pass on an event that is longer than an entry holds back

What callers saw: a stream that may go on elsewhere stood still until its deadline, once one event was longer than the window of its stream (256 KB).

Cause: events are held back until they are whole, the target may not send more than the window before the caller has taken it, and the caller is given nothing of the event.

Why this works: at half of the window the event goes on in parts, which leaves the target a quarter of the window at least, credit being returned in quarters. Such a stream cannot go on elsewhere any more and breaks off with its target, visibly.

--- a/src/core/request/event_cursor.h
+++ b/src/core/request/event_cursor.h
@@ -1,8 +1,10 @@
 #ifndef INDIGOLEAD_CORE_REQUEST_EVENT_CURSOR_H_
 #define INDIGOLEAD_CORE_REQUEST_EVENT_CURSOR_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "core/request/event_scanner.h"
 
@@ -23,6 +25,11 @@
   /// next is the beginning of another target's stream.
   void DropPartial();
 
+  std::size_t held_bytes() const { return partial_.size(); }
+
+  /// Returns what is held back. The cursor is of no use afterwards.
+  std::string TakePartial() { return std::exchange(partial_, {}); }
+
   /// Returns true if an event has begun and is not whole.
   bool is_inside_event() const {
     return scanner_.position() == StreamPosition::kInsideEvent;
--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -363,6 +363,12 @@
   }
   if (it.cursor) {
     data = it.cursor->Take(data);
+    if (it.cursor->held_bytes() > options_.stream_window_bytes / 2) {
+      // What is held back takes up the window: the target could never send the
+      // rest of the event. Nobody can go on inside an event.
+      data += it.cursor->TakePartial();
+      it.cursor.reset();
+    }
     if (data.empty()) {
       return;
     }
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -59,6 +59,9 @@
   std::size_t max_requests = 8192;
   std::size_t max_sides = 4096;
   std::size_t max_pending_cancels = 1024;  ///< Kept for one absent side.
+  /// Bytes of an answer that a target may send before its caller has taken
+  /// them. Of a stream that may go on elsewhere, up to half of it is held back
+  /// until an event is whole.
   std::uint64_t stream_window_bytes = 256U << 10;
   /// Answers that are not streamed are held up to this size until their end
   /// frame is checked, so that a failure can still become a retry or an error.
--- a/tests/core/request/stream_resume_test.cc
+++ b/tests/core/request/stream_resume_test.cc
@@ -154,6 +154,29 @@
         "id: 1\ndata: a\n\nid: 2\ndata: b\n\n: tail\n");
 }
 
+/// Guards against a stream that stands still until its deadline, because its
+/// target may send no more until the caller has taken what is held back.
+TEST_CASE("An event longer than an entry holds back is passed on in parts") {
+  Scene scene;
+  const RequestFlowOptions options;
+  const std::string part(options.stream_window_bytes / 2, 'x');
+  scene.driver.Chunk(scene.driver.starts[0], 2, part);
+  const std::string begun = "id: 1\ndata: a\n\nid: 2\nda" + part;
+  CHECK((scene.driver.seen(scene.id).body == begun));
+
+  SECTION("to its end") {
+    scene.driver.Chunk(scene.driver.starts[0], 3, "x\n\n");
+    scene.driver.End(scene.driver.starts[0], 4, begun + "x\n\n");
+    CHECK(scene.driver.seen(scene.id).whole);
+    CHECK((scene.driver.seen(scene.id).body == begun + "x\n\n"));
+  }
+  SECTION("and breaks off with its target: nobody can go on inside it") {
+    scene.Break(0, 3);
+    CHECK(scene.driver.starts.size() == 1);
+    CHECK(scene.driver.seen(scene.id).refusal);
+  }
+}
+
 /// Guards against half an event reaching a caller as the end of a whole stream.
 TEST_CASE("A stream whose end comes inside an event goes on elsewhere") {
   Scene scene;
--- a/tests/shell/callers_server_test.cc
+++ b/tests/shell/callers_server_test.cc
@@ -192,6 +192,25 @@
   CHECK_FALSE(client.reset());
 }
 
+/// Guards against a connection that no request can use any more.
+TEST_CASE("A streamed answer to HEAD ends with its head") {
+  CallersFixture entry;
+  RawClient client(entry.address());
+  client.Write(
+      "HEAD /menu/today HTTP/1.1\r\nHost: entry\r\n"
+      "Authorization: Bearer " +
+      std::string(kExampleKey) + "\r\n\r\n");
+  const auto request = entry.Request(0);
+  entry.Answer(
+      AnswerHead{request->id, 200, {{"Content-Type", "text/event-stream"}}});
+  client.ReadUntil("\r\n\r\n");
+  entry.Answer(AnswerEnd{request->id});
+  client.Write(Post("/menu/today", ""));
+  const auto next = entry.Request(1);
+  entry.Answer(AnswerWhole{next->id, {200, {}, "whole"}});
+  CHECK_THAT(client.ReadUntil("whole"), EndsWith("whole"));
+}
+
 TEST_CASE("Any other answer that breaks is not ended at all") {
   CallersFixture entry;
   RawClient client(entry.address());
