Play a target that is removed shortly after the store's return (red)

Committed failing: no mend yet.

Cause: after an outage absence counts only 2.3 s (return_grace) after the entry has the store back, measured by what the watch knows, which rests up to 1 s between two answers: 2.3 to 3.3 s. Ruled out: a stale list, a lost watch (others' changes come in the same answers).

What a mend has to weigh: a store that was away for the targets too drops live ones, which are back within 2 s; one that turned only this entry away drops none.

--- a/tests/core/membership/target_directory_test.cc
+++ b/tests/core/membership/target_directory_test.cc
@@ -188,6 +188,31 @@
   }
 }
 
+/// Guards against new work for a target that was taken off the list while the
+/// list was followed, because the store had been away shortly before.
+TEST_CASE("A target removed after the store's return is leaving within 2 s") {
+  constexpr milliseconds kBound{2000};
+  TargetDirectory directory{TargetDirectory::Options{}};
+  TimePoint now{seconds(100)};
+  directory.OnStoreFollowed(now);
+  directory.OnListed({Target("a"), Target("b")}, now);
+  directory.OnStoreLost(now);
+  now += seconds(5);
+  directory.OnStoreFollowed(now);
+  directory.OnKnownUntil(now);
+  REQUIRE(directory.OnListed({Target("a"), Target("b")}, now).empty());
+  // Removed right after this answer; the watch rests a second between two.
+  const TimePoint removed = now;
+  std::vector<Kind> told;
+  while (now < removed + kBound) {
+    now += seconds(1);
+    directory.OnKnownUntil(now);
+    const auto changes = KindsOf(directory.OnListed({Target("a")}, now));
+    told.insert(told.end(), changes.begin(), changes.end());
+  }
+  CHECK(told == std::vector<Kind>{Kind::kLeaving});
+}
+
 TEST_CASE("The directory is bounded") {
   TargetDirectory::Options options;
   options.max_targets = 2;
