Do not go on with a stream after an event that has no id

What callers saw: a stream that may go on elsewhere, whose last events had no id, began again after an event before them, or from its start: events came twice.

Cause: the cursor kept the last id that came, not whether it is that of the last event that was passed on.

Why this works: the next target can go on only where the last whole event is known by its id, or none has been passed on. Else the stream breaks off visibly. An empty id, or one that no header can carry, is none.

--- a/src/core/request/event_cursor.cc
+++ b/src/core/request/event_cursor.cc
@@ -13,6 +13,17 @@
                       [](unsigned char it) { return std::iscntrl(it) != 0; });
 }
 
+/// Removes the first line, with its end, from `text` and returns it without.
+std::string_view TakeLine(std::string_view* text) {
+  constexpr std::string_view kCrLf = "\r\n";
+  const auto end = std::min(text->find_first_of(kCrLf), text->size());
+  const std::string_view line = text->substr(0, end);
+  text->remove_prefix(end);
+  const std::size_t n = text->starts_with(kCrLf) ? kCrLf.size() : 1;
+  text->remove_prefix(std::min(n, text->size()));
+  return line;
+}
+
 }  // namespace
 
 std::string EventCursor::Take(std::string_view data) {
@@ -35,26 +46,41 @@
 }
 
 void EventCursor::NoteIds(std::string_view events) {
-  constexpr std::string_view kField = "id:";
   if (!any_line_ && events.starts_with(kByteOrderMark)) {
     events.remove_prefix(kByteOrderMark.size());
   }
   any_line_ = true;
+  bool any_field = false;
+  bool any_id = false;
   while (!events.empty()) {
-    const auto end = std::min(events.find_first_of("\r\n"), events.size());
-    std::string_view line = events.substr(0, end);
-    events.remove_prefix(std::min(end + 1, events.size()));
-    if (!line.starts_with(kField)) {
+    const std::string_view line = TakeLine(&events);
+    if (!line.empty()) {
+      any_field = any_field || !line.starts_with(':');
+      any_id = TakeId(line) || any_id;
       continue;
     }
-    line.remove_prefix(kField.size());
-    if (line.starts_with(' ')) {
-      line.remove_prefix(1);
-    }
-    if (IsUsable(line)) {
-      last_id_ = std::string(line);
+    if (any_field) {
+      can_go_on_ = any_id;
     }
+    any_field = false;
+    any_id = false;
+  }
+}
+
+bool EventCursor::TakeId(std::string_view line) {
+  constexpr std::string_view kField = "id:";
+  if (!line.starts_with(kField)) {
+    return false;
+  }
+  line.remove_prefix(kField.size());
+  if (line.starts_with(' ')) {
+    line.remove_prefix(1);
+  }
+  if (line.empty() || !IsUsable(line)) {
+    return false;
   }
+  last_id_ = std::string(line);
+  return true;
 }
 
 }  // namespace indigolead
--- a/src/core/request/event_cursor.h
+++ b/src/core/request/event_cursor.h
@@ -35,16 +35,23 @@
     return scanner_.position() == StreamPosition::kInsideEvent;
   }
 
+  /// Returns true if another target can go on after the last whole event: there
+  /// is none yet, or it has an id. Else events would come twice.
+  bool can_go_on() const { return can_go_on_; }
+
   /// Returns the id of the last whole event that had one; empty before.
   const std::string& last_id() const { return last_id_; }
 
  private:
   void NoteIds(std::string_view events);
+  /// Keeps the id that a line states. Returns false if it states none.
+  bool TakeId(std::string_view line);
 
   EventScanner scanner_;
   bool any_line_ = false;  ///< Of the present target's stream.
   std::string partial_;
   std::string last_id_;
+  bool can_go_on_ = true;
 };
 
 }  // namespace indigolead
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -165,7 +165,7 @@
 
 bool RequestFlow::MayRetry(const Request& it, Ending ending, AttemptReach reach,
                            TimePoint now) {
-  const bool resumable = it.cursor && !it.caller_gone;
+  const bool resumable = it.cursor && it.cursor->can_go_on() && !it.caller_gone;
   if ((it.head_delivered && !resumable) || now >= it.request->deadline ||
       it.forwards >= options_.max_forwards) {
     return false;
--- a/tests/core/request/stream_resume_test.cc
+++ b/tests/core/request/stream_resume_test.cc
@@ -154,6 +154,27 @@
         "id: 1\ndata: a\n\nid: 2\ndata: b\n\n: tail\n");
 }
 
+/// Guards against events that come twice, because the target that goes on
+/// begins after an event before the last one.
+TEST_CASE("A stream is not gone on with after an event that has no id") {
+  Scene scene;
+  const std::string last = GENERATE("data: c\n\n", "data: c\r\n\r\n",
+                                    "id:\ndata: c\n\n", "id: \x01\n\n");
+  scene.driver.Chunk(scene.driver.starts[0], 2, "ta: b\n\n" + last);
+  SECTION("where its target breaks off then") {
+    scene.Break(0, 3);
+    CHECK(scene.driver.starts.size() == 1);
+    CHECK(scene.driver.seen(scene.id).refusal);
+  }
+  SECTION("but after the next one that has one") {
+    scene.driver.Chunk(scene.driver.starts[0], 3,
+                       "id: 4\r\ndata: d\r\n\r\n: ping\n");
+    scene.Break(0, 4);
+    REQUIRE(scene.driver.starts.size() == 2);
+    CHECK(scene.driver.starts[1].resume_after == "4");
+  }
+}
+
 /// Guards against a stream that stands still until its deadline, because its
 /// target may send no more until the caller has taken what is held back.
 TEST_CASE("An event longer than an entry holds back is passed on in parts") {
