--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -387,7 +387,7 @@
   }
   std::string head = "HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n";
   for (const auto& [name, value] : headers) {
-    head += name + ": " + value + "\r\n";
+    head.append(name).append(": ").append(value).append("\r\n");
   }
   co_await exchange.WriteRaw(head + "\r\n");
 }
