--- a/tests/shell/callers_server_test.cc
+++ b/tests/shell/callers_server_test.cc
@@ -20,6 +20,12 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string PostOverHttp10() {
+  return "POST /menu/today HTTP/1.0\r\nHost: entry\r\n"
+         "Authorization: Bearer " +
+         std::string(kExampleKey) + "\r\nContent-Length: 0\r\n\r\n";
+}
+
 const std::string kCompletion = R"({"model":"tarifa","prompt":"gel"})";
 
 TEST_CASE("A caller's request reaches the dispatch thread") {
@@ -151,10 +157,7 @@
   const std::string type =
       GENERATE("text/event-stream", "application/octet-stream");
   INFO(type);
-  client.Write(
-      "POST /menu/today HTTP/1.0\r\nHost: entry\r\n"
-      "Authorization: Bearer " +
-      std::string(kExampleKey) + "\r\nContent-Length: 0\r\n\r\n");
+  client.Write(PostOverHttp10());
   const auto request = entry.Request(0);
   entry.Answer(AnswerHead{request->id, 200, {{"Content-Type", type}}});
   entry.Answer(AnswerData{request->id, "data: 1\n\n"});
@@ -178,10 +181,7 @@
 TEST_CASE("A whole answer of unknown length to HTTP/1.0 ends with its close") {
   CallersFixture entry;
   RawClient client(entry.address());
-  client.Write(
-      "POST /menu/today HTTP/1.0\r\nHost: entry\r\n"
-      "Authorization: Bearer " +
-      std::string(kExampleKey) + "\r\nContent-Length: 0\r\n\r\n");
+  client.Write(PostOverHttp10());
   const auto request = entry.Request(0);
   entry.Answer(AnswerHead{request->id, 200, {}});
   entry.Answer(AnswerData{request->id, "all of it"});
