Follow the targets' list in a class of its own

What an entry tells its directory of targets (the list, whether the store can be followed, up to when the list is known) stood in the process, where no test reaches it. It moves to TargetFollower unchanged, so that a world without a network can hold it to the operator's bound.

--- /dev/null
+++ b/src/entry/target_follower.cc
@@ -0,0 +1,58 @@
+#include "entry/target_follower.h"
+
+#include <utility>
+
+#include "entry/events.h"
+
+namespace indigolead {
+
+TargetFollower::TargetFollower(ObjectStore* store, ListWatcher::Options options,
+                               Hooks hooks, Clock clock, RunAfter run_after,
+                               EventLog log)
+    : hooks_(std::move(hooks)),
+      log_(log),
+      watcher_(store, std::move(options), WatcherHooks(), std::move(clock),
+               std::move(run_after), std::move(log)) {}
+
+ListWatcher::Hooks TargetFollower::WatcherHooks() {
+  ListWatcher::Hooks hooks;
+  hooks.on_state = [this](const ListWatcher::State& state, std::uint64_t) {
+    OnListed(state);
+  };
+  // Entries that all start at once wait for each other's lists at the store,
+  // seconds where there are thousands of targets. With some of the targets
+  // they serve until they know the rest.
+  hooks.on_part = [this](const ListWatcher::State& state) { OnListed(state); };
+  hooks.on_error = [this](const Error& error) {
+    if (std::exchange(following_, false)) {
+      log_(kStoreLost, {{"error", ToString(error)}});
+    }
+    hooks_.on_lost();
+  };
+  hooks.jitter = hooks_.jitter;
+  return hooks;
+}
+
+void TargetFollower::OnListed(const ListWatcher::State& state) {
+  NoteFollowed();
+  listed_ = true;
+  hooks_.on_listed(state);
+}
+
+void TargetFollower::NoteFollowed() {
+  if (!std::exchange(following_, true)) {
+    log_(kStoreBack, {});
+  }
+  hooks_.on_followed();
+}
+
+void TargetFollower::Tick() {
+  // A watch that follows tells of the store's return even when nothing on the
+  // list has changed.
+  if (watcher_.following() && !following_) {
+    NoteFollowed();
+  }
+  hooks_.on_known_until(watcher_.fresh_at());
+}
+
+}  // namespace indigolead
