Play targets that leave around the store's return (red)

Committed failing, before any change of logic. Entries' own code from the store's answers to the directory of targets runs in simulated time; one entry loses the store in six ways (refused, reset, silent, one way, slow, kept connections silent), at any offset into its calls, for 0.3 to 9 s; from 4 s before to 6 s after its return targets leave, some with a word, some without. Held to the operator's two bounds: nothing that left longer ago than the first is in use once the store has been well for the second.

--- /dev/null
+++ b/tests/platform/store_return_test.cc
@@ -0,0 +1,208 @@
+#include <catch2/catch.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "tests/platform/support/return_world.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// From the choice of a target to the request's first byte there.
+constexpr Duration kUse = milliseconds(100);
+
+/// The operator's two bounds: a target that leaves gets nothing after the
+/// first, from an entry whose store has been well for the second.
+struct Bounds {
+  Duration leaving;
+  Duration contact;
+};
+
+platform::PlatformSettings SettingsWith(const Bounds& bounds) {
+  platform::PlatformSettings settings;
+  settings.store_address = "127.0.0.1:1";
+  settings.leaving_bound = bounds.leaving;
+  settings.configuration_bound = bounds.leaving;
+  settings.contact_time = bounds.contact;
+  return settings;
+}
+
+/// A release that goes on while one entry loses the store and has it back.
+class ReturnWorld {
+ public:
+  ReturnWorld(std::uint32_t seed, const Bounds& bounds)
+      : bounds_(bounds), random_(seed) {
+    for (int n = 0; n < kTargets; ++n) {
+      table_.Put("servers/i-" + std::to_string(n), "ready");
+    }
+    entry_ = std::make_unique<FollowingEntry>(
+        &timeline_, &table_, SettingsWith(bounds), [this] { return Share(); });
+    RunFor(seconds(2) + milliseconds(Draw(0, 2000)));
+  }
+
+  /// Loses the store for `length`; from shortly before its return on, targets
+  /// leave one after the other. Some have said so, others are just removed.
+  void LoseStore(StorePath way, Duration length) {
+    entry_->path().SetPath(way);
+    // Connections fall silent at one moment; whoever opens new ones is served.
+    const TimePoint back =
+        timeline_.now + (way == StorePath::kKeptSilent ? kStep : length);
+    RunThrough(back);
+  }
+
+  /// As `LoseStore`, and the store drops targets that live. Each is back within
+  /// two seconds of its return.
+  void LoseStoreAndLiveTargets(StorePath way, Duration length) {
+    entry_->path().SetPath(way);
+    for (int n = kTargets / 2; n < kTargets; ++n) {
+      const std::string key = "servers/i-" + std::to_string(n);
+      timeline_.After(length / 2, [this, key] { table_.Remove(key); });
+      timeline_.After(length + milliseconds(Draw(0, 1900)),
+                      [this, key] { table_.Put(key, "ready"); });
+    }
+    RunThrough(timeline_.now + length);
+  }
+
+  Duration longest_late() const { return longest_late_; }
+  int late() const { return late_; }
+  int live_given_up() const { return live_given_up_; }
+  int left() const { return static_cast<int>(left_at_.size()); }
+
+  Duration DrawLength() { return milliseconds(Draw(300, 9000)); }
+
+ private:
+  static constexpr int kTargets = 40;
+  static constexpr Duration kStep = milliseconds(5);
+
+  int Draw(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random_);
+  }
+  double Share() { return std::uniform_real_distribution<>(0, 1)(random_); }
+
+  void RunThrough(TimePoint back) {
+    const TimePoint end = back + seconds(6);
+    TimePoint next = back - milliseconds(Draw(0, 4000));
+    while (timeline_.now < end) {
+      const bool was_lost = timeline_.now < back;
+      if (timeline_.now >= next) {
+        TargetLeaves();
+        next = timeline_.now + milliseconds(Draw(300, 1500));
+      }
+      RunFor(kStep);
+      if (was_lost && timeline_.now >= back) {
+        entry_->path().SetPath(StorePath::kWell);
+        back_at_ = timeline_.now;
+      }
+    }
+  }
+
+  void TargetLeaves() {
+    const int n = next_target_++;
+    if (n >= kTargets / 2) {
+      return;  // The other half lives on.
+    }
+    const std::string key = "servers/i-" + std::to_string(n);
+    left_at_[key] = timeline_.now;
+    if (Draw(0, 1) == 0) {
+      table_.Remove(key);
+      return;
+    }
+    table_.Put(key, "leaving");
+    timeline_.After(milliseconds(Draw(100, 3000)),
+                    [this, key] { table_.Remove(key); });
+  }
+
+  void RunFor(Duration length) {
+    const TimePoint end = timeline_.now + length;
+    while (timeline_.now < end) {
+      timeline_.RunFor(kStep);
+      Check();
+    }
+  }
+
+  /// What may be used now may be reached by a request that is placed now.
+  void Check() {
+    const TimePoint reached = timeline_.now + kUse;
+    for (const auto& [key, left_at] : left_at_) {
+      const bool bound = reached > left_at + bounds_.leaving &&
+                         reached > back_at_ + bounds_.contact;
+      if (bound && entry_->usable().count(key) > 0) {
+        ++late_;
+        longest_late_ = std::max<Duration>(longest_late_, reached - left_at);
+      }
+    }
+    for (int n = kTargets / 2; n < kTargets && entry_; ++n) {
+      const std::string key = "servers/i-" + std::to_string(n);
+      const bool usable = entry_->usable().count(key) > 0;
+      live_given_up_ += started_ && !usable ? 1 : 0;
+    }
+    started_ = entry_ && !entry_->usable().empty();
+  }
+
+  Bounds bounds_;
+  std::mt19937 random_;
+  Timeline timeline_;
+  RegistrationTable table_;
+  std::unique_ptr<FollowingEntry> entry_;
+  std::map<std::string, TimePoint> left_at_;
+  TimePoint back_at_{};
+  int next_target_ = 0;
+  int late_ = 0;
+  int live_given_up_ = 0;
+  bool started_ = false;
+  Duration longest_late_{0};
+};
+
+Bounds AnyBounds() {
+  return GENERATE(Bounds{seconds(2), seconds(3)},
+                  Bounds{seconds(3), seconds(4)},
+                  Bounds{seconds(4), seconds(5)});
+}
+
+std::string TextOf(Duration length) {
+  return std::to_string(
+             std::chrono::duration_cast<milliseconds>(length).count()) +
+         " ms";
+}
+
+/// Guards against requests to targets that left while an entry could not read
+/// the store, or soon after: each wait on the way kept its own limit, and their
+/// sum passed the operator's bound.
+TEST_CASE("No way of losing the store keeps a target in use that left") {
+  const Bounds bounds = AnyBounds();
+  const StorePath way =
+      GENERATE(StorePath::kRefused, StorePath::kReset, StorePath::kSilent,
+               StorePath::kOneWay, StorePath::kSlow, StorePath::kKeptSilent);
+  for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+    ReturnWorld world(seed, bounds);
+    world.LoseStore(way, world.DrawLength());
+    INFO("seed " << seed << ", way " << static_cast<int>(way) << ", bounds "
+                 << TextOf(bounds.leaving) << " and " << TextOf(bounds.contact)
+                 << ", used after " << TextOf(world.longest_late()));
+    CHECK(world.left() > 0);
+    CHECK(world.late() == 0);
+    CHECK(world.live_given_up() == 0);
+  }
+}
+
+/// Guards against callers that are refused since live targets, which the store
+/// dropped while it was away, are taken for gone.
+TEST_CASE("Live targets that a lost store dropped stay in use") {
+  const StorePath way = GENERATE(StorePath::kRefused, StorePath::kReset,
+                                 StorePath::kSilent, StorePath::kOneWay);
+  for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+    ReturnWorld world(seed, {seconds(2), seconds(3)});
+    world.LoseStoreAndLiveTargets(way, seconds(5) + world.DrawLength() / 4);
+    INFO("seed " << seed << ", way " << static_cast<int>(way) << ", used after "
+                 << TextOf(world.longest_late()));
+    CHECK(world.live_given_up() == 0);
+    CHECK(world.late() == 0);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead::testing
