Find the store's return by tries that do not wait for each other

What callers saw: their requests went to targets that had left, for seconds after an entry could reach the store again (DRAIN), and were lost there if the target was gone. Cause: a lost store was listed again, each list after the one before had failed. One that was sent right before the return cost its deadline (1.5 s), a kept silent connection another, and the pause had grown to 0.8 s. Change: while nothing follows the store a try starts at each step of the pause, on a connection that it opens, beside the queue, and whatever became of the one before; the first that is answered wins. It asks for the changes after the version held, and each second one lists, since a store may answer lists and be silent to whoever asks for changes. A watch that ends keeps the version it was told, so that a quiet kind is not forgotten by the store meanwhile. Why it works: the return is noticed by the next try, whichever calls are still lost.

--- a/src/entry/event_fields.h
+++ b/src/entry/event_fields.h
@@ -1,21 +1,14 @@
 #ifndef INDIGOLEAD_ENTRY_EVENT_FIELDS_H_
 #define INDIGOLEAD_ENTRY_EVENT_FIELDS_H_
 
-#include <chrono>
 #include <cstdint>
 #include <cstdio>
 #include <string>
 
-#include "core/base/time.h"
+#include "observe/event_fields.h"
 
 namespace indigolead {
 
-/// Returns a length as the value of an event's field whose name ends in "_ms".
-inline std::string Milliseconds(Duration length) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
-}
-
 /// Returns the fingerprint of a request as 16 hexadecimal digits.
 inline std::string FingerprintText(std::uint64_t fingerprint) {
   char digits[17];
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -18,6 +18,20 @@
     "What this process asked of the store since the line before: calls by step "
     "and kind of object."};
 
+inline constexpr EventInfo kWatcherTryFailed{
+    3004, "watcher-try-failed", EventSeverity::kWarning,
+    "A try to go on after a lost watch failed; others follow."};
+
+inline constexpr EventInfo kWatcherResumed{
+    3005, "watcher-resumed", EventSeverity::kInfo,
+    "The changes since the version held were read; a watch follows the store "
+    "again."};
+
+inline constexpr EventInfo kWatcherAsked{
+    3006, "watcher-asked", EventSeverity::kInfo,
+    "The store was asked for changes beside the watch, since something depends "
+    "on how things stand now."};
+
 }  // namespace indigolead
 
 #endif  // INDIGOLEAD_STORE_EVENTS_H_
--- a/src/store/list_watcher.cc
+++ b/src/store/list_watcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "observe/event_fields.h"
 #include "store/events.h"
 
 namespace indigolead {
@@ -24,10 +25,23 @@
 
 ListWatcher::~ListWatcher() { *alive_ = false; }
 
-void ListWatcher::Start() { List(); }
+void ListWatcher::Start() {
+  List();
+  TryLater();
+}
 
 TimePoint ListWatcher::fresh_at() const {
-  return following() ? watch_->known_until(clock_()) : followed_until_;
+  return watch_ ? std::max(known_until_, watch_->known_until(clock_()))
+                : known_until_;
+}
+
+TimePoint ListWatcher::heard_at() const {
+  return watch_ ? std::max(heard_at_, watch_->heard_at(clock_())) : heard_at_;
+}
+
+void ListWatcher::NoteHeard(TimePoint known_until) {
+  known_until_ = std::max(known_until_, known_until);
+  heard_at_ = clock_();
 }
 
 ObjectStore::Listing ListWatcher::Known() const {
@@ -40,8 +54,11 @@
 }
 
 void ListWatcher::List() {
+  listing_ = true;
+  listed_from_ = clock_();
   CallOptions options = options_.list;
   options.may_be_stale = options_.first_may_be_stale && !listed_;
+  options.new_connection = listed_;
   store_->ListInParts(
       options_.prefix, options,
       [this, alive = alive_](const ObjectStore::Listing& part) {
@@ -57,6 +74,7 @@
 }
 
 void ListWatcher::OnPart(const ObjectStore::Listing& part) {
+  heard_at_ = clock_();
   if (listed_ || !hooks_.on_part) {
     return;
   }
@@ -68,10 +86,15 @@
 }
 
 void ListWatcher::OnListed(const Result<ObjectStore::Listing>& result) {
+  listing_ = false;
+  if (watch_) {
+    return;  // Another try went well before.
+  }
   if (!IsOk(result)) {
-    RetryLater(ErrorOf(result));
+    NoteLost(ErrorOf(result));
     return;
   }
+  heard_at_ = clock_();
   const ObjectStore::Listing& listing = ValueOf(result);
   if (listed_ && listing.version < version_) {
     log_(kStaleListing, {{"prefix", options_.prefix},
@@ -92,13 +115,14 @@
   for (const auto& object : listing.objects) {
     state.emplace(object.key, object);
   }
-  const bool changed = !listed_ || state != state_;
+  const bool may_be_stale = options_.first_may_be_stale && !listed_;
+  if (!may_be_stale) {
+    NoteHeard(listed_from_);
+  }
   listed_ = true;
   version_ = listing.version;
   state_ = std::move(state);
-  if (changed) {
-    hooks_.on_state(state_, version_);
-  }
+  hooks_.on_state(state_, version_);
 }
 
 void ListWatcher::StartWatch() {
@@ -115,16 +139,21 @@
 
 void ListWatcher::OnEvents(const std::vector<WatchEvent>& events) {
   failures_ = 0;
+  if (ApplyAll(events)) {
+    hooks_.on_state(state_, version_);
+  }
+}
+
+// The state is told once for all of the events: whoever reads the whole state
+// does so for each call.
+bool ListWatcher::ApplyAll(const std::vector<WatchEvent>& events) {
   bool changed = false;
   // Changes that are told together may bear the same version.
   const std::uint64_t known = version_;
   for (const WatchEvent& it : events) {
     changed = Apply(it, known) || changed;
   }
-  // Once for all of them: whoever reads the whole state does so for each call.
-  if (changed) {
-    hooks_.on_state(state_, version_);
-  }
+  return changed;
 }
 
 bool ListWatcher::Apply(const WatchEvent& event, std::uint64_t known) {
@@ -141,40 +170,142 @@
 }
 
 void ListWatcher::OnWatchEnd(const Error& error) {
-  followed_until_ = clock_();
+  const TimePoint now = clock_();
+  known_until_ = std::max(known_until_, watch_->known_until(now));
+  heard_at_ = std::max(heard_at_, watch_->heard_at(now));
+  version_ = std::max(version_, watch_->told_version());
   // A watch that held for a while shows that the store works; one that ends at
-  // once must not make a tight loop of listings.
-  if (followed_until_ - watch_started_ > options_.max_backoff) {
+  // once must not make a tight loop of tries.
+  if (now - watch_started_ > options_.max_backoff) {
     failures_ = 0;
   }
   watch_.reset();
-  RetryLater(error);
+  TryLater();
+  NoteLost(error);
 }
 
-void ListWatcher::RetryLater(const Error& error) {
+void ListWatcher::NoteLost(const Error& error) {
   log_(kWatcherRetry, {{"prefix", options_.prefix},
                        {"error", ToString(error)},
+                       {"version", std::to_string(version_)},
                        {"failures", std::to_string(failures_)}});
-  const auto alive = alive_;
   if (hooks_.on_error) {
     hooks_.on_error(error);
   }
-  if (!*alive) {
-    return;
-  }
+}
+
+Duration ListWatcher::NextDelay() {
   Duration delay = options_.min_backoff;
   for (std::uint32_t i = 0; i < std::min(failures_, kMaxDoublings); ++i) {
     delay = std::min(delay * 2, options_.max_backoff);
   }
   ++failures_;
   // Between half and the whole delay.
-  const auto spread =
-      std::chrono::duration_cast<Duration>(delay * (0.5 + hooks_.jitter() / 2));
-  run_after_(spread, [this, alive] {
-    if (*alive) {
-      List();
+  return std::chrono::duration_cast<Duration>(delay *
+                                              (0.5 + hooks_.jitter() / 2));
+}
+
+// While nothing follows the store there is always one next try.
+void ListWatcher::TryLater() {
+  const std::uint64_t number = ++try_;
+  run_after_(NextDelay(), [this, alive = alive_, number] {
+    if (*alive && number == try_ && !watch_) {
+      Try();
     }
   });
 }
 
+void ListWatcher::Try() {
+  TryLater();  // Whatever becomes of this one.
+  // A store may answer lists and be silent to whoever asks for changes.
+  const bool lists = !listed_ || ++changes_tried_ % 2 == 0;
+  if (lists && !listing_) {
+    List();
+  } else if (listed_) {
+    ReadChanges();
+  }
+}
+
+void ListWatcher::ReadChanges() {
+  CallOptions options = options_.list;
+  options.deadline = options_.try_deadline;
+  options.new_connection = true;
+  store_->ReadChanges(options_.prefix, version_, options,
+                      [this, alive = alive_,
+                       tried_at = clock_()](const Result<WatchBatch>& result) {
+                        if (*alive) {
+                          OnTried(tried_at, result);
+                        }
+                      });
+}
+
+void ListWatcher::OnTried(TimePoint tried_at,
+                          const Result<WatchBatch>& result) {
+  if (watch_) {
+    return;  // Another try went well before.
+  }
+  if (!IsOk(result)) {
+    OnTryFailed(tried_at, ErrorOf(result));
+    return;
+  }
+  NoteHeard(tried_at);
+  const WatchBatch& batch = ValueOf(result);
+  log_(kWatcherResumed, {{"prefix", options_.prefix},
+                         {"held", std::to_string(version_)},
+                         {"told", std::to_string(batch.version)},
+                         {"changes", std::to_string(batch.events.size())},
+                         {"after_ms", Milliseconds(clock_() - tried_at)}});
+  ApplyAll(batch.events);
+  version_ = std::max(version_, batch.version);
+  const auto alive = alive_;
+  hooks_.on_state(state_, version_);
+  if (*alive) {
+    StartWatch();
+  }
+}
+
+void ListWatcher::OnTryFailed(TimePoint tried_at, const Error& error) {
+  if (error.code != ErrorCode::kNotFound) {
+    log_(kWatcherTryFailed, {{"prefix", options_.prefix},
+                             {"error", ToString(error)},
+                             {"after_ms", Milliseconds(clock_() - tried_at)}});
+  } else if (!listing_) {
+    List();
+  }
+}
+
+void ListWatcher::Ask() {
+  const TimePoint now = clock_();
+  if (!watch_ || now < asked_at_ + options_.max_backoff) {
+    return;
+  }
+  asked_at_ = now;
+  CallOptions options = options_.list;
+  options.deadline = options_.try_deadline;
+  options.new_connection = true;
+  store_->ReadChanges(
+      options_.prefix, std::max(version_, watch_->told_version()), options,
+      [this, alive = alive_, now](const Result<WatchBatch>& result) {
+        if (*alive) {
+          OnAsked(now, result);
+        }
+      });
+}
+
+void ListWatcher::OnAsked(TimePoint asked_at,
+                          const Result<WatchBatch>& result) {
+  log_(kWatcherAsked,
+       {{"prefix", options_.prefix},
+        {"after_ms", Milliseconds(clock_() - asked_at)},
+        {"outcome", IsOk(result) ? "told" : ToString(ErrorOf(result))}});
+  // What it tells of a time after the watch's end is for a try to find out.
+  if (!IsOk(result) || !watch_) {
+    return;
+  }
+  NoteHeard(asked_at);
+  if (ApplyAll(ValueOf(result).events)) {
+    hooks_.on_state(state_, version_);
+  }
+}
+
 }  // namespace indigolead
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -57,6 +57,9 @@
   /// A read may show the state of seconds ago, where that costs the store
   /// less. Without effect on a store that knows no such reads.
   bool may_be_stale = false;
+  /// The call opens a connection, for which it waits behind no other call: what
+  /// was kept may bear nothing any more.
+  bool new_connection = false;
 };
 
 /// Change seen by a watch. A deleted object has no value.
@@ -68,6 +71,16 @@
   friend bool operator==(const WatchEvent&, const WatchEvent&) = default;
 };
 
+/// Changes that one answer of the store tells.
+struct WatchBatch {
+  std::vector<WatchEvent> events;
+  std::uint64_t version = 0;  ///< Up to which they are told.
+  /// Another entry relayed it, and keeps the pace.
+  bool relayed = false;
+
+  friend bool operator==(const WatchBatch&, const WatchBatch&) = default;
+};
+
 /// Condition of a write: the version that the object must have now; 0 if it
 /// must not exist.
 using ExpectedVersion = std::uint64_t;
@@ -93,6 +106,9 @@
     /// watch that the store tells of each change at once knows all until `now`.
     virtual TimePoint known_until(TimePoint now) const { return now; }
 
+    /// Returns when the store was last heard, at the time `now`.
+    virtual TimePoint heard_at(TimePoint now) const { return now; }
+
     /// Returns the version up to which every change has been told; 0 if the
     /// watch does not count.
     virtual std::uint64_t told_version() const { return 0; }
@@ -125,6 +141,17 @@
     List(prefix, options, std::move(done));
   }
 
+  /// Reads the changes below `prefix` after `from_version`, without a wait for
+  /// any. Fails with `kNotFound`, which may come from inside the call, where
+  /// the store does not have them: list then.
+  virtual void ReadChanges(const std::string& prefix,
+                           std::uint64_t /*from_version*/,
+                           const CallOptions& /*options*/,
+                           Callback<WatchBatch> done) {
+    done(Error{ErrorCode::kNotFound, "store.changes", prefix,
+               "the store tells changes by watches only"});
+  }
+
   /// Writes `value` if the object's version is `expected`. Returns the new
   /// version, or `kConflict` with the version found in `detail`.
   virtual void Put(const std::string& key, const std::string& value,
--- a/src/store/polled_watch.h
+++ b/src/store/polled_watch.h
@@ -13,16 +13,6 @@
 
 namespace indigolead {
 
-/// What one waiting call of a watch was answered with.
-struct WatchBatch {
-  std::vector<WatchEvent> events;
-  std::uint64_t version = 0;  ///< Where the next call goes on from.
-  /// Another entry relayed it, and keeps the pace.
-  bool relayed = false;
-
-  friend bool operator==(const WatchBatch&, const WatchBatch&) = default;
-};
-
 /// A watch as a chain of calls, each of which waits at the store for changes.
 ///
 /// Ends with the first call that fails; its owner lists again. Runs on the
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -18,6 +18,9 @@
   TimePoint known_until(TimePoint now) const override {
     return watch_.known_until(now);
   }
+  TimePoint heard_at(TimePoint now) const override {
+    return watch_.heard_at(now);
+  }
   std::uint64_t told_version() const override { return watch_.told_version(); }
 
  private:
@@ -51,6 +54,15 @@
   store_->ListInParts(prefix, options, std::move(on_part), std::move(done));
 }
 
+// Whoever asks for changes beside the watch wants to know how the store itself
+// stands.
+void RelayedStore::ReadChanges(const std::string& prefix,
+                               std::uint64_t from_version,
+                               const CallOptions& options,
+                               Callback<WatchBatch> done) {
+  store_->ReadChanges(prefix, from_version, options, std::move(done));
+}
+
 void RelayedStore::Put(const std::string& key, const std::string& value,
                        ExpectedVersion expected, const CallOptions& options,
                        Callback<std::uint64_t> done) {
--- a/src/store/relayed_store.h
+++ b/src/store/relayed_store.h
@@ -49,6 +49,9 @@
             Callback<Listing> done) override;
   void ListInParts(const std::string& prefix, const CallOptions& options,
                    OnPart on_part, Callback<Listing> done) override;
+  void ReadChanges(const std::string& prefix, std::uint64_t from_version,
+                   const CallOptions& options,
+                   Callback<WatchBatch> done) override;
   void Put(const std::string& key, const std::string& value,
            ExpectedVersion expected, const CallOptions& options,
            Callback<std::uint64_t> done) override;
--- a/src/store/store_calls.cc
+++ b/src/store/store_calls.cc
@@ -60,6 +60,11 @@
 void StoreCalls::Submit(internal::StoreRequest request,
                         const CallOptions& options, ReplyCallback done) {
   Pending call{std::move(request), {}, std::move(done), nullptr};
+  if (options.new_connection) {
+    call.deadline = SteadyClock::now() + options.deadline;
+    StartAlone(std::move(call));
+    return;
+  }
   Enqueue(std::move(call), options.priority, options.deadline);
 }
 
@@ -166,11 +171,35 @@
   });
 }
 
+std::shared_ptr<StoreCalls::Connection> StoreCalls::MakeConnection() {
+  return std::make_shared<Connection>(io_, options_.address,
+                                      options_.max_answer_bytes);
+}
+
+void StoreCalls::StartAlone(Pending call) {
+  asio::post(*io_, [self = shared_from_this(), call = std::move(call)] {
+    if (self->stopped_) {
+      return;
+    }
+    self->CountCall(call.request.step);
+    auto connection = self->MakeConnection();
+    self->alone_.insert(connection);
+    asio::co_spawn(*self->io_, self->Perform(std::move(connection), call),
+                   asio::detached);
+  });
+}
+
+void StoreCalls::Keep(std::shared_ptr<Connection> connection) {
+  if (idle_.size() >= options_.max_connections) {
+    idle_.erase(idle_.begin());
+  }
+  idle_.push_back(std::move(connection));
+}
+
 void StoreCalls::Start(Pending call) {
   std::shared_ptr<Connection> connection;
   if (idle_.empty()) {
-    connection = std::make_shared<Connection>(io_, options_.address,
-                                              options_.max_answer_bytes);
+    connection = MakeConnection();
   } else {
     connection = std::move(idle_.back());
     idle_.pop_back();
@@ -192,12 +221,13 @@
       std::chrono::duration<double>(SteadyClock::now() - started).count());
   CountFailure(call.request.step, !IsOk(reply));
   busy_.erase(connection);
+  alone_.erase(connection);
   if (!IsOk(reply) && ErrorOf(reply).code == ErrorCode::kTimeout) {
     // What made this connection silent may have done so to all that were kept,
     // and each would cost a call its deadline.
     idle_.clear();
   }
-  idle_.push_back(std::move(connection));
+  Keep(std::move(connection));
   Pump();
   call.done(std::move(reply));
 }
@@ -285,11 +315,15 @@
   for (const auto& connection : busy_) {
     connection->Close();
   }
+  for (const auto& connection : alone_) {
+    connection->Close();
+  }
   for (const auto& watch : watches_) {
     watch->stopped = true;
     watch->connection->Close();
   }
   busy_.clear();
+  alone_.clear();
   watches_.clear();
   idle_.clear();
 }
--- a/src/store/store_calls.h
+++ b/src/store/store_calls.h
@@ -67,6 +67,12 @@
     std::shared_ptr<WatchState> watch;  ///< Set for the opening of a watch.
   };
 
+  std::shared_ptr<Connection> MakeConnection();
+  /// Makes a call beside the queue, on a connection that it opens.
+  void StartAlone(Pending call);
+  /// Keeps a connection for later calls.
+  void Keep(std::shared_ptr<Connection> connection);
+
   void Enqueue(Pending call, CallPriority priority, Duration deadline);
   void Pump();
   void ArmTimer();
@@ -94,6 +100,7 @@
   std::map<CallTicket, Pending> pending_;
   std::vector<std::shared_ptr<Connection>> idle_;
   std::set<std::shared_ptr<Connection>> busy_;
+  std::set<std::shared_ptr<Connection>> alone_;  ///< Of calls beside the queue.
   std::set<std::shared_ptr<WatchState>> watches_;
   bool stopped_ = false;
 
--- a/tests/platform/support/return_world.cc
+++ b/tests/platform/support/return_world.cc
@@ -190,6 +190,16 @@
   }
 }
 
+void PathToStore::ReadChanges(const std::string& /*prefix*/,
+                              std::uint64_t from_version,
+                              const CallOptions& options,
+                              Callback<WatchBatch> done) {
+  const bool kept_silent = kept_silent_;
+  kept_silent_ = kept_silent && !options.new_connection;
+  Poll(from_version, Duration{0}, options.deadline, std::move(done));
+  kept_silent_ = kept_silent;
+}
+
 std::unique_ptr<ObjectStore::Watch> PathToStore::StartWatch(
     const std::string& /*prefix*/, std::uint64_t from_version,
     OnWatchEvents on_events, std::function<void(const Error&)> on_end) {
--- a/tests/platform/support/return_world.h
+++ b/tests/platform/support/return_world.h
@@ -73,6 +73,9 @@
            Callback<std::optional<StoredObject>> done) override;
   void List(const std::string& prefix, const CallOptions& options,
             Callback<Listing> done) override;
+  void ReadChanges(const std::string& prefix, std::uint64_t from_version,
+                   const CallOptions& options,
+                   Callback<WatchBatch> done) override;
   void Put(const std::string& key, const std::string& value,
            ExpectedVersion expected, const CallOptions& options,
            Callback<std::uint64_t> done) override;
