Take an answer for as old as its question, and silence for nothing

What callers saw: nothing by itself; after an outage live targets could be dropped, and logs showed an age near nothing on an entry that was blind. Cause: a watch's call that had waited for half a second counted as proof that nothing had changed, also on a connection that bears nothing any more and in the moment in which a silent relay was given up; an answer counted from when it was read. Change: an answer proves how things stood when it was asked for, through a relay 0.3 s before that; a call in flight proves nothing. When the store was last heard is told apart from it. The section "while its call waits it would be told of each change" asserted the opposite and is replaced by two that are stricter; both fail on the code before, by its definition (the first required known == now, where it now requires that nothing newer than the answer is claimed). Why it works: what hangs on an age hangs on an answer.

--- a/src/store/polled_watch.cc
+++ b/src/store/polled_watch.cc
@@ -6,10 +6,8 @@
 namespace indigolead {
 namespace {
 
-/// A call in flight for longer than this has nothing to tell: the store
-/// answers at once if there is a change, and takes a quarter of a second where
-/// it is slow.
-constexpr Duration kAnswerTime = std::chrono::milliseconds(500);
+/// The answer of a relay may have been on its way there when it was asked.
+constexpr Duration kRelayLag = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -21,21 +19,13 @@
       hooks_(std::move(hooks)),
       clock_(std::move(clock)),
       run_after_(std::move(run_after)),
-      known_until_(clock_()),
       alive_(std::make_shared<bool>(true)) {
   Poll();
 }
 
 PolledWatch::~PolledWatch() { *alive_ = false; }
 
-TimePoint PolledWatch::known_until(TimePoint now) const {
-  const bool would_have_told = waiting_ && now - sent_at_ >= kAnswerTime &&
-                               !(hooks_.relayed && hooks_.relayed());
-  return would_have_told ? now : known_until_;
-}
-
 void PolledWatch::Poll() {
-  waiting_ = true;
   sent_at_ = clock_();
   hooks_.poll(version_,
               [this, alive = alive_](const Result<WatchBatch>& answer) {
@@ -47,14 +37,14 @@
 
 Duration PolledWatch::Take(const WatchBatch& batch) {
   version_ = std::max(version_, batch.version);
-  known_until_ = clock_();
+  known_until_ = batch.relayed ? sent_at_ - kRelayLag : sent_at_;
+  heard_at_ = clock_();
   return batch.relayed
              ? Duration{0}
-             : pace_.RestAfter(known_until_ - sent_at_, !batch.events.empty());
+             : pace_.RestAfter(heard_at_ - sent_at_, !batch.events.empty());
 }
 
 void PolledWatch::OnAnswer(const Result<WatchBatch>& answer) {
-  waiting_ = false;
   if (!IsOk(answer)) {
     hooks_.on_end(ErrorOf(answer));
     return;
--- a/src/store/polled_watch.h
+++ b/src/store/polled_watch.h
@@ -28,9 +28,6 @@
     /// Takes the changes of one answer, in order; there is at least one.
     std::function<void(const std::vector<WatchEvent>&)> on_events;
     std::function<void(const Error&)> on_end;
-    /// Returns true if the call in flight goes through another entry, whose
-    /// silence says nothing of the store. May be empty: none does.
-    std::function<bool()> relayed;
   };
 
   /// Makes the first call.
@@ -40,7 +37,12 @@
   PolledWatch(const PolledWatch&) = delete;
   PolledWatch& operator=(const PolledWatch&) = delete;
 
-  TimePoint known_until(TimePoint now) const override;
+  /// A call without an answer proves nothing: its connection may bear nothing
+  /// any more. One that was answered tells how things stood after it was made.
+  TimePoint known_until(TimePoint /*now*/) const override {
+    return known_until_;
+  }
+  TimePoint heard_at(TimePoint /*now*/) const override { return heard_at_; }
   std::uint64_t told_version() const override { return version_; }
 
  private:
@@ -54,9 +56,9 @@
   Hooks hooks_;
   Clock clock_;
   RunAfter run_after_;
-  bool waiting_ = false;   ///< A call is in flight.
-  TimePoint sent_at_{};    ///< When the latest call was made.
-  TimePoint known_until_;  ///< By the latest answer.
+  TimePoint sent_at_{};  ///< When the latest call was made.
+  TimePoint known_until_{};
+  TimePoint heard_at_{};
   /// Callbacks may come after this object is gone.
   std::shared_ptr<bool> alive_;
 };
--- a/src/store/relayed_store.cc
+++ b/src/store/relayed_store.cc
@@ -93,7 +93,6 @@
                                   PolledWatch::PollDone done) {
     it->Poll(from, std::move(done));
   };
-  hooks.relayed = [it = polls.get()] { return it->relayed(); };
   hooks.on_events = std::move(on_events);
   hooks.on_end = std::move(on_end);
   return std::make_unique<RelayedWatch>(std::move(polls), from_version,
--- a/tests/shell/watch_fleet_test.cc
+++ b/tests/shell/watch_fleet_test.cc
@@ -133,9 +133,19 @@
   Timeline& timeline = fleet.timeline;
   const PolledWatch& watch = *fleet.watches.front();
 
-  SECTION("while its call waits it would be told of each change") {
+  SECTION("nor while its call waits, whose connection may bear nothing") {
     timeline.RunFor(seconds(1));
-    CHECK(watch.known_until(timeline.now) == timeline.now);
+    const TimePoint heard = watch.heard_at(timeline.now);
+    const TimePoint known = watch.known_until(timeline.now);
+    timeline.RunFor(milliseconds(600));
+    REQUIRE(watch.heard_at(timeline.now) == heard);
+    CHECK(watch.known_until(timeline.now) == known);
+    CHECK(known < timeline.now - milliseconds(600));
+  }
+  SECTION("an answer proves what was when it was asked for") {
+    timeline.RunFor(2 * kWait);
+    const TimePoint heard = watch.heard_at(timeline.now);
+    CHECK(heard - watch.known_until(timeline.now) >= kWait);
   }
   SECTION("in a swarm it knows until its latest answer") {
     fleet.Swarm(20, seconds(10));
