Decide on absence by a question at the end of a fixed time

Cause: absence counted 2.3 s after the entry's first answer, and then only by the next answer of a watch that rests up to 1 s or by half a second of silence, taken over by the next tick. How long the store was away was guessed by a constant that is longer than an outage where the bounds are 4 s, so that each lost call began the 2.3 s anew. Change: the time for which live targets come back is the platform's two seconds; at its end the store is asked at once, beside the watch, again at each step of the pause until it is answered, and only an answer to a question asked then decides. The time away counts from when the store was last heard. Two tests of the directory state the 2.3 s that they were written for; their checks stay. Ruled out by the trace: a target that the list showed as leaving (told at once), placing and writing (1 to 4 ms).

--- a/src/core/membership/target_directory.cc
+++ b/src/core/membership/target_directory.cc
@@ -79,9 +79,9 @@
   return changes;
 }
 
-void TargetDirectory::OnStoreLost(TimePoint now) {
+void TargetDirectory::OnStoreLost(TimePoint heard_at) {
   if (!std::exchange(store_lost_, true)) {
-    lost_at_ = now;
+    lost_at_ = heard_at;
   }
 }
 
@@ -89,10 +89,9 @@
   if (!std::exchange(store_lost_, false)) {
     return;
   }
-  const Duration away = now - lost_at_ + options_.unseen_before_lost;
   if (!followed_since_) {
     followed_since_ = now;
-  } else if (away >= options_.least_outage) {
+  } else if (now - lost_at_ >= options_.least_outage) {
     followed_since_ = now;
     ever_lost_ = true;
   }
@@ -106,14 +105,26 @@
   return !ever_lost_ || known_until - *followed_since_ >= options_.return_grace;
 }
 
+std::optional<TimePoint> TargetDirectory::AbsenceDue() const {
+  const bool hangs_on_return =
+      undecided() && !store_lost_ && followed_since_ && ever_lost_;
+  return hangs_on_return
+             ? std::optional(*followed_since_ + options_.return_grace)
+             : std::nullopt;
+}
+
 std::vector<TargetChange> TargetDirectory::Tick(TimePoint now) {
   std::vector<TargetChange> changes;
   const bool counts = AbsenceCounts(now);
+  undecided_.clear();
   for (auto it = targets_.begin(); it != targets_.end();) {
     Entry& entry = it->second;
     if (entry.missing_since && counts) {
       Leave(&entry, &changes);
     }
+    if (entry.missing_since && !entry.told_leaving) {
+      undecided_.insert(it->first);
+    }
     if (entry.missing_since && entry.told_leaving &&
         now - *entry.missing_since >= options_.forget_after) {
       changes.push_back({TargetChange::Kind::kRemoved, entry.record});
--- a/src/core/membership/target_directory.h
+++ b/src/core/membership/target_directory.h
@@ -2,11 +2,13 @@
 #define INDIGOLEAD_CORE_MEMBERSHIP_TARGET_DIRECTORY_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "core/base/time.h"
@@ -65,8 +67,10 @@
 /// whose heartbeats it could not take, and they register again within moments.
 /// To believe such a list at once would leave no target for that time; so
 /// absence counts only once the list is known as it was `return_grace` after
-/// the store's return. A loss that is over sooner than targets can be dropped,
-/// such as a single call without an answer, changes nothing.
+/// the store's return; whoever owns this asks for the list then, see
+/// `AbsenceDue`. Until then a target off the list may have left, and others go
+/// first. A loss that is over sooner than targets can be dropped, such as a
+/// single call without an answer, changes nothing.
 ///
 /// What a target says itself is newer than any list: one that has said that it
 /// leaves gets no new work of this entry in this run, whatever lists say later.
@@ -74,12 +78,9 @@
  public:
   struct Options {
     /// Within this time of the store's return live targets are listed again.
-    /// The platform says about two seconds; the rest is the list's own lag.
-    Duration return_grace = std::chrono::milliseconds(2300);
+    Duration return_grace = std::chrono::milliseconds(2000);
     /// A store that was away for less drops no live target.
     Duration least_outage{0};
-    /// Longest time for which the store may have been away before it is lost.
-    Duration unseen_before_lost{0};
     /// A target off the list is forgotten after this: longer than any request.
     Duration forget_after = std::chrono::seconds(60);
     std::size_t max_targets = 8192;
@@ -92,17 +93,37 @@
                                      TimePoint now);
   /// The target has said that it leaves. Returns what changed.
   std::vector<TargetChange> OnLeavingTold(const std::string& id);
-  /// The store cannot be followed, or can be again.
-  void OnStoreLost(TimePoint now);
+  /// The store cannot be followed; it was last heard at `heard_at`.
+  void OnStoreLost(TimePoint heard_at);
+  /// The store can be followed again.
   void OnStoreFollowed(TimePoint now);
-  /// Every change until `known_until` is in the list taken last. The store's
-  /// watch rests between two calls; a target that came back during a rest looks
-  /// missing until the next. Unless this is called, changes come at once.
+  /// Every change until `known_until` is in the list taken last, as an answer
+  /// of the store proves it. The store's watch rests between two calls; a
+  /// target that came back during a rest looks missing until the next. Unless
+  /// this is called, changes come at once.
   void OnKnownUntil(TimePoint known_until) { known_until_ = known_until; }
   /// Returns how old the list taken last is; zero where its age is not told.
   Duration Age(TimePoint now) const {
     return now - std::min(known_until_.value_or(now), now);
   }
+  /// Returns when absence begins to count for targets that are missing now;
+  /// nothing if that does not hang on the store's return. An answer to a
+  /// question that was asked then decides, and none before.
+  std::optional<TimePoint> AbsenceDue() const;
+  /// Returns true while a target that may get work is off the list.
+  bool undecided() const { return !undecided_.empty(); }
+  /// Returns true if the target is off the list and may be alive all the same.
+  bool MayHaveLeft(const std::string& id) const {
+    return undecided_.count(id) > 0;
+  }
+  /// Returns true if so many of the targets in question may have left at once.
+  ///
+  /// The failure: the store was away and dropped most targets, which are alive.
+  /// The symptom: all work goes to the few that are listed, which refuse it.
+  /// With no more than a quarter missing the others can carry their work.
+  static bool MayHaveLeftTogether(std::size_t missing, std::size_t of) {
+    return 4 * missing <= of;
+  }
   /// Returns the changes that time alone brings. Call several times a second.
   std::vector<TargetChange> Tick(TimePoint now);
 
@@ -130,6 +151,8 @@
   std::optional<TimePoint> followed_since_;
   std::optional<TimePoint> known_until_;
   bool ever_lost_ = false;
+  /// Targets that are off the list and may get work.
+  std::unordered_set<std::string> undecided_;
 };
 
 }  // namespace indigolead
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -246,7 +246,9 @@
   Apply(directory_.OnListed(listed, clock_()));
 }
 
-void DirectDispatcher::OnStoreLost() { directory_.OnStoreLost(clock_()); }
+void DirectDispatcher::OnStoreLost(TimePoint heard_at) {
+  directory_.OnStoreLost(heard_at);
+}
 
 void DirectDispatcher::OnStoreFollowed() {
   directory_.OnStoreFollowed(clock_());
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -93,8 +93,12 @@
   /// Takes over newer routes; older ones are ignored. Returns true if taken.
   bool OnRoutes(RouteConfiguration routes);
   void OnTargets(const std::vector<TargetRecord>& listed);
-  void OnStoreLost();
+  void OnStoreLost(TimePoint heard_at);
   void OnStoreFollowed();
+  /// As `TargetDirectory::AbsenceDue`.
+  std::optional<TimePoint> AbsenceDue() const {
+    return directory_.AbsenceDue();
+  }
   /// Every change of the targets until `known_until` has been told.
   void OnTargetsKnownUntil(TimePoint known_until) {
     directory_.OnKnownUntil(known_until);
--- a/src/entry/target_follower.cc
+++ b/src/entry/target_follower.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "entry/events.h"
+#include "observe/event_fields.h"
 
 namespace indigolead {
 
@@ -10,6 +11,7 @@
                                Hooks hooks, Clock clock, RunAfter run_after,
                                EventLog log)
     : hooks_(std::move(hooks)),
+      clock_(clock),
       log_(log),
       watcher_(store, std::move(options), WatcherHooks(), std::move(clock),
                std::move(run_after), std::move(log)) {}
@@ -25,9 +27,11 @@
   hooks.on_part = [this](const ListWatcher::State& state) { OnListed(state); };
   hooks.on_error = [this](const Error& error) {
     if (std::exchange(following_, false)) {
-      log_(kStoreLost, {{"error", ToString(error)}});
+      log_(kStoreLost,
+           {{"error", ToString(error)},
+            {"silent_ms", Milliseconds(clock_() - watcher_.heard_at())}});
     }
-    hooks_.on_lost();
+    hooks_.on_lost(watcher_.heard_at());
   };
   hooks.jitter = hooks_.jitter;
   return hooks;
@@ -52,6 +56,10 @@
   if (watcher_.following() && !following_) {
     NoteFollowed();
   }
+  const auto due = hooks_.asks_at();
+  if (due && clock_() >= *due && watcher_.fresh_at() < *due) {
+    watcher_.Ask();
+  }
   hooks_.on_known_until(watcher_.fresh_at());
 }
 
--- a/src/entry/target_follower.h
+++ b/src/entry/target_follower.h
@@ -2,6 +2,7 @@
 #define INDIGOLEAD_ENTRY_TARGET_FOLLOWER_H_
 
 #include <functional>
+#include <optional>
 
 #include "core/base/time.h"
 #include "observe/event_log.h"
@@ -20,11 +21,15 @@
   struct Hooks {
     /// The list, whole or, while the first one is read, a part of it.
     std::function<void(const ListWatcher::State&)> on_listed;
-    /// The store cannot be followed, or can be again. Each may come repeatedly.
-    std::function<void()> on_lost;
+    /// The store cannot be followed; it was last heard at `heard_at`.
+    std::function<void(TimePoint heard_at)> on_lost;
+    /// The store can be followed again. May come repeatedly.
     std::function<void()> on_followed;
     /// Every change until then is in the list told last.
     std::function<void(TimePoint known_until)> on_known_until;
+    /// Returns when something begins to depend on how the list stands then;
+    /// nothing if nothing does. The store is asked at that time.
+    std::function<std::optional<TimePoint>()> asks_at;
     /// Returns a number in [0, 1) that spreads the tries to reach the store.
     std::function<double()> jitter;
   };
@@ -51,6 +56,7 @@
   void NoteFollowed();
 
   Hooks hooks_;
+  Clock clock_;
   EventLog log_;
   bool listed_ = false;
   bool following_ = false;
--- a/tests/core/membership/target_directory_test.cc
+++ b/tests/core/membership/target_directory_test.cc
@@ -106,14 +106,14 @@
 TEST_CASE(
     "A store that was lost for a moment does not keep targets that left") {
   TargetDirectory::Options options;
-  options.unseen_before_lost = milliseconds(1750);
+  options.return_grace = milliseconds(2300);
   options.least_outage = milliseconds(2400);
   TargetDirectory directory{options};
   TimePoint now{seconds(100)};
   directory.OnStoreFollowed(now);
   directory.OnListed({Target("a"), Target("b")}, now);
   now += seconds(20);
-  directory.OnStoreLost(now);
+  directory.OnStoreLost(/*heard_at=*/now - milliseconds(1750));
 
   SECTION("absence counts at once after a moment") {
     now += milliseconds(160);
@@ -139,7 +139,9 @@
 // targets' heartbeats and dropped them all; its first list after the return is
 // empty, and the targets register again within two seconds.
 TEST_CASE("A store that was away does not take the targets with it") {
-  TargetDirectory directory{TargetDirectory::Options{}};
+  TargetDirectory::Options options;
+  options.return_grace = milliseconds(2300);
+  TargetDirectory directory{options};
   TimePoint now{seconds(100)};
   directory.OnStoreFollowed(now);
   directory.OnListed({Target("a"), Target("b")}, now);
@@ -186,6 +188,31 @@
     CHECK(KindsOf(directory.OnListed({Target("a", true)}, now)) ==
           std::vector<Kind>{Kind::kUpdated, Kind::kLeaving});
   }
+  SECTION("an answer that was asked for before the end decides nothing") {
+    REQUIRE(directory.AbsenceDue() == now + milliseconds(2300));
+    directory.OnKnownUntil(now + milliseconds(2299));
+    CHECK(directory.Tick(now + seconds(4)).empty());
+    directory.OnKnownUntil(*directory.AbsenceDue());
+    CHECK(directory.Tick(now + seconds(4)).size() == 2);
+    CHECK_FALSE(directory.AbsenceDue());
+  }
+  SECTION("until it is decided others go before those that are missing") {
+    directory.OnListed({Target("b")}, now);
+    CHECK(directory.undecided());
+    CHECK(directory.MayHaveLeft("a"));
+    CHECK_FALSE(directory.MayHaveLeft("b"));
+    directory.OnListed({Target("a"), Target("b")}, now);
+    CHECK_FALSE(directory.undecided());
+  }
+}
+
+/// Guards against callers that are refused after an outage of the store, which
+/// dropped most targets: the few that are listed cannot carry the work of all.
+TEST_CASE("Most targets do not leave together") {
+  CHECK(TargetDirectory::MayHaveLeftTogether(0, 0));
+  CHECK(TargetDirectory::MayHaveLeftTogether(1, 4));
+  CHECK_FALSE(TargetDirectory::MayHaveLeftTogether(2, 4));
+  CHECK_FALSE(TargetDirectory::MayHaveLeftTogether(3, 4));
 }
 
 /// Guards against new work for a target that was taken off the list while the
--- a/tests/platform/support/return_world.cc
+++ b/tests/platform/support/return_world.cc
@@ -268,11 +268,14 @@
     }
     Apply(directory_.OnListed(listed, timeline_->now));
   };
-  hooks.on_lost = [this] { directory_.OnStoreLost(timeline_->now); };
+  hooks.on_lost = [this](TimePoint heard_at) {
+    directory_.OnStoreLost(heard_at);
+  };
   hooks.on_followed = [this] { directory_.OnStoreFollowed(timeline_->now); };
   hooks.on_known_until = [this](TimePoint known_until) {
     directory_.OnKnownUntil(known_until);
   };
+  hooks.asks_at = [this] { return directory_.AbsenceDue(); };
   hooks.jitter = std::move(jitter);
   return hooks;
 }
--- a/tests/support/direct_world/entries.cc
+++ b/tests/support/direct_world/entries.cc
@@ -134,7 +134,7 @@
 void World::TellTargets(int number) {
   Entry& entry = entries_[number];
   if (store_down_) {
-    entry.dispatcher->OnStoreLost();
+    entry.dispatcher->OnStoreLost(time_.now());
     return;
   }
   std::vector<TargetRecord> listed;
