--- /dev/null
+++ b/tests/platform/change_waits_test.cc
@@ -0,0 +1,59 @@
+#include <catch2/catch.hpp>
+
+#include "platform/documents.h"
+#include "platform/entry_options.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+platform::PlatformSettings SettingsOf(Duration leaving, Duration contact) {
+  platform::PlatformSettings settings;
+  settings.store_address = "127.0.0.1:1";
+  settings.leaving_bound = leaving;
+  settings.configuration_bound = leaving;
+  settings.contact_time = contact;
+  return settings;
+}
+
+/// Guards against a wait between a change and its use that grows, or is added,
+/// and is in no sum.
+TEST_CASE("The waits that an entry uses add up to the operator's bounds") {
+  const Duration leaving = GENERATE(seconds(2), seconds(3), seconds(4));
+  const Duration contact = leaving + seconds(1);
+  const auto settings = SettingsOf(leaving, contact);
+  const auto store = platform::StoreOptions(settings);
+  const auto watch = platform::WatchOptions(settings, platform::kTargetsPrefix);
+  const auto directory = platform::DispatcherOptions(settings).directory;
+  const auto relayed = platform::RelayedStoreOptions(settings);
+  const auto relay = platform::RelayOptions(settings);
+  // A store that is well, a thread that is late, and the way to a target.
+  constexpr Duration kAnswer = milliseconds(100);
+  constexpr Duration kUse = milliseconds(150);
+
+  SECTION("a change while the store is followed") {
+    CHECK(store.watch_pace.most_gap + kAnswer + kUse <= leaving);
+    CHECK(relay.feed.least_gap + relayed.answer_within + kAnswer + kUse <=
+          leaving);
+  }
+  SECTION("one call that is lost drops no target") {
+    const Duration lost = store.watch_pace.most_gap + store.watch_wait +
+                          store.watch_slack + watch.min_backoff + kAnswer;
+    CHECK(lost < directory.least_outage);
+    CHECK(lost + kUse <= contact);
+    const Duration relay_lost =
+        relayed.answer_within + store.answer_within + kAnswer;
+    CHECK(relay_lost < directory.least_outage);
+    CHECK(relay_lost + kUse <= contact);
+  }
+  SECTION("a store that comes back") {
+    CHECK(watch.max_backoff + kAnswer + directory.return_grace + kAnswer +
+              kUse <=
+          contact);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead::testing
