Say in the interface of lists when a try lists, and name the tries plainly

The page of ListWatcher said that it lists only if the store has not kept the changes, while each second try does. Names of two members; no change of logic. The tests of the store's return and of lists pass; the whole unit tests run again on it.

--- a/src/store/list_watcher.cc
+++ b/src/store/list_watcher.cc
@@ -207,9 +207,9 @@
 
 // While nothing follows the store there is always one next try.
 void ListWatcher::TryLater() {
-  const std::uint64_t number = ++try_;
+  const std::uint64_t number = ++next_try_;
   run_after_(NextDelay(), [this, alive = alive_, number] {
-    if (*alive && number == try_ && !watch_) {
+    if (*alive && number == next_try_ && !watch_) {
       Try();
     }
   });
@@ -218,7 +218,7 @@
 void ListWatcher::Try() {
   TryLater();  // Whatever becomes of this one.
   // A store may answer lists and be silent to whoever asks for changes.
-  const bool lists = !listed_ || ++changes_tried_ % 2 == 0;
+  const bool lists = !listed_ || ++tries_ % 2 == 0;
   if (lists && !listing_) {
     List();
   } else if (listed_) {
--- a/src/store/list_watcher.h
+++ b/src/store/list_watcher.h
@@ -19,12 +19,13 @@
 ///
 /// Lists, then watches from the version listed. When the watch breaks or falls
 /// silent it asks for what has changed since, after a growing delay with jitter
-/// so that a fleet does not come back to a recovering store all at once, and
-/// lists again only if the store has not kept that. Each try opens a connection
-/// and waits for none before it: a try that was sent right before the store
-/// could be reached again would cost its whole deadline. A stale read must not
-/// take configuration back, so a listing older than what is held is dropped
-/// and the watch goes on from the version held.
+/// so that a fleet does not come back to a recovering store all at once. It
+/// lists again with each second try, since a store may answer lists and be
+/// silent to whoever asks for changes, and if the store has not kept these.
+/// Each try opens a connection and waits for none before it: one that was sent
+/// right before the store could be reached again would cost its whole deadline.
+/// A stale read must not take configuration back, so a listing older than what
+/// is held is dropped and the watch goes on from the version held.
 ///
 /// Runs on the thread of its store.
 class ListWatcher {
@@ -129,11 +130,11 @@
   TimePoint known_until_{};  ///< By lists, tries and questions.
   TimePoint heard_at_{};     ///< As above.
   TimePoint watch_started_{};
-  std::uint64_t try_ = 0;  ///< Number of the try that is due next.
+  std::uint64_t next_try_ = 0;  ///< Number of the try that is due next.
   bool listing_ = false;
-  std::uint32_t changes_tried_ = 0;  ///< Tries since the first list.
-  TimePoint asked_at_{};             ///< Of the latest question.
-  TimePoint listed_from_{};          ///< When the list in flight was asked for.
+  std::uint32_t tries_ = 0;  ///< Since the first list.
+  TimePoint asked_at_{};     ///< Of the latest question.
+  TimePoint listed_from_{};  ///< When the list in flight was asked for.
   std::unique_ptr<ObjectStore::Watch> watch_;
   std::shared_ptr<bool> alive_;
 };
