Look for the entry that is longest behind in one place

The two figures of a fleet of watches, when it was heard and what it can prove, were computed by the same lines twice. No check changed; the three tests that use them pass.

--- a/tests/shell/watch_relay_fleet_test.cc
+++ b/tests/shell/watch_relay_fleet_test.cc
@@ -104,27 +104,13 @@
 
   /// Returns for how long an entry without trouble has heard nothing at most.
   Duration LongestUnheard() const {
-    Duration longest{0};
-    for (const auto& it : nodes_) {
-      if (it->trouble == Trouble::kNone) {
-        longest = std::max<Duration>(
-            longest, timeline.now - it->watch->heard_at(timeline.now));
-      }
-    }
-    return longest;
+    return LongestSince(&ObjectStore::Watch::heard_at);
   }
 
   /// Returns how old the oldest knowledge is, as the entries without trouble
   /// can prove it.
   Duration OldestKnowledge() const {
-    Duration oldest{0};
-    for (const auto& it : nodes_) {
-      if (it->trouble == Trouble::kNone) {
-        oldest = std::max<Duration>(
-            oldest, timeline.now - it->watch->known_until(timeline.now));
-      }
-    }
-    return oldest;
+    return LongestSince(&ObjectStore::Watch::known_until);
   }
 
   Timeline timeline;
@@ -145,6 +131,19 @@
     std::size_t asked = 0;                       ///< The entry asked last.
   };
 
+  using TimeOfWatch = TimePoint (ObjectStore::Watch::*)(TimePoint now) const;
+
+  Duration LongestSince(TimeOfWatch time) const {
+    Duration longest{0};
+    for (const auto& it : nodes_) {
+      if (it->trouble == Trouble::kNone) {
+        const TimePoint since = (it->watch.get()->*time)(timeline.now);
+        longest = std::max<Duration>(longest, timeline.now - since);
+      }
+    }
+    return longest;
+  }
+
   static std::string NameOf(std::size_t entry) {
     return "entry-" + std::to_string(entry);
   }
