Log the software version of targets and what a request continues

The logs could not tell whether an entry continued its own broken stream, took up a caller's, or went by an outdated version, since no line named a version, the event to go on after, or the request that began the stream.

target-changed, request-placed and runner-chosen now have software=, and request-placed has resumes= and after_event=.

--- a/src/core/membership/target_directory.h
+++ b/src/core/membership/target_directory.h
@@ -35,6 +35,8 @@
   std::uint32_t slots = 1;
   bool leaving = false;
   EngineRole role = EngineRole::kMixed;
+  /// Version of its software, not of the weights that it serves.
+  std::string software_version = {};
   std::optional<TargetRun> run = std::nullopt;  ///< Unset if not reported.
   /// Requests per second that it accepts from all entries together, as reported
   /// by the entry that learned it from the target; unset if there is no limit.
--- a/src/core/request/request_types.h
+++ b/src/core/request/request_types.h
@@ -57,6 +57,10 @@
   std::string caller_id;    ///< Request id set by the caller; for logs.
   std::string route;        ///< Name of its route; empty if there is none.
   bool may_resume = false;  ///< A broken stream may resume elsewhere.
+  /// Caller's id of the request that delivered the first event of the stream
+  /// that this one continues; empty for a new stream.
+  std::string resumes;
+  std::string after_event;  ///< Last event that the caller has; may be empty.
   std::vector<PromptPart> prompt_parts;  ///< In order; empty if unknown.
   TimePoint received_at;
 
@@ -78,6 +82,7 @@
   std::string failure_domain;
   std::string region;
   std::string deployment;
+  std::string software_version = {};  ///< Of the target; empty if unknown.
   bool is_engine = false;
   std::string role;
   std::vector<std::string> models;  ///< Loaded models, as name@version.
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -286,7 +286,8 @@
           {"service", it.target.service},
           {"address", it.target.address},
           {"failure_domain", it.target.failure_domain},
-          {"role", std::to_string(static_cast<int>(it.target.role))}});
+          {"role", std::to_string(static_cast<int>(it.target.role))},
+          {"software", it.target.software_version}});
     transport_.OnTarget(it);
     UpdateAddress(it);
     NoteLeaving(it);
@@ -365,6 +366,9 @@
         {"route", request.route},
         {"account", request.client_account},
         {"target", side.instance},
+        {"software", side.software_version},
+        {"resumes", request.resumes},
+        {"after_event", request.after_event},
         {"prefill", prefill},
         {"work", work},
         {"attempt", std::to_string(number)},
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -156,6 +156,8 @@
                             TimePoint now);
   std::optional<std::string> ChooseDecodeTarget(const AttemptId& id,
                                                 const CallerRequest& request);
+  /// Returns the software version of a target; empty if it is not known.
+  std::string SoftwareVersionOf(const std::string& instance) const;
   RouteResult RouteToService(const std::string& service,
                              const std::vector<Candidate>& candidates,
                              TimePoint now) const;
--- a/src/entry/direct_dispatcher_route.cc
+++ b/src/entry/direct_dispatcher_route.cc
@@ -58,6 +58,7 @@
   log_(kRunnerChosen,
        {{"request", request.caller_id},
         {"target", decode_target.value_or("none")},
+        {"software", decode_target ? SoftwareVersionOf(*decode_target) : ""},
         {"after_ms", FormatMilliseconds(clock_() - request.received_at)}});
   if (decode_target) {
     limits_.OnSent(LimitKeyOf(*decode_target), clock_());
@@ -69,6 +70,12 @@
   return decode_target;
 }
 
+std::string DirectDispatcher::SoftwareVersionOf(
+    const std::string& instance) const {
+  const TargetRecord* target = directory_.Find(instance);
+  return target ? target->software_version : "";
+}
+
 std::vector<PlacementEngine> DirectDispatcher::EnginesOf(
     const std::string& service, const std::vector<Candidate>& candidates,
     TimePoint now) const {
--- a/src/entry/direct_transport.cc
+++ b/src/entry/direct_transport.cc
@@ -70,6 +70,7 @@
   info.incarnation = Incarnation{{hash, hash}};
   info.failure_domain = record.failure_domain;
   info.deployment = record.service;
+  info.software_version = record.software_version;
   info.role = RoleName(record.role);
   return info;
 }
