--- /dev/null
+++ b/tests/platform/software_versions_process_test.cc
@@ -0,0 +1,208 @@
+// Tests of entry processes in front of engines that run two versions of their
+// software. What two versions write does not fit together, so a stream may go
+// on only at an engine of the version that began it.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/support/platform_scene.h"
+#include "tests/support/raw_client.h"
+
+namespace indigolead::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The events that are left of a stream after its second one.
+const char kRest[] = "id: 3\ndata: token3\n\nid: 4\ndata: token4\n\n";
+const char kSecondEvent[] = "token2\n\n";
+constexpr int kStreams = 24;
+
+/// Two entries, and engines of which those in each stage run "v1" and "v2" by
+/// turns.
+class TwoVersions {
+ public:
+  TwoVersions() : scene({.retry_slack = 2000}) {
+    scene.AddEntry("front-2");
+    REQUIRE(WaitUntil([this] { return scene.AllReady(); }));
+    REQUIRE(WaitUntil([this] { return scene.EnginesInStage("prefill") == 3; }));
+    scene.RegisterStages();
+    std::map<std::string, int> in_stage;
+    for (ModelWorker& it : scene.workers) {
+      it.SetSoftwareVersion(in_stage[it.stage()]++ % 2 == 0 ? "v1" : "v2");
+    }
+    scene.RegisterStages();
+    std::this_thread::sleep_for(kChangeKnownWithin);
+  }
+
+  /// Returns the software versions of the engines that sent events to one of
+  /// these requests.
+  std::set<std::string> VersionsOf(const std::vector<std::string>& ids) {
+    std::set<std::string> versions;
+    for (ModelWorker& it : scene.workers) {
+      const bool sent = std::any_of(
+          ids.begin(), ids.end(),
+          [&it](const std::string& id) { return it.sent_events(id); });
+      if (sent) {
+        versions.insert(it.software_version());
+      }
+    }
+    return versions;
+  }
+
+  const std::string& other_entry() const {
+    return scene.further.front().callers_address;
+  }
+
+  PlatformScene scene;
+
+ private:
+  /// Bound within which every entry knows a change in the store.
+  static constexpr milliseconds kChangeKnownWithin{2000};
+};
+
+/// A caller that reads a stream up to its second event.
+class BrokenOffStream {
+ public:
+  BrokenOffStream(const std::string& entry, std::string id)
+      : id_(std::move(id)), client_(entry) {
+    client_.Write(
+        "POST /resume/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+        "X-Request-Id: " +
+        id_ +
+        "\r\nX-Deadline-Ms: 4000\r\nX-Token-Usage: 100,4\r\n"
+        "X-Prefix-Hash: 5c:80,91:20\r\nContent-Length: 6\r\n\r\n"
+        "prices");
+  }
+  /// Returns true if the stream began.
+  bool ReadSecondEvent() {
+    return client_.ReadUntil(kSecondEvent).find(kSecondEvent) !=
+           std::string::npos;
+  }
+  void Close() { client_.Close(); }
+  const std::string& id() const { return id_; }
+
+ private:
+  std::string id_;
+  RawClient client_;
+};
+
+/// What became of streams that callers took up again.
+struct TakenUp {
+  int whole = 0;
+  int refused = 0;  ///< 503: not run.
+  int mixed = 0;    ///< Events of two software versions.
+};
+
+/// Takes up `begun` at the entry `address`.
+TakenUp TakeUp(TwoVersions* fleet, const std::string& address,
+               const std::deque<BrokenOffStream>& begun) {
+  TakenUp taken_up;
+  for (const BrokenOffStream& it : begun) {
+    const std::string next_id = it.id() + "-again";
+    const HttpAnswer answer = PlatformScene::ResumeAt(
+        address, "/resume/1", next_id, it.id(), /*after_event=*/2);
+    taken_up.whole += answer.status == 200 && answer.body == kRest ? 1 : 0;
+    taken_up.refused += answer.status == 503 ? 1 : 0;
+    taken_up.mixed += fleet->VersionsOf({it.id(), next_id}).size() > 1 ? 1 : 0;
+  }
+  return taken_up;
+}
+
+/// Guards against an entry that continues a broken stream at any engine.
+TEST_CASE("A stream that breaks goes on at its software version",
+          "[versions]") {
+  TwoVersions fleet;
+  constexpr int kBroken = 8;
+  int mixed = 0;
+  int whole = 0;
+  for (int n = 0; n < kBroken; ++n) {
+    fleet.scene.SetBehaviour(ModelWorker::Behaviour::kHealthy);
+    fleet.scene.EarnRetryBudget();
+    fleet.scene.SetBehaviour(ModelWorker::Behaviour::kBreaksMidway);
+    const std::string id = "s" + std::to_string(n);
+    const HttpAnswer answer = fleet.scene.Send("POST", "/resume/1", id);
+    whole += answer.status == 200 ? 1 : 0;
+    mixed += fleet.VersionsOf({id}).size() > 1 ? 1 : 0;
+  }
+  CHECK(mixed == 0);
+  CHECK(whole >= kBroken / 2);
+}
+
+/// Guards against an entry that takes up a caller's stream as a new request.
+TEST_CASE("A stream taken up by its caller goes on at its software version",
+          "[versions]") {
+  TwoVersions fleet;
+  for (ModelWorker& it : fleet.scene.workers) {
+    it.SetEventGap(milliseconds(30));
+  }
+  std::deque<BrokenOffStream> begun;
+  const auto begin = [&](int n) {
+    begun.emplace_back(fleet.scene.callers_address, "s" + std::to_string(n));
+    REQUIRE(begun.back().ReadSecondEvent());
+  };
+  TakenUp taken_up;
+  SECTION("at another entry") {
+    for (int n = 0; n < kStreams; ++n) {
+      begin(n);
+      begun.back().Close();
+    }
+    taken_up = TakeUp(&fleet, fleet.other_entry(), begun);
+  }
+  SECTION("at the entry that began it") {
+    for (int n = 0; n < kStreams; ++n) {
+      begin(n);
+      begun.back().Close();
+    }
+    taken_up = TakeUp(&fleet, fleet.scene.callers_address, begun);
+  }
+  SECTION("after the entry that began it was killed") {
+    for (int n = 0; n < kStreams; ++n) {
+      begin(n);
+    }
+    fleet.scene.entry->Kill();
+    taken_up = TakeUp(&fleet, fleet.other_entry(), begun);
+  }
+  CHECK(taken_up.mixed == 0);
+  CHECK(taken_up.whole >= kStreams / 2);
+}
+
+/// Guards against a guess where nobody knows the version, and where no engine
+/// of the version is left.
+TEST_CASE("A stream whose software version cannot be had is refused",
+          "[versions]") {
+  TwoVersions fleet;
+  SECTION("nobody knows the request that began it") {
+    const HttpAnswer answer = PlatformScene::ResumeAt(
+        fleet.other_entry(), "/resume/1", "again", "never-seen", 2);
+    CHECK(answer.status == 503);
+    CHECK(fleet.scene.Runs("again") == 0);
+  }
+  SECTION("no engine of its version is left") {
+    BrokenOffStream begun(fleet.scene.callers_address, "s");
+    REQUIRE(begun.ReadSecondEvent());
+    begun.Close();
+    const std::string gone = *fleet.VersionsOf({"s"}).begin();
+    for (ModelWorker& it : fleet.scene.workers) {
+      if (it.software_version() == gone) {
+        it.SetSoftwareVersion("v3");
+      }
+    }
+    fleet.scene.RegisterStages();
+    std::this_thread::sleep_for(milliseconds(2000));
+    const HttpAnswer answer = PlatformScene::ResumeAt(
+        fleet.other_entry(), "/resume/1", "again", "s", 2);
+    CHECK(answer.status == 503);
+    CHECK_FALSE(answer.Header("Retry-After").empty());
+    CHECK(fleet.scene.Runs("again") == 0);
+  }
+}
+
+}  // namespace
+}  // namespace indigolead::testing
--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -31,7 +31,7 @@
   Json registration = {{"service", options_.service},
                        {"address", server_.address()},
                        {"zone", options_.failure_domain},
-                       {"version", "v1"},
+                       {"version", software_version()},
                        {"slots", 8},
                        {"state", "ready"}};
   if (options_.is_engine) {
@@ -81,6 +81,26 @@
   return n;
 }
 
+void ModelWorker::SetSoftwareVersion(std::string version) {
+  server_.Invoke([&] { options_.software_version = std::move(version); });
+}
+
+std::string ModelWorker::software_version() {
+  std::string version;
+  server_.Invoke([&] { version = options_.software_version; });
+  return version;
+}
+
+bool ModelWorker::sent_events(const std::string& request_id) {
+  bool sent = false;
+  server_.Invoke([&] { sent = sent_events_.count(request_id) > 0; });
+  return sent;
+}
+
+void ModelWorker::SetEventGap(std::chrono::milliseconds gap) {
+  server_.Invoke([&] { options_.event_gap = gap; });
+}
+
 void ModelWorker::SetBehaviour(Behaviour behaviour) {
   server_.Invoke([&] { behaviour_ = behaviour; });
 }
@@ -373,6 +393,7 @@
       break;
     }
     left -= event.size();
+    sent_events_.insert(id);
     co_await WriteBody(exchange, std::move(event));
     co_await exchange.Sleep(options_.event_gap * running_);
   }
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -31,6 +31,7 @@
     /// proportion to the number of concurrent runs.
     std::chrono::milliseconds event_gap{5};
     int slots = 8;  ///< Concurrent runs; more are refused.
+    std::string software_version = "v1";
   };
   /// How the worker handles requests to run.
   enum class Behaviour {
@@ -87,6 +88,13 @@
   const std::string& service() const { return options_.service; }
   /// Returns how many arrivals carried a caller's API key.
   int arrivals_with_key();
+  /// Sets the version of the software that the registration states.
+  void SetSoftwareVersion(std::string version);
+  std::string software_version();
+  /// Returns true if the worker sent an event to the request with this id.
+  bool sent_events(const std::string& request_id);
+  /// Sets the gap between two events of a stream that runs alone.
+  void SetEventGap(std::chrono::milliseconds gap);
   void SetBehaviour(Behaviour behaviour);
   void SetBodyEnd(BodyEnd end);
   /// Makes the worker crash with all its runs `kCrashAfter` after it starts to
@@ -151,6 +159,7 @@
   std::int64_t start_number_ = 1;  ///< Differs for each start of the process.
   int running_ = 0;
   std::map<std::string, int> runs_;
+  std::set<std::string> sent_events_;  ///< Ids of requests.
   std::map<std::string, std::vector<std::string>> accounts_;
   std::vector<Arrival> request_arrivals_;
   int arrivals_with_key_ = 0;
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -152,6 +152,21 @@
   return SendTo(callers_address, method, path, id, deadline_ms);
 }
 
+HttpAnswer PlatformScene::ResumeAt(const std::string& address,
+                                   const std::string& path,
+                                   const std::string& id,
+                                   const std::string& resumes,
+                                   int after_event) {
+  return HttpCall(address, "POST", path, "prices",
+                  {{"X-Request-Id", id},
+                   {"X-Deadline-Ms", "4000"},
+                   {"X-Token-Usage", "100,4"},
+                   {"X-Prefix-Hash", "5c:80,91:20"},
+                   {"Resumes", resumes},
+                   {"Last-Event-Id", std::to_string(after_event)}},
+                  std::chrono::seconds(10));
+}
+
 void PlatformScene::EarnRetryBudget() {
   // Each request earns 0.14 of an arrival, and a retry at an engine costs two.
   constexpr int kRequests = 16;
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -76,6 +76,11 @@
                            const std::string& id, int deadline_ms);
   HttpAnswer Send(const std::string& method, const std::string& path,
                   const std::string& id, int deadline_ms = 4000);
+  /// Sends a request that continues the stream begun by the request `resumes`
+  /// after its event `after_event`.
+  static HttpAnswer ResumeAt(const std::string& address,
+                             const std::string& path, const std::string& id,
+                             const std::string& resumes, int after_event);
   /// Sends a request with the caller's API key `key`.
   HttpAnswer SendWithKey(const std::string& key, const std::string& method,
                          const std::string& path, const std::string& id);
