Continue a broken stream only at the software version that began it

Cause: after a break RequestFlow places the rest like a new request, and no part of a placement knew the software of a target.

Why this works: the version of the target whose data goes to the caller first is the stream's from then on. The flow marks the targets of other versions for every routing policy, and refuses itself whatever a policy chooses against it, also when an attempt moves to another engine after its prefill. A prefill sends no event and may run anywhere. Where no target of the version accepts work the answer is cut at once, and a request that has delivered nothing is refused with 503, not run.

--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -43,7 +43,7 @@
                              TimePoint /*now*/) {
   const Candidate* best = nullptr;
   for (const Candidate& it : candidates) {
-    if (it.tried || !HoldsModel(*it.side, request.model)) {
+    if (it.tried || it.other_software || !HoldsModel(*it.side, request.model)) {
       continue;
     }
     if (best == nullptr || it.outstanding < best->outstanding) {
@@ -88,6 +88,9 @@
   }
   Request& it = requests_[id];
   it.request = std::move(request);
+  if (it.request->origin) {
+    it.stream_software = it.request->origin->software_version;
+  }
   if (hooks_.check_quarantine) {
     if (auto refusal = hooks_.check_quarantine(*it.request, now)) {
       Refuse(it, std::move(*refusal), now);
@@ -155,6 +158,27 @@
   Route(it, now);
 }
 
+bool RequestFlow::MayAnswer(const Request& it, const SideInfo& side) {
+  return it.stream_software.empty() ||
+         it.stream_software == side.software_version;
+}
+
+std::vector<Candidate> RequestFlow::CandidatesOf(
+    const Request& it, const std::vector<std::string>& tried) const {
+  std::vector<Candidate> candidates =
+      sides_.CandidatesFor(it.request->deployment, tried);
+  for (Candidate& candidate : candidates) {
+    candidate.other_software = !MayAnswer(it, *candidate.side);
+  }
+  return candidates;
+}
+
+std::vector<Candidate> RequestFlow::CandidatesFor(const RequestId& id) const {
+  const auto it = requests_.find(id);
+  return it == requests_.end() ? std::vector<Candidate>()
+                               : CandidatesOf(it->second, {});
+}
+
 void RequestFlow::Route(Request& it, TimePoint now) {
   it.stage = Stage::kRoute;
   if (now >= it.request->deadline) {
@@ -171,15 +195,15 @@
       return;
     }
   }
-  RouteResult result = hooks_.route(
-      *it.request, sides_.CandidatesFor(it.request->deployment, it.tried), now);
+  RouteResult result =
+      hooks_.route(*it.request, CandidatesOf(it, it.tried), now);
   if (auto* refusal = std::get_if<Refusal>(&result)) {
     Refuse(it, std::move(*refusal), now);
     return;
   }
   if (const auto* to = std::get_if<RouteTo>(&result)) {
     const SideTable::Side* side = sides_.Find(to->instance);
-    if (side != nullptr && side->link) {
+    if (side != nullptr && side->link && MayAnswer(it, side->info)) {
       Start(it, *to, now);
       return;
     }
@@ -215,6 +239,7 @@
   it.stage = Stage::kRunning;
   const AttemptRef ref{id, side.info.incarnation, ++last_start_sequence_};
   it.attempt.emplace(ref, instance, options_.stream_window_bytes, now);
+  it.attempt_software = side.info.software_version;
   it.tried.push_back(instance);
   it.no_target_deadline = {};
   it.head_received = false;
@@ -245,9 +270,10 @@
     return std::nullopt;
   }
   Request& it = requests_.at(found->second);
-  if (it.attempt->started()) {
+  if (it.attempt->started() || !MayAnswer(it, to->info)) {
     return std::nullopt;
   }
+  it.attempt_software = to->info.software_version;
   if (SideTable::Side* from = sides_.Find(it.attempt->instance())) {
     from->attempts.erase(id);
   }
@@ -376,6 +402,7 @@
       return;
     }
   }
+  NoteStreamBegun(it);
   if (it.keep_answer) {
     it.keep_answer =
         it.answer.body.size() + data.size() <= options_.max_stored_answer_bytes;
@@ -390,6 +417,17 @@
   }
 }
 
+void RequestFlow::NoteStreamBegun(Request& it) {
+  if (!it.request->streamed || it.caller_gone ||
+      std::exchange(it.stream_begun, true)) {
+    return;
+  }
+  it.stream_software = it.attempt_software;
+  if (hooks_.on_stream_begun) {
+    hooks_.on_stream_begun(*it.request, it.stream_software);
+  }
+}
+
 void RequestFlow::DeliverHead(Request& it) {
   if (it.head_delivered || !it.head_received) {
     return;
@@ -401,6 +439,7 @@
   actions_.push_back(
       AnswerHead{it.request->id, it.answer.status, it.answer.headers});
   if (!it.answer.body.empty()) {
+    NoteStreamBegun(it);
     actions_.push_back(AnswerData{it.request->id, it.answer.body});
   }
   if (!it.keep_answer) {
--- a/src/core/request/request_flow.h
+++ b/src/core/request/request_flow.h
@@ -135,6 +135,10 @@
   std::function<void(const CallerRequest&, const AttemptId&,
                      const std::string& instance, AttemptOutcome, TimePoint)>
       on_attempt_end;
+  /// Called when the first part of a stream goes to the caller, with the
+  /// software version of the target that sent it.
+  std::function<void(const CallerRequest&, const std::string& software_version)>
+      on_stream_begun;
   /// Called when a target died while it ran the request.
   std::function<void(const CallerRequest&, const std::string& instance,
                      TimePoint)>
@@ -228,6 +232,10 @@
   std::optional<SideLink> MoveAttempt(const AttemptId& id,
                                       const std::string& instance);
 
+  /// Returns the targets that may get the next attempt of an open request, also
+  /// those tried before; empty if the request is not held.
+  std::vector<Candidate> CandidatesFor(const RequestId& id) const;
+
   /// Returns what the connected side of `link` reported, or null.
   const SideInfo* FindSide(SideLink link) const;
 
@@ -263,12 +271,21 @@
     TimePoint head_received_at;  ///< When the buffered head arrived.
     /// Position in a stream that may resume at another target.
     std::optional<EventCursor> cursor;
+    std::string attempt_software;  ///< Version of the current target.
+    /// Version that began the stream; empty if none has, or it is unknown.
+    std::string stream_software;
+    bool stream_begun = false;  ///< The caller has a part of it.
   };
 
   using Requests = std::unordered_map<RequestId, Request>;
 
   // Requests and frames (request_flow.cc).
   void PassAdmission(Request& it, TimePoint now);
+  std::vector<Candidate> CandidatesOf(
+      const Request& it, const std::vector<std::string>& tried) const;
+  /// Returns true if the target may send the next part of the answer.
+  static bool MayAnswer(const Request& it, const SideInfo& side);
+  void NoteStreamBegun(Request& it);
   void Route(Request& it, TimePoint now);
   void Start(Request& it, const RouteTo& to, TimePoint now);
   Request* FindAttempt(SideLink link, const AttemptId& id);
--- a/src/core/request/request_types.h
+++ b/src/core/request/request_types.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -12,6 +13,7 @@
 #include "core/base/ids.h"
 #include "core/base/run_state.h"
 #include "core/base/time.h"
+#include "core/request/stream_origin.h"
 
 namespace indigolead {
 
@@ -61,6 +63,8 @@
   /// that this one continues; empty for a new stream.
   std::string resumes;
   std::string after_event;  ///< Last event that the caller has; may be empty.
+  /// What began the stream that this request continues; unset for a new stream.
+  std::optional<StreamOrigin> origin;
   std::vector<PromptPart> prompt_parts;  ///< In order; empty if unknown.
   TimePoint received_at;
 
@@ -98,6 +102,9 @@
   const SideInfo* side = nullptr;  ///< Valid during the routing call only.
   std::uint32_t outstanding = 0;   ///< This entry's attempts in flight there.
   bool tried = false;              ///< Used by an earlier attempt.
+  /// Runs another software version than the one that began the request's
+  /// stream, so it must not send the next event. It may run a prefill.
+  bool other_software = false;
 };
 
 /// Error sent to a caller whose request gets no answer from a target.
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -61,6 +61,9 @@
     /// Plain services: extra open attempts that a target in the entry's own
     /// failure domain may have and still be preferred.
     std::uint32_t domain_attempt_margin = 2;
+    /// Retry delay told to a caller whose stream no target may continue now.
+    /// Targets that crashed are back within seconds.
+    Duration stream_retry_after = std::chrono::seconds(1);
   };
   struct Hooks {
     std::function<void(ToCallers&&)> to_callers;
--- a/src/entry/direct_dispatcher_route.cc
+++ b/src/entry/direct_dispatcher_route.cc
@@ -18,6 +18,22 @@
   return side.role == "decode" ? EngineRole::kDecode : EngineRole::kMixed;
 }
 
+/// Returns true if the target may get a part of the request's work.
+bool MayWork(const Candidate& it) {
+  return !it.other_software || RoleOf(*it.side) == EngineRole::kPrefill;
+}
+
+/// Returns true if the request continues a stream, and no target runs the
+/// software version that began it.
+bool NoneOfVersion(const std::vector<Candidate>& candidates) {
+  const auto may_answer = [](const Candidate& it) {
+    return !it.other_software && RoleOf(*it.side) != EngineRole::kPrefill;
+  };
+  const auto is_other = [](const Candidate& it) { return it.other_software; };
+  return std::any_of(candidates.begin(), candidates.end(), is_other) &&
+         std::none_of(candidates.begin(), candidates.end(), may_answer);
+}
+
 Refusal NoTarget(const std::string& service) {
   // Within seconds lost engines are replaced, or others change their role.
   return {503, RunState::kNotRun, "no_target",
@@ -37,6 +53,12 @@
   if (candidates.empty()) {
     return NoTarget(request.deployment);
   }
+  if (NoneOfVersion(candidates)) {
+    return Refusal{503, RunState::kNotRun, "no_target_of_version",
+                   "No target of " + request.deployment +
+                       " runs the software version that began the stream.",
+                   options_.stream_retry_after};
+  }
   const ServiceTraits* traits =
       routes_ ? routes_->FindService(request.deployment) : nullptr;
   if (traits && traits->engine) {
@@ -51,8 +73,7 @@
     return std::nullopt;  // The block began during the prefill.
   }
   const auto engines =
-      EnginesOf(request.deployment,
-                flow_.sides().CandidatesFor(request.deployment, {}), clock_());
+      EnginesOf(request.deployment, flow_.CandidatesFor(request.id), clock_());
   auto decode_target =
       PlacementOf(request.deployment).PlaceDecode(id, engines, clock_());
   log_(kRunnerChosen,
@@ -83,6 +104,9 @@
   std::vector<PlacementEngine> engines;
   engines.reserve(candidates.size());
   for (const Candidate& it : candidates) {
+    if (!MayWork(it)) {
+      continue;
+    }
     const std::string& instance = it.side->instance;
     engines.push_back({instance, it.side->failure_domain, RoleOf(*it.side),
                        it.tried, IsLastResort(instance, suspicions, now),
@@ -160,6 +184,9 @@
     const std::vector<Candidate>& candidates, TimePoint now) const {
   std::map<EngineRole, Duration> least;
   for (const Candidate& it : candidates) {
+    if (!MayWork(it)) {
+      continue;
+    }
     const Duration wait = WaitToSend(it.side->instance, now);
     const auto [held, added] = least.try_emplace(RoleOf(*it.side), wait);
     held->second = std::min(held->second, wait);
@@ -198,7 +225,7 @@
   const Candidate* best = nullptr;
   std::uint64_t best_cost = 0;
   for (const Candidate& it : candidates) {
-    if (!MaySendTo(it.side->instance, now)) {
+    if (it.other_software || !MaySendTo(it.side->instance, now)) {
       continue;
     }
     const bool other_domain =
--- a/tests/core/request/stream_resume_test.cc
+++ b/tests/core/request/stream_resume_test.cc
@@ -212,5 +212,107 @@
   CHECK(scene.driver.starts[1].resume_after == "1");
 }
 
+/// Returns a request for a new resumable stream.
+CallerRequest NewStream(TimePoint now) {
+  CallerRequest request;
+  request.id = RequestId{{5, 5}};
+  request.deployment = "tarifa-llm";
+  request.streamed = true;
+  request.may_resume = true;
+  request.max_attempts = 2;
+  request.deadline = now + seconds(8);
+  return request;
+}
+
+/// Guards against a stream that one software version begins and another ends.
+TEST_CASE("A stream continues only at the software version that began it") {
+  std::vector<std::string> begun_at;
+  RequestFlowHooks hooks;
+  hooks.on_stream_begun = [&](const CallerRequest&,
+                              const std::string& software_version) {
+    begun_at.push_back(software_version);
+  };
+  FlowDriver driver({}, hooks);
+  CallerRequest request = NewStream(driver.now());
+  const auto send = [&] {
+    driver.flow().OnRequest(std::make_shared<const CallerRequest>(request),
+                            driver.now());
+    driver.Collect();
+  };
+  const auto break_off = [&](std::uint64_t sequence) {
+    driver.End(driver.starts.back(), sequence, "",
+               AttemptOutcome::kTargetFailed);
+  };
+  driver.Up("oviedo-1", 1, "v1");
+
+  SECTION("within one answer") {
+    send();
+    driver.Head(driver.starts[0], /*event_stream=*/true);
+    SECTION("another target of it, if one is left") {
+      driver.Up("oviedo-2", 1, "v2");
+      const SideLink same = driver.Up("oviedo-3", 1, "v1");
+      driver.Chunk(driver.starts[0], 1, "id: 1\ndata: a\n\n");
+      CHECK(begun_at == std::vector<std::string>{"v1"});
+      break_off(2);
+      REQUIRE(driver.starts.size() == 2);
+      CHECK(driver.starts[1].link == same);
+      driver.Head(driver.starts[1], /*event_stream=*/true);
+      driver.Chunk(driver.starts[1], 1, "id: 2\ndata: b\n\n");
+      CHECK(begun_at.size() == 1);
+    }
+    SECTION("or none") {
+      driver.Up("oviedo-2", 1, "v2");
+      driver.Chunk(driver.starts[0], 1, "id: 1\ndata: a\n\n");
+      driver.Down(driver.starts[0].link);
+      driver.Pass(seconds(8));
+      CHECK(driver.starts.size() == 1);
+      REQUIRE(driver.seen(request.id).refusal);
+      CHECK_FALSE(driver.seen(request.id).whole);
+    }
+    SECTION("any target before its first event") {
+      const SideLink other = driver.Up("oviedo-2", 1, "v2");
+      break_off(1);
+      REQUIRE(driver.starts.size() == 2);
+      CHECK(driver.starts[1].link == other);
+      driver.Head(driver.starts[1], /*event_stream=*/true);
+      driver.Chunk(driver.starts[1], 1, "id: 1\ndata: a\n\n");
+      CHECK(begun_at == std::vector<std::string>{"v2"});
+    }
+  }
+  SECTION("in a later request of its caller") {
+    request.origin = StreamOrigin{"tarifa-llm", "v2"};
+    const SideLink same = driver.Up("oviedo-2", 1, "v2");
+    send();
+    REQUIRE(driver.starts.size() == 1);
+    CHECK(driver.starts[0].link == same);
+    CHECK_FALSE(
+        driver.flow().MoveAttempt(driver.starts[0].attempt, "oviedo-1"));
+    SECTION("after a refusal too") {
+      driver.flow().OnRefused(same, driver.starts[0].attempt,
+                              MakeSideRefusal("full", "no room"), driver.now());
+      driver.Pass(seconds(2));
+      for (const SendStart& it : driver.starts) {
+        CHECK(it.link == same);
+      }
+    }
+  }
+  SECTION("whatever a routing policy chooses") {
+    RequestFlowHooks wrong;
+    wrong.route = [](const CallerRequest&, const std::vector<Candidate>& all,
+                     TimePoint) -> RouteResult {
+      return RouteTo{all.front().side->instance};
+    };
+    FlowDriver misled({}, wrong);
+    misled.Up("oviedo-1", 1, "v1");
+    misled.Up("oviedo-2", 1, "v2");
+    request.origin = StreamOrigin{"tarifa-llm", "v2"};
+    misled.flow().OnRequest(std::make_shared<const CallerRequest>(request),
+                            misled.now());
+    misled.Pass(seconds(8));
+    CHECK(misled.starts.empty());
+    CHECK(misled.seen(request.id).refusal);
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/support/flow_driver.cc
+++ b/tests/support/flow_driver.cc
@@ -67,12 +67,14 @@
   }
 }
 
-SideLink FlowDriver::Up(const std::string& instance, std::uint64_t run) {
+SideLink FlowDriver::Up(const std::string& instance, std::uint64_t run,
+                        const std::string& software_version) {
   const SideLink link{next_link_++};
   SideInfo info;
   info.instance = instance;
   info.incarnation = Incarnation{Id128{run, 1}};
   info.deployment = "tarifa-llm";
+  info.software_version = software_version;
   flow_.OnSideUp(link, std::move(info), now_);
   Collect();
   return link;
--- a/tests/support/flow_driver.h
+++ b/tests/support/flow_driver.h
@@ -38,8 +38,10 @@
   /// Collects the actions decided so far.
   void Collect();
 
-  /// Connects the side `instance` in its run number `run`; returns the link.
-  SideLink Up(const std::string& instance, std::uint64_t run = 1);
+  /// Connects the side `instance` in its run number `run`, whose target runs
+  /// `software_version`; returns the link.
+  SideLink Up(const std::string& instance, std::uint64_t run = 1,
+              const std::string& software_version = "");
   void Down(SideLink link);
 
   RequestId Ask(Repeatability repeatability, bool streamed = false);
