Take up a caller's stream at the software version that began it

What callers saw: a stream begun by one request at one software version, and its rest, asked for with Last-Event-Id and Resumes at whatever entry the balancer picked, from another version (ORDER).

Cause: no entry read either header; the request was placed as a new one.

Why this works: the entry that delivers the first event shares the origin, the entry that is asked to go on finds it by the name in Resumes, and the flow then holds to it. The stream goes on at the service that began it, too, if the route still leads there; a route with several services drew one anew before. Who knows nothing refuses with 503, not run, and does not guess.

--- a/src/core/request/route_table.cc
+++ b/src/core/request/route_table.cc
@@ -80,6 +80,19 @@
   return it == configuration_.services.end() ? nullptr : &*it;
 }
 
+bool RouteTable::Allows(const std::string& route,
+                        const std::string& service) const {
+  const auto& routes = configuration_.routes;
+  const auto it = std::find_if(
+      routes.begin(), routes.end(),
+      [&route](const ServiceRoute& held) { return held.name == route; });
+  return it != routes.end() &&
+         std::any_of(it->services.begin(), it->services.end(),
+                     [&service](const WeightedService& weighted) {
+                       return weighted.service == service;
+                     });
+}
+
 const std::string& RouteTable::PickService(const ServiceRoute& route,
                                            std::uint64_t random_bits) {
   const std::uint32_t sum = std::accumulate(
--- a/src/core/request/route_table.h
+++ b/src/core/request/route_table.h
@@ -119,6 +119,9 @@
   /// Returns the traits of `service`, or null.
   const ServiceTraits* FindService(const std::string& service) const;
 
+  /// Returns true if requests of the route named `route` may go to `service`.
+  bool Allows(const std::string& route, const std::string& service) const;
+
   /// Returns the service for one request of `route`, chosen by weight.
   /// `random_bits` must be uniformly distributed.
   static const std::string& PickService(const ServiceRoute& route,
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -52,6 +52,7 @@
       transport_(io, &flow_, options_.transport, std::move(dialect),
                  TransportHooks(), clock, log),
       directory_(options_.directory),
+      software_(options_.software),
       guard_(options_.guard),
       crashes_(options_.crashes, CrashHooks(), clock, log),
       limits_(options_.limit_share, random_),
@@ -86,6 +87,13 @@
           "indigolead_calls_held_back_total",
           "Calls of any kind that were not written, since their target had "
           "asked for rest or leaves.")),
+      streams_continued_(metrics->AddCounter(
+          "indigolead_streams_continued_total",
+          "Requests to continue a stream that were forwarded.")),
+      streams_not_continued_(metrics->AddCounter(
+          "indigolead_streams_not_continued_total",
+          "Requests to continue a stream that were refused: what began it is "
+          "not known, or its service is not the route's any more.")),
       answers_ended_by_close_(metrics->AddCounter(
           "indigolead_answers_ended_by_close_total",
           "Answers of targets with neither a length nor chunks that ended with "
@@ -116,6 +124,14 @@
   hooks.on_sent = [this](const CallerRequest& request, const AttemptId& id,
                          const SideInfo& side,
                          TimePoint now) { OnSent(request, id, side, now); };
+  hooks.on_stream_begun = [this](const CallerRequest& request,
+                                 const std::string& software_version) {
+    const bool is_new = request.may_resume && !request.origin;
+    if (is_new && !software_version.empty() && hooks_.on_stream_begun) {
+      hooks_.on_stream_begun(request.caller_id,
+                             {request.deployment, software_version});
+    }
+  };
   hooks.on_attempt_end = [this](const CallerRequest& request,
                                 const AttemptId& id, const std::string&,
                                 AttemptOutcome outcome, TimePoint now) {
@@ -198,6 +214,17 @@
 
 void DirectDispatcher::OnRequest(std::shared_ptr<const CallerRequest> request) {
   open_requests_[request->id].request = request;
+  const bool continues_stream =
+      request->streamed &&
+      !(request->resumes.empty() && request->after_event.empty());
+  if (continues_stream) {
+    ContinueStream(request);
+  } else {
+    Forward(std::move(request));
+  }
+}
+
+void DirectDispatcher::Forward(std::shared_ptr<const CallerRequest> request) {
   BudgetOf(request->deployment).OnRequest(clock_());
   flow_.OnRequest(std::move(request), clock_());
   Flush();
@@ -246,14 +273,17 @@
 }
 
 void DirectDispatcher::OnTargets(const std::vector<TargetRecord>& listed) {
+  software_.OnListed(listed, clock_());
   Apply(directory_.OnListed(listed, clock_()));
 }
 
 void DirectDispatcher::OnStoreLost(TimePoint heard_at) {
+  software_.OnStoreLost();
   directory_.OnStoreLost(heard_at);
 }
 
 void DirectDispatcher::OnStoreFollowed() {
+  software_.OnStoreFollowed(clock_());
   directory_.OnStoreFollowed(clock_());
 }
 
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -14,12 +15,14 @@
 #include "core/admission/shared_rate_limits.h"
 #include "core/admission/target_cooldowns.h"
 #include "core/base/random.h"
+#include "core/membership/software_history.h"
 #include "core/membership/target_addresses.h"
 #include "core/membership/target_directory.h"
 #include "core/placement/engine_placement.h"
 #include "core/placement/failure_guard.h"
 #include "core/request/request_flow.h"
 #include "core/request/route_table.h"
+#include "core/request/stream_origins.h"
 #include "entry/account_counters.h"
 #include "entry/crash_detector.h"
 #include "entry/direct_transport.h"
@@ -42,6 +45,7 @@
     RequestFlowOptions flow;
     DirectTransport::Options transport;
     TargetDirectory::Options directory;
+    SoftwareHistory::Options software;
     EnginePlacement::Options placement;
     FailureGuard::Options guard;
     CrashDetector::Options crashes;
@@ -80,6 +84,12 @@
     /// Returns how much longer the request is blocked because targets crashed
     /// while running it; nullopt if it may run.
     std::function<std::optional<Duration>(Fingerprint)> blocked_for;
+    /// Finds what began the stream whose first event the caller's request `id`
+    /// delivered.
+    std::function<void(const std::string& id, StreamOrigins::Done)> find_origin;
+    /// The first event of a stream went to the caller of request `id`.
+    std::function<void(const std::string& id, const StreamOrigin&)>
+        on_stream_begun;
     /// A target started to run the request, or may have. Called once per
     /// request.
     std::function<void(const CallerRequest&, TimePoint)> on_run_started;
@@ -146,6 +156,24 @@
   RequestFlowHooks FlowHooks();
   CrashDetector::Hooks CrashHooks();
   DirectTransport::Hooks TransportHooks();
+  void Forward(std::shared_ptr<const CallerRequest> request);
+  /// Forwards a request that continues a stream once it is known what began the
+  /// stream, or refuses it.
+  void ContinueStream(const std::shared_ptr<const CallerRequest>& request);
+  /// What began a stream, if that is known, and how, for logs.
+  struct KnownOrigin {
+    std::optional<StreamOrigin> origin;
+    std::string_view source;
+  };
+  KnownOrigin OriginOf(const CallerRequest& request,
+                       const OriginResult& found) const;
+  void OnOrigin(const std::shared_ptr<const CallerRequest>& request,
+                const OriginResult& found);
+  /// Returns the refusal of a request that continues the stream that `origin`
+  /// began; nullopt if it may be forwarded.
+  std::optional<Refusal> RefuseContinuation(
+      const CallerRequest& request,
+      const std::optional<StreamOrigin>& origin) const;
   RouteResult Route(const CallerRequest& request,
                     const std::vector<Candidate>& candidates, TimePoint now);
   /// Returns the refusal of a request that is blocked because targets crashed
@@ -249,6 +277,7 @@
   RequestFlow flow_;
   DirectTransport transport_;
   TargetDirectory directory_;
+  SoftwareHistory software_;
   FailureGuard guard_;
   CrashDetector crashes_;
   TargetAddresses addresses_;
@@ -281,6 +310,8 @@
   Gauge& limited_targets_;
   Gauge& targets_in_cooldown_;
   Counter& calls_held_back_;
+  Counter& streams_continued_;
+  Counter& streams_not_continued_;
   Counter& answers_ended_by_close_;
   Counter& streams_ended_inside_event_;
   Histogram& answer_seconds_;
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -38,6 +38,14 @@
 inline constexpr EventInfo kRunnerChosen{
     1032, "runner-chosen", EventSeverity::kInfo,
     "The prefill is done; an engine was chosen for the decode."};
+inline constexpr EventInfo kStreamContinued{
+    1066, "stream-continued", EventSeverity::kInfo,
+    "A caller asks to continue a stream; the fields give what began it and how "
+    "that is known."};
+inline constexpr EventInfo kStreamOriginsNotShared{
+    1067, "stream-origins-not-shared", EventSeverity::kError,
+    "The address for messages of other entries could not be bound; callers can "
+    "continue streams only at the entry that began them."};
 inline constexpr EventInfo kRequestRefused{
     1021, "request-refused", EventSeverity::kInfo,
     "A request ended without a target's answer; the fields give the reason and "
--- a/tests/platform/software_versions_process_test.cc
+++ b/tests/platform/software_versions_process_test.cc
@@ -184,6 +184,12 @@
     CHECK(answer.status == 503);
     CHECK(fleet.scene.Runs("again") == 0);
   }
+  SECTION("its caller does not name that request") {
+    const HttpAnswer answer = PlatformScene::ResumeAt(
+        fleet.other_entry(), "/resume/1", "again", "", 2);
+    CHECK(answer.status == 503);
+    CHECK(fleet.scene.Runs("again") == 0);
+  }
   SECTION("no engine of its version is left") {
     BrokenOffStream begun(fleet.scene.callers_address, "s");
     REQUIRE(begun.ReadSecondEvent());
@@ -204,5 +210,19 @@
   }
 }
 
+/// Guards against a refusal that is safe but not needed: callers of a fleet
+/// that runs one software version need not name the request that began a
+/// stream.
+TEST_CASE("A stream goes on without a record where there is one version",
+          "[versions]") {
+  PlatformScene scene;
+  REQUIRE(WaitUntil([&] { return scene.EnginesInStage("prefill") == 3; }));
+  scene.RegisterStages();
+  const HttpAnswer answer = PlatformScene::ResumeAt(
+      scene.callers_address, "/resume/1", "again", "", 2);
+  CHECK(answer.status == 200);
+  CHECK(answer.body == kRest);
+}
+
 }  // namespace
 }  // namespace indigolead::testing
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -157,13 +157,16 @@
                                    const std::string& id,
                                    const std::string& resumes,
                                    int after_event) {
-  return HttpCall(address, "POST", path, "prices",
-                  {{"X-Request-Id", id},
-                   {"X-Deadline-Ms", "4000"},
-                   {"X-Token-Usage", "100,4"},
-                   {"X-Prefix-Hash", "5c:80,91:20"},
-                   {"Resumes", resumes},
-                   {"Last-Event-Id", std::to_string(after_event)}},
+  std::vector<std::pair<std::string, std::string>> headers = {
+      {"X-Request-Id", id},
+      {"X-Deadline-Ms", "4000"},
+      {"X-Token-Usage", "100,4"},
+      {"X-Prefix-Hash", "5c:80,91:20"},
+      {"Last-Event-Id", std::to_string(after_event)}};
+  if (!resumes.empty()) {
+    headers.emplace_back("Resumes", resumes);
+  }
+  return HttpCall(address, "POST", path, "prices", headers,
                   std::chrono::seconds(10));
 }
 
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -77,7 +77,8 @@
   HttpAnswer Send(const std::string& method, const std::string& path,
                   const std::string& id, int deadline_ms = 4000);
   /// Sends a request that continues the stream begun by the request `resumes`
-  /// after its event `after_event`.
+  /// after its event `after_event`. If `resumes` is empty, it does not name
+  /// one.
   static HttpAnswer ResumeAt(const std::string& address,
                              const std::string& path, const std::string& id,
                              const std::string& resumes, int after_event);
