Take one listed version for a proof only where the route has one service

Found by reading. A stream without a record on a route with several services may have begun at another one than the service that this request drew, so that the only version of the latter proves nothing: it is refused now if its caller names what it continues. Callers that name nothing are served as before. RouteTable knows a route's services by its name (test added; no test plays the split route itself).

--- a/src/core/request/route_table.cc
+++ b/src/core/request/route_table.cc
@@ -80,17 +80,22 @@
   return it == configuration_.services.end() ? nullptr : &*it;
 }
 
-bool RouteTable::Allows(const std::string& route,
-                        const std::string& service) const {
+const std::vector<WeightedService>* RouteTable::ServicesOf(
+    const std::string& route) const {
   const auto& routes = configuration_.routes;
   const auto it = std::find_if(
       routes.begin(), routes.end(),
       [&route](const ServiceRoute& held) { return held.name == route; });
-  return it != routes.end() &&
-         std::any_of(it->services.begin(), it->services.end(),
-                     [&service](const WeightedService& weighted) {
-                       return weighted.service == service;
-                     });
+  return it == routes.end() ? nullptr : &it->services;
+}
+
+bool RouteTable::Allows(const std::string& route,
+                        const std::string& service) const {
+  const std::vector<WeightedService>* services = ServicesOf(route);
+  return services && std::any_of(services->begin(), services->end(),
+                                 [&service](const WeightedService& it) {
+                                   return it.service == service;
+                                 });
 }
 
 const std::string& RouteTable::PickService(const ServiceRoute& route,
--- a/src/core/request/route_table.h
+++ b/src/core/request/route_table.h
@@ -119,6 +119,10 @@
   /// Returns the traits of `service`, or null.
   const ServiceTraits* FindService(const std::string& service) const;
 
+  /// Returns the services of the route named `route`, or null.
+  const std::vector<WeightedService>* ServicesOf(
+      const std::string& route) const;
+
   /// Returns true if requests of the route named `route` may go to `service`.
   bool Allows(const std::string& route, const std::string& service) const;
 
--- a/src/entry/direct_dispatcher_streams.cc
+++ b/src/entry/direct_dispatcher_streams.cc
@@ -26,9 +26,11 @@
   if (const auto* recorded = std::get_if<StreamOrigin>(&found)) {
     return {*recorded, "record"};
   }
+  // A route with several services may have begun the stream at another one.
   const std::string& service = request.deployment;
+  const auto* services = routes_ ? routes_->ServicesOf(request.route) : nullptr;
   const auto proven = software_.OnlyVersion(service, clock_());
-  if (proven) {
+  if (proven && services && services->size() == 1) {
     return {StreamOrigin{service, *proven}, "only-version"};
   }
   const auto seen = software_.OnlyVersionSeen(service, clock_());
--- a/tests/core/request/route_table_test.cc
+++ b/tests/core/request/route_table_test.cc
@@ -50,6 +50,21 @@
   }
 }
 
+TEST_CASE("RouteTable knows the services of a route by its name") {
+  RouteConfiguration configuration;
+  configuration.routes = {RouteAt("menus", "/menus/"),
+                          RouteAt("split", "/desk/")};
+  configuration.routes[1].services = {{"a", 90}, {"b", 10}};
+  const RouteTable table(configuration);
+  CHECK(table.Allows("menus", "salon-app"));
+  CHECK_FALSE(table.Allows("menus", "a"));
+  CHECK(table.Allows("split", "b"));
+  CHECK_FALSE(table.Allows("gone", "a"));
+  REQUIRE(table.ServicesOf("split"));
+  CHECK(table.ServicesOf("split")->size() == 2);
+  CHECK_FALSE(table.ServicesOf("gone"));
+}
+
 TEST_CASE("PickService distributes requests by weight") {
   ServiceRoute route = RouteAt("split", "/");
   route.services = {{"a", 90}, {"b", 10}};
