--- a/tests/core/request/stream_origins_test.cc
+++ b/tests/core/request/stream_origins_test.cc
@@ -274,7 +274,7 @@
     world.Run(milliseconds(40));
     world.Kill(killed);
     world.StartEntry(killed);
-    // One entry has not heard of another that came or went.
+    // One list lacks an entry.
     auto lagging = world.peers();
     lagging.erase(lagging.begin() + world.Random(n));
     world.List(world.Random(n), lagging);
--- a/tests/platform/software_versions_process_test.cc
+++ b/tests/platform/software_versions_process_test.cc
@@ -56,6 +56,25 @@
     std::this_thread::sleep_for(kChangeKnownWithin);
   }
 
+  /// Makes one decode engine of the version leave, if there is another.
+  void Drain(const std::string& version) {
+    std::vector<int> engines;
+    for (int n = 0; n < static_cast<int>(scene.workers.size()); ++n) {
+      ModelWorker& it = scene.workers[n];
+      if (it.service() == "llm" && it.stage() == "decode" &&
+          it.software_version() == version) {
+        engines.push_back(n);
+      }
+    }
+    if (engines.size() > 1) {
+      auto registration = scene.workers[engines.front()].Registration();
+      registration["state"] = "draining";
+      scene.store.Put("servers", "e" + std::to_string(engines.front()),
+                      registration);
+      std::this_thread::sleep_for(kChangeKnownWithin);
+    }
+  }
+
   const std::string& other_entry() const {
     return scene.further.front().callers_address;
   }
@@ -171,12 +190,20 @@
     fleet.scene.entry->Kill();
     taken_up = TakeUp(fleet.other_entry(), begun);
   }
+  SECTION("while a target of its version leaves") {
+    for (int n = 0; n < kStreams; ++n) {
+      begin(n);
+      begun.back().Close();
+    }
+    fleet.Drain(*VersionsIn(begun.front().events()).begin());
+    taken_up = TakeUp(fleet.other_entry(), begun);
+  }
   CHECK(taken_up.mixed == 0);
   CHECK(taken_up.whole >= kStreams / 2);
 }
 
-/// Guards against a guess where nobody knows the version, and where no engine
-/// of the version is left.
+/// Guards against a stream that continues at another version because its own is
+/// unknown, or because no engine of it is left.
 TEST_CASE("A stream whose software version cannot be had is refused",
           "[versions]") {
   TwoVersions fleet;
@@ -220,10 +247,19 @@
   PlatformScene scene;
   REQUIRE(WaitUntil([&] { return scene.EnginesInStage("prefill") == 3; }));
   scene.RegisterStages();
-  const HttpAnswer answer = PlatformScene::ResumeAt(
-      scene.callers_address, "/resume/1", "again", "", 2);
-  CHECK(answer.status == 200);
-  CHECK(answer.body == RestOf("v1"));
+  SECTION("for a caller that names no request") {
+    const HttpAnswer answer = PlatformScene::ResumeAt(
+        scene.callers_address, "/resume/1", "again", "", 2);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == RestOf("v1"));
+  }
+  SECTION("but not for one that names it, after the entry has started anew") {
+    // A version that has left since may have begun the stream.
+    const HttpAnswer answer = PlatformScene::ResumeAt(
+        scene.callers_address, "/resume/1", "again", "never-seen", 2);
+    CHECK(answer.status == 503);
+    CHECK(scene.Runs("again") == 0);
+  }
 }
 
 }  // namespace
