Reproduce a prompt part that crashes its targets, red

Three entries as processes before 12 engines that are gone for 2 s when they begin to answer a request with one part. Four or one such requests a second, no two alike, with the part in second or first place; beside them 30 sound requests a second with the same first part.

--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -38,7 +38,7 @@
     registration["stage"] = stage();
   }
   server_.Invoke([&] {
-    if (!crashes_on_.empty()) {
+    if (!crashes_on_.empty() || !crashes_on_part_.empty()) {
       registration["born"] = start_number_;
     }
   });
@@ -117,8 +117,25 @@
   return crashes;
 }
 
+void ModelWorker::SetCrashesOnPart(std::string part,
+                                   std::chrono::milliseconds down_for) {
+  server_.Invoke([&] {
+    crashes_on_part_ = std::move(part);
+    down_for_ = down_for;
+  });
+}
+
+bool ModelWorker::Crashes(const HttpRequest& request) const {
+  if (!crashes_on_.empty() && request.path == crashes_on_) {
+    return true;
+  }
+  const std::string parts = "," + request.Header("X-Prefix-Hash");
+  return !crashes_on_part_.empty() &&
+         parts.find("," + crashes_on_part_ + ":") != std::string::npos;
+}
+
 Task ModelWorker::CrashIfAsked(HttpExchange& exchange, bool* crashed) {
-  *crashed = !crashes_on_.empty() && exchange.request().path == crashes_on_;
+  *crashed = Crashes(exchange.request());
   if (!*crashed) {
     co_return;
   }
@@ -129,7 +146,7 @@
   crashes_.push_back(std::chrono::steady_clock::now());
   running_ = 0;
   orders_ = 0;
-  GoDownFor(kDownFor);
+  GoDownFor(down_for_);
 }
 
 void ModelWorker::GoDownFor(std::chrono::milliseconds length) {
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -102,6 +102,9 @@
   /// run a request for `path`, and restart after `kDownFor`. An empty path
   /// disables this.
   void SetCrashesOn(std::string path);
+  /// The same for requests whose prompt has the part `part`, as callers write
+  /// its id. An empty id disables this.
+  void SetCrashesOnPart(std::string part, std::chrono::milliseconds down_for);
   /// Returns the times of the crashes.
   std::vector<std::chrono::steady_clock::time_point> crashes();
   /// Sets the limit, in requests per second, that all answers advertise from
@@ -132,7 +135,9 @@
   standins::Task Run(standins::HttpExchange& exchange);
   standins::Task Order(standins::HttpExchange& exchange);
   standins::Task Wait(standins::HttpExchange& exchange);
-  /// Crashes if the request is for the path that triggers crashes.
+  /// Returns true if running the request crashes the worker.
+  bool Crashes(const standins::HttpRequest& request) const;
+  /// Crashes if the request is one that triggers crashes.
   standins::Task CrashIfAsked(standins::HttpExchange& exchange, bool* crashed);
   void GoDownFor(std::chrono::milliseconds length);
   void Restart();
@@ -155,6 +160,8 @@
   Behaviour behaviour_ = Behaviour::kHealthy;
   BodyEnd body_end_;
   std::string crashes_on_;
+  std::string crashes_on_part_;
+  std::chrono::milliseconds down_for_ = kDownFor;
   std::vector<std::chrono::steady_clock::time_point> crashes_;
   std::unique_ptr<boost::asio::steady_timer> restart_timer_;
   std::int64_t start_number_ = 1;  ///< Differs for each start of the process.
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -36,7 +36,7 @@
 }
 
 PlatformScene::PlatformScene(const Options& options) : options_(options) {
-  for (int n = 0; n < 6; ++n) {
+  for (std::size_t n = 0; n < options.engines; ++n) {
     AddWorker("e" + std::to_string(n), "llm", true,
               options.engine_versions[n % options.engine_versions.size()]);
   }
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -29,7 +29,7 @@
 nlohmann::json MakeConfiguration(std::uint64_t version);
 
 /// Test fixture that runs an entry process against stand-ins of the platform: a
-/// metadata store behind a relay, six engines and two plain targets.
+/// metadata store behind a relay, engines and two plain targets.
 class PlatformScene {
  public:
   struct Options {
@@ -38,6 +38,7 @@
     double retry_slack = 50;
     /// Software versions that the engines run by turns.
     std::vector<std::string> engine_versions = {"v1"};
+    std::size_t engines = 6;
   };
   PlatformScene() : PlatformScene(Options{}) {}
   explicit PlatformScene(const Options& options);
--- a/tests/platform/support/repeats.cc
+++ b/tests/platform/support/repeats.cc
@@ -44,11 +44,13 @@
   std::vector<std::pair<std::string, std::string>> headers = {
       {"X-Request-Id", id},
       {"X-Deadline-Ms", std::to_string(load.deadline_ms)}};
-  if (load.has_prompt) {
+  if (load.has_prompt || load.make_parts) {
     headers.emplace_back("X-Token-Usage", "100,4");
-    headers.emplace_back("X-Prefix-Hash", "5c:80,91:20");
+    headers.emplace_back("X-Prefix-Hash",
+                         load.make_parts ? load.make_parts(id) : "5c:80,91:20");
   }
-  return HttpCall(address, load.method, load.path, "prices", headers,
+  return HttpCall(address, load.method, load.path,
+                  load.make_parts ? id : "prices", headers,
                   std::chrono::seconds(10))
       .status;
 }
@@ -87,6 +89,11 @@
   }
 }
 
+std::vector<SteadyCallers::Outcome> SteadyCallers::outcomes() {
+  const std::lock_guard lock(mutex_);
+  return outcomes_;
+}
+
 std::vector<Time> SteadyCallers::Stop() {
   stopping_ = true;
   for (std::thread& it : threads_) {
@@ -107,9 +114,10 @@
   for (std::size_t n = 0; !stopping_; ++n) {
     std::this_thread::sleep_until(next);
     next = std::max(next + period, std::chrono::steady_clock::now());
+    const Time sent_at = std::chrono::steady_clock::now();
     {
       const std::lock_guard lock(mutex_);
-      sent_.push_back(std::chrono::steady_clock::now());
+      sent_.push_back(sent_at);
     }
     const std::string id =
         kind + "-" + std::to_string(caller) + "-" + std::to_string(n);
@@ -117,6 +125,8 @@
         addresses_[(n + static_cast<std::size_t>(caller)) % addresses_.size()];
     const int status = Send(address, load_, id);
     served_ += status == 200 ? 1 : 0;
+    const std::lock_guard lock(mutex_);
+    outcomes_.push_back({sent_at, status});
   }
 }
 
--- a/tests/platform/support/repeats.h
+++ b/tests/platform/support/repeats.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -34,6 +35,14 @@
     double per_second = 32;  ///< Total of all callers.
     int deadline_ms = 1500;
     bool has_prompt = false;  ///< Sends the length and parts of a prompt.
+    /// Makes the prompt parts of the request `id`, in place of those of
+    /// `has_prompt`. Each such request has a body of its own.
+    std::function<std::string(const std::string& id)> make_parts = {};
+  };
+  /// One request whose answer has ended.
+  struct Outcome {
+    std::chrono::steady_clock::time_point sent_at;
+    int status = 0;  ///< 0: incomplete.
   };
 
   SteadyCallers(PlatformScene* scene, const Load& load);
@@ -46,6 +55,8 @@
   /// Waits for all callers and returns the sorted send times of all requests.
   std::vector<std::chrono::steady_clock::time_point> Stop();
   int served() const { return served_; }
+  /// Returns the outcomes so far, in the order of their answers.
+  std::vector<Outcome> outcomes();
 
  private:
   static constexpr int kCallers = 16;
@@ -58,6 +69,7 @@
   std::atomic<int> served_{0};
   std::mutex mutex_;
   std::vector<std::chrono::steady_clock::time_point> sent_;
+  std::vector<Outcome> outcomes_;
   std::vector<std::thread> threads_;
 };
 
