Block prompt parts that crash their targets

Cause: a crash counted against each running request as a whole, known by a hash of account, host, method, path and body. Requests that share only a part of their prompts have no two hashes alike, so none ever reached the third crash.

PromptPartLedger counts crashes against each part but the last, over all entries, through the object that holds the crashes of whole requests. Any answer takes the crashes so far back from all parts of its request, at every entry; one that others may still block is reported within half a second, by one entry in most cases. The third crash blocks a part, for every attempt, resumed stream and decode, unless parts that the request does not have explain the crashes. So neighbors with the same first part are served throughout, whether or not that part was answered in between. A part that was answered before is given a second to be cleared, since many targets may fail at once. A block ends with an answer: after two minutes at the earliest one request of the whole fleet is let through to find out.

Why it works: what crashes the targets is in every crash and in no answer; all else is in an answer, or in fewer crashes.

Reports of older versions are read; they read ours.

--- a/src/core/request/prompt_parts.h
+++ b/src/core/request/prompt_parts.h
@@ -14,6 +14,17 @@
   return parts.size() > 1 ? parts.size() - 1 : parts.size();
 }
 
+/// Returns the ids of all parts but the last, which belongs to the request
+/// itself or to its session.
+inline std::vector<PromptPartId> LeadingPartIds(
+    const std::vector<PromptPart>& parts) {
+  std::vector<PromptPartId> ids;
+  for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
+    ids.push_back(parts[n].id);
+  }
+  return ids;
+}
+
 }  // namespace indigolead
 
 #endif  // INDIGOLEAD_CORE_REQUEST_PROMPT_PARTS_H_
--- a/src/core/request/request_types.h
+++ b/src/core/request/request_types.h
@@ -25,9 +25,12 @@
   friend bool operator==(const HeaderField&, const HeaderField&) = default;
 };
 
+/// Id of a prompt part. Requests that share a part name the same id.
+using PromptPartId = std::uint64_t;
+
 /// One part of a prompt. Other requests may share it as part of their prefix.
 struct PromptPart {
-  std::uint64_t id = 0;
+  PromptPartId id = 0;
   std::uint32_t tokens = 0;
 
   friend bool operator==(const PromptPart&, const PromptPart&) = default;
--- a/src/entry/crash_detector.cc
+++ b/src/entry/crash_detector.cc
@@ -13,7 +13,8 @@
       clock_(std::move(clock)),
       log_(std::move(log)) {}
 
-void CrashDetector::OnBroken(const TargetCrash& run, Fingerprint request) {
+void CrashDetector::OnBroken(const TargetCrash& run,
+                             const RunningRequest& request) {
   const auto [it, added] = suspected_crashes_.try_emplace(run);
   SuspectedCrash& suspected = it->second;
   if (suspected.crashed) {
--- a/src/entry/crash_detector.h
+++ b/src/entry/crash_detector.h
@@ -9,6 +9,7 @@
 #include "core/base/result.h"
 #include "core/base/time.h"
 #include "core/request/crash_ledger.h"
+#include "core/request/running_request.h"
 #include "observe/event_log.h"
 
 namespace indigolead {
@@ -36,20 +37,20 @@
     std::function<void(const std::string& target,
                        std::function<void(const Status&)> done)>
         call;
-    std::function<void(const TargetCrash&, const std::vector<Fingerprint>&)>
+    std::function<void(const TargetCrash&, const std::vector<RunningRequest>&)>
         on_crash;
   };
 
   CrashDetector(const Options& options, Hooks hooks, Clock clock, EventLog log);
 
   /// The connection of a request broke after it had been written.
-  void OnBroken(const TargetCrash& run, Fingerprint request);
+  void OnBroken(const TargetCrash& run, const RunningRequest& request);
   /// Removes expired entries. Call several times a second.
   void Tick();
 
  private:
   struct SuspectedCrash {
-    std::vector<Fingerprint> running;
+    std::vector<RunningRequest> running;
     int calls = 0;
     bool crashed = false;
     TimePoint until;  ///< Time of removal.
--- a/src/entry/crash_report_json.cc
+++ b/src/entry/crash_report_json.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <vector>
 
 #include "core/base/json_problem.h"
 #include "entry/event_fields.h"
@@ -23,8 +24,16 @@
           json.at("run").get<std::int64_t>()};
 }
 
-std::optional<Fingerprint> ReadFingerprint(const std::string& text) {
-  Fingerprint n = 0;
+Json ToJson(const std::vector<PromptPartId>& parts) {
+  Json json = Json::array();
+  for (const PromptPartId it : parts) {
+    json.push_back(PartText(it));
+  }
+  return json;
+}
+
+std::optional<std::uint64_t> ReadHex(const std::string& text) {
+  std::uint64_t n = 0;
   const char* last = text.data() + text.size();
   const auto [end, ec] = std::from_chars(text.data(), last, n, kHexadecimal);
   const bool is_number = !text.empty() && ec == std::errc() && end == last;
@@ -35,9 +44,71 @@
   return {ErrorCode::kProtocol, "crash_report.decode", peer, std::move(detail)};
 }
 
-}  // namespace
+Result<std::vector<PromptPartId>> ReadParts(const std::string& peer,
+                                            const std::string& field,
+                                            const Json& json) {
+  std::vector<PromptPartId> parts;
+  for (const Json& it : json) {
+    const auto name = it.get<std::string>();
+    const auto part = ReadHex(name);
+    if (!part) {
+      return Unreadable(
+          peer, "\"" + name + "\" in \"" + field + "\" is not a prompt part");
+    }
+    parts.push_back(*part);
+  }
+  return parts;
+}
 
-std::string EncodeCrashReport(const CrashReport& report) {
+Json ToJson(const PartCrashReport& report) {
+  Json crashes = Json::array();
+  for (const PartCrashRecord& record : report.crashes) {
+    Json json = ToJson(record.crash);
+    json["parts"] = ToJson(record.parts);
+    json["answered_before"] = ToJson(record.answered_before);
+    crashes.push_back(std::move(json));
+  }
+  Json answered = Json::array();
+  for (const AnsweredPart& it : report.answered) {
+    answered.push_back(
+        {{"part", PartText(it.part)}, {"known_crashes", it.known_crashes}});
+  }
+  Json known = Json::array();
+  if (!report.answered.empty()) {  // Nothing else refers to the list.
+    for (const TargetCrash& it : report.known) {
+      known.push_back(ToJson(it));
+    }
+  }
+  return {{"crashes", crashes}, {"known", known}, {"answered", answered}};
+}
+
+Result<PartCrashReport> ReadPartReport(const std::string& peer,
+                                       const Json& json) {
+  PartCrashReport report;
+  for (const Json& it : json.at("crashes")) {
+    auto parts = ReadParts(peer, "parts", it.at("parts"));
+    auto before = ReadParts(peer, "answered_before", it.at("answered_before"));
+    if (!IsOk(parts) || !IsOk(before)) {
+      return IsOk(parts) ? ErrorOf(before) : ErrorOf(parts);
+    }
+    report.crashes.push_back(
+        {ReadCrash(it), std::move(ValueOf(parts)), std::move(ValueOf(before))});
+  }
+  for (const Json& it : json.at("known")) {
+    report.known.push_back(ReadCrash(it));
+  }
+  for (const Json& it : json.at("answered")) {
+    const auto part = ReadParts(peer, "answered", {it.at("part")});
+    if (!IsOk(part)) {
+      return ErrorOf(part);
+    }
+    report.answered.push_back(
+        {ValueOf(part).front(), it.at("known_crashes").get<std::size_t>()});
+  }
+  return report;
+}
+
+Json CrashesToJson(const CrashReport& report) {
   Json crashes = Json::array();
   for (const CrashRecord& record : report.crashes) {
     Json json = ToJson(record.crash);
@@ -47,6 +118,10 @@
     }
     crashes.push_back(std::move(json));
   }
+  return crashes;
+}
+
+Json ClearedToJson(const CrashReport& report) {
   Json cleared = Json::array();
   for (const ClearedRequest& request : report.cleared) {
     Json json = {{"request", FingerprintText(request.request)}};
@@ -56,41 +131,67 @@
     }
     cleared.push_back(std::move(json));
   }
-  return Json{{"crashes", crashes}, {"cleared", cleared}}.dump();
+  return cleared;
 }
 
-Result<CrashReport> DecodeCrashReport(const std::string& peer,
-                                      const std::string& text) {
+Result<CrashReport> ReadRequestReport(const std::string& peer,
+                                      const Json& json) {
   CrashReport report;
+  for (const Json& it : json.at("crashes")) {
+    CrashRecord record{ReadCrash(it), {}};
+    for (const Json& running : it.at("running")) {
+      const auto name = running.get<std::string>();
+      const auto request = ReadHex(name);
+      if (!request) {
+        return Unreadable(peer, "\"" + name + "\" in \"running\" of crash \"" +
+                                    record.crash.target +
+                                    "\" is not a fingerprint");
+      }
+      record.running.push_back(*request);
+    }
+    report.crashes.push_back(std::move(record));
+  }
+  for (const Json& it : json.at("cleared")) {
+    const auto name = it.at("request").get<std::string>();
+    const auto request = ReadHex(name);
+    if (!request) {
+      return Unreadable(peer,
+                        "\"" + name + "\" in \"cleared\" is not a fingerprint");
+    }
+    ClearedRequest cleared{*request, {}};
+    for (const Json& crash : it.at("crashes")) {
+      cleared.crashes.push_back(ReadCrash(crash));
+    }
+    report.cleared.push_back(std::move(cleared));
+  }
+  return report;
+}
+
+}  // namespace
+
+std::string EncodeCrashReport(const EntryCrashReport& report) {
+  return Json{{"crashes", CrashesToJson(report.requests)},
+              {"cleared", ClearedToJson(report.requests)},
+              {"prompt_parts", ToJson(report.parts)}}
+      .dump();
+}
+
+Result<EntryCrashReport> DecodeCrashReport(const std::string& peer,
+                                           const std::string& text) {
+  EntryCrashReport report;
   try {
     const Json json = Json::parse(text);
-    for (const Json& it : json.at("crashes")) {
-      CrashRecord record{ReadCrash(it), {}};
-      for (const Json& running : it.at("running")) {
-        const auto name = running.get<std::string>();
-        const auto request = ReadFingerprint(name);
-        if (!request) {
-          return Unreadable(
-              peer, "\"" + name + "\" in \"running\" of crash \"" +
-                        record.crash.target + "\" is not a fingerprint");
-        }
-        record.running.push_back(*request);
-      }
-      report.crashes.push_back(std::move(record));
+    auto requests = ReadRequestReport(peer, json);
+    if (!IsOk(requests)) {
+      return ErrorOf(requests);
     }
-    for (const Json& it : json.at("cleared")) {
-      const auto name = it.at("request").get<std::string>();
-      const auto request = ReadFingerprint(name);
-      if (!request) {
-        return Unreadable(peer, "\"" + name +
-                                    "\" in \"cleared\" is not a "
-                                    "fingerprint");
-      }
-      ClearedRequest cleared{*request, {}};
-      for (const Json& crash : it.at("crashes")) {
-        cleared.crashes.push_back(ReadCrash(crash));
+    report.requests = std::move(ValueOf(requests));
+    if (json.contains("prompt_parts")) {
+      auto parts = ReadPartReport(peer, json.at("prompt_parts"));
+      if (!IsOk(parts)) {
+        return ErrorOf(parts);
       }
-      report.cleared.push_back(std::move(cleared));
+      report.parts = std::move(ValueOf(parts));
     }
   } catch (const Json::exception& e) {
     return Unreadable(peer, JsonProblem(e));
--- a/src/entry/crash_report_json.h
+++ b/src/entry/crash_report_json.h
@@ -5,15 +5,25 @@
 
 #include "core/base/result.h"
 #include "core/request/crash_ledger.h"
+#include "core/request/prompt_part_ledger.h"
 
 namespace indigolead {
 
+/// What one entry tells the others about crashes of targets.
+struct EntryCrashReport {
+  CrashReport requests;
+  PartCrashReport parts;  ///< Empty in reports of older versions.
+
+  friend bool operator==(const EntryCrashReport&,
+                         const EntryCrashReport&) = default;
+};
+
 /// Returns the report as JSON.
-std::string EncodeCrashReport(const CrashReport& report);
+std::string EncodeCrashReport(const EntryCrashReport& report);
 
 /// Parses the report in `text`. Errors name `peer`, the writer of the report.
-Result<CrashReport> DecodeCrashReport(const std::string& peer,
-                                      const std::string& text);
+Result<EntryCrashReport> DecodeCrashReport(const std::string& peer,
+                                           const std::string& text);
 
 }  // namespace indigolead
 
--- a/src/entry/crash_service.cc
+++ b/src/entry/crash_service.cc
@@ -25,12 +25,18 @@
       clock_(clock),
       run_after_(run_after),
       log_(log),
+      jitter_(jitter),
       ledger_(options_.ledger),
+      part_ledger_(options_.part_ledger, jitter),
       own_object_(store, options_.prefix + options_.instance, options_.write),
       suspects_(metrics->AddGauge(
           "indigolead_crash_suspects",
           "Requests that ran in a target which crashed, and were not answered "
           "since.")),
+      suspect_parts_(metrics->AddGauge(
+          "indigolead_crash_suspect_parts",
+          "Prompt parts that ran in enough crashes of targets to block "
+          "requests, and were not answered since.")),
       crashes_(metrics->AddCounter(
           "indigolead_target_crashes_total",
           "Crashes of targets under requests of this entry.")),
@@ -47,6 +53,7 @@
 void CrashService::OnState(const ListWatcher::State& state) {
   const bool first = !std::exchange(listed_, true);
   std::vector<CrashReport> others;
+  std::vector<PartCrashReport> other_parts;
   for (const auto& [key, object] : state) {
     const bool is_own = key == own_object_.key();
     if (is_own && !first) {
@@ -56,24 +63,51 @@
     if (!IsOk(report)) {
       log_(kCrashReportUnreadable, {{"error", ToString(ErrorOf(report))}});
     } else if (is_own) {
-      ledger_.RestoreOwnReport(ValueOf(report), clock_());
+      ledger_.RestoreOwnReport(ValueOf(report).requests, clock_());
+      part_ledger_.RestoreOwnReport(ValueOf(report).parts, clock_());
     } else {
-      others.push_back(ValueOf(report));
+      others.push_back(ValueOf(report).requests);
+      other_parts.push_back(ValueOf(report).parts);
     }
   }
   ledger_.OnReports(std::move(others), clock_());
-  suspects_.Set(static_cast<std::int64_t>(ledger_.suspects()));
+  part_ledger_.OnReports(std::move(other_parts), clock_());
+  UpdateGauges();
   Write();
 }
 
 void CrashService::OnCrash(const TargetCrash& crash,
-                           const std::vector<Fingerprint>& running) {
+                           const std::vector<RunningRequest>& running) {
   crashes_.Add();
-  ledger_.OnCrash(crash, running, clock_());
+  std::vector<Fingerprint> requests;
+  std::vector<PromptPartId> parts;
+  for (const RunningRequest& it : running) {
+    requests.push_back(it.fingerprint);
+    parts.insert(parts.end(), it.parts.begin(), it.parts.end());
+  }
+  ledger_.OnCrash(crash, requests, clock_());
+  part_ledger_.OnCrash(crash, parts, clock_());
   PublishChanges();
 }
 
-void CrashService::OnAnswered(Fingerprint request) {
+void CrashService::OnAnswered(const RunningRequest& request) {
+  ClearRequest(request.fingerprint);
+  ClearParts(request.parts);
+}
+
+void CrashService::OnOutlived(const RunningRequest& request) {
+  ClearParts(request.parts);
+}
+
+void CrashService::ClearParts(const std::vector<PromptPartId>& parts) {
+  if (part_ledger_.OnAnswered(parts) && !publish_parts_at_) {
+    const Duration delay = std::chrono::duration_cast<Duration>(
+        jitter_() * options_.max_part_delay);
+    publish_parts_at_ = clock_() + delay;
+  }
+}
+
+void CrashService::ClearRequest(Fingerprint request) {
   const std::size_t counted = ledger_.CountCrashes(request);
   if (counted > 0) {
     log_(kCrashesCleared, {{"fingerprint", FingerprintText(request)},
@@ -93,13 +127,58 @@
 
 void CrashService::Tick() {
   const bool changed = ledger_.Tick(clock_());
-  if (changed || (publish_at_ && clock_() >= *publish_at_)) {
+  const bool parts_changed = part_ledger_.Tick(clock_());
+  const bool parts_due = publish_parts_at_ && clock_() >= *publish_parts_at_;
+  if (parts_due) {
+    publish_parts_at_.reset();
+  }
+  LogReleased();
+  if (changed || parts_changed || (publish_at_ && clock_() >= *publish_at_) ||
+      (parts_due && part_ledger_.HasUnsharedAnswers())) {
     PublishChanges();
   }
 }
 
-void CrashService::PublishChanges() {
+std::optional<RequestBlock> CrashService::BlockOf(
+    const RunningRequest& request) {
+  const TimePoint now = clock_();
+  if (const auto left = ledger_.BlockedFor(request.fingerprint, now)) {
+    return RequestBlock{*left, std::nullopt};
+  }
+  const auto part =
+      part_ledger_.BlockOf(request.fingerprint, request.parts, now);
+  if (!part) {
+    return std::nullopt;
+  }
+  LogBlocked(*part);
+  return RequestBlock{part->left, part};
+}
+
+void CrashService::LogBlocked(const PromptPartBlock& block) {
+  if (blocking_parts_.insert(block.part).second) {
+    log_(kPromptPartBlocked, {{"part", PartText(block.part)},
+                              {"crashes", std::to_string(block.crashes)},
+                              {"left_ms", FormatMilliseconds(block.left)}});
+  }
+}
+
+void CrashService::LogReleased() {
+  std::erase_if(blocking_parts_, [this](PromptPartId it) {
+    const bool released = part_ledger_.CountCrashes(it) == 0;
+    if (released) {
+      log_(kPromptPartReleased, {{"part", PartText(it)}});
+    }
+    return released;
+  });
+}
+
+void CrashService::UpdateGauges() {
   suspects_.Set(static_cast<std::int64_t>(ledger_.suspects()));
+  suspect_parts_.Set(static_cast<std::int64_t>(part_ledger_.suspects()));
+}
+
+void CrashService::PublishChanges() {
+  UpdateGauges();
   unpublished_ = true;
   Write();
 }
@@ -112,7 +191,7 @@
   }
   unpublished_ = false;
   publish_at_.reset();
-  own_object_.Write(EncodeCrashReport(ledger_.own()),
+  own_object_.Write(EncodeCrashReport({ledger_.own(), part_ledger_.own()}),
                     [this, alive = alive_](bool written) {
                       if (*alive) {
                         OnWritten(written);
--- a/src/entry/crash_service.h
+++ b/src/entry/crash_service.h
@@ -4,10 +4,14 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "core/request/crash_ledger.h"
+#include "core/request/prompt_part_ledger.h"
+#include "core/request/request_block.h"
+#include "core/request/running_request.h"
 #include "entry/single_writer_object.h"
 #include "observe/event_log.h"
 #include "observe/metrics.h"
@@ -31,11 +35,16 @@
     std::string instance;
     std::string prefix = "crashes/";
     CrashLedger::Options ledger;
+    PromptPartLedger::Options part_ledger;
     ListWatcher::Options watch;  ///< Without the prefix.
     CallOptions write{CallPriority::kConfig, std::chrono::milliseconds(1500)};
     /// Delay that batches non-urgent reports of answered requests, which are no
     /// longer suspects.
     Duration clear_batch_delay = std::chrono::seconds(2);
+    /// Longest delay of a report of answered prompt parts. Chosen at random up
+    /// to this, because all entries see answers with a common part, and one
+    /// report is enough.
+    Duration max_part_delay = std::chrono::milliseconds(500);
     /// Delay before a failed write is retried.
     Duration write_retry_delay = std::chrono::milliseconds(500);
   };
@@ -54,18 +63,26 @@
   /// Returns the reports known to this entry.
   ObjectStore::Listing Known() const { return watcher_.Known(); }
 
+  /// Sets the number of entries.
+  void SetEntries(std::size_t entries) { part_ledger_.SetEntries(entries); }
   void OnCrash(const TargetCrash& crash,
-               const std::vector<Fingerprint>& running);
+               const std::vector<RunningRequest>& running);
   /// Records that a target answered the request completely.
-  void OnAnswered(Fingerprint request);
-  /// Returns how much longer the request is blocked; nullopt if it may run.
-  std::optional<Duration> BlockedFor(Fingerprint request) const {
-    return ledger_.BlockedFor(request, clock_());
-  }
+  void OnAnswered(const RunningRequest& request);
+  /// Records that a target has been answering the request for longer than one
+  /// that it crashes under could.
+  void OnOutlived(const RunningRequest& request);
+  /// Returns why the request must not run; nullopt if it may.
+  std::optional<RequestBlock> BlockOf(const RunningRequest& request);
   void Tick();
 
  private:
   void OnState(const ListWatcher::State& state);
+  void ClearRequest(Fingerprint request);
+  void ClearParts(const std::vector<PromptPartId>& parts);
+  void LogBlocked(const PromptPartBlock& block);
+  void LogReleased();
+  void UpdateGauges();
   void PublishChanges();
   void Write();
   void OnWritten(bool written);
@@ -74,13 +91,20 @@
   Clock clock_;
   RunAfter run_after_;
   EventLog log_;
+  std::function<double()> jitter_;
   CrashLedger ledger_;
+  PromptPartLedger part_ledger_;
   SingleWriterObject own_object_;
   bool listed_ = false;
   bool unpublished_ = false;             ///< The stored object is out of date.
   std::optional<TimePoint> publish_at_;  ///< Due time of non-urgent changes.
+  /// Due time of a report of answered prompt parts.
+  std::optional<TimePoint> publish_parts_at_;
+  std::set<PromptPartId>
+      blocking_parts_;    ///< Under which requests were refused.
   bool writing_ = false;  ///< A write is in flight or its retry is scheduled.
   Gauge& suspects_;
+  Gauge& suspect_parts_;
   Counter& crashes_;
   std::shared_ptr<bool> alive_;
   ListWatcher watcher_;
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -20,6 +20,7 @@
 #include "core/membership/target_directory.h"
 #include "core/placement/engine_placement.h"
 #include "core/placement/failure_guard.h"
+#include "core/request/request_block.h"
 #include "core/request/request_flow.h"
 #include "core/request/route_table.h"
 #include "core/request/stream_origins.h"
@@ -49,6 +50,9 @@
     EnginePlacement::Options placement;
     FailureGuard::Options guard;
     CrashDetector::Options crashes;
+    /// Time after its first event in which a request that crashes its target
+    /// does so.
+    Duration outlived_after = std::chrono::seconds(2);
     EntryRetryBudget::Options retry_budget;  ///< Per service.
     /// If set, an allowance of retries for all entries together, divided among
     /// them, replaces the fixed part of each budget.
@@ -77,13 +81,15 @@
     /// nullopt if the target no longer has one.
     std::function<void(const TargetRecord&, std::optional<double>)> share_limit;
     /// A target crashed while it ran these requests of this entry.
-    std::function<void(const TargetCrash&, const std::vector<Fingerprint>&)>
+    std::function<void(const TargetCrash&, const std::vector<RunningRequest>&)>
         on_crash;
     /// A target answered the request successfully.
-    std::function<void(Fingerprint)> on_answered;
-    /// Returns how much longer the request is blocked because targets crashed
-    /// while running it; nullopt if it may run.
-    std::function<std::optional<Duration>(Fingerprint)> blocked_for;
+    std::function<void(const RunningRequest&)> on_answered;
+    /// A target has been sending the answer for `outlived_after`.
+    std::function<void(const RunningRequest&)> on_outlived;
+    /// Returns why the request must not run, because targets crashed while
+    /// running it or requests like it; nullopt if it may run.
+    std::function<std::optional<RequestBlock>(const RunningRequest&)> block_of;
     /// Finds what began the stream whose first event the caller's request `id`
     /// delivered.
     std::function<void(const std::string& id, StreamOrigins::Done)> find_origin;
@@ -147,6 +153,7 @@
     std::string last_target;
     bool streaming = false;
     bool run_started = false;           ///< `on_run_started` was called.
+    bool outlived = false;              ///< `on_outlived` was called.
     std::optional<TimePoint> sent_at;   ///< Time of the latest attempt.
     std::optional<TimePoint> first_at;  ///< First bytes of the answer.
     TimePoint latest_at{};              ///< Latest bytes of the answer.
@@ -263,6 +270,7 @@
   void Act(RequestAction& action);
   void LogEnd(const RequestAction& action);
   void NoteBytes(const RequestId& id);
+  void NoteOutlived(OpenRequest* open, TimePoint now);
   void NoteRunStarted(OpenRequest* open, TimePoint at);
   void NoteEndedRun(OpenRequest* open);
   void LogAnswered(const RequestId& id, int status);
--- a/src/entry/direct_dispatcher_crashes.cc
+++ b/src/entry/direct_dispatcher_crashes.cc
@@ -12,7 +12,7 @@
     transport_.ProbeTarget(target, std::move(done));
   };
   hooks.on_crash = [this](const TargetCrash& crash,
-                          const std::vector<Fingerprint>& running) {
+                          const std::vector<RunningRequest>& running) {
     if (hooks_.on_crash) {
       hooks_.on_crash(crash, running);
     }
@@ -27,22 +27,34 @@
   if (!side || !SideTable::AcceptsAttempts(*side)) {
     return;  // A leaving target cuts off unfinished requests.
   }
-  crashes_.OnBroken({instance, run ? run->started_ms : 0}, request.fingerprint);
+  crashes_.OnBroken({instance, run ? run->started_ms : 0},
+                    RunningRequestOf(request));
 }
 
 std::optional<Refusal> DirectDispatcher::RefuseBlocked(
     const CallerRequest& request) const {
-  const auto left = hooks_.blocked_for ? hooks_.blocked_for(request.fingerprint)
-                                       : std::nullopt;
-  if (!left) {
+  const auto block = hooks_.block_of
+                         ? hooks_.block_of(RunningRequestOf(request))
+                         : std::nullopt;
+  if (!block) {
     return std::nullopt;
   }
-  return Refusal{503, RunState::kNotRun, "request_crashes_targets",
-                 "Targets of " + request.deployment +
-                     " crashed while they ran this request; no other gets it "
-                     "for " +
-                     FormatMilliseconds(*left) + " ms.",
-                 *left};
+  const std::string for_ms = FormatMilliseconds(block->left) + " ms.";
+  if (!block->part) {
+    return Refusal{503, RunState::kNotRun, "request_crashes_targets",
+                   "Targets of " + request.deployment +
+                       " crashed while they ran this request; no other gets it "
+                       "for " +
+                       for_ms,
+                   block->left};
+  }
+  return Refusal{503, RunState::kNotRun, "prompt_part_crashes_targets",
+                 std::to_string(block->part->crashes) + " targets of " +
+                     request.deployment +
+                     " crashed while they ran requests with part \"" +
+                     PartText(block->part->part) +
+                     "\" in their prompts; no other gets one for " + for_ms,
+                 block->left};
 }
 
 }  // namespace indigolead
--- a/src/entry/direct_dispatcher_log.cc
+++ b/src/entry/direct_dispatcher_log.cc
@@ -55,6 +55,17 @@
     NoteRunStarted(&open, now);
   }
   open.latest_at = now;
+  NoteOutlived(&open, now);
+}
+
+// Streams may last for minutes, so their ends alone would clear their prompt
+// parts too late.
+void DirectDispatcher::NoteOutlived(OpenRequest* open, TimePoint now) {
+  const bool outlived =
+      open->first_at && now - *open->first_at >= options_.outlived_after;
+  if (outlived && !std::exchange(open->outlived, true) && hooks_.on_outlived) {
+    hooks_.on_outlived(RunningRequestOf(*open->request));
+  }
 }
 
 void DirectDispatcher::NoteRunStarted(OpenRequest* open, TimePoint at) {
@@ -83,7 +94,7 @@
     NoteRunStarted(&it->second,
                    clock_());  // For an answer that was not streamed.
     if (hooks_.on_answered) {
-      hooks_.on_answered(it->second.request->fingerprint);
+      hooks_.on_answered(RunningRequestOf(*it->second.request));
     }
   }
   const OpenRequest& open = it->second;
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -157,6 +157,14 @@
     1068, "crashes-cleared", EventSeverity::kInfo,
     "A request was answered that had been running in targets which crashed; "
     "these crashes no longer count against it."};
+inline constexpr EventInfo kPromptPartBlocked{
+    1069, "prompt-part-blocked", EventSeverity::kWarning,
+    "Targets crash while they answer requests with this prompt part; such "
+    "requests are refused from now on."};
+inline constexpr EventInfo kPromptPartReleased{
+    1070, "prompt-part-released", EventSeverity::kInfo,
+    "A prompt part under which requests were refused was answered, or its "
+    "crashes are too old to count."};
 
 inline constexpr EventInfo kRetryCharged{
     1053, "retry-charged", EventSeverity::kInfo,
--- a/tests/platform/direct_transport_test.cc
+++ b/tests/platform/direct_transport_test.cc
@@ -162,7 +162,7 @@
 
   DirectDispatcher::Hooks Hooks() {
     DirectDispatcher::Hooks hooks;
-    hooks.on_answered = [this](Fingerprint) { ++answered_; };
+    hooks.on_answered = [this](const RunningRequest&) { ++answered_; };
     hooks.to_callers = [this](const ToCallers& message) {
       if (const auto* whole = std::get_if<AnswerWhole>(&message)) {
         outcome_ = whole->answer.status == 200 ? Outcome::kAnswered
--- a/tests/shell/crash_detector_test.cc
+++ b/tests/shell/crash_detector_test.cc
@@ -22,29 +22,31 @@
     calls.push_back(std::move(it));
   };
   hooks.on_crash = [&](const TargetCrash& crash,
-                       const std::vector<Fingerprint>& running) {
+                       const std::vector<RunningRequest>& running) {
     CHECK(crash == TargetCrash{"i-1", 5});
-    crashed.insert(crashed.end(), running.begin(), running.end());
+    for (const RunningRequest& it : running) {
+      crashed.push_back(it.fingerprint);
+    }
   };
   CrashDetector detector(
       CrashDetector::Options{}, hooks, [&] { return now; }, MakeNullEventLog());
   const TargetCrash run{"i-1", 5};
-  detector.OnBroken(run, 1);
-  detector.OnBroken(run, 2);
+  detector.OnBroken(run, {1, {}});
+  detector.OnBroken(run, {2, {}});
   REQUIRE(calls.size() == 1);
 
   SECTION("is a crash if the probe is refused") {
     calls[0](Failed(ErrorCode::kUnavailable));
     CHECK(crashed == std::vector<Fingerprint>{1, 2});
     SECTION("later breaks belong to the same crash") {
-      detector.OnBroken(run, 3);
+      detector.OnBroken(run, {3, {}});
       CHECK(calls.size() == 1);
       CHECK(crashed == std::vector<Fingerprint>{1, 2, 3});
     }
     SECTION("a much later break is probed separately") {
       now += seconds(2);
       detector.Tick();
-      detector.OnBroken(run, 3);
+      detector.OnBroken(run, {3, {}});
       CHECK(calls.size() == 2);
       CHECK(crashed.size() == 2);
     }
@@ -53,7 +55,7 @@
     calls[0](Unit{});
     CHECK(crashed.empty());
     SECTION("and the next break is probed again") {
-      detector.OnBroken(run, 3);
+      detector.OnBroken(run, {3, {}});
       REQUIRE(calls.size() == 2);
       calls[1](Failed(ErrorCode::kUnavailable));
       CHECK(crashed == std::vector<Fingerprint>{3});
@@ -79,7 +81,7 @@
   SECTION("is not judged while the target cannot be called") {
     now += seconds(2);
     detector.Tick();
-    detector.OnBroken(run, 3);
+    detector.OnBroken(run, {3, {}});
     CHECK(calls.size() == 2);
     CHECK(crashed.empty());
   }
--- a/tests/shell/crash_service_test.cc
+++ b/tests/shell/crash_service_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "entry/crash_report_json.h"
 #include "runtime/clock.h"
@@ -33,8 +35,8 @@
 
   CrashService& operator*() { return service_; }
   CrashService* operator->() { return &service_; }
-  bool Stops(Fingerprint request) const {
-    return service_.BlockedFor(request).has_value();
+  bool Stops(Fingerprint request) {
+    return service_.BlockOf({request, {}}).has_value();
   }
 
  private:
@@ -61,11 +63,11 @@
   Entry a(world.get(), "front-1");
   Entry b(world.get(), "front-2");
   REQUIRE(world->RunUntil([&] { return a->listed() && b->listed(); }));
-  a->OnCrash(Crash(1), {kBad, 11});
-  b->OnCrash(Crash(2), {kBad, 12});
+  a->OnCrash(Crash(1), {{kBad, {}}, {11, {}}});
+  b->OnCrash(Crash(2), {{kBad, {}}, {12, {}}});
 
   SECTION("also an entry that starts later, and one that restarts") {
-    b->OnCrash(Crash(3), {kBad});
+    b->OnCrash(Crash(3), {{kBad, {}}});
     CHECK(world->RunUntil([&] { return a.Stops(kBad) && b.Stops(kBad); }));
     Entry c(world.get(), "front-3");
     CHECK(world->RunUntil([&] { return c.Stops(kBad); }));
@@ -73,15 +75,15 @@
     CHECK(world->RunUntil([&] { return restarted.Stops(kBad); }));
 
     SECTION("the restarted entry keeps the report of its previous process") {
-      restarted->OnCrash(Crash(4), {11});
-      restarted->OnCrash(Crash(5), {11});
+      restarted->OnCrash(Crash(4), {{11, {}}});
+      restarted->OnCrash(Crash(5), {{11, {}}});
       CHECK(world->RunUntil([&] { return b.Stops(11); }));
       CHECK(b.Stops(kBad));
     }
   }
   SECTION("also if the store is down during a crash") {
     world->SetDown(true);
-    a->OnCrash(Crash(3), {kBad});
+    a->OnCrash(Crash(3), {{kBad, {}}});
     world->SetDown(false);
     CHECK(world->RunUntil([&] { return a.Stops(kBad) && b.Stops(kBad); }));
   }
@@ -90,23 +92,73 @@
       const auto other = world->Peek("crashes/front-2");
       return other && other->value.find("i-2") != std::string::npos;
     }));
-    a->OnAnswered(kBad);
+    a->OnAnswered({kBad, {}});
     REQUIRE(world->RunUntil([&] {
       a->Tick();
       const auto own = world->Peek("crashes/front-1");
       return own && own->value.find("\"cleared\":[]") == std::string::npos;
     }));
-    b->OnCrash(Crash(3), {kBad});
+    b->OnCrash(Crash(3), {{kBad, {}}});
     Entry c(world.get(), "front-3");
     CHECK(world->RunUntil([&] { return c->listed(); }));
     CHECK_FALSE(c.Stops(kBad));
   }
 }
 
+/// Guards against prompt parts that each entry counts alone, and against blocks
+/// that an answer at one entry does not lift at the others.
+TEST_CASE(
+    "Entries block a prompt part by the crashes that all of them reported") {
+  constexpr PromptPartId kBadPart = 0xbad;
+  constexpr PromptPartId kCommonPart = 0x5c;
+  auto world = MakeStoreFixture(GENERATE("fake", "platform"));
+  Entry a(world.get(), "front-1");
+  Entry b(world.get(), "front-2");
+  REQUIRE(world->RunUntil([&] { return a->listed() && b->listed(); }));
+  a->OnCrash(Crash(1), {{21, {kCommonPart, kBadPart}}, {22, {kCommonPart}}});
+  b->OnCrash(Crash(2), {{23, {kCommonPart, kBadPart}}});
+  const auto blocks = [](Entry* entry, std::vector<PromptPartId> parts) {
+    const auto block = (*entry)->BlockOf({99, std::move(parts)});
+    return block && block->part ? block->part->part : 0;
+  };
+  b->OnCrash(Crash(3), {{24, {kCommonPart, kBadPart}}});
+  CHECK(world->RunUntil([&] {
+    return blocks(&a, {kCommonPart, kBadPart}) != 0 &&
+           blocks(&b, {kCommonPart, kBadPart}) != 0;
+  }));
+  CHECK(blocks(&a, {kCommonPart, 0x77}) == 0);
+  CHECK(blocks(&b, {kCommonPart, 0x77}) == 0);
+
+  SECTION("also at an entry that starts later") {
+    Entry c(world.get(), "front-3");
+    CHECK(world->RunUntil([&] {
+      return blocks(&c, {kCommonPart, kBadPart}) != 0;
+    }));
+    CHECK(blocks(&c, {kCommonPart, 0x77}) == 0);
+  }
+  SECTION("until one of them sees an answer") {
+    a->OnAnswered({25, {kCommonPart, kBadPart}});
+    CHECK(world->RunUntil([&] {
+      a->Tick();
+      return blocks(&b, {kCommonPart, kBadPart}) == 0;
+    }));
+  }
+  SECTION("until one of them sees a long stream") {
+    a->OnOutlived({25, {kCommonPart, kBadPart}});
+    CHECK(world->RunUntil([&] {
+      a->Tick();
+      return blocks(&b, {kCommonPart, kBadPart}) == 0;
+    }));
+  }
+}
+
 TEST_CASE("A crash report") {
-  const CrashReport report{
-      {{Crash(1), {kBad, ~Fingerprint{0}}}, {Crash(2), {}}},
-      {{11, {Crash(1)}}}};
+  const EntryCrashReport report{
+      {{{Crash(1), {kBad, ~Fingerprint{0}}}, {Crash(2), {}}},
+       {{11, {Crash(1)}}}},
+      {{{Crash(1), {0xbad, ~PromptPartId{0}}, {0x5c}}},
+       {Crash(2), Crash(1)},
+       {{0x5c, 1}}}};
   const std::string text = EncodeCrashReport(report);
 
   SECTION("decodes to the encoded report") {
@@ -122,6 +174,20 @@
     CHECK(ErrorOf(read).detail ==
           R"("x" in "running" of crash "i-1" is not a fingerprint)");
   }
+  SECTION("of an older version has no prompt parts") {
+    const auto read =
+        DecodeCrashReport("front-1", R"({"crashes":[],"cleared":[]})");
+    REQUIRE(IsOk(read));
+    CHECK(ValueOf(read) == EntryCrashReport{});
+  }
+  SECTION("names a prompt part that is none") {
+    const auto read = DecodeCrashReport(
+        "front-1",
+        R"({"crashes":[],"cleared":[],"prompt_parts":{"crashes":[],"known":[],)"
+        R"("answered":[{"part":"x","known_crashes":1}]}})");
+    REQUIRE_FALSE(IsOk(read));
+    CHECK(ErrorOf(read).detail == R"("x" in "answered" is not a prompt part)");
+  }
   SECTION("of arbitrary bytes decodes to an error or to a valid report") {
     Fuzz({text}, [](const std::string& bytes) {
       const auto read = DecodeCrashReport("front-1", bytes);
--- a/tests/support/crash_rule.h
+++ b/tests/support/crash_rule.h
@@ -23,6 +23,7 @@
 inline constexpr std::chrono::seconds kCrashReaction{3};
 inline constexpr std::chrono::seconds kNeighborsServedAfter{6};
 inline constexpr double kMinNeighborsServed = 0.5;
+inline constexpr int kMinNeighbors = 20;  ///< Fewer prove nothing.
 
 /// Returns how many of `arrivals` count towards `kMaxForwardedAfterCrashes`.
 /// Both lists cover one request under all of its ids, or one prompt part, with
