Take the answer of another run at a target's address for its crash

A target may listen again at its address, under a new id or with a new start time, before the entry that lost a request there has probed it. The probe was answered, so the break was taken for a lost connection and the crash counted against nothing: a request, or a prompt part, that crashes such targets is found later or never.

The dialect now judges the answer: 421, or a report with another start time, proves that the run has ended. An answer that does not state the run proves nothing, as before.

"A liveness probe tells one run*" and a section of "A broken connection*" hold it; on the code before, the first does not build and OnCalled has no case for the second.

--- a/src/entry/crash_detector.cc
+++ b/src/entry/crash_detector.cc
@@ -40,20 +40,21 @@
     return;
   }
   SuspectedCrash& suspected = it->second;
-  const bool refused =
-      !IsOk(status) && ErrorOf(status).code == ErrorCode::kUnavailable;
+  const bool ended =
+      !IsOk(status) && (ErrorOf(status).code == ErrorCode::kUnavailable ||
+                        ErrorOf(status).code == ErrorCode::kConflict);
   const bool broke =
       !IsOk(status) && ErrorOf(status).code == ErrorCode::kUnknownEffect;
   if (broke && suspected.calls < options_.max_probes) {
     Call(run);
     return;
   }
-  log_(refused ? kTargetCrashed : kTargetSurvived,
+  log_(ended ? kTargetCrashed : kTargetSurvived,
        {{"target", run.target},
         {"run", std::to_string(run.run)},
         {"running", std::to_string(suspected.running.size())},
         {"call", IsOk(status) ? "answered" : ToString(ErrorOf(status))}});
-  if (!refused) {
+  if (!ended) {
     suspected_crashes_.erase(it);
     return;
   }
--- a/src/entry/crash_detector.h
+++ b/src/entry/crash_detector.h
@@ -17,9 +17,10 @@
 /// Distinguishes the crash of a target from the loss of a single connection.
 ///
 /// Both look the same to a request. After a crash nothing listens at the
-/// target's address, so the detector probes the target: only a refused
-/// connection is taken as a crash. Any other outcome means that the target is
-/// alive, or proves nothing.
+/// target's address, or another run of it already does, so the detector probes
+/// the target: only a refused connection and the answer of another run are
+/// taken as a crash. Any other outcome means that the target is alive, or
+/// proves nothing.
 ///
 /// Runs on one thread.
 class CrashDetector {
@@ -34,6 +35,7 @@
   struct Hooks {
     /// Probes the target without running a request. Must not call `done` before
     /// it returns; never calls `done` if the target cannot be called now.
+    /// The error `kConflict` means that another run of it answered.
     std::function<void(const std::string& target,
                        std::function<void(const Status&)> done)>
         call;
--- a/src/entry/direct_transport.cc
+++ b/src/entry/direct_transport.cc
@@ -502,28 +502,40 @@
   }
   TargetRequest request = dialect_.release(handle);
   request.deadline = options_.release_deadline;
-  StartExtraCall(client, std::move(request), [](const Status&) {});
+  StartExtraCall(client, std::move(request),
+                 [](const Result<TargetAnswer>&) {});
 }
 
 void DirectTransport::ProbeTarget(const std::string& instance,
                                   std::function<void(const Status&)> done) {
   TargetClient* client = ClientForExtraCall(instance);
-  if (client && dialect_.liveness_probe) {
-    StartExtraCall(client, dialect_.liveness_probe(*FindTarget(instance)),
-                   std::move(done));
+  if (!client || !dialect_.liveness_probe) {
+    return;
   }
+  const TargetRecord target = *FindTarget(instance);
+  StartExtraCall(
+      client, dialect_.liveness_probe(target),
+      [this, target, done = std::move(done)](const Result<TargetAnswer>& it) {
+        if (!IsOk(it)) {
+          done(ErrorOf(it));
+        } else if (dialect_.read_liveness) {
+          done(dialect_.read_liveness(target, ValueOf(it)));
+        } else {
+          done(Unit{});
+        }
+      });
 }
 
-void DirectTransport::StartExtraCall(TargetClient* client,
-                                     TargetRequest request,
-                                     std::function<void(const Status&)> done) {
+void DirectTransport::StartExtraCall(
+    TargetClient* client, TargetRequest request,
+    std::function<void(const Result<TargetAnswer>&)> done) {
   const std::uint64_t number = ++next_extra_call_;
   extra_calls_[number] = FetchAnswer(
       client, std::move(request), options_.max_handle_bytes,
       [this, number, done = std::move(done)](const Result<TargetAnswer>& it) {
         // Deferred, because the call must not be destroyed in its own callback.
         boost::asio::post(*io_, [this, number] { extra_calls_.erase(number); });
-        done(IsOk(it) ? Status(Unit{}) : Status(ErrorOf(it)));
+        done(it);
       });
 }
 
--- a/src/entry/direct_transport.h
+++ b/src/entry/direct_transport.h
@@ -209,7 +209,7 @@
   void RefuseRun(const AttemptId& id, RunRefusal why);
   void ReleaseHandle(const KvHandle& handle);
   void StartExtraCall(TargetClient* client, TargetRequest request,
-                      std::function<void(const Status&)> done);
+                      std::function<void(const Result<TargetAnswer>&)> done);
   void ReportBrokenRequest(const std::string& instance, const Run& run,
                            const Error& error);
   Run* Find(const AttemptId& id);
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -140,8 +140,8 @@
 
 inline constexpr EventInfo kTargetCrashed{
     1061, "target-crashed", EventSeverity::kWarning,
-    "A target's connections broke and nothing listens at its address: "
-    "it crashed while requests were running."};
+    "A target's connections broke, and nothing or another run of it listens at "
+    "its address: it crashed while requests were running."};
 inline constexpr EventInfo kTargetSurvived{
     1062, "target-survived", EventSeverity::kInfo,
     "A connection to a target broke without a crash: the target responds or "
--- a/src/entry/target_dialect.h
+++ b/src/entry/target_dialect.h
@@ -64,6 +64,10 @@
   /// Builds a liveness probe: a call that runs no request and that a live
   /// target answers at once.
   std::function<TargetRequest(const TargetRecord& target)> liveness_probe;
+  /// Returns an error with `kConflict` if the answer to a liveness probe proves
+  /// that the run of the target in `target` has ended.
+  std::function<Status(const TargetRecord& target, const TargetAnswer& answer)>
+      read_liveness;
   /// Classifies the head of an answer.
   std::function<AnswerMeaning(int status,
                               const std::vector<HttpHeader>& headers)>
--- a/tests/platform/target_protocol_test.cc
+++ b/tests/platform/target_protocol_test.cc
@@ -144,6 +144,37 @@
   CHECK_FALSE(IsOk(ReadOrderCount(target, {200, R"({"seq":2,"born":"x"})"})));
 }
 
+/// Guards against a crash that is not counted because the target is back, under
+/// another id or run, before it is probed.
+TEST_CASE("A liveness probe tells one run of a target from the next") {
+  TargetRecord target = Target();
+  target.run = TargetRun{1000};
+  const auto read = [&](const TargetAnswer& answer) {
+    return MakePlatformDialect().read_liveness(target, answer);
+  };
+  SECTION("the run answers") {
+    CHECK(IsOk(read({200, R"({"seq":2,"born":1000})"})));
+  }
+  SECTION("another run answers") {
+    const Status status = read({200, R"({"seq":0,"born":1001})"});
+    REQUIRE_FALSE(IsOk(status));
+    CHECK(ErrorOf(status).code == ErrorCode::kConflict);
+  }
+  SECTION("another target answers") {
+    const Status status = read({421, ""});
+    REQUIRE_FALSE(IsOk(status));
+    CHECK(ErrorOf(status).code == ErrorCode::kConflict);
+    CHECK(ErrorOf(status).peer == "i-7");
+  }
+  SECTION("an answer that does not state the run proves nothing") {
+    CHECK(IsOk(read({200, R"({"seq":2})"})));
+    CHECK(IsOk(read({200, "no JSON"})));
+    CHECK(IsOk(read({503, ""})));
+    target.run.reset();
+    CHECK(IsOk(read({200, R"({"seq":0,"born":1001})"})));
+  }
+}
+
 TEST_CASE("A target's limit is a number of requests per second") {
   const auto limit_of = [](const std::vector<HttpHeader>& headers) {
     return MakePlatformDialect().advertised_limit(Target(), headers);
--- a/tests/shell/crash_detector_test.cc
+++ b/tests/shell/crash_detector_test.cc
@@ -51,6 +51,10 @@
       CHECK(crashed.size() == 2);
     }
   }
+  SECTION("is a crash if another run of the target answers the probe") {
+    calls[0](Failed(ErrorCode::kConflict));
+    CHECK(crashed == std::vector<Fingerprint>{1, 2});
+  }
   SECTION("is no crash if the target answers") {
     calls[0](Unit{});
     CHECK(crashed.empty());
