End a call at once when what its target sends cannot become an answer

A target in trouble may send bytes without end, in a head or a body, until its connection closes. Such a call was read until its deadline, seconds later: an incomplete chunk header, a chunk extension and trailer fields into a buffer without a bound, interim responses and responses to other requests one after the other, and the body of a prefill or a probe far past the size that is kept.

The buffer of a connection is now bounded, as are the responses that may be skipped and their bytes, and a call may state the longest body of its response. Heads without end ended at once before. A stream or a plain body without end is forwarded within the caller's window until the deadline, as nothing tells it from a long answer.

On the code before, "Bytes without end that are no answer*" fails for interim responses, a chunk's size, a chunk's extension, trailer fields and both kinds of responses to other requests (each still open after 3 s of 10 s), and "A body without end*" too; all pass now.

--- a/src/target/fetch_answer.cc
+++ b/src/target/fetch_answer.cc
@@ -34,6 +34,7 @@
       done(std::move(*answer));
     }
   };
+  request.max_body_bytes = max_bytes;
   return client->Start(std::move(request), std::move(hooks));
 }
 
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -31,9 +31,17 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
+/// Interim responses and responses to other requests that may come before the
+/// response to a request, and the body bytes of the latter.
+constexpr int kMaxSkippedResponses = 16;
+constexpr std::uint64_t kMaxSkippedBytes = 1U << 20;
+
 /// A connection and the bytes read past the end of the last response.
 struct Connection {
-  explicit Connection(asio::io_context* io) : stream(*io) {}
+  /// `max_buffered_bytes` bounds bytes that the parser cannot use yet, such as
+  /// an incomplete chunk header.
+  Connection(asio::io_context* io, std::size_t max_buffered_bytes)
+      : stream(*io), buffer(max_buffered_bytes) {}
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
@@ -161,6 +169,7 @@
         hooks_(std::move(hooks)),
         deadline_(SteadyClock::now() + request.deadline),
         echoed_(request.echoed),
+        max_body_bytes_(request.max_body_bytes),
         buffer_(pool_->options().read_buffer_bytes, '\0') {
     FillRequest(std::move(request));
   }
@@ -217,7 +226,9 @@
   }
 
   void Connect() {
-    connection_ = std::make_unique<Connection>(pool_->io());
+    const std::size_t max_buffered_bytes =
+        pool_->options().max_head_bytes + pool_->options().read_buffer_bytes;
+    connection_ = std::make_unique<Connection>(pool_->io(), max_buffered_bytes);
     auto& stream = connection_->stream;
     stream.expires_at(std::min(
         deadline_, SteadyClock::now() + pool_->options().connect_timeout));
@@ -296,12 +307,19 @@
       FailRead("head", ec);
       return;
     }
-    if (parser_->get().result_int() / 100 == 1) {
+    const bool interim = parser_->get().result_int() / 100 == 1;
+    skipping_answer_ = !interim && IsOfAnotherRequest();
+    if ((interim || skipping_answer_) &&
+        ++skipped_responses_ > kMaxSkippedResponses) {
+      Finish(ErrorCode::kUnknownEffect,
+             "too many responses before the response to the request");
+      return;
+    }
+    if (interim) {
       StartParser();
       ReadHead();
       return;
     }
-    skipping_answer_ = IsOfAnotherRequest();
     if (!skipping_answer_) {
       WatchEvents();
       hooks_.on_head(static_cast<int>(parser_->get().result_int()),
@@ -368,7 +386,9 @@
     }
     DrainParsed(&ec);
     const auto n = buffer_.size() - parser_->get().body().size;
-    if (n > 0 && !skipping_answer_) {
+    if (skipping_answer_) {
+      skipped_bytes_ += n;
+    } else if (n > 0) {
       const std::string_view data(buffer_.data(), n);
       body_bytes_ += n;
       if (events_) {
@@ -383,6 +403,15 @@
       FailRead("body", ec);
       return;
     }
+    if (skipped_bytes_ > kMaxSkippedBytes) {
+      Finish(ErrorCode::kUnknownEffect,
+             "the response to another request does not end");
+      return;
+    }
+    if (max_body_bytes_ && body_bytes_ > *max_body_bytes_) {
+      Finish(ErrorCode::kProtocol, "response exceeds the size limit");
+      return;
+    }
     ReadBody();
   }
 
@@ -486,11 +515,14 @@
   TargetClient::Hooks hooks_;
   SteadyClock::time_point deadline_;
   HttpHeader echoed_;
+  std::optional<std::uint64_t> max_body_bytes_;
   http::request<http::string_body> request_;
   std::unique_ptr<Connection> connection_;
   std::optional<Parser> parser_;
   std::string buffer_;
   std::uint64_t body_bytes_ = 0;
+  int skipped_responses_ = 0;
+  std::uint64_t skipped_bytes_ = 0;
   std::optional<EventScanner> events_;  ///< Set for an event stream.
   bool written_ = false;
   bool write_done_ = false;
--- a/src/target/target_client.h
+++ b/src/target/target_client.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -35,6 +36,8 @@
   /// connection: it is dropped, and the next response is read instead.
   HttpHeader echoed = {};
   bool is_new_work = false;  ///< Must not go to a draining target.
+  /// Longest body of the response; the call fails with `kProtocol` beyond it.
+  std::optional<std::uint64_t> max_body_bytes = {};
 
   friend bool operator==(const TargetRequest&, const TargetRequest&) = default;
 };
