--- a/src/entry/crash_report_json.cc
+++ b/src/entry/crash_report_json.cc
@@ -52,8 +52,9 @@
     const auto name = it.get<std::string>();
     const auto part = ReadHex(name);
     if (!part) {
-      return Unreadable(
-          peer, "\"" + name + "\" in \"" + field + "\" is not a prompt part");
+      std::string detail = "\"" + name + "\" in \"";
+      detail += field + "\" is not a prompt part";
+      return Unreadable(peer, std::move(detail));
     }
     parts.push_back(*part);
   }
@@ -92,7 +93,7 @@
       return IsOk(parts) ? ErrorOf(before) : ErrorOf(parts);
     }
     report.crashes.push_back(
-        {ReadCrash(it), std::move(ValueOf(parts)), std::move(ValueOf(before))});
+        {ReadCrash(it), ValueOf(std::move(parts)), ValueOf(std::move(before))});
   }
   for (const Json& it : json.at("known")) {
     report.known.push_back(ReadCrash(it));
@@ -185,13 +186,13 @@
     if (!IsOk(requests)) {
       return ErrorOf(requests);
     }
-    report.requests = std::move(ValueOf(requests));
+    report.requests = ValueOf(std::move(requests));
     if (json.contains("prompt_parts")) {
       auto parts = ReadPartReport(peer, json.at("prompt_parts"));
       if (!IsOk(parts)) {
         return ErrorOf(parts);
       }
-      report.parts = std::move(ValueOf(parts));
+      report.parts = ValueOf(std::move(parts));
     }
   } catch (const Json::exception& e) {
     return Unreadable(peer, JsonProblem(e));
