Leave a part unblocked that another explains but for a few crashes

A lead of one crash proves nothing, in either direction. Now a part that alone explains three or more of the crashes, and leaves fewer than three, excuses another. The part at fault has its lead of three soon.

--- a/src/core/request/prompt_part_ledger.cc
+++ b/src/core/request/prompt_part_ledger.cc
@@ -286,22 +286,20 @@
   const bool was_answered = WasAnswered(part);
   Crashes unexplained = crashes;
   for (const auto& [other, others] : crashes_by_part_) {
-    if (Contains(parts, other)) {
+    const bool less_suspect = !was_answered && WasAnswered(other);
+    if (less_suspect || Contains(parts, other)) {
       continue;
     }
-    if (WasAnswered(other) == was_answered) {
-      if (others == crashes) {
-        return true;
-      }
-      if (others.size() > crashes.size()) {
-        EraseAll(others, &unexplained);
-      }
-    } else if (was_answered) {
-      Crashes left = crashes;
-      EraseAll(others, &left);
-      if (left.size() < options_.crashes_to_block) {
-        return true;
-      }
+    Crashes left = crashes;
+    EraseAll(others, &left);
+    const std::size_t explained = crashes.size() - left.size();
+    const bool more_suspect = was_answered && !WasAnswered(other);
+    if (left.size() < options_.crashes_to_block &&
+        (more_suspect || explained >= options_.crashes_to_block)) {
+      return true;
+    }
+    if (others.size() > crashes.size()) {
+      EraseAll(others, &unexplained);
     }
   }
   return unexplained.size() < options_.crashes_to_block;
--- a/src/core/request/prompt_part_ledger.h
+++ b/src/core/request/prompt_part_ledger.h
@@ -70,9 +70,9 @@
 ///
 /// A request is blocked by a part that has enough crashes, unless parts that
 /// the request does not have explain them, so that too few are left:
-/// - parts that were running in more crashes;
-/// - a part that was running in the very same crashes: either may be the cause,
-///   and the requests that have only one of them show which;
+/// - parts that were running in more crashes, taken together;
+/// - one part that alone explains as many as block a request: either may be the
+///   cause, and the requests that have only one of them show which;
 /// - for a part that was answered before, one that never was.
 /// So requests that share only other parts with the crashing ones keep being
 /// served.
