Keep the answers of an entry's first moments when its old report is read

An entry that restarts may see a part answered before it has read the report of its previous process. If that report listed no known crashes, as one without answers does, the answer was recorded for none of them and the part stayed suspect there.

The comparison of two parts' crashes counts what they share and copies no sets.

--- a/src/core/request/prompt_part_ledger.cc
+++ b/src/core/request/prompt_part_ledger.cc
@@ -44,9 +44,10 @@
   }
 }
 
-void EraseAll(const std::set<std::size_t>& erased,
-              std::set<std::size_t>* numbers) {
-  std::erase_if(*numbers, [&](std::size_t it) { return erased.count(it) > 0; });
+std::size_t CountCommon(const std::set<std::size_t>& a,
+                        const std::set<std::size_t>& b) {
+  return static_cast<std::size_t>(std::count_if(
+      a.begin(), a.end(), [&](std::size_t it) { return b.count(it) > 0; }));
 }
 
 std::size_t CountParts(const PartCrashReport& report) {
@@ -107,13 +108,14 @@
 void PromptPartLedger::RestoreOwnReport(const PartCrashReport& report,
                                         TimePoint now) {
   const PartCrashReport since = std::exchange(own_, report);
-  for (const PartCrashRecord& it : since.crashes) {
-    Merge(it, &own_);
-  }
-  // The answers came after all crashes of the restored report.
+  Rebuild(now);  // Lists all crashes of the restored report as known.
+  // The answers of this process came after these crashes.
   for (const AnsweredPart& it : since.answered) {
     SetAnswered(it.part, own_.known.size(), &own_);
   }
+  for (const PartCrashRecord& it : since.crashes) {
+    Merge(it, &own_);
+  }
   LimitOwnReport();
   Rebuild(now);
 }
@@ -290,16 +292,16 @@
     if (less_suspect || Contains(parts, other)) {
       continue;
     }
-    Crashes left = crashes;
-    EraseAll(others, &left);
-    const std::size_t explained = crashes.size() - left.size();
+    const std::size_t explained = CountCommon(crashes, others);
+    const std::size_t left = crashes.size() - explained;
     const bool more_suspect = was_answered && !WasAnswered(other);
-    if (left.size() < options_.crashes_to_block &&
+    if (left < options_.crashes_to_block &&
         (more_suspect || explained >= options_.crashes_to_block)) {
       return true;
     }
     if (others.size() > crashes.size()) {
-      EraseAll(others, &unexplained);
+      std::erase_if(unexplained,
+                    [&](std::size_t it) { return others.count(it) > 0; });
     }
   }
   return unexplained.size() < options_.crashes_to_block;
@@ -348,8 +350,7 @@
 
 bool PromptPartLedger::TakeTrial(const PromptPartBlock& block,
                                  Fingerprint request, TimePoint now) {
-  const auto [it, added] = trials_.try_emplace(block.part);
-  Trial& trial = it->second;
+  Trial& trial = trials_[block.part];
   if (trial.crashes != block.crashes) {
     const int failed = trial.failed + (trial.request ? 1 : 0);
     trial = {block.crashes, failed, now + TrialDelay(failed), std::nullopt};
--- a/tests/core/request/prompt_part_ledger_test.cc
+++ b/tests/core/request/prompt_part_ledger_test.cc
@@ -66,6 +66,13 @@
       next.RestoreOwnReport(ledger.own(), kStart);
       CHECK(next.BlockOf(kAnyRequest, {kFirstPart, kCrashingPart}, kStart));
     }
+    SECTION("but not if it was answered after the restart") {
+      PromptPartLedger next = MakeLedger();
+      next.OnCrash(Crash(4), {kCrashingPart}, kStart);
+      next.OnAnswered({kCrashingPart});
+      next.RestoreOwnReport(ledger.own(), kStart);
+      CHECK(next.CountCrashes(kCrashingPart) <= 1);
+    }
     SECTION("also at another entry") {
       PromptPartLedger other = MakeLedger();
       other.OnReports({ledger.own()}, kStart);
