--- a/src/core/request/prompt_part_ledger.cc
+++ b/src/core/request/prompt_part_ledger.cc
@@ -44,6 +44,11 @@
   }
 }
 
+void EraseAll(const std::set<std::size_t>& erased,
+              std::set<std::size_t>* numbers) {
+  std::erase_if(*numbers, [&](std::size_t it) { return erased.count(it) > 0; });
+}
+
 std::size_t CountCommon(const std::set<std::size_t>& a,
                         const std::set<std::size_t>& b) {
   return static_cast<std::size_t>(std::count_if(
@@ -300,8 +305,7 @@
       return true;
     }
     if (others.size() > crashes.size()) {
-      std::erase_if(unexplained,
-                    [&](std::size_t it) { return others.count(it) > 0; });
+      EraseAll(others, &unexplained);
     }
   }
   return unexplained.size() < options_.crashes_to_block;
