--- a/src/entry/crash_service.h
+++ b/src/entry/crash_service.h
@@ -41,9 +41,8 @@
     /// Delay that batches non-urgent reports of answered requests, which are no
     /// longer suspects.
     Duration clear_batch_delay = std::chrono::seconds(2);
-    /// Longest delay of a report of answered prompt parts. Chosen at random up
-    /// to this, because all entries see answers with a common part, and one
-    /// report is enough.
+    /// Upper bound of the random delay of a report of answered prompt parts.
+    /// All entries see answers with a common part, and one report is enough.
     Duration max_part_delay = std::chrono::milliseconds(500);
     /// Delay before a failed write is retried.
     Duration write_retry_delay = std::chrono::milliseconds(500);
--- a/tests/shell/crowded_entry_test.cc
+++ b/tests/shell/crowded_entry_test.cc
@@ -190,8 +190,8 @@
   return served;
 }
 
-/// Guards against connections that wait to be accepted until their callers have
-/// given up, so that the entry spends its time on requests nobody waits for.
+/// Guards against connections that wait to be accepted until their callers time
+/// out, so that the entry spends its time on abandoned requests.
 TEST_CASE("An entry serves what it reads while most connections come to it") {
   SlowEntry entry;
   const auto calm = SendRequests(&entry, 60, milliseconds(1000));
