--- a/tests/platform/support/metadata_store.cc
+++ b/tests/platform/support/metadata_store.cc
@@ -15,6 +15,8 @@
 constexpr char kPrefix[] = "/api/objects/";
 constexpr std::size_t kPage = 4;  // Small, so that tests read several pages.
 constexpr milliseconds kStallStep{50};
+/// Start of the string that stands for a spec that was written as text.
+constexpr char kTextMark[] = "spec-as-text-";
 
 const standins::HttpHeaders& JsonType() {
   static const standins::HttpHeaders headers = {
@@ -37,6 +39,27 @@
   server_.Invoke([&] { Store(kind, name, spec); });
 }
 
+void MetadataStore::PutText(const std::string& kind, const std::string& name,
+                            const std::string& text) {
+  server_.Invoke([&] {
+    texts_.push_back(text);
+    Store(kind, name, kTextMark + std::to_string(texts_.size() - 1));
+  });
+}
+
+std::string MetadataStore::TextOf(const Json& reply) const {
+  std::string text = reply.dump();
+  const std::string mark = std::string("\"") + kTextMark;
+  for (auto at = text.find(mark); at != std::string::npos;
+       at = text.find(mark, at)) {
+    const std::size_t end = text.find('"', at + 1);
+    const std::size_t number = std::stoul(text.substr(at + mark.size(), end));
+    text.replace(at, end + 1 - at, texts_.at(number));
+    at += texts_.at(number).size();
+  }
+  return text;
+}
+
 void MetadataStore::Remove(const std::string& kind, const std::string& name) {
   server_.Invoke([&] { Erase(kind, name); });
 }
@@ -206,7 +229,7 @@
     co_await exchange.Reply(404, "", {});
     co_return;
   }
-  std::string body = JsonOf(name, it->second).dump();
+  std::string body = TextOf(JsonOf(name, it->second));
   co_await exchange.Reply(200, std::move(body), JsonType());
 }
 
@@ -226,7 +249,7 @@
     items.push_back(JsonOf(name, object));
   }
   const Json reply = {{"items", items}, {"has-more", more}, {"at", revision_}};
-  std::string body = reply.dump();
+  std::string body = TextOf(reply);
   co_await exchange.Reply(200, std::move(body), JsonType());
 }
 
@@ -259,7 +282,7 @@
     co_return;
   }
   const Json reply = {{"events", EventsSince(kind, from)}, {"at", revision_}};
-  std::string body = reply.dump();
+  std::string body = TextOf(reply);
   co_await exchange.Reply(200, std::move(body), JsonType());
 }
 
@@ -285,12 +308,12 @@
     co_return;
   }
   if (!precondition_holds) {
-    std::string held_now = JsonOf(name, held->second).dump();
+    std::string held_now = TextOf(JsonOf(name, held->second));
     co_await exchange.Reply(409, std::move(held_now), JsonType());
     co_return;
   }
   Store(kind, name, body.at("spec"));
-  std::string reply = JsonOf(name, kinds_[kind][name]).dump();
+  std::string reply = TextOf(JsonOf(name, kinds_[kind][name]));
   co_await Confirm(exchange, std::move(reply));
 }
 
@@ -310,7 +333,7 @@
     held->second.status = body.at("status");
     Announce(kind, name, &held->second);
   }
-  std::string reply = JsonOf(name, held->second).dump();
+  std::string reply = TextOf(JsonOf(name, held->second));
   co_await Confirm(exchange, std::move(reply));
 }
 
@@ -321,7 +344,7 @@
     co_await exchange.Reply(404, "", {});
     co_return;
   }
-  std::string object = JsonOf(name, held->second).dump();
+  std::string object = TextOf(JsonOf(name, held->second));
   const std::uint64_t expected =
       exchange.request().QueryNumber("revision", held->second.revision);
   if (expected != held->second.revision) {
--- a/tests/platform/support/metadata_store.h
+++ b/tests/platform/support/metadata_store.h
@@ -27,6 +27,9 @@
   /// Writes the object unconditionally, as an operator or a target does.
   void Put(const std::string& kind, const std::string& name,
            const nlohmann::json& spec);
+  /// Writes an object whose `spec` is sent as `text`, which need not be JSON.
+  void PutText(const std::string& kind, const std::string& name,
+               const std::string& text);
   void Remove(const std::string& kind, const std::string& name);
 
   /// Returns the object's `spec`; null if there is none.
@@ -89,11 +92,14 @@
   void Erase(const std::string& kind, const std::string& name);
   Objects& VisibleObjects(const std::string& kind);
   nlohmann::json JsonOf(const std::string& name, const Object& object) const;
+  /// Returns `reply` as text, with the specs that were written as text.
+  std::string TextOf(const nlohmann::json& reply) const;
   nlohmann::json EventsSince(const std::string& kind,
                              std::uint64_t revision) const;
 
   std::map<std::string, Objects> kinds_;
   std::vector<Event> history_;
+  std::vector<std::string> texts_;  ///< Specs that were written as text.
   std::uint64_t revision_ = 1;
   std::uint64_t compacted_ = 0;
   std::map<std::string, Objects> stale_kinds_;
