Show that names of other writers change requests to the store

Targets choose their names, and entries write the status of a target's object and delete expired records by name. Failed on the current code in all three calls, read, status write and delete: a name with a line break is sent as it is and becomes part of the request.

--- a/tests/platform/foreign_objects_test.cc
+++ b/tests/platform/foreign_objects_test.cc
@@ -133,6 +133,13 @@
     return Run<std::uint64_t>(
         [&](auto done) { store_.Put(key, "{}", 3, kOptions, done); });
   }
+  Result<std::uint64_t> PutStatus(const std::string& key) {
+    return Run<std::uint64_t>(
+        [&](auto done) { store_.PutStatus(key, "{}", kOptions, done); });
+  }
+  Result<Unit> Delete(const std::string& key) {
+    return Run<Unit>([&](auto done) { store_.Delete(key, 4, kOptions, done); });
+  }
   std::vector<std::string> requests() const { return server_.requests(); }
   std::string metrics() const { return metrics_.ToPrometheusText(); }
 
@@ -142,6 +149,7 @@
   static std::vector<testing::Script> Scripts(
       const std::vector<std::string>& replies) {
     std::vector<testing::Script> scripts;
+    scripts.reserve(replies.size());
     for (const std::string& it : replies) {
       scripts.push_back(testing::Send(it));
     }
@@ -375,6 +383,29 @@
         std::string::npos);
 }
 
+// Guards against requests to the store that a name of another writer changes,
+// for instance when an entry shares the limit of a target of that name.
+TEST_CASE("A key in a request to the store is escaped") {
+  const std::string key = "servers/b c?x=1\r\nDELETE /";
+  const std::string escaped =
+      "/api/objects/servers/b%20c%3Fx%3D1%0D%0ADELETE%20/";
+  Client client({Reply(Text("x", 4, {"", "{}"}))});
+  SECTION("to read an object") {
+    CHECK(IsOk(client.Get(key)));
+    CHECK(client.requests().at(0).starts_with("GET " + escaped + " HTTP"));
+  }
+  SECTION("to write a status") {
+    CHECK(IsOk(client.PutStatus(key)));
+    CHECK(
+        client.requests().at(0).starts_with("PUT " + escaped + "/status HTTP"));
+  }
+  SECTION("to delete an object") {
+    CHECK(IsOk(client.Delete(key)));
+    CHECK(client.requests().at(0).starts_with("DELETE " + escaped +
+                                              "?revision=4 HTTP"));
+  }
+}
+
 // Guards against a reply cut off or mixed up that is taken for a short one.
 TEST_CASE("A reply whose own members are unsound is an error") {
   SECTION("of a list") {
