Log what the records tell of a stream and how old the list of targets is

An operator who sees a stream go on at another software version has to know what the entry took for the proof: a record, the archive or that only one version was listed, and how old that list was. stream-continued (1066) now gives what the entries' records told ("records") and the age of the list ("list_age_ms"), and indigolead_streams_continued_by_list_total counts the streams that went on by the list alone.

--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -91,6 +91,11 @@
       streams_continued_(metrics->AddCounter(
           "indigolead_streams_continued_total",
           "Requests to continue a stream that were forwarded.")),
+      streams_continued_by_list_(metrics->AddCounter(
+          "indigolead_streams_continued_by_list_total",
+          "Requests to continue a stream that were forwarded since only one "
+          "software version was listed; neither a record nor the archive named "
+          "the stream.")),
       streams_not_continued_(metrics->AddCounter(
           "indigolead_streams_not_continued_total",
           "Requests to continue a stream that were refused: what began it is "
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -215,6 +215,8 @@
   struct KnownOrigin {
     std::optional<StreamOrigin> origin;
     std::string_view source;
+    std::string_view records{};  ///< What the entries' records tell of it.
+    bool by_list = false;        ///< Known from the versions listed only.
   };
   KnownOrigin OriginOf(const CallerRequest& request,
                        const OriginResult& found) const;
@@ -390,6 +392,7 @@
   Gauge& targets_in_cooldown_;
   Counter& calls_held_back_;
   Counter& streams_continued_;
+  Counter& streams_continued_by_list_;
   Counter& streams_not_continued_;
   Counter& streams_not_placed_;
   Counter& streams_waited_;
--- a/src/entry/direct_dispatcher_streams.cc
+++ b/src/entry/direct_dispatcher_streams.cc
@@ -16,6 +16,12 @@
   return RoleOf(*candidate.side) == EngineRole::kPrefill;
 }
 
+/// Returns what the records of the entries tell of a stream, for logs.
+std::string_view RecordsName(const OriginResult& found) {
+  const auto* unknown = std::get_if<OriginUnknown>(&found);
+  return unknown ? NameOf(*unknown) : "recorded";
+}
+
 }  // namespace
 
 void DirectDispatcher::ContinueStream(
@@ -32,7 +38,8 @@
 void DirectDispatcher::OnFound(
     const std::shared_ptr<const CallerRequest>& request,
     const OriginResult& found) {
-  const KnownOrigin known = OriginOf(*request, found);
+  KnownOrigin known = OriginOf(*request, found);
+  known.records = RecordsName(found);
   if (known.origin || request->resumes.empty() ||
       !hooks_.find_archived_origin) {
     OnOrigin(request, known);
@@ -41,7 +48,9 @@
   hooks_.find_archived_origin(
       request->resumes,
       [this, request, known](const std::optional<StreamOrigin>& archived) {
-        OnOrigin(request, archived ? KnownOrigin{archived, "archive"} : known);
+        OnOrigin(request, archived
+                              ? KnownOrigin{archived, "archive", known.records}
+                              : known);
       });
 }
 
@@ -57,11 +66,11 @@
   const auto* services = routes_ ? routes_->ServicesOf(request.route) : nullptr;
   const auto proven = software_.OnlyVersion(service, clock_());
   if (proven && services && services->size() == 1) {
-    return {StreamOrigin{service, *proven}, "only-version"};
+    return {StreamOrigin{service, *proven}, "only-version", {}, true};
   }
   const auto seen = software_.OnlyVersionSeen(service, clock_());
   if (request.resumes.empty() && seen) {
-    return {StreamOrigin{service, *seen}, "only-version-seen"};
+    return {StreamOrigin{service, *seen}, "only-version-seen", {}, true};
   }
   return {std::nullopt, NameOf(std::get<OriginUnknown>(found))};
 }
@@ -81,6 +90,8 @@
         {"origin", std::string(known.source)},
         {"service", origin ? origin->service : ""},
         {"software", origin ? origin->software_version : ""},
+        {"records", std::string(known.records)},
+        {"list_age_ms", FormatMilliseconds(directory_.Age(clock_()))},
         {"after_ms", FormatMilliseconds(clock_() - request->received_at)}});
   if (auto refusal = RefuseContinuation(*request, known)) {
     streams_not_continued_.Add();
@@ -89,6 +100,7 @@
     return;
   }
   streams_continued_.Add();
+  streams_continued_by_list_.Add(known.by_list ? 1 : 0);
   auto continued = std::make_shared<CallerRequest>(*request);
   continued->deployment = origin->service;
   continued->origin = origin;
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -40,8 +40,11 @@
     "The prefill is done; an engine was chosen for the decode."};
 inline constexpr EventInfo kStreamContinued{
     1066, "stream-continued", EventSeverity::kInfo,
-    "A caller asks to continue a stream; the fields give what began it and how "
-    "that is known."};
+    "A caller asks to continue a stream; the fields give what began it, how "
+    "that "
+    "is known, what the entries' records tell of it, and the age of the list "
+    "of "
+    "targets."};
 inline constexpr EventInfo kStreamNotPlaced{
     1071, "stream-not-placed", EventSeverity::kInfo,
     "A stream could not go on at a target now; the fields count the targets of "
