Show that an old list joins two software versions in one stream

Streams that began at a new software version through another entry go on at the old one at an entry that has no way to the others and whose list of targets is older than the streams.

--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -333,16 +333,22 @@
       (std::filesystem::temp_directory_path() /
        ("indigolead-settings-" + std::to_string(getpid()) + "-" + name))
           .string();
+  const bool apart = options_.entry_apart && name == "front-1";
   std::ofstream out(path);
   out << "node=" << name
       << "\nzone=bilbao-a\nregion=norte\nlisten.front=" << callers
-      << "\nlisten.ready=" << ready
-      << "\nplatform.address=" << store_relay.address()
-      << "\nip=127.0.0.1\nport-range=" << PortOf(ReserveAddress())
+      << "\nlisten.ready=" << ready << "\nplatform.address="
+      << (apart ? own_store_relay : store_relay).address()
+      << "\nip=127.0.0.1\nport-range="
+      << (apart ? std::to_string(messages_port_.local_endpoint().port())
+                : PortOf(ReserveAddress()))
       << "\nlimits.max-fds=1000\nbounds.grace-s=8\nbounds.lease-ms=500\n"
          "bounds.contact-ms=3000\nbounds.retry-budget-ratio=0.2\n"
          "bounds.retry-slack="
       << options_.retry_slack << "\n";
+  if (options_.first_start) {
+    out << "bootstrap=true\n";
+  }
   if (options_.reports_usage && name == "front-1") {
     out << "cloud.address=" << usage.address()
         << "\ncloud.duties=usage_report\nbounds.report-window-s=1\n"
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -1,6 +1,10 @@
 #ifndef INDIGOLEAD_TESTS_PLATFORM_SUPPORT_PLATFORM_SCENE_H_
 #define INDIGOLEAD_TESTS_PLATFORM_SUPPORT_PLATFORM_SCENE_H_
 
+#include <utility>
+// Asio of Boost 1.74 needs <utility> before it.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <deque>
 #include <map>
 #include <memory>
@@ -44,6 +48,11 @@
     int engine_events = 4;        ///< Of each stream.
     /// Failure domains of the engines, by turns.
     std::vector<std::string> engine_domains = {"bilbao-a"};
+    /// The entries are told that the whole system starts for the first time.
+    bool first_start = false;
+    /// The entry has a way to the store of its own, `own_store_relay`, and
+    /// neither gets nor sends messages of other entries.
+    bool entry_apart = false;
   };
   PlatformScene() : PlatformScene(Options{}) {}
   explicit PlatformScene(const Options& options);
@@ -128,6 +137,8 @@
   UsageReceiver usage;
   MetadataStore store;
   standins::RelayServer store_relay{0, store.address()};
+  /// The way to the store of an entry that is apart.
+  standins::RelayServer own_store_relay{0, store.address()};
   std::deque<ModelWorker> workers;
   std::string callers_address = ReserveAddress();
   std::string ready_address = ReserveAddress();
@@ -146,6 +157,10 @@
                             const std::string& ready);
 
   Options options_;
+  boost::asio::io_context io_;
+  /// Holds the port at which an entry that is apart would get messages.
+  boost::asio::ip::udp::socket messages_port_{
+      io_, {boost::asio::ip::address_v4::loopback(), 0}};
   std::size_t engines_added_ = 0;
   std::map<const ModelWorker*, std::string> ids_;
   std::string settings_;
