Ask the archive before the versions listed for what began a stream

Callers saw streams go on at another software version at an entry that was out of step. Cause: the entry took "only one version was listed" for the origin before it asked the archive, though the archive names the version and the list only rules others out, as far as it is up to date. Now records go first, then the archive, then the list. A caller that names no request is answered from the versions seen, as before.

Before: "The archive goes before the only version listed" went on as "only-version" although the archive named v2.

--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -112,8 +112,7 @@
     /// Finds what began the stream whose first event the caller's request `id`
     /// delivered.
     std::function<void(const std::string& id, StreamOrigins::Done)> find_origin;
-    /// Finds the same where no entry has a record of it. Called only if several
-    /// software versions may have begun the stream.
+    /// Finds the same where no entry has a record of it.
     std::function<void(
         const std::string& id,
         std::function<void(const std::optional<StreamOrigin>&)> done)>
@@ -218,11 +217,19 @@
     std::string_view records{};  ///< What the entries' records tell of it.
     bool by_list = false;        ///< Known from the versions listed only.
   };
-  KnownOrigin OriginOf(const CallerRequest& request,
-                       const OriginResult& found) const;
-  /// Looks for the origin in the archive if nothing else tells it.
+  /// Looks for the origin elsewhere if no entry has a record of it.
   void OnFound(const std::shared_ptr<const CallerRequest>& request,
                const OriginResult& found);
+  /// Finds the origin of a stream that nobody has a record of: only one
+  /// software version was listed.
+  void ProveByList(const std::shared_ptr<const CallerRequest>& request,
+                   OriginUnknown why);
+  /// Returns the origin of a stream that only one software version can have
+  /// begun, if the list is up to date.
+  std::optional<StreamOrigin> OnlyOrigin(const CallerRequest& request) const;
+  /// Returns the origin of a stream whose caller names no request.
+  KnownOrigin UnnamedOrigin(const CallerRequest& request,
+                            OriginUnknown why) const;
   void OnOrigin(const std::shared_ptr<const CallerRequest>& request,
                 const KnownOrigin& known);
   /// Returns the refusal of a request that continues a stream; nullopt if it
--- a/src/entry/direct_dispatcher_streams.cc
+++ b/src/entry/direct_dispatcher_streams.cc
@@ -16,11 +16,7 @@
   return RoleOf(*candidate.side) == EngineRole::kPrefill;
 }
 
-/// Returns what the records of the entries tell of a stream, for logs.
-std::string_view RecordsName(const OriginResult& found) {
-  const auto* unknown = std::get_if<OriginUnknown>(&found);
-  return unknown ? NameOf(*unknown) : "recorded";
-}
+constexpr std::string_view kRecorded = "recorded";
 
 }  // namespace
 
@@ -35,44 +31,66 @@
       [this, request](const OriginResult& found) { OnFound(request, found); });
 }
 
+// A record and the archive name the version that began the stream; the list
+// only rules out others, so it is asked last.
 void DirectDispatcher::OnFound(
     const std::shared_ptr<const CallerRequest>& request,
     const OriginResult& found) {
-  KnownOrigin known = OriginOf(*request, found);
-  known.records = RecordsName(found);
-  if (known.origin || request->resumes.empty() ||
-      !hooks_.find_archived_origin) {
-    OnOrigin(request, known);
+  if (const auto* recorded = std::get_if<StreamOrigin>(&found)) {
+    OnOrigin(request, {*recorded, "record", kRecorded});
+    return;
+  }
+  const auto why = std::get<OriginUnknown>(found);
+  if (request->resumes.empty()) {
+    OnOrigin(request, UnnamedOrigin(*request, why));
+    return;
+  }
+  if (!hooks_.find_archived_origin) {
+    ProveByList(request, why);
     return;
   }
   hooks_.find_archived_origin(
       request->resumes,
-      [this, request, known](const std::optional<StreamOrigin>& archived) {
-        OnOrigin(request, archived
-                              ? KnownOrigin{archived, "archive", known.records}
-                              : known);
+      [this, request, why](const std::optional<StreamOrigin>& archived) {
+        if (archived) {
+          OnOrigin(request, {archived, "archive", NameOf(why)});
+        } else {
+          ProveByList(request, why);
+        }
       });
 }
 
-// Callers that do not name the request that began the stream are those of
-// fleets that run one software version at a time.
-DirectDispatcher::KnownOrigin DirectDispatcher::OriginOf(
-    const CallerRequest& request, const OriginResult& found) const {
-  if (const auto* recorded = std::get_if<StreamOrigin>(&found)) {
-    return {*recorded, "record"};
+void DirectDispatcher::ProveByList(
+    const std::shared_ptr<const CallerRequest>& request, OriginUnknown why) {
+  if (const auto origin = OnlyOrigin(*request)) {
+    OnOrigin(request, {origin, "only-version", NameOf(why), true});
+  } else {
+    OnOrigin(request, {std::nullopt, NameOf(why), NameOf(why)});
   }
+}
+
+std::optional<StreamOrigin> DirectDispatcher::OnlyOrigin(
+    const CallerRequest& request) const {
   // A route with several services may have begun the stream at another one.
   const std::string& service = request.deployment;
   const auto* services = routes_ ? routes_->ServicesOf(request.route) : nullptr;
-  const auto proven = software_.OnlyVersion(service, clock_());
-  if (proven && services && services->size() == 1) {
-    return {StreamOrigin{service, *proven}, "only-version", {}, true};
+  const auto version = software_.OnlyVersion(service, clock_());
+  if (!version || !services || services->size() != 1) {
+    return std::nullopt;
   }
+  return StreamOrigin{service, *version};
+}
+
+// Callers that do not name the request that began the stream are those of
+// fleets that run one software version at a time.
+DirectDispatcher::KnownOrigin DirectDispatcher::UnnamedOrigin(
+    const CallerRequest& request, OriginUnknown why) const {
+  const std::string& service = request.deployment;
   const auto seen = software_.OnlyVersionSeen(service, clock_());
-  if (request.resumes.empty() && seen) {
-    return {StreamOrigin{service, *seen}, "only-version-seen", {}, true};
+  if (!seen) {
+    return {std::nullopt, NameOf(why), NameOf(why)};
   }
-  return {std::nullopt, NameOf(std::get<OriginUnknown>(found))};
+  return {StreamOrigin{service, *seen}, "only-version-seen", NameOf(why), true};
 }
 
 void DirectDispatcher::OnOrigin(
@@ -112,10 +130,12 @@
     const CallerRequest& request, const KnownOrigin& known) const {
   const std::optional<StreamOrigin>& origin = known.origin;
   if (!origin) {
-    // An entry that did not reply may do so later. If all did, and the archive
-    // does not name the stream, no later request will find more.
+    // An entry, or the store, that did not reply may do so later. If all did,
+    // and the archive does not name the stream, no later request will find
+    // more.
     const bool may_be_known_later =
-        known.source == NameOf(OriginUnknown::kNoReply);
+        known.source == NameOf(OriginUnknown::kNoReply) ||
+        known.source == kListNotConfirmed;
     return Refusal{
         503, RunState::kNotRun, "stream_origin_unknown",
         "It is not known which software version began the stream "
