Take the list for a proof only if the store confirms it

Callers of an entry that was cut off from the others, and whose answers of the store were late, got events of two software versions in one stream. Cause: the list proves nothing about the time after its last confirmation, but the entry took "only one version was listed" for the origin whatever the list's age, also when no other entry replied.

The proof now needs a read of the store that was sent after the request arrived (TargetFollower::Confirm). A stream begins only at a target that is in the store's list by then, so such a read shows its version. Only the entry's own reads of the store count: an answer through a relay, and one that the relay got late, may be older than it seems. Questions share a read; one is in flight at most, one in 100 ms an entry and 200 a second by all entries (entries x 5 ms). A question that is not answered in 700 ms is refused with a Retry-After, as "list-not-confirmed".

--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -117,6 +117,12 @@
         const std::string& id,
         std::function<void(const std::optional<StreamOrigin>&)> done)>
         find_archived_origin;
+    /// Brings the list of targets up to date and calls `done` with true once
+    /// every change up to `needed_at` has been reported, or with false if that
+    /// takes too long. Calls it exactly once, possibly before it returns.
+    /// Unset: the list is never known to be that recent.
+    std::function<void(TimePoint needed_at, std::function<void(bool)> done)>
+        confirm_targets;
     /// The first event of a stream went to the caller of request `id`.
     std::function<void(const std::string& id, const StreamOrigin&)>
         on_stream_begun;
@@ -221,7 +227,8 @@
   void OnFound(const std::shared_ptr<const CallerRequest>& request,
                const OriginResult& found);
   /// Finds the origin of a stream that nobody has a record of: only one
-  /// software version was listed.
+  /// software version can have begun it, as a list shows that was read after
+  /// the request arrived.
   void ProveByList(const std::shared_ptr<const CallerRequest>& request,
                    OriginUnknown why);
   /// Returns the origin of a stream that only one software version can have
--- a/src/entry/direct_dispatcher_streams.cc
+++ b/src/entry/direct_dispatcher_streams.cc
@@ -17,6 +17,9 @@
 }
 
 constexpr std::string_view kRecorded = "recorded";
+/// Only one version was listed, but the store does not say that this holds up
+/// to now.
+constexpr std::string_view kListNotConfirmed = "list-not-confirmed";
 
 }  // namespace
 
@@ -60,13 +63,28 @@
       });
 }
 
+// A stream begins only at a target that is in the store's list by then, so a
+// list that was asked for after the caller continued it has its version.
 void DirectDispatcher::ProveByList(
     const std::shared_ptr<const CallerRequest>& request, OriginUnknown why) {
-  if (const auto origin = OnlyOrigin(*request)) {
-    OnOrigin(request, {origin, "only-version", NameOf(why), true});
-  } else {
+  if (!OnlyOrigin(*request)) {
     OnOrigin(request, {std::nullopt, NameOf(why), NameOf(why)});
+    return;
+  }
+  if (!hooks_.confirm_targets) {
+    OnOrigin(request, {std::nullopt, kListNotConfirmed, NameOf(why)});
+    return;
   }
+  hooks_.confirm_targets(
+      request->received_at, [this, request, why](bool confirmed) {
+        if (!confirmed) {
+          OnOrigin(request, {std::nullopt, kListNotConfirmed, NameOf(why)});
+        } else if (const auto origin = OnlyOrigin(*request)) {
+          OnOrigin(request, {origin, "only-version", NameOf(why), true});
+        } else {
+          OnOrigin(request, {std::nullopt, NameOf(why), NameOf(why)});
+        }
+      });
 }
 
 std::optional<StreamOrigin> DirectDispatcher::OnlyOrigin(
--- a/src/entry/target_follower.cc
+++ b/src/entry/target_follower.cc
@@ -1,5 +1,7 @@
 #include "entry/target_follower.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "entry/events.h"
@@ -61,6 +63,50 @@
     watcher_.Refresh();
   }
   hooks_.on_known_until(watcher_.fresh_at());
+  AnswerQuestions();
+  ReadForQuestions();
+}
+
+void TargetFollower::Confirm(TimePoint needed_at,
+                             std::function<void(bool)> done) {
+  if (watcher_.proven_until() >= needed_at) {
+    done(true);
+    return;
+  }
+  if (questions_.size() >= kMaxQuestions) {
+    done(false);
+    return;
+  }
+  questions_.push_back({needed_at, clock_() + kConfirmWithin, std::move(done)});
+  ReadForQuestions();
+}
+
+void TargetFollower::AnswerQuestions() {
+  const TimePoint now = clock_();
+  const TimePoint proven = watcher_.proven_until();
+  const auto ended = std::stable_partition(
+      questions_.begin(), questions_.end(), [&](const Question& it) {
+        return proven < it.needed_at && now < it.ends_at;
+      });
+  const std::vector<Question> answered(
+      std::make_move_iterator(ended),
+      std::make_move_iterator(questions_.end()));
+  questions_.erase(ended, questions_.end());
+  for (const Question& it : answered) {
+    it.done(proven >= it.needed_at);
+  }
+}
+
+void TargetFollower::ReadForQuestions() {
+  const TimePoint now = clock_();
+  const auto n = static_cast<Duration::rep>(entries_);
+  const Duration interval =
+      std::max<Duration>(kMinReadInterval, n * kFleetReadGap);
+  if (questions_.empty() || now - read_ahead_at_ < interval) {
+    return;
+  }
+  read_ahead_at_ = now;
+  watcher_.ReadAhead();
 }
 
 }  // namespace indigolead
--- a/src/entry/target_follower.h
+++ b/src/entry/target_follower.h
@@ -1,8 +1,10 @@
 #ifndef INDIGOLEAD_ENTRY_TARGET_FOLLOWER_H_
 #define INDIGOLEAD_ENTRY_TARGET_FOLLOWER_H_
 
+#include <cstddef>
 #include <functional>
 #include <optional>
+#include <vector>
 
 #include "core/base/time.h"
 #include "observe/event_log.h"
@@ -33,6 +35,15 @@
     std::function<double()> jitter;
   };
 
+  /// Longest time that a question waits for the store.
+  static constexpr Duration kConfirmWithin = std::chrono::milliseconds(700);
+  /// Shortest time between two reads of an entry for questions.
+  static constexpr Duration kMinReadInterval = std::chrono::milliseconds(100);
+  /// Shortest mean time between such reads by any entries: 200 a second.
+  static constexpr Duration kFleetReadGap = std::chrono::milliseconds(5);
+  /// Questions that may wait, which bounds the memory.
+  static constexpr std::size_t kMaxQuestions = 4096;
+
   /// `store` must outlive this object.
   TargetFollower(ObjectStore* store, ListWatcher::Options options, Hooks hooks,
                  Clock clock, RunAfter run_after, EventLog log);
@@ -44,19 +55,41 @@
   /// Call several times a second.
   void Tick();
 
+  /// Brings the list up to date and calls `done` with true once it includes
+  /// every change up to `needed_at`, or with false if that takes longer than
+  /// `kConfirmWithin`. Calls it exactly once, possibly before it
+  /// returns. Questions share their reads of the store.
+  void Confirm(TimePoint needed_at, std::function<void(bool)> done);
+  /// Sets the number of entries, on which the rate of these reads depends.
+  void SetEntries(std::size_t entries) { entries_ = entries; }
+
   /// Returns true once a list, or a part of the first one, was reported.
   bool listed() const { return listed_; }
   /// Returns the state with the store version up to which it is complete.
   ObjectStore::Listing Known() const { return watcher_.Known(); }
 
  private:
+  struct Question {
+    TimePoint needed_at;
+    TimePoint ends_at;
+    std::function<void(bool)> done;
+  };
+
   ListWatcher::Hooks WatcherHooks();
+  /// Answers the questions that the list answers, or that have waited long
+  /// enough.
+  void AnswerQuestions();
+  /// Reads the changes if a question waits for it.
+  void ReadForQuestions();
   void OnListed(const ListWatcher::State& state);
   void NoteFollowed();
 
   Hooks hooks_;
   Clock clock_;
   EventLog log_;
+  std::size_t entries_ = 0;
+  std::vector<Question> questions_;
+  TimePoint read_ahead_at_{};  ///< Time of the latest read for questions.
   bool listed_ = false;
   bool following_ = false;
   ListWatcher watcher_;
--- a/src/store/list_watcher.cc
+++ b/src/store/list_watcher.cc
@@ -41,6 +41,7 @@
 
 void ListWatcher::RecordResponse(TimePoint known_until) {
   known_until_ = std::max(known_until_, known_until);
+  proven_until_ = std::max(proven_until_, known_until);
   heard_at_ = clock_();
 }
 
@@ -283,13 +284,28 @@
     return;
   }
   refreshed_at_ = now;
+  ReadBesideWatch([] {});
+}
+
+void ListWatcher::ReadAhead() {
+  if (!watch_ || reading_ahead_) {
+    return;
+  }
+  reading_ahead_ = true;
+  ReadBesideWatch([this] { reading_ahead_ = false; });
+}
+
+void ListWatcher::ReadBesideWatch(std::function<void()> on_end) {
+  const TimePoint now = clock_();
   CallOptions options = options_.list;
   options.deadline = options_.read_deadline;
   options.new_connection = true;
   store_->ReadChanges(
       options_.prefix, std::max(version_, watch_->reported_version()), options,
-      [this, alive = alive_, now](const Result<WatchBatch>& result) {
+      [this, alive = alive_, now,
+       on_end = std::move(on_end)](const Result<WatchBatch>& result) {
         if (*alive) {
+          on_end();
           OnRefreshed(now, result);
         }
       });
--- a/src/store/list_watcher.h
+++ b/src/store/list_watcher.h
@@ -93,6 +93,11 @@
   /// responses of the store. Default-constructed before the first one.
   TimePoint fresh_at() const;
 
+  /// Returns the time up to which lists and reads of changes that went to the
+  /// store itself prove that the state includes every change. A response to the
+  /// watch is not counted: through a relay it may be older than it seems.
+  TimePoint proven_until() const { return proven_until_; }
+
   /// Returns when the store last responded. Default-constructed before the
   /// first response.
   TimePoint heard_at() const;
@@ -102,12 +107,18 @@
   /// `max_backoff` of the previous such read.
   void Refresh();
 
+  /// Reads changes at once, in addition to the active watch; the response
+  /// advances `proven_until`. Does nothing without an active watch, or while
+  /// such a read is in flight.
+  void ReadAhead();
+
  private:
   void List();
   void Retry();
   void ReadChanges();
   void OnChangesRead(TimePoint started_at, const Result<WatchBatch>& result);
   void OnReadChangesFailed(TimePoint started_at, const Error& error);
+  void ReadBesideWatch(std::function<void()> on_end);
   void OnRefreshed(TimePoint requested_at, const Result<WatchBatch>& result);
   bool ApplyAll(const std::vector<WatchEvent>& events);
   void RecordResponse(TimePoint known_until);
@@ -134,6 +145,8 @@
   std::uint32_t failures_ = 0;
   TimePoint known_until_{};  ///< From responses outside the watch.
   TimePoint heard_at_{};     ///< From responses outside the watch.
+  TimePoint proven_until_{};
+  bool reading_ahead_ = false;
   TimePoint watch_started_{};
   std::uint64_t next_retry_ = 0;  ///< Number of the next retry.
   bool listing_ = false;
--- a/tests/platform/unrecorded_streams_test.cc
+++ b/tests/platform/unrecorded_streams_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "entry/direct_dispatcher.h"
 #include "entry/events.h"
@@ -63,6 +64,9 @@
 
   /// The archive names this version.
   std::optional<std::string> archived;
+  /// Lists these targets when it is asked to confirm its list, which it does if
+  /// this is set.
+  std::optional<std::vector<TargetRecord>> confirmed;
   /// Software version at which the stream may go on; empty if not known.
   std::optional<std::string> software;
   std::string source;  ///< How that is known.
@@ -109,6 +113,13 @@
           done(archived ? std::optional(StreamOrigin{"llm", *archived})
                         : std::nullopt);
         };
+    hooks.confirm_targets = [this](TimePoint,
+                                   const std::function<void(bool)>& done) {
+      if (confirmed) {
+        dispatcher_.OnTargets(*confirmed);
+      }
+      done(confirmed.has_value());
+    };
     return hooks;
   }
 
@@ -138,5 +149,22 @@
   CHECK(scene.refusal->retry_after > Duration{0});
 }
 
+TEST_CASE("A list that the store confirms proves the only version") {
+  Scene scene;
+  scene.confirmed = {{Scene::Target("a", "v1")}};
+  SECTION("if it is still the only one") {
+    scene.TakeUp();
+    CHECK(scene.software == "v1");
+    CHECK(scene.source == "only-version");
+  }
+  SECTION("not if another has joined") {
+    scene.confirmed->push_back(Scene::Target("b", "v2"));
+    scene.TakeUp();
+    CHECK(scene.software == "");
+    REQUIRE(scene.refusal);
+    CHECK(scene.refusal->status == 503);
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
