Count no part of the first list as a list of all versions

With a first list of several pages each part went to SoftwareHistory::OnListed, which takes complete lists: from the first part on, an entry that was there at the fleet's start had a proof from the versions of that part alone. Parts now go to SoftwareHistory::OnSeen, which adds versions and proves nothing.

--- a/src/core/membership/software_history.cc
+++ b/src/core/membership/software_history.cc
@@ -24,6 +24,17 @@
   }
 }
 
+void SoftwareHistory::OnSeen(const std::vector<TargetRecord>& seen,
+                             TimePoint now) {
+  for (const TargetRecord& it : seen) {
+    const auto [held, added] =
+        services_[it.service].try_emplace(it.software_version, now);
+    if (!added && held->second) {
+      held->second = now;
+    }
+  }
+}
+
 void SoftwareHistory::OnStoreFollowed(TimePoint now) {
   if (any_list_ && !complete_since_) {
     complete_since_ = now;
--- a/src/core/membership/software_history.h
+++ b/src/core/membership/software_history.h
@@ -31,6 +31,9 @@
 
   /// Handles a complete list of the targets. It holds until the next one.
   void OnListed(const std::vector<TargetRecord>& listed, TimePoint now);
+  /// Handles targets that are listed now, or were lately, without the others:
+  /// they prove nothing about versions that are not among them.
+  void OnSeen(const std::vector<TargetRecord>& seen, TimePoint now);
   /// Lists may be missing from now on.
   void OnStoreLost() { complete_since_.reset(); }
   /// The last list is current again.
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -301,6 +301,11 @@
   Apply(directory_.OnListed(listed, clock_()));
 }
 
+void DirectDispatcher::OnTargetsSoFar(const std::vector<TargetRecord>& listed) {
+  software_.OnSeen(listed, clock_());
+  Apply(directory_.OnListed(listed, clock_()));
+}
+
 void DirectDispatcher::OnStoreLost(TimePoint heard_at) {
   software_.OnStoreLost();
   directory_.OnStoreLost(heard_at);
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -150,7 +150,10 @@
   /// Applies routes of a newer version and ignores others. Returns true if they
   /// were applied.
   bool OnRoutes(RouteConfiguration routes);
+  /// Handles a complete list of the targets.
   void OnTargets(const std::vector<TargetRecord>& listed);
+  /// Handles the targets that were read so far of the first list.
+  void OnTargetsSoFar(const std::vector<TargetRecord>& listed);
   void OnStoreLost(TimePoint heard_at);
   void OnStoreFollowed();
   /// This or another entry has seen the target crash. Returns false if the
--- a/src/entry/target_follower.cc
+++ b/src/entry/target_follower.cc
@@ -21,12 +21,16 @@
 ListWatcher::Hooks TargetFollower::WatcherHooks() {
   ListWatcher::Hooks hooks;
   hooks.on_state = [this](const ListWatcher::State& state, std::uint64_t) {
-    OnListed(state);
+    NoteListed();
+    hooks_.on_listed(state);
   };
   // When all entries start at once, their list requests queue at the store, for
   // seconds if there are thousands of targets. An entry serves with the targets
   // listed so far until the list is complete.
-  hooks.on_part = [this](const ListWatcher::State& state) { OnListed(state); };
+  hooks.on_part = [this](const ListWatcher::State& state) {
+    NoteListed();
+    hooks_.on_part(state);
+  };
   hooks.on_error = [this](const Error& error) {
     if (std::exchange(following_, false)) {
       log_(kStoreLost,
@@ -39,10 +43,9 @@
   return hooks;
 }
 
-void TargetFollower::OnListed(const ListWatcher::State& state) {
+void TargetFollower::NoteListed() {
   NoteFollowed();
   listed_ = true;
-  hooks_.on_listed(state);
 }
 
 void TargetFollower::NoteFollowed() {
--- a/src/entry/target_follower.h
+++ b/src/entry/target_follower.h
@@ -20,8 +20,10 @@
 class TargetFollower {
  public:
   struct Hooks {
-    /// Receives the list, or a part of it while the first list is read.
+    /// Receives the complete list.
     std::function<void(const ListWatcher::State&)> on_listed;
+    /// Receives what has been read of the first list, until it is complete.
+    std::function<void(const ListWatcher::State&)> on_part;
     /// The store cannot be watched; it last responded at `heard_at`.
     std::function<void(TimePoint heard_at)> on_lost;
     /// The store can be watched. May be called repeatedly.
@@ -81,7 +83,7 @@
   void AnswerQuestions();
   /// Reads the changes if a question waits for it.
   void ReadForQuestions();
-  void OnListed(const ListWatcher::State& state);
+  void NoteListed();
   void NoteFollowed();
 
   Hooks hooks_;
--- a/tests/core/membership/software_history_test.cc
+++ b/tests/core/membership/software_history_test.cc
@@ -32,6 +32,15 @@
     CHECK(history.OnlyVersion("llm", kStart + seconds(60)) == "v1");
     CHECK_FALSE(history.OnlyVersion("other", kStart + seconds(60)));
   }
+  SECTION("not by a part of the first list") {
+    options.first_start = true;
+    SoftwareHistory history(options);
+    history.OnSeen({Target("a", "v1")}, kStart);
+    CHECK_FALSE(history.OnlyVersion("llm", kStart));
+    CHECK(history.OnlyVersionSeen("llm", kStart) == "v1");
+    history.OnListed({Target("a", "v1")}, kStart + seconds(1));
+    CHECK(history.OnlyVersion("llm", kStart + seconds(1)) == "v1");
+  }
   SECTION("at once if nothing ran before") {
     options.first_start = true;
     SoftwareHistory history(options);
@@ -50,6 +59,12 @@
         CHECK(history.OnlyVersion("llm", kStart + seconds(63)) == "v2");
       }
     }
+    SECTION("nor if another version was seen between two lists") {
+      history.OnSeen({Target("b", "v2")}, kStart + seconds(5));
+      history.OnListed({Target("a", "v1")}, kStart + seconds(5));
+      CHECK_FALSE(history.OnlyVersion("llm", kStart + seconds(65)));
+      CHECK(history.OnlyVersion("llm", kStart + seconds(66)) == "v1");
+    }
     SECTION("nor after a time in which lists may be missing") {
       history.OnStoreLost();
       CHECK_FALSE(history.OnlyVersion("llm", kStart + seconds(1)));
--- a/tests/platform/support/return_world.cc
+++ b/tests/platform/support/return_world.cc
@@ -273,6 +273,7 @@
     }
     Apply(directory_.OnListed(listed, timeline_->now));
   };
+  hooks.on_part = hooks.on_listed;
   hooks.on_lost = [this](TimePoint heard_at) {
     directory_.OnStoreLost(heard_at);
   };
--- a/tests/shell/target_follower_test.cc
+++ b/tests/shell/target_follower_test.cc
@@ -100,6 +100,9 @@
     hooks.on_listed = [this](const ListWatcher::State& state) {
       reported.push_back("list" + KeysOf(state));
     };
+    hooks.on_part = [this](const ListWatcher::State& state) {
+      reported.push_back("part" + KeysOf(state));
+    };
     hooks.on_lost = [](TimePoint) {};
     hooks.on_followed = [] {};
     hooks.on_known_until = [](TimePoint) {};
@@ -195,5 +198,16 @@
   }
 }
 
+/// Guards against a part of the first list that is taken for the whole.
+TEST_CASE("TargetFollower tells parts of the first list from the list") {
+  Scene scene;
+  scene.store.part(ObjectStore::Listing{1, {{"targets/a", "v1", 1}}});
+  CHECK(scene.follower.listed());
+  scene.store.listed(ObjectStore::Listing{
+      1, {{"targets/a", "v1", 1}, {"targets/b", "v2", 1}}});
+  CHECK(scene.reported ==
+        std::vector<std::string>{"part targets/a", "list targets/a targets/b"});
+}
+
 }  // namespace
 }  // namespace indigolead
