Count a version that joins and leaves within one response as seen

Callers of an entry that had stood still got events of two software versions in one stream. Cause: ListWatcher applies a response of the store and reports the state after it; a target that joined and left within it was never reported, and the history had no gap. Each object that a later change of the same response replaces or deletes now goes to the history.

--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -154,6 +154,10 @@
   void OnTargets(const std::vector<TargetRecord>& listed);
   /// Handles the targets that were read so far of the first list.
   void OnTargetsSoFar(const std::vector<TargetRecord>& listed);
+  /// Handles a target that was in the list between two that were reported.
+  void OnTargetPassed(const TargetRecord& target) {
+    software_.OnSeen({target}, clock_());
+  }
   void OnStoreLost(TimePoint heard_at);
   void OnStoreFollowed();
   /// This or another entry has seen the target crash. Returns false if the
--- a/src/entry/target_follower.cc
+++ b/src/entry/target_follower.cc
@@ -31,6 +31,7 @@
     NoteListed();
     hooks_.on_part(state);
   };
+  hooks.on_passed = hooks_.on_passed;
   hooks.on_error = [this](const Error& error) {
     if (std::exchange(following_, false)) {
       log_(kStoreLost,
--- a/src/entry/target_follower.h
+++ b/src/entry/target_follower.h
@@ -24,6 +24,8 @@
     std::function<void(const ListWatcher::State&)> on_listed;
     /// Receives what has been read of the first list, until it is complete.
     std::function<void(const ListWatcher::State&)> on_part;
+    /// Receives an object that was in the list between two reported ones.
+    std::function<void(const StoredObject&)> on_passed;
     /// The store cannot be watched; it last responded at `heard_at`.
     std::function<void(TimePoint heard_at)> on_lost;
     /// The store can be watched. May be called repeatedly.
--- a/src/store/list_watcher.cc
+++ b/src/store/list_watcher.cc
@@ -162,6 +162,11 @@
     return false;
   }
   version_ = std::max(version_, event.version);
+  const auto held = state_.find(event.key);
+  if (hooks_.on_passed && held != state_.end() &&
+      held->second.version > known) {
+    hooks_.on_passed(held->second);
+  }
   if (event.value) {
     state_[event.key] = StoredObject{event.key, *event.value, event.version};
   } else {
--- a/src/store/list_watcher.h
+++ b/src/store/list_watcher.h
@@ -62,6 +62,10 @@
     /// Called with the partial state when the first list takes several calls.
     /// May be empty.
     std::function<void(const State&)> on_part{};
+    /// Called with each object that a later change of the same response
+    /// replaces or deletes, before `on_state`: no state contains it. May be
+    /// empty.
+    std::function<void(const StoredObject&)> on_passed{};
   };
 
   /// `store` must outlive this object.
--- a/tests/shell/target_follower_test.cc
+++ b/tests/shell/target_follower_test.cc
@@ -103,6 +103,9 @@
     hooks.on_part = [this](const ListWatcher::State& state) {
       reported.push_back("part" + KeysOf(state));
     };
+    hooks.on_passed = [this](const StoredObject& object) {
+      reported.push_back("passed " + object.key + " " + object.value);
+    };
     hooks.on_lost = [](TimePoint) {};
     hooks.on_followed = [] {};
     hooks.on_known_until = [](TimePoint) {};
@@ -209,5 +212,19 @@
         std::vector<std::string>{"part targets/a", "list targets/a targets/b"});
 }
 
+/// Guards against a target that joins and leaves unseen while the process
+/// stands still.
+TEST_CASE("TargetFollower reports what one response adds and takes away") {
+  Scene scene;
+  scene.AnswerList();
+  scene.store.events({{"targets/b", "v2", 2},
+                      {"targets/b", "v3", 3},
+                      {"targets/b", std::nullopt, 4},
+                      {"targets/a", "v4", 5}});
+  CHECK(scene.reported ==
+        std::vector<std::string>{"list targets/a", "passed targets/b v2",
+                                 "passed targets/b v3", "list targets/a"});
+}
+
 }  // namespace
 }  // namespace indigolead
