Let the engines of the old list's test register their new stages

After the store answers again, the test took streams up while engines that had been ordered to prefill were still registered to decode: they answered 421 ("wrong_target"), 2 of 10, 3 of 12 and 3 of 12 streams were refused in three plays beside load, against a bound of a tenth. Refusals are shown in the message.

--- a/tests/platform/old_list_process_test.cc
+++ b/tests/platform/old_list_process_test.cc
@@ -37,6 +37,7 @@
   int refused = 0;                 ///< 503.
   int told_to_come = 0;            ///< 503 with a Retry-After.
   std::vector<BrokenStream> left;  ///< Those refused.
+  std::string refusals;            ///< Their bodies, for messages.
 };
 
 /// An entry without a way to the other one, before engines of "v1" at which
@@ -83,6 +84,16 @@
     }
   }
 
+  /// Lets time pass in which the engines register the stages that they were
+  /// ordered to take.
+  void KeepRegistered(milliseconds length) {
+    const auto end = std::chrono::steady_clock::now() + length;
+    while (std::chrono::steady_clock::now() < end) {
+      scene.Register();
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+  }
+
   /// Begins streams at the other entry, each up to its second event, and
   /// returns those of "v2".
   std::vector<BrokenStream> BeginElsewhere() {
@@ -113,6 +124,7 @@
   TakenUp TakeUp(const std::vector<BrokenStream>& begun,
                  const std::string& attempt) {
     std::vector<std::future<HttpAnswer>> answers;
+    answers.reserve(begun.size());
     for (const BrokenStream& it : begun) {
       answers.push_back(std::async(std::launch::async, [this, it, attempt] {
         return PlatformScene::ResumeAt(scene.callers_address, "/resume/1",
@@ -129,6 +141,7 @@
         ++taken_up.refused;
         taken_up.told_to_come += answer.Header("Retry-After").empty() ? 0 : 1;
         taken_up.left.push_back(begun[n]);
+        taken_up.refusals += answer.body + "\n";
       }
     }
     return taken_up;
@@ -167,8 +180,9 @@
 
   SECTION("and continues them once the store answers again") {
     fleet.scene.own_store_relay.SetDelay(milliseconds(0));
-    std::this_thread::sleep_for(kHeldBack);
+    fleet.KeepRegistered(kHeldBack + seconds(1));
     const TakenUp second = fleet.TakeUp(first.left, "-later");
+    INFO("refused again: " << second.refusals);
     CHECK(second.mixed == 0);
     CHECK(second.whole >= first.refused * 9 / 10);
   }
