--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -112,12 +112,17 @@
     /// Finds what began the stream whose first event the caller's request `id`
     /// delivered.
     std::function<void(const std::string& id, StreamOrigins::Done)> find_origin;
-    /// Finds the same where no entry has a record of it. Called only if several
-    /// software versions may have begun the stream.
+    /// Finds the same where no entry has a record of it.
     std::function<void(
         const std::string& id,
         std::function<void(const std::optional<StreamOrigin>&)> done)>
         find_archived_origin;
+    /// Brings the list of targets up to date and calls `done` with true once
+    /// every change up to `needed_at` has been reported, or with false if that
+    /// takes too long. Calls it exactly once, possibly before it returns.
+    /// Unset: the list is never known to be that recent.
+    std::function<void(TimePoint needed_at, std::function<void(bool)> done)>
+        confirm_targets;
     /// The first event of a stream went to the caller of request `id`.
     std::function<void(const std::string& id, const StreamOrigin&)>
         on_stream_begun;
@@ -145,7 +150,14 @@
   /// Applies routes of a newer version and ignores others. Returns true if they
   /// were applied.
   bool OnRoutes(RouteConfiguration routes);
+  /// Handles a complete list of the targets.
   void OnTargets(const std::vector<TargetRecord>& listed);
+  /// Handles the targets that were read so far of the first list.
+  void OnTargetsSoFar(const std::vector<TargetRecord>& listed);
+  /// Handles a target that was in the list between two that were reported.
+  void OnTargetPassed(const TargetRecord& target) {
+    software_.OnSeen({target}, clock_());
+  }
   void OnStoreLost(TimePoint heard_at);
   void OnStoreFollowed();
   /// This or another entry has seen the target crash. Returns false if the
@@ -215,12 +227,23 @@
   struct KnownOrigin {
     std::optional<StreamOrigin> origin;
     std::string_view source;
+    std::string_view records{};  ///< What the entries' records tell of it.
+    bool by_list = false;        ///< Known from the versions listed only.
   };
-  KnownOrigin OriginOf(const CallerRequest& request,
-                       const OriginResult& found) const;
-  /// Looks for the origin in the archive if nothing else tells it.
+  /// Looks for the origin elsewhere if no entry has a record of it.
   void OnFound(const std::shared_ptr<const CallerRequest>& request,
                const OriginResult& found);
+  /// Finds the origin of a stream that nobody has a record of: only one
+  /// software version can have begun it, as a list shows that was read after
+  /// the request arrived.
+  void ProveByList(const std::shared_ptr<const CallerRequest>& request,
+                   OriginUnknown why);
+  /// Returns the origin of a stream that only one software version can have
+  /// begun, if the list is up to date.
+  std::optional<StreamOrigin> OnlyOrigin(const CallerRequest& request) const;
+  /// Returns the origin of a stream whose caller names no request.
+  KnownOrigin UnnamedOrigin(const CallerRequest& request,
+                            OriginUnknown why) const;
   void OnOrigin(const std::shared_ptr<const CallerRequest>& request,
                 const KnownOrigin& known);
   /// Returns the refusal of a request that continues a stream; nullopt if it
@@ -390,6 +413,7 @@
   Gauge& targets_in_cooldown_;
   Counter& calls_held_back_;
   Counter& streams_continued_;
+  Counter& streams_continued_by_list_;
   Counter& streams_not_continued_;
   Counter& streams_not_placed_;
   Counter& streams_waited_;
