Show by tests that incomplete registrations name targets

An object of another writer in the list of targets that lacks fields is used as a target, and a stranger at its address gets callers' requests. The tests ask for each field that a target states, for an address that a target can have, for an id that can stand in a header and for an engine's models.

The registrations that the tests' own workers and scenes write now have all fields, as those of real targets do. No check was removed.

--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -79,8 +79,9 @@
 nlohmann::json Registration() {
   return nlohmann::json::parse(
       R"({"service":"llm","address":"10.128.0.9:8080","zone":"bilbao-a",
-          "version":"v1","slots":128,"state":"ready","stage":"decode",
-          "models":[],"seq":4})");
+          "version":"v1","slots":128,"state":"ready","cold-remaining-ms":0,
+          "stage":"decode","models":[{"name":"m","version":1,"adapters":[]}],
+          "seq":4})");
 }
 
 /// Returns the registration above with one field changed.
@@ -123,22 +124,32 @@
 // An invalid registration of another writer must not be used: it would send
 // callers to an address where no target listens, or a prompt to an engine that
 // cannot process it.
+// Guards against requests to a process that is no target.
 TEST_CASE("A registration with a missing or invalid field is rejected") {
   for (const char* field :
-       {"service", "address", "zone", "slots", "state", "stage"}) {
+       {"service", "address", "zone", "version", "slots", "state",
+        "cold-remaining-ms", "stage", "models", "seq"}) {
     INFO(field);
+    const std::string name = field;
     auto document = Registration();
     document.erase(field);
     CHECK_FALSE(IsOk(DecodeTarget("i-7", document.dump())));
     for (const nlohmann::json& strange :
          {nlohmann::json(nullptr), nlohmann::json(1.5), nlohmann::json(-3),
-          nlohmann::json::array(), nlohmann::json::object(),
-          nlohmann::json("half-ready")}) {
-      INFO(strange.dump());
-      const bool text_holds =
-          strange.is_string() &&
-          (std::string(field) == "service" || std::string(field) == "zone");
-      CHECK(IsOk(DecodeTarget("i-7", Changed(field, strange))) == text_holds);
+          nlohmann::json(true), nlohmann::json::array(),
+          nlohmann::json::object(), nlohmann::json("half-ready"),
+          nlohmann::json(""), nlohmann::json(std::string(100'000, 'x'))}) {
+      INFO(strange.dump().substr(0, 20));
+      const bool is_free_text =
+          name == "service" || name == "zone" || name == "version";
+      const bool holds = (strange == "half-ready" && is_free_text) ||
+                         (strange == 1.5 && name == "cold-remaining-ms") ||
+                         (strange.is_array() && name == "models");
+      const auto decoded = DecodeTarget("i-7", Changed(field, strange));
+      CHECK(IsOk(decoded) == holds);
+      if (!IsOk(decoded)) {
+        CHECK(ErrorOf(decoded).detail.size() < 200);
+      }
     }
   }
   for (const nlohmann::json& strange :
@@ -153,12 +164,94 @@
   }
 }
 
+// Guards against requests to an address that no target can have.
+TEST_CASE("A registration's address is an IPv4 address and a port") {
+  CHECK(IsOk(DecodeTarget("i-7", Changed("address", "10.0.0.9:1"))));
+  CHECK(IsOk(DecodeTarget("i-7", Changed("address", "127.0.0.1:65535"))));
+  for (const char* address : {"10.0.0.9",
+                              "10.0.0.9:",
+                              ":80",
+                              "10.0.0.9:0",
+                              "10.0.0.9:65536",
+                              "10.0.0.9:-1",
+                              "10.0.0.9:+80",
+                              "10.0.0.9:080",
+                              "10.0.0.9:80 ",
+                              " 10.0.0.9:80",
+                              "10.0.0.9:99999999999999999999",
+                              "[10.0.0.9]:80",
+                              "[::1]:80",
+                              "::1:80",
+                              "[]:80",
+                              "[:80",
+                              "]:80",
+                              "10.0.0:80",
+                              "10.0.0.256:80",
+                              "0.0.0.0:80",
+                              "255.255.255.255:80",
+                              "224.0.0.1:80",
+                              "localhost:80",
+                              "http://10.0.0.9:80",
+                              "10.0.0.9:80/x"}) {
+    INFO(address);
+    CHECK_FALSE(IsOk(DecodeTarget("i-7", Changed("address", address))));
+  }
+}
+
+// Guards against an id that ends a header and begins another.
+TEST_CASE("A target's id can stand in a header") {
+  const std::string registration = Registration().dump();
+  for (const std::string& id :
+       {std::string(), std::string("i 7"), std::string("i\r\nHost: x"),
+        std::string("i\0", 2), std::string("\xc3\xa9"),
+        std::string(257, 'i')}) {
+    INFO(id);
+    CHECK_FALSE(IsOk(DecodeTarget(id, registration)));
+  }
+}
+
+// Guards against a prompt to an engine that does not state what it holds.
+TEST_CASE("An engine's registration lists its models") {
+  using Json = nlohmann::json;
+  const Json model = {{"name", "m"}, {"version", 1}, {"adapters", {"a"}}};
+  CHECK(IsOk(DecodeTarget("i-7", Changed("models", {model, model}))));
+  for (const char* field : {"name", "version", "adapters"}) {
+    INFO(field);
+    Json partial = model;
+    partial.erase(field);
+    CHECK_FALSE(
+        IsOk(DecodeTarget("i-7", Changed("models", Json::array({partial})))));
+    partial[field] = nullptr;
+    CHECK_FALSE(
+        IsOk(DecodeTarget("i-7", Changed("models", Json::array({partial})))));
+  }
+  CHECK_FALSE(IsOk(DecodeTarget("i-7", Changed("models", Json::array({1})))));
+}
+
+// Guards against numbers that wrap around or are truncated into valid ones.
+TEST_CASE("A registration's numbers are in their ranges") {
+  for (const char* field : {"slots", "cold-remaining-ms", "seq"}) {
+    for (const char* value :
+         {"-1", "1e400", "-1e400", "99999999999999999999999", "\"1\""}) {
+      INFO(field << " " << value);
+      std::string text = Changed(field, "@");
+      text.replace(text.find("\"@\""), 3, value);
+      const bool holds = std::string(field) == "cold-remaining-ms" &&
+                         std::string(value).substr(0, 3) == "999";
+      CHECK(IsOk(DecodeTarget("i-7", text)) == holds);
+    }
+  }
+  CHECK_FALSE(IsOk(DecodeTarget("i-7", Changed("slots", 0))));
+  CHECK_FALSE(IsOk(DecodeTarget("i-7", Changed("slots", 1LL << 32))));
+}
+
 TEST_CASE("A shared limit applies only to the run that it was recorded for") {
   const auto decode = [](const std::string& born, const std::string& status) {
     return ValueOf(DecodeTarget(
         "i-7",
-        R"({"service":"llm","address":"10.0.0.9:80","zone":"oviedo","slots":8,)"
-        R"("state":"ready","stage":"decode")" +
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"oviedo",)"
+        R"("version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,)"
+        R"("seq":0,"stage":"decode","models":[])" +
             born + R"(,"status":)" + status + "}"));
   };
   TargetRecord target = decode("", "null");
--- a/tests/platform/platform_fuzz_test.cc
+++ b/tests/platform/platform_fuzz_test.cc
@@ -40,8 +40,10 @@
 }
 
 TEST_CASE("A corrupted registration gives an error or a target") {
-  Fuzz({R"({"service":"a","address":"10.128.0.9:8080","zone":"z","slots":128,
-        "state":"ready","stage":"decode","seq":4})"},
+  Fuzz({R"({"service":"a","address":"10.128.0.9:8080","zone":"z",
+        "version":"v1","slots":128,"state":"ready","cold-remaining-ms":0,
+        "stage":"decode","models":[{"name":"m","version":1,"adapters":[]}],
+        "seq":4})"},
        [](const std::string& text) { DecodeTarget("i-7", text); });
 }
 
--- a/tests/platform/registration_list_test.cc
+++ b/tests/platform/registration_list_test.cc
@@ -7,10 +7,12 @@
 
 constexpr char kGood[] =
     R"({"service":"salon-app","address":"10.1.64.9:8080","zone":"oviedo",)"
-    R"("slots":6,"state":"ready"})";
+    R"("version":"1.0","slots":6,"state":"ready","cold-remaining-ms":0,)"
+    R"("seq":0})";
 constexpr char kLeaving[] =
     R"({"service":"salon-app","address":"10.1.64.9:8080","zone":"oviedo",)"
-    R"("slots":6,"state":"draining"})";
+    R"("version":"1.0","slots":6,"state":"draining","cold-remaining-ms":0,)"
+    R"("seq":0})";
 
 ListWatcher::State Listed(const std::string& value, std::uint64_t version) {
   return {{"servers/i-1", {"servers/i-1", value, version}}};
@@ -65,6 +67,26 @@
     CHECK_FALSE(list.targets()[0].leaving);
     CHECK(unreadable());
   }
+  SECTION("one that lacks fields gives no target, and the others stay") {
+    auto state = Listed(kGood, 5);
+    state["servers/x"] = {
+        "servers/x",
+        R"({"service":"salon-app","address":"10.1.64.8:80","zone":"oviedo",)"
+        R"("slots":6,"state":"ready"})",
+        6};
+    REQUIRE(list.Update(state).size() == 1);
+    CHECK(list.targets()[0].id == "i-1");
+    CHECK_FALSE(list.targets()[0].leaving);
+    CHECK(unreadable());
+    CHECK(logged == 1);
+  }
+  SECTION("one without an id gives no target, and the others stay") {
+    auto state = Listed(kGood, 5);
+    state["servers/"] = {"servers/", kGood, 6};
+    REQUIRE(list.Update(state).size() == 1);
+    CHECK(list.targets()[0].id == "i-1");
+    CHECK(unreadable());
+  }
   SECTION("a removed one is removed from the list") {
     CHECK(list.Update({}).empty());
   }
--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -34,9 +34,12 @@
                        {"zone", options_.failure_domain},
                        {"version", software_version()},
                        {"slots", 8},
-                       {"state", draining() ? "draining" : "ready"}};
+                       {"state", draining() ? "draining" : "ready"},
+                       {"cold-remaining-ms", 0},
+                       {"seq", 0}};
   if (options_.is_engine) {
     registration["stage"] = stage();
+    registration["models"] = Json::array();
   }
   server_.Invoke([&] {
     if (!crashes_on_.empty() || !crashes_on_part_.empty()) {
