--- a/src/core/request/header_fields.cc
+++ b/src/core/request/header_fields.cc
@@ -58,6 +58,12 @@
   return {};
 }
 
+bool IsHeaderToken(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxHeaderTokenBytes &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c < 0x7F; });
+}
+
 bool IsHopByHop(std::string_view name, std::string_view connection) {
   const bool always = std::any_of(
       kHopByHop.begin(), kHopByHop.end(),
--- a/src/core/request/header_fields.h
+++ b/src/core/request/header_fields.h
@@ -1,6 +1,7 @@
 #ifndef INDIGOLEAD_CORE_REQUEST_HEADER_FIELDS_H_
 #define INDIGOLEAD_CORE_REQUEST_HEADER_FIELDS_H_
 
+#include <cstddef>
 #include <string_view>
 #include <vector>
 
@@ -15,6 +16,13 @@
 std::string_view FindHeader(const std::vector<HeaderField>& headers,
                             std::string_view name);
 
+/// Maximum length of a name or key that stands in a header, in bytes.
+inline constexpr std::size_t kMaxHeaderTokenBytes = 256;
+
+/// Returns true if `text` can stand in a header as a name or key: it is not
+/// empty, not longer than `kMaxHeaderTokenBytes` and all visible ASCII.
+bool IsHeaderToken(std::string_view text);
+
 /// Returns true if the field is hop-by-hop and must not be forwarded in either
 /// direction (RFC 9110, section 7.6.1). `connection` is the value of the
 /// message's Connection field, which may name more such fields.
