Show by tests what decoders take from other processes

Each decoder of what another process wrote gets the same hostile documents: deep nesting in a field that is not read and in each that is, numbers that are huge, negative, fractional or of thousands of digits, unpaired surrogates, invalid UTF-8 and wrong types. No check was removed.

--- a/tests/core/config/revision_json_test.cc
+++ b/tests/core/config/revision_json_test.cc
@@ -1,9 +1,11 @@
 #include "core/config/revision_json.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/config/spec_fields.h"
 #include "tests/support/field_count.h"
+#include "tests/support/hostile_json.h"
 
 namespace indigolead {
 namespace {
@@ -162,5 +164,13 @@
   }
 }
 
+// Guards against a revision of another writer that overflows the stack or whose
+// keys are logged.
+TEST_CASE("Hostile revisions are values or bounded errors") {
+  CheckHostileDocuments(
+      nlohmann::json::parse(ToJson(FullRevision())),
+      [](const std::string& text) { return RevisionFromJson(text); });
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/core/control/audit_test.cc
+++ b/tests/core/control/audit_test.cc
@@ -1,9 +1,12 @@
 #include "core/control/audit.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "tests/support/hostile_json.h"
+
 namespace indigolead {
 namespace {
 
@@ -81,5 +84,12 @@
   }
 }
 
+// Guards against a line of another writer that overflows the stack.
+TEST_CASE("Hostile audit records are values or bounded errors") {
+  CheckHostileDocuments(
+      nlohmann::json::parse(EncodeAuditRecord(Record(5))),
+      [](const std::string& text) { return DecodeAuditRecord(text); });
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/core/control/lease_test.cc
+++ b/tests/core/control/lease_test.cc
@@ -1,9 +1,12 @@
 #include "core/control/lease.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <vector>
 
+#include "tests/support/hostile_json.h"
+
 namespace indigolead {
 namespace {
 
@@ -314,5 +317,21 @@
   CHECK(lease.needs_newest());
 }
 
+// Guards against a lease of another writer that overflows the stack, or that
+// no entry takes because its duration never ends.
+TEST_CASE("Hostile leases are values or bounded errors") {
+  LeaseRecord record{"front-1",   Incarnation{{1, 2}}, 17,
+                     Id128{1, 2}, seconds(3),          {15, 16}};
+  const auto document = nlohmann::json::parse(EncodeLease(record));
+  CheckHostileDocuments(
+      document, [](const std::string& text) { return DecodeLease(text, 20); });
+  for (const char* raw : {"-1", "1.5e300", "9223372036854775807",
+                          "18446744073709551615", "86400001", "true"}) {
+    INFO(raw);
+    const nlohmann::json::json_pointer duration("/duration_ms");
+    CHECK_FALSE(IsOk(DecodeLease(WithRaw(document, duration, raw), 20)));
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/core/control/orders_test.cc
+++ b/tests/core/control/orders_test.cc
@@ -1,8 +1,10 @@
 #include "core/control/orders.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/control/status.h"
+#include "tests/support/hostile_json.h"
 
 namespace indigolead {
 namespace {
@@ -73,5 +75,12 @@
   }
 }
 
+// Guards against an order of another writer that overflows the stack.
+TEST_CASE("Hostile orders are values or bounded errors") {
+  CheckHostileDocuments(
+      nlohmann::json::parse(EncodeOrder(Order(17))),
+      [](const std::string& text) { return DecodeOrder(text); });
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/core/usage/usage_codec_test.cc
+++ b/tests/core/usage/usage_codec_test.cc
@@ -1,6 +1,9 @@
 #include "core/usage/usage_codec.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "tests/support/hostile_json.h"
 
 namespace indigolead {
 namespace {
@@ -36,5 +39,32 @@
   }
 }
 
+// Guards against usage of another writer that overflows the stack or counts
+// with numbers that wrapped around.
+TEST_CASE("Hostile usage records are values or bounded errors") {
+  const EntryUsage usage{"front-1", Incarnation{{1, 2}},           17, 18,
+                         true,      {{7, {{"salon", 3}}}, {8, {}}}};
+  CheckHostileDocuments(
+      nlohmann::json::parse(EncodeEntryUsage(usage)),
+      [](const std::string& text) { return DecodeEntryUsage(text); });
+  const FinalizedUsage finalized{{{7, {{"salon", 3}}}, {8, {{"owner", 1}}}}};
+  CheckHostileDocuments(
+      nlohmann::json::parse(EncodeFinalizedUsage(finalized)),
+      [](const std::string& text) { return DecodeFinalizedUsage(text); });
+  for (const char* raw : {"-1", "1.5", "1e300", "9223372036854775807",
+                          "18446744073709551615", "true"}) {
+    INFO(raw);
+    CHECK_FALSE(IsOk(DecodeFinalizedUsage(R"({"windows":[{"window":)" +
+                                          std::string(raw) +
+                                          R"(,"requests":{"salon":3}}]})")));
+  }
+  for (const char* raw : {"-1", "1.5", "1e300", "true"}) {
+    INFO(raw);
+    CHECK_FALSE(IsOk(
+        DecodeFinalizedUsage(R"({"windows":[{"window":7,"requests":{"salon":)" +
+                             std::string(raw) + "}}]}")));
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "tests/support/hostile_json.h"
+
 namespace indigolead::platform {
 namespace {
 
@@ -276,5 +278,68 @@
   }
 }
 
+// Guards against documents of other writers that overflow the stack, are
+// applied with a number that wrapped around, or are quoted by the log.
+TEST_CASE("Hostile documents of the store are values or bounded errors") {
+  const auto configuration = nlohmann::json::parse(kConfiguration);
+  CheckHostileDocuments(configuration, [](const std::string& text) {
+    return DecodeConfiguration(text);
+  });
+  CheckHostileDocuments(Registration(), [](const std::string& text) {
+    return DecodeTarget("i-7", text);
+  });
+  auto with_accounts = configuration;
+  with_accounts["tenants"] = {
+      {{"name", "salon"}, {"api-keys", {"k-1"}}, {"priority", 1}}};
+  CheckHostileDocuments(with_accounts, [](const std::string& text) {
+    return DecodeConfiguration(text);
+  });
+}
+
+// Guards against a time or a count that wraps around to another one.
+TEST_CASE("A configuration's numbers are in their ranges") {
+  const auto decode = [](const std::string& pointer, const std::string& raw) {
+    return DecodeConfiguration(WithRaw(nlohmann::json::parse(kConfiguration),
+                                       nlohmann::json::json_pointer(pointer),
+                                       raw));
+  };
+  for (const char* pointer :
+       {"/version", "/routes/0/timeout-ms", "/routes/0/target-latency-ms",
+        "/routes/0/priority", "/routes/0/max-attempts",
+        "/routes/1/traffic-split/0/weight", "/services/0/max-conns",
+        "/services/0/engine/slots", "/services/0/engine/kv-capacity",
+        "/services/0/engine/stage-switch-s",
+        "/services/0/engine/token-kv-bytes", "/services/0/engine/link-mbps",
+        "/limits/max-header-bytes", "/limits/max-body-bytes",
+        "/limits/header-timeout-ms", "/limits/idle-timeout-ms"}) {
+    for (const char* raw : {"-1", "true", "null", "\"1\"", "[]"}) {
+      INFO(pointer << " " << raw);
+      CHECK_FALSE(IsOk(decode(pointer, raw)));
+    }
+  }
+  for (const char* pointer :
+       {"/routes/0/priority", "/routes/0/max-attempts",
+        "/routes/1/traffic-split/0/weight", "/services/0/max-conns",
+        "/services/0/engine/slots"}) {
+    for (const char* raw : {"4294967296", "1.5", "1e300"}) {
+      INFO(pointer << " " << raw);
+      CHECK_FALSE(IsOk(decode(pointer, raw)));
+    }
+  }
+
+  SECTION("a time of more than a year is a year") {
+    for (const char* raw :
+         {"31536000000", "31536000001", "9223372036854775807", "1e300"}) {
+      INFO(raw);
+      const auto decoded = decode("/routes/0/timeout-ms", raw);
+      REQUIRE(IsOk(decoded));
+      CHECK(ValueOf(decoded).routes[0].timeout == std::chrono::hours(24 * 365));
+    }
+  }
+  SECTION("shares that add up to too much are rejected") {
+    CHECK_FALSE(IsOk(decode("/routes/1/traffic-split/0/weight", "4294967290")));
+  }
+}
+
 }  // namespace
 }  // namespace indigolead::platform
--- a/tests/platform/target_protocol_test.cc
+++ b/tests/platform/target_protocol_test.cc
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "tests/support/hostile_json.h"
+
 namespace indigolead::platform {
 namespace {
 
@@ -235,5 +237,63 @@
   CHECK_FALSE(IsOk(leaving({{"Server-Leaving", "perhaps"}})));
 }
 
+// Guards against an answer that overflows the stack, makes the log as long as
+// it likes, or is read as another number than it states.
+TEST_CASE("Hostile bodies of targets are values or bounded errors") {
+  const TargetDialect dialect = MakePlatformDialect();
+  CheckHostileDocuments(
+      {{"kv-handle", "3fa0"}, {"tokens", 1460}, {"version", 1}},
+      [&](const std::string& text) {
+        return dialect.read_handle(Target(), {200, text});
+      });
+  CheckHostileDocuments({{"seq", 2}, {"born", 1000}},
+                        [](const std::string& text) {
+                          return ReadOrderCount(Target(), {200, text});
+                        });
+  for (const char* raw : {"-1", "1.5", "1e300", "true", "null"}) {
+    INFO(raw);
+    const std::string body = R"({"seq":)" + std::string(raw) + "}";
+    CHECK_FALSE(IsOk(ReadOrderCount(Target(), {200, body})));
+  }
+  TargetRecord target = Target();
+  target.run = TargetRun{1000};
+  for (const std::string& text :
+       UnreadableDocuments({{"seq", 2}, {"born", 1001}})) {
+    INFO(text.substr(0, 400));
+    CHECK(IsOk(dialect.read_liveness(target, {200, text})));
+  }
+}
+
+// Guards against a handle's name that ends a header and begins another.
+TEST_CASE("A KV handle's name can stand in a header and a path") {
+  const TargetDialect dialect = MakePlatformDialect();
+  for (const std::string& name :
+       {std::string(), std::string("a b"), std::string("a\r\nHost: x"),
+        std::string("a/../b"), std::string("a?b"), std::string("a#b"),
+        std::string(257, 'a')}) {
+    INFO(name);
+    const nlohmann::json reply = {{"kv-handle", name}};
+    CHECK_FALSE(IsOk(dialect.read_handle(Target(), {200, reply.dump()})));
+  }
+}
+
+// Guards against a header of a target that makes the log as long as it likes.
+TEST_CASE("Errors quote a target's headers in part at most") {
+  const TargetDialect dialect = MakePlatformDialect();
+  const std::string value = std::string(10'000, 'x');
+  const auto limit =
+      dialect.advertised_limit(Target(), {{"Server-Limit", value}});
+  REQUIRE_FALSE(IsOk(limit));
+  CheckError(ErrorOf(limit));
+  const auto cooldown =
+      dialect.requested_cooldown(Target(), 503, {{"Retry-After", value}});
+  REQUIRE_FALSE(IsOk(cooldown));
+  CheckError(ErrorOf(cooldown));
+  const auto leaving =
+      dialect.says_leaving(Target(), {{"Server-Leaving", value}});
+  REQUIRE_FALSE(IsOk(leaving));
+  CheckError(ErrorOf(leaving));
+}
+
 }  // namespace
 }  // namespace indigolead::platform
--- a/tests/shell/crash_service_test.cc
+++ b/tests/shell/crash_service_test.cc
@@ -9,6 +9,7 @@
 #include "entry/crash_report_json.h"
 #include "runtime/clock.h"
 #include "tests/support/fuzz.h"
+#include "tests/support/hostile_json.h"
 #include "tests/support/store_fixture.h"
 
 namespace indigolead {
@@ -222,5 +223,23 @@
   }
 }
 
+// Guards against a report of another writer that overflows the stack or makes
+// the log as long as it likes.
+TEST_CASE("Hostile crash reports are values or bounded errors") {
+  const EntryCrashReport report{
+      {{{Crash(1), {kBad}}, {Crash(2), {}}}, {{11, {Crash(1)}}}},
+      {{{Crash(1), {0xbad}, {0x5c}}}, {Crash(2), Crash(1)}, {{0x5c, 1}}}};
+  const auto document = nlohmann::json::parse(EncodeCrashReport(report));
+  CheckHostileDocuments(document, [](const std::string& text) {
+    return DecodeCrashReport("front-1", text);
+  });
+  for (const char* raw : {"1e300", "18446744073709551615", "1.5", "true"}) {
+    INFO(raw);
+    const nlohmann::json::json_pointer run("/crashes/0/run");
+    CHECK_FALSE(
+        IsOk(DecodeCrashReport("front-1", WithRaw(document, run, raw))));
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/shell/outside_input_fuzz_test.cc
+++ b/tests/shell/outside_input_fuzz_test.cc
@@ -2,6 +2,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -9,9 +10,11 @@
 #include "core/config/declarations.h"
 #include "core/config/revision_json.h"
 #include "core/config/settings_table.h"
+#include "entry/quarantine_store.h"
 #include "side/target_monitor.h"
 #include "store/store_json.h"
 #include "tests/support/fuzz.h"
+#include "tests/support/hostile_json.h"
 #include "wire/codec.h"
 
 namespace indigolead {
@@ -115,5 +118,42 @@
   }
 }
 
+// Guards against a report or a quarantine of another process that overflows the
+// stack, makes the log as long as it likes, or holds for ever.
+TEST_CASE("Hostile reports and quarantines are values or bounded errors") {
+  using Json = nlohmann::json;
+  CheckHostileDocuments(
+      {{"boot_id", "b"},
+       {"role", "mixed"},
+       {"adapters", {"x"}},
+       {"fencing_number", 3},
+       {"generation", 4},
+       {"changing", false}},
+      [](const std::string& text) { return ParseEngineState(text); });
+  const Json load = {{"measured_ago_ms", 5},
+                     {"running", 1},
+                     {"slots", 6},
+                     {"kv_used_bytes", 4}};
+  const auto parse_load = [](const std::string& text) {
+    return ParseEngineLoad(text, TimePoint());
+  };
+  CheckHostileDocuments(load, parse_load);
+  const Json quarantine = Json::parse(EncodeQuarantine(SuspicionNotice()));
+  CheckHostileDocuments(quarantine, [](const std::string& text) {
+    return DecodeQuarantine(text);
+  });
+  for (const char* raw : {"-1", "1.5", "1e300", "18446744073709551615"}) {
+    INFO(raw);
+    CHECK_FALSE(
+        IsOk(parse_load(WithRaw(load, Json::json_pointer("/running"), raw))));
+  }
+  for (const char* raw :
+       {"-1", "1.5", "1e300", "9223372036854775807", "18446744073709551615"}) {
+    INFO(raw);
+    CHECK_FALSE(IsOk(DecodeQuarantine(
+        WithRaw(quarantine, Json::json_pointer("/remaining_ms"), raw))));
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/shell/stream_archive_service_test.cc
+++ b/tests/shell/stream_archive_service_test.cc
@@ -11,6 +11,7 @@
 #include "entry/stream_archive_json.h"
 #include "runtime/clock.h"
 #include "tests/support/fuzz.h"
+#include "tests/support/hostile_json.h"
 #include "tests/support/store_fixture.h"
 
 namespace indigolead {
@@ -231,5 +232,21 @@
   }
 }
 
+// Guards against an archive of another writer that overflows the stack or makes
+// the log as long as it likes.
+TEST_CASE("Hostile archives of streams are values or bounded errors") {
+  const StreamArchiveReport report = {{kOld, {0, 1}}, {kNew, {2}}};
+  const auto document = nlohmann::json::parse(EncodeStreamArchive(report));
+  CheckHostileDocuments(document, [](const std::string& text) {
+    return DecodeStreamArchive("front-1", text);
+  });
+  nlohmann::json long_name = document;
+  long_name["streams"][0]["service"] = "secret" + std::string(100'000, 'x');
+  long_name["streams"][0]["ids"] = "?";
+  const auto read = DecodeStreamArchive("front-1", long_name.dump());
+  REQUIRE_FALSE(IsOk(read));
+  CheckError(ErrorOf(read));
+}
+
 }  // namespace
 }  // namespace indigolead
