Read a crash report of another writer without a crash

An entry that read a report in which the `part` of `prompt_parts.answered` is null or an empty list ended by SIGSEGV, and callers lost their connections. The report of one writer would end every entry that watches the reports.

Cause: the field was put into braces to make a list of it; the library takes that as a copy of the field, and a null has no first element. The text was also parsed without a bound of its depth, `run` and `known_crashes` were converted with wrap-around, and errors quoted texts of the report in any length.

One part is now read as one value. The text goes through ParseBoundedJson(), integers are checked for their range, and errors name the field and the crash's place in the list instead of quoting texts.

--- a/src/entry/crash_report_json.cc
+++ b/src/entry/crash_report_json.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <vector>
 
+#include "core/base/bounded_json.h"
+#include "core/base/json_fields.h"
 #include "core/base/json_problem.h"
 #include "entry/event_fields.h"
 
@@ -14,6 +16,7 @@
 using Json = nlohmann::json;
 
 constexpr int kHexadecimal = 16;
+constexpr char kDecodeStep[] = "crash_report.decode";
 
 Json ToJson(const TargetCrash& crash) {
   return {{"target", crash.target}, {"run", crash.run}};
@@ -21,7 +24,7 @@
 
 TargetCrash ReadCrash(const Json& json) {
   return {json.at("target").get<std::string>(),
-          json.at("run").get<std::int64_t>()};
+          IntegerAt<std::int64_t>(json, "run")};
 }
 
 Json ToJson(const std::vector<PromptPartId>& parts) {
@@ -41,7 +44,16 @@
 }
 
 Error Unreadable(const std::string& peer, std::string detail) {
-  return {ErrorCode::kProtocol, "crash_report.decode", peer, std::move(detail)};
+  return {ErrorCode::kProtocol, kDecodeStep, peer, std::move(detail)};
+}
+
+Result<PromptPartId> ReadPart(const std::string& peer, const std::string& field,
+                              const Json& json) {
+  const auto part = ReadHex(json.get<std::string>());
+  if (!part) {
+    return Unreadable(peer, "a text in \"" + field + "\" is not a prompt part");
+  }
+  return *part;
 }
 
 Result<std::vector<PromptPartId>> ReadParts(const std::string& peer,
@@ -49,14 +61,11 @@
                                             const Json& json) {
   std::vector<PromptPartId> parts;
   for (const Json& it : json) {
-    const auto name = it.get<std::string>();
-    const auto part = ReadHex(name);
-    if (!part) {
-      std::string detail = "\"" + name + "\" in \"";
-      detail += field + "\" is not a prompt part";
-      return Unreadable(peer, std::move(detail));
+    const auto part = ReadPart(peer, field, it);
+    if (!IsOk(part)) {
+      return ErrorOf(part);
     }
-    parts.push_back(*part);
+    parts.push_back(ValueOf(part));
   }
   return parts;
 }
@@ -99,12 +108,12 @@
     report.known.push_back(ReadCrash(it));
   }
   for (const Json& it : json.at("answered")) {
-    const auto part = ReadParts(peer, "answered", {it.at("part")});
+    const auto part = ReadPart(peer, "answered", it.at("part"));
     if (!IsOk(part)) {
       return ErrorOf(part);
     }
     report.answered.push_back(
-        {ValueOf(part).front(), it.at("known_crashes").get<std::size_t>()});
+        {ValueOf(part), IntegerAt<std::size_t>(it, "known_crashes")});
   }
   return report;
 }
@@ -141,23 +150,21 @@
   for (const Json& it : json.at("crashes")) {
     CrashRecord record{ReadCrash(it), {}};
     for (const Json& running : it.at("running")) {
-      const auto name = running.get<std::string>();
-      const auto request = ReadHex(name);
+      const auto request = ReadHex(running.get<std::string>());
       if (!request) {
-        return Unreadable(peer, "\"" + name + "\" in \"running\" of crash \"" +
-                                    record.crash.target +
-                                    "\" is not a fingerprint");
+        return Unreadable(peer, "a text in \"running\" of crash " +
+                                    std::to_string(report.crashes.size()) +
+                                    " is not a fingerprint");
       }
       record.running.push_back(*request);
     }
     report.crashes.push_back(std::move(record));
   }
   for (const Json& it : json.at("cleared")) {
-    const auto name = it.at("request").get<std::string>();
-    const auto request = ReadHex(name);
+    const auto request = ReadHex(it.at("request").get<std::string>());
     if (!request) {
       return Unreadable(peer,
-                        "\"" + name + "\" in \"cleared\" is not a fingerprint");
+                        "a \"request\" in \"cleared\" is not a fingerprint");
     }
     ClearedRequest cleared{*request, {}};
     for (const Json& crash : it.at("crashes")) {
@@ -180,8 +187,12 @@
 Result<EntryCrashReport> DecodeCrashReport(const std::string& peer,
                                            const std::string& text) {
   EntryCrashReport report;
+  const auto parsed = ParseBoundedJson(text, kDecodeStep, peer);
+  if (!IsOk(parsed)) {
+    return ErrorOf(parsed);
+  }
   try {
-    const Json json = Json::parse(text);
+    const Json& json = ValueOf(parsed);
     auto requests = ReadRequestReport(peer, json);
     if (!IsOk(requests)) {
       return ErrorOf(requests);
