Check leases, orders, audit, usage and revisions of other writers

An object of another writer with deep nesting ended a process that printed it in an error (a revision), a lease could state a duration that never ends, so that no entry took it, and numbers wrapped around or were undefined behaviour when they became integers or times. Errors quoted the text; that of a revision may hold keys.

All texts go through ParseBoundedJson(). Errors name the field and the type found.

--- a/src/core/config/revision_json.cc
+++ b/src/core/config/revision_json.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/base/bounded_json.h"
 #include "core/config/enum_names.h"
 #include "core/config/spec_fields.h"
 
@@ -135,8 +136,9 @@
   void Fail(const std::string& key, const std::string& expected,
             const Json& actual) {
     if (error_->empty()) {
-      *error_ = path_ + key + ": expected " + expected + ", got " +
-                Dump(actual).substr(0, 60);
+      // The value may be an API key.
+      *error_ = path_ + key + ": expected " + expected + ", got a JSON " +
+                actual.type_name();
     }
   }
 
@@ -242,9 +244,10 @@
   std::string* error_;
 };
 
+constexpr char kReadStep[] = "config.read-revision";
+
 Error ReadError(std::string detail) {
-  return Error{ErrorCode::kInvalidInput, "config.read-revision", "",
-               std::move(detail)};
+  return Error{ErrorCode::kInvalidInput, kReadStep, "", std::move(detail)};
 }
 
 bool ParseDigest(const std::string& text, std::uint64_t* digest) {
@@ -273,10 +276,11 @@
 }
 
 Result<Revision> RevisionFromJson(std::string_view json) {
-  const Json object = Json::parse(json, nullptr, /*allow_exceptions=*/false);
-  if (object.is_discarded()) {
-    return ReadError("expected a revision as JSON, got other text");
+  const auto parsed = ParseBoundedJson(json, kReadStep, "");
+  if (!IsOk(parsed)) {
+    return ReadError("expected a revision as JSON: " + ErrorOf(parsed).detail);
   }
+  const Json& object = ValueOf(parsed);
   Revision revision;
   std::string error;
   std::string digest = DigestText(0);
@@ -290,8 +294,8 @@
   reader("note", revision.note);
   reader("nonce", revision.nonce);
   if (error.empty() && !ParseDigest(digest, &revision.digest)) {
-    error =
-        "digest: expected 16 hexadecimal digits, got " + digest.substr(0, 60);
+    error = "digest: expected 16 hexadecimal digits, got " +
+            std::to_string(digest.size()) + " other bytes";
   }
   if (!error.empty()) {
     return ReadError(std::move(error));
--- a/src/core/control/audit.cc
+++ b/src/core/control/audit.cc
@@ -5,6 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/base/bounded_json.h"
+#include "core/base/json_fields.h"
+#include "core/base/json_problem.h"
+
 namespace indigolead {
 namespace {
 
@@ -19,8 +23,10 @@
     std::pair{AuditKind::kLease, std::string_view("lease")},
 };
 
+constexpr char kDecodeStep[] = "audit.decode";
+
 Error Malformed(const std::string& detail) {
-  return Error{ErrorCode::kProtocol, "audit.decode", "store",
+  return Error{ErrorCode::kProtocol, kDecodeStep, "store",
                "expected one audit record as JSON, saw: " + detail};
 }
 
@@ -66,8 +72,12 @@
 }
 
 Result<AuditRecord> DecodeAuditRecord(std::string_view line) {
+  const auto document = ParseBoundedJson(line, kDecodeStep, "store");
+  if (!IsOk(document)) {
+    return Malformed(ErrorOf(document).detail);
+  }
   try {
-    const Json parsed = Json::parse(line);
+    const Json& parsed = ValueOf(document);
     const auto kind = AuditKindFromName(parsed.at("kind").get<std::string>());
     if (!kind) {
       return Malformed("an unknown kind");
@@ -77,13 +87,13 @@
     parsed.at("subject").get_to(record.subject);
     parsed.at("cause").get_to(record.cause);
     parsed.at("actor").get_to(record.actor);
-    parsed.at("fencing_number").get_to(record.fencing_number);
+    record.fencing_number = IntegerAt<FencingNumber>(parsed, "fencing_number");
     parsed.at("before").get_to(record.before);
     parsed.at("after").get_to(record.after);
-    parsed.at("at").get_to(record.at);
+    record.at = IntegerAt<WallMicros>(parsed, "at");
     return record;
   } catch (const Json::exception& e) {
-    return Malformed(e.what());
+    return Malformed(JsonProblem(e));
   }
 }
 
--- a/src/core/control/lease.cc
+++ b/src/core/control/lease.cc
@@ -4,6 +4,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/base/bounded_json.h"
+#include "core/base/json_fields.h"
+#include "core/base/json_problem.h"
+
 namespace indigolead {
 namespace {
 
@@ -11,8 +15,13 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+constexpr char kDecodeStep[] = "lease.decode";
+/// Longest duration of a lease. With a longer one in a record of another
+/// writer, nobody would take the lease.
+constexpr milliseconds kMaxDuration = std::chrono::hours(24);
+
 Error Malformed(std::string detail) {
-  return Error{ErrorCode::kProtocol, "lease.decode", "store",
+  return Error{ErrorCode::kProtocol, kDecodeStep, "store",
                "expected a lease as JSON, saw: " + std::move(detail)};
 }
 
@@ -42,8 +51,12 @@
 }
 
 Result<LeaseRecord> DecodeLease(std::string_view json, std::uint64_t version) {
+  const auto document = ParseBoundedJson(json, kDecodeStep, "store");
+  if (!IsOk(document)) {
+    return Malformed(ErrorOf(document).detail);
+  }
   try {
-    const Json parsed = Json::parse(json);
+    const Json& parsed = ValueOf(document);
     const auto incarnation =
         Id128FromHex(parsed.at("incarnation").get<std::string>());
     const auto nonce = Id128FromHex(parsed.at("nonce").get<std::string>());
@@ -54,19 +67,22 @@
     record.holder = parsed.at("holder").get<std::string>();
     record.incarnation = Incarnation{*incarnation};
     record.nonce = *nonce;
-    record.fencing_number = parsed.at("fencing_number").get<FencingNumber>();
-    record.duration =
-        milliseconds(parsed.at("duration_ms").get<std::int64_t>());
-    parsed.at("earlier").get_to(record.earlier);
-    if (record.earlier.size() > kMaxEarlierNumbers) {
-      return Malformed("too many earlier fencing numbers");
+    record.fencing_number = IntegerAt<FencingNumber>(parsed, "fencing_number");
+    record.duration = milliseconds(IntegerAt<std::int64_t>(
+        parsed, "duration_ms", 0, kMaxDuration.count()));
+    const Json& earlier = parsed.at("earlier");
+    if (!earlier.is_array() || earlier.size() > kMaxEarlierNumbers) {
+      return Malformed("no list of earlier fencing numbers, or too many");
+    }
+    for (const Json& it : earlier) {
+      record.earlier.push_back(CheckedInteger<FencingNumber>(it, "earlier"));
     }
     if (record.fencing_number == 0) {
       record.fencing_number = version;
     }
     return record;
   } catch (const Json::exception& e) {
-    return Malformed(e.what());
+    return Malformed(JsonProblem(e));
   }
 }
 
--- a/src/core/control/orders.cc
+++ b/src/core/control/orders.cc
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/base/bounded_json.h"
+#include "core/base/json_fields.h"
+#include "core/base/json_problem.h"
 #include "core/config/enum_names.h"
 
 namespace indigolead {
@@ -9,8 +12,10 @@
 
 using Json = nlohmann::json;
 
+constexpr char kDecodeStep[] = "order.decode";
+
 Error Malformed(const std::string& detail) {
-  return Error{ErrorCode::kProtocol, "order.decode", "store",
+  return Error{ErrorCode::kProtocol, kDecodeStep, "store",
                "expected an order as JSON, saw: " + detail};
 }
 
@@ -34,8 +39,12 @@
 }
 
 Result<TargetOrder> DecodeOrder(std::string_view json) {
+  const auto document = ParseBoundedJson(json, kDecodeStep, "store");
+  if (!IsOk(document)) {
+    return Malformed(ErrorOf(document).detail);
+  }
   try {
-    const Json parsed = Json::parse(json);
+    const Json& parsed = ValueOf(document);
     const auto role = EngineRoleFromName(parsed.at("role").get<std::string>());
     const auto nonce = Id128FromHex(parsed.at("nonce").get<std::string>());
     if (!role || !nonce) {
@@ -44,20 +53,22 @@
     TargetOrder order;
     parsed.at("target").get_to(order.target);
     parsed.at("deployment").get_to(order.deployment);
-    parsed.at("fencing_number").get_to(order.fencing_number);
-    parsed.at("generation").get_to(order.generation);
+    order.fencing_number =
+        IntegerAt<decltype(order.fencing_number)>(parsed, "fencing_number");
+    order.generation =
+        IntegerAt<decltype(order.generation)>(parsed, "generation");
     order.desired.role = *role;
     parsed.at("model").get_to(order.desired.model);
     parsed.at("version").get_to(order.desired.version);
     parsed.at("adapters").get_to(order.desired.adapters);
     parsed.at("out_of_service").get_to(order.desired.out_of_service);
-    parsed.at("revision").get_to(order.revision);
-    parsed.at("tries").get_to(order.tries);
+    order.revision = IntegerAt<decltype(order.revision)>(parsed, "revision");
+    order.tries = IntegerAt<decltype(order.tries)>(parsed, "tries");
     parsed.at("cause").get_to(order.cause);
     order.nonce = *nonce;
     return order;
   } catch (const Json::exception& e) {
-    return Malformed(e.what());
+    return Malformed(JsonProblem(e));
   }
 }
 
--- a/src/core/usage/usage_codec.cc
+++ b/src/core/usage/usage_codec.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/base/bounded_json.h"
+#include "core/base/json_fields.h"
 #include "core/base/json_problem.h"
 
 namespace indigolead {
@@ -9,8 +11,16 @@
 
 using Json = nlohmann::json;
 
+constexpr char kDecodeStep[] = "usage.decode";
+
+/// Latest time of a record: the end of the year 9999. Later ones overflow in
+/// sums with durations.
+constexpr WallMicros kMaxTime = 253'402'300'800'000'000;
+/// Highest window: windows are longer than a microsecond.
+constexpr UsageWindow kMaxWindow = kMaxTime;
+
 Error Malformed(std::string detail) {
-  return {ErrorCode::kProtocol, "usage.decode", "store", std::move(detail)};
+  return {ErrorCode::kProtocol, kDecodeStep, "store", std::move(detail)};
 }
 
 Json ToJson(const std::vector<WindowCounts>& windows) {
@@ -21,12 +31,23 @@
   return list;
 }
 
+std::map<std::string, std::uint64_t> RequestsFrom(const Json& object) {
+  std::map<std::string, std::uint64_t> requests;
+  if (!object.is_object()) {
+    ThrowInvalidField("requests", "an object");
+  }
+  for (const auto& it : object.items()) {
+    requests[it.key()] = CheckedInteger<std::uint64_t>(it.value(), "requests");
+  }
+  return requests;
+}
+
 std::vector<WindowCounts> WindowsFrom(const Json& list) {
   std::vector<WindowCounts> windows;
   for (const Json& it : list) {
     WindowCounts one;
-    it.at("window").get_to(one.window);
-    it.at("requests").get_to(one.requests);
+    one.window = IntegerAt<UsageWindow>(it, "window", 0, kMaxWindow);
+    one.requests = RequestsFrom(it.at("requests"));
     windows.push_back(std::move(one));
   }
   return windows;
@@ -54,8 +75,12 @@
 }
 
 Result<EntryUsage> DecodeEntryUsage(std::string_view json) {
+  const auto document = ParseBoundedJson(json, kDecodeStep, "store");
+  if (!IsOk(document)) {
+    return ErrorOf(document);
+  }
   try {
-    const Json parsed = Json::parse(json);
+    const Json& parsed = ValueOf(document);
     EntryUsage usage;
     parsed.at("instance").get_to(usage.instance);
     const auto incarnation =
@@ -64,8 +89,10 @@
       return Malformed("the incarnation is not 32 hexadecimal digits");
     }
     usage.incarnation = Incarnation{*incarnation};
-    parsed.at("started_at_us").get_to(usage.started_at);
-    parsed.at("counted_until_us").get_to(usage.counted_until);
+    usage.started_at =
+        IntegerAt<WallMicros>(parsed, "started_at_us", 0, kMaxTime);
+    usage.counted_until =
+        IntegerAt<WallMicros>(parsed, "counted_until_us", 0, kMaxTime);
     parsed.at("ended").get_to(usage.ended);
     usage.windows = WindowsFrom(parsed.at("windows"));
     return usage;
@@ -79,8 +106,12 @@
 }
 
 Result<FinalizedUsage> DecodeFinalizedUsage(std::string_view json) {
+  const auto document = ParseBoundedJson(json, kDecodeStep, "store");
+  if (!IsOk(document)) {
+    return ErrorOf(document);
+  }
   try {
-    FinalizedUsage usage{WindowsFrom(Json::parse(json).at("windows"))};
+    FinalizedUsage usage{WindowsFrom(ValueOf(document).at("windows"))};
     if (usage.windows.empty() || HasGap(usage.windows)) {
       return Malformed("expected windows without a gap");
     }
--- a/src/core/usage/usage_types.cc
+++ b/src/core/usage/usage_types.cc
@@ -1,5 +1,7 @@
 #include "core/usage/usage_types.h"
 
+#include <limits>
+
 namespace indigolead {
 namespace {
 
@@ -14,7 +16,13 @@
 }
 
 WallMicros StartOf(UsageWindow window, Duration length) {
-  return window * ToMicros(length);
+  WallMicros start = 0;
+  // A window in a stored record may be any number.
+  if (__builtin_mul_overflow(window, ToMicros(length), &start)) {
+    return window < 0 ? std::numeric_limits<WallMicros>::min()
+                      : std::numeric_limits<WallMicros>::max();
+  }
+  return start;
 }
 
 }  // namespace indigolead
