Check quarantines, archives of streams and engines' reports

A quarantine of another writer could last for ever or for a time that overflowed, numbers in an engine's report wrapped around, and errors quoted the text or names of any length. The texts were parsed without a bound of their depth.

--- a/src/entry/quarantine_store.cc
+++ b/src/entry/quarantine_store.cc
@@ -5,12 +5,16 @@
 #include <utility>
 #include <vector>
 
+#include "core/base/bounded_json.h"
+#include "core/base/json_fields.h"
+#include "core/base/json_problem.h"
 #include "entry/event_fields.h"
 
 namespace indigolead {
 namespace {
 
 constexpr char kPrefix[] = "quarantines/";
+constexpr char kDecodeStep[] = "quarantine.decode";
 
 ListWatcher::Options WatchOptions(Duration deadline) {
   ListWatcher::Options options;
@@ -42,23 +46,27 @@
 }
 
 Result<SuspicionNotice> DecodeQuarantine(const std::string& text) {
+  const auto parsed = ParseBoundedJson(text, kDecodeStep, "store");
+  if (!IsOk(parsed)) {
+    return ErrorOf(parsed);
+  }
   try {
-    const auto json = nlohmann::json::parse(text);
+    const nlohmann::json& json = ValueOf(parsed);
     SuspicionNotice notice;
-    notice.fingerprint = json.at("fingerprint").get<Fingerprint>();
+    notice.fingerprint = IntegerAt<Fingerprint>(json, "fingerprint");
     notice.client_account = json.at("client_account").get<std::string>();
     notice.deployment = json.at("deployment").get<std::string>();
     notice.reason = json.at("reason").get<std::string>();
-    notice.remaining =
-        std::chrono::milliseconds(json.at("remaining_ms").get<std::int64_t>());
+    notice.remaining = std::chrono::milliseconds(IntegerAt<std::int64_t>(
+        json, "remaining_ms", 0, kMaxFieldMilliseconds));
     for (const auto& it : json.at("targets")) {
       notice.deaths.push_back({it.get<std::string>(), {}});
     }
     notice.quarantined = true;
     return notice;
   } catch (const nlohmann::json::exception& error) {
-    return Error{ErrorCode::kProtocol, "quarantine.decode", "store",
-                 error.what()};
+    return Error{ErrorCode::kProtocol, kDecodeStep, "store",
+                 JsonProblem(error)};
   }
 }
 
--- a/src/entry/stream_archive_json.cc
+++ b/src/entry/stream_archive_json.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "core/base/bounded_json.h"
 #include "core/base/json_problem.h"
 #include "store/base64.h"
 
@@ -14,6 +15,7 @@
 
 constexpr std::size_t kHashBytes = sizeof(StreamIdHash);
 constexpr unsigned kBitsPerByte = 8;
+constexpr char kDecodeStep[] = "stream_archive.decode";
 
 /// Packs the hashes, least significant byte first.
 std::string Pack(const std::vector<StreamIdHash>& ids) {
@@ -41,8 +43,7 @@
 }
 
 Error Unreadable(const std::string& peer, std::string detail) {
-  return {ErrorCode::kProtocol, "stream_archive.decode", peer,
-          std::move(detail)};
+  return {ErrorCode::kProtocol, kDecodeStep, peer, std::move(detail)};
 }
 
 }  // namespace
@@ -61,16 +62,18 @@
 Result<StreamArchiveReport> DecodeStreamArchive(const std::string& peer,
                                                 const std::string& text) {
   StreamArchiveReport report;
+  const auto parsed = ParseBoundedJson(text, kDecodeStep, peer);
+  if (!IsOk(parsed)) {
+    return ErrorOf(parsed);
+  }
   try {
-    const Json json = Json::parse(text);
-    for (const Json& it : json.at("streams")) {
+    for (const Json& it : ValueOf(parsed).at("streams")) {
       ArchivedStreams streams{{it.at("service").get<std::string>(),
                                it.at("software").get<std::string>()},
                               {}};
       auto ids = Unpack(it.at("ids").get<std::string>());
       if (!ids) {
-        return Unreadable(peer, "\"ids\" of \"" + streams.origin.service +
-                                    "\" are not base64 of 8 bytes each");
+        return Unreadable(peer, "\"ids\" are not base64 of 8 bytes each");
       }
       if (streams.origin.service.empty() ||
           streams.origin.software_version.empty()) {
--- a/src/side/target_monitor.cc
+++ b/src/side/target_monitor.cc
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/base/bounded_json.h"
+#include "core/base/json_fields.h"
+#include "core/base/json_problem.h"
 #include "target/fetch_answer.h"
 #include "target/http_target_client.h"
 
@@ -36,7 +39,11 @@
 }  // namespace
 
 Result<EngineState> ParseEngineState(const std::string& json) {
-  const auto doc = Json::parse(json, nullptr, false);
+  const auto parsed = ParseBoundedJson(json, "target.state", "");
+  if (!IsOk(parsed)) {
+    return ErrorOf(parsed);
+  }
+  const Json& doc = ValueOf(parsed);
   if (!doc.is_object()) {
     return MakeProtocolError("target.state", "expected a JSON object");
   }
@@ -47,13 +54,13 @@
     state.model = doc.value("model", "");
     state.version = doc.value("version", "");
     state.adapters = doc.value("adapters", std::vector<std::string>{});
-    state.fencing_number = doc.value("fencing_number", std::uint64_t{0});
-    state.generation = doc.value("generation", std::uint64_t{0});
+    state.fencing_number = IntegerOr(doc, "fencing_number", std::uint64_t{0});
+    state.generation = IntegerOr(doc, "generation", std::uint64_t{0});
     state.changing = doc.value("changing", false);
     state.checks_fencing = doc.value("checks_fencing", true);
     return state;
   } catch (const Json::exception& error) {
-    return MakeProtocolError("target.state", error.what());
+    return MakeProtocolError("target.state", JsonProblem(error));
   }
 }
 
@@ -68,28 +75,33 @@
 }
 
 Result<EngineLoad> ParseEngineLoad(const std::string& json, TimePoint now) {
-  const auto doc = Json::parse(json, nullptr, false);
+  const auto parsed = ParseBoundedJson(json, "target.load", "");
+  if (!IsOk(parsed)) {
+    return ErrorOf(parsed);
+  }
+  const Json& doc = ValueOf(parsed);
   if (!doc.is_object()) {
     return MakeProtocolError("target.load", "expected a JSON object");
   }
   try {
     EngineLoad load;
-    load.measured_at = now - std::chrono::milliseconds(doc.value(
-                                 "measured_ago_ms", std::uint32_t{0}));
-    load.running = doc.value("running", 0U);
-    load.waiting = doc.value("waiting", 0U);
+    load.measured_at = now - std::chrono::milliseconds(IntegerOr(
+                                 doc, "measured_ago_ms", std::uint32_t{0}));
+    load.running = IntegerOr(doc, "running", 0U);
+    load.waiting = IntegerOr(doc, "waiting", 0U);
     load.queued_prefill_tokens =
-        doc.value("queued_prefill_tokens", std::uint64_t{0});
-    load.kv_used_bytes = doc.value("kv_used_bytes", std::uint64_t{0});
-    load.kv_capacity_bytes = doc.value("kv_capacity_bytes", std::uint64_t{0});
-    load.slots = doc.value("slots", 0U);
+        IntegerOr(doc, "queued_prefill_tokens", std::uint64_t{0});
+    load.kv_used_bytes = IntegerOr(doc, "kv_used_bytes", std::uint64_t{0});
+    load.kv_capacity_bytes =
+        IntegerOr(doc, "kv_capacity_bytes", std::uint64_t{0});
+    load.slots = IntegerOr(doc, "slots", 0U);
     load.prefill_tokens_per_s =
-        doc.value("prefill_tokens_per_s", std::uint64_t{0});
+        IntegerOr(doc, "prefill_tokens_per_s", std::uint64_t{0});
     load.decode_tokens_per_s =
-        doc.value("decode_tokens_per_s", std::uint64_t{0});
+        IntegerOr(doc, "decode_tokens_per_s", std::uint64_t{0});
     return load;
   } catch (const Json::exception& error) {
-    return MakeProtocolError("target.load", error.what());
+    return MakeProtocolError("target.load", JsonProblem(error));
   }
 }
 
