Bound the depth of what the commands read

The commands copy and print the status of an entry and the quarantines in the store, so deep nesting ended them by a stack overflow. The texts now go through ParseBoundedJson(), numbers are checked for their range, and errors quote nothing. No test of its own: the decoders' tests cover the functions that are used.

--- a/src/cli/fleet_commands.cc
+++ b/src/cli/fleet_commands.cc
@@ -7,6 +7,7 @@
 #include "cli/operator_audit.h"
 #include "cli/revision_store.h"
 #include "cli/time_text.h"
+#include "core/base/bounded_json.h"
 #include "core/base/text_table.h"
 #include "core/config/value_text.h"
 #include "runtime/clock.h"
@@ -149,11 +150,12 @@
   TextTable table(
       {"fingerprint", "deployment", "client account", "kills", "reason"});
   for (const StoredObject& it : ValueOf(listing).objects) {
-    Json object = Json::parse(it.value, nullptr, false);
-    if (!object.is_object()) {
+    auto parsed = ParseBoundedJson(it.value, "quarantine.read", it.key);
+    if (!IsOk(parsed) || !ValueOf(parsed).is_object()) {
       *context.err << "indigolead: " << it.key << " cannot be parsed\n";
       continue;
     }
+    Json object = ValueOf(std::move(parsed));
     table.AddRow({it.key.substr(std::string(kQuarantinePrefix).size()),
                   TextOf(object, "deployment"),
                   TextOf(object, "client_account"), TextOf(object, "kills"),
--- a/src/cli/in_force.cc
+++ b/src/cli/in_force.cc
@@ -8,6 +8,9 @@
 
 #include "cli/flags.h"
 #include "cli/http_get.h"
+#include "core/base/bounded_json.h"
+#include "core/base/json_fields.h"
+#include "core/base/json_problem.h"
 #include "core/config/value_text.h"
 #include "runtime/clock.h"
 
@@ -38,7 +41,8 @@
                 std::uint64_t number, const Json& status,
                 std::set<std::string>* missing) {
   const Json* deployment = FindDeployment(status, name);
-  if (deployment == nullptr || deployment->value("revision", 0ULL) < number) {
+  if (deployment == nullptr ||
+      IntegerOr(*deployment, "revision", std::uint64_t{0}) < number) {
     missing->insert(name + ": entry " + status.value("entry", address));
     return;
   }
@@ -62,13 +66,18 @@
       missing.insert(ToString(ErrorOf(body)));
       continue;
     }
+    const auto status = ParseBoundedJson(ValueOf(body), "status.read", address);
+    if (!IsOk(status)) {
+      missing.insert(ToString(ErrorOf(status)));
+      continue;
+    }
     try {
-      const Json status = Json::parse(ValueOf(body));
       for (const auto& [name, number] : numbers) {
-        AddMissing(address, name, number, status, &missing);
+        AddMissing(address, name, number, ValueOf(status), &missing);
       }
     } catch (const Json::exception& e) {
-      missing.insert("entry " + address + ": cannot parse status: " + e.what());
+      missing.insert("entry " + address +
+                     ": cannot parse status: " + JsonProblem(e));
     }
   }
   return missing;
--- a/src/cli/status_view.cc
+++ b/src/cli/status_view.cc
@@ -5,6 +5,9 @@
 #include <nlohmann/json.hpp>
 
 #include "cli/time_text.h"
+#include "core/base/bounded_json.h"
+#include "core/base/json_fields.h"
+#include "core/base/json_problem.h"
 #include "core/base/text_table.h"
 
 namespace indigolead::cli {
@@ -46,7 +49,7 @@
   }
   if (it->contains("unknown_since")) {
     return "unknown since " +
-           WallTimeText(it->at("unknown_since").get<WallMicros>());
+           WallTimeText(IntegerAt<WallMicros>(*it, "unknown_since"));
   }
   const Json& value = it->at("value");
   if (!value.is_object() && PlainText(value).empty()) {
@@ -73,7 +76,7 @@
 
 std::string HeadText(const Json& status) {
   return "As seen by " + TextOf(status, "entry") + " at " +
-         WallTimeText(status.value("at", WallMicros{0})) +
+         WallTimeText(IntegerOr(status, "at", WallMicros{0})) +
          "\nobject API answers: " + FigureText(status, "store_answers") +
          "\ncontrol lease: " + FigureText(status, "lease_holder") +
          ", fencing number " + TextOf(status, "fencing_number") + "\n";
@@ -103,7 +106,7 @@
       {"deployment", "revision", "accepted", "author", "source", "in force"});
   for (const Json& it : ListOf(status, "deployments")) {
     table.AddRow({TextOf(it, "name"), TextOf(it, "revision"),
-                  WallTimeText(it.value("accepted_at", WallMicros{0})),
+                  WallTimeText(IntegerOr(it, "accepted_at", WallMicros{0})),
                   TextOf(it, "author"),
                   TextOf(it, "source_version").substr(0, 12), InForceText(it)});
   }
@@ -177,12 +180,16 @@
 
 Result<std::string> StatusText(std::string_view json) {
   // An entry of another version may omit fields; a wrong type is an error.
+  const auto parsed = ParseBoundedJson(json, "status.read", "");
+  if (!IsOk(parsed)) {
+    return ErrorOf(parsed);
+  }
   try {
-    const Json status = Json::parse(json);
+    const Json& status = ValueOf(parsed);
     return HeadText(status) + DeploymentsText(status) + TargetsText(status) +
            EntriesText(status) + QuarantinesText(status);
   } catch (const Json::exception& e) {
-    return Error{ErrorCode::kProtocol, "status.read", "", e.what()};
+    return Error{ErrorCode::kProtocol, "status.read", "", JsonProblem(e)};
   }
 }
 
