--- a/tests/shell/status_view_test.cc
+++ b/tests/shell/status_view_test.cc
@@ -1,8 +1,10 @@
 #include "cli/status_view.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/control/status.h"
+#include "tests/support/hostile_json.h"
 
 namespace indigolead::cli {
 namespace {
@@ -64,5 +66,15 @@
   CHECK_FALSE(IsOk(StatusText(R"({"targets":[{"role":{"value":1}}]})")));
 }
 
+// Guards against a status that overflows the stack of the command.
+TEST_CASE("A hostile status is a text or a bounded error") {
+  SystemStatus status;
+  status.targets = {MakeTarget()};
+  const auto document =
+      nlohmann::json::parse(EncodeStatus(status, kNow, kWallNow));
+  CheckHostileDocuments(
+      document, [](const std::string& text) { return StatusText(text); });
+}
+
 }  // namespace
 }  // namespace indigolead::cli
