Answer requests that came while the entry was paused

Callers on kept connections saw their connection closed, and no answer, if the process was held up (SIGSTOP, a machine that sleeps) for longer than the idle timeout while their request was on its way.

The pause counts as silence of the caller.

An idle connection with unread input is not closed, at a deadline or at a stop: the read that is due turns it into a request. A caller that sends its head too slowly is still closed, since only idle connections look at the input.

--- a/src/entry/callers_server.cc
+++ b/src/entry/callers_server.cc
@@ -1,5 +1,6 @@
 #include "entry/callers_server.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -15,6 +16,9 @@
 using asio::ip::tcp;
 
 constexpr std::chrono::milliseconds kSweepInterval{100};
+/// A sweep that is later than this was held up: the process did not run, so it
+/// read nothing that callers sent.
+constexpr std::chrono::milliseconds kHeldUpAfter{200};
 constexpr Duration kRefusalEventInterval = std::chrono::seconds(10);
 
 WholeAnswer TextAnswer(int status, std::string body) {
@@ -102,6 +106,7 @@
                  settings_->http_address, ec.message()};
   }
   Accept();
+  sweep_due_ = clock_();
   Sweep();
   return Unit{};
 }
@@ -168,12 +173,16 @@
     return;
   }
   const TimePoint now = clock_();
+  const Duration late = std::max(now - sweep_due_, Duration{0});
   std::vector<std::shared_ptr<Session>> sessions;
   sessions.reserve(sessions_.size());
   for (const auto& [key, session] : sessions_) {
     sessions.push_back(session);
   }
   for (const auto& it : sessions) {
+    if (late >= kHeldUpAfter) {
+      it->ExtendDeadline(late);
+    }
     it->CheckDeadline(now);
     if (closing_idle_) {
       it->CloseIfIdle();
@@ -186,6 +195,7 @@
   if (hooks_.on_sweep) {
     hooks_.on_sweep();
   }
+  sweep_due_ = now + kSweepInterval;
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](const boost::system::error_code& ec) {
     if (!ec) {
--- a/src/entry/callers_server.h
+++ b/src/entry/callers_server.h
@@ -98,6 +98,7 @@
   bool stopped_ = false;
   bool accept_stalled_ = false;
   TimePoint last_refusal_event_;
+  TimePoint sweep_due_;
   std::unordered_map<Session*, std::shared_ptr<Session>> sessions_;
   std::unordered_map<RequestId, Session*> sessions_by_request_;
 };
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -43,14 +43,27 @@
   deadline_ = host_->clock() + limit;
 }
 
+void Session::ExtendDeadline(Duration by) {
+  if (deadline_ != TimePoint::max()) {
+    deadline_ += by;
+  }
+}
+
 void Session::CheckDeadline(TimePoint now) {
-  if (now >= deadline_ && state_ != State::kClosed) {
+  if (now < deadline_) {
+    return;
+  }
+  if (state_ == State::kIdle) {
+    CloseIfIdle();
+  } else {
     Close();
   }
 }
 
 void Session::CloseIfIdle() {
-  if (state_ == State::kIdle) {
+  // A request that has arrived is answered: its caller cannot know that the
+  // close was decided first.
+  if (state_ == State::kIdle && PeekAtInput() != Input::kBytes) {
     Close();
   }
 }
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -69,10 +69,15 @@
   void OnAnswer(AnswerRefusal&& refusal);
   void OnAnswer(AnswerAbort&& abort);
 
+  /// Moves the deadline by a time in which this process did not run, which is
+  /// no silence of the caller.
+  void ExtendDeadline(Duration by);
+
   /// Closes the connection if its deadline has passed.
   void CheckDeadline(TimePoint now);
 
-  /// Closes the connection now if no request is in flight on it.
+  /// Closes the connection now if no request is in flight on it or waits to be
+  /// read.
   void CloseIfIdle();
   void Close();
 
