Read on where an answer kept the connection before a stop

Callers whose stream had begun before SIGTERM were told that the connection is kept. The entry closed it at the end of the stream; a request sent then was read and thrown away, and its caller saw the connection end without an answer.

Cause: whether to keep a connection was decided twice, once for the head and again at the end of the answer, where a stop in between counts.

What the head says now holds. The next answer says that the connection closes, and connections that stay idle are closed at the end of the notice as before.

--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -265,7 +265,9 @@
     forwarded_ = false;
     host_->finished(request_, /*disconnected=*/false);
   }
-  if (keep_alive_ && !host_->draining()) {
+  if (keep_alive_) {
+    // Also while draining: the head may have promised it before. The next
+    // answer, or the end of the drain's notice, closes the connection.
     SetDeadline(host_->settings->idle_timeout);
     ReadRequest();
     return;
