Rest after a failed accept at the status addresses

A process without a free descriptor used a whole processor as soon as a connection waited at its ready or metrics address, so that its callers were served late.

Cause: a failed accept was repeated at once, and fails at once again while the table of descriptors is full.

The server now waits 100 ms after a failure, as the callers' server does.

--- a/src/entry/status_server.cc
+++ b/src/entry/status_server.cc
@@ -16,6 +16,9 @@
 using asio::ip::tcp;
 
 constexpr std::uint32_t kMaxHeaderBytes = 8U << 10;
+/// Pause after a failed accept; without it, a full table of descriptors would
+/// make a busy loop.
+constexpr std::chrono::milliseconds kAcceptRetry{100};
 
 }  // namespace
 
@@ -90,7 +93,8 @@
 StatusServer::StatusServer(asio::io_context* io, Options options, Answer answer)
     : options_(std::move(options)),
       shared_(std::make_shared<Shared>(Shared{std::move(answer), 0, false})),
-      acceptor_(*io) {}
+      acceptor_(*io),
+      retry_timer_(*io) {}
 
 StatusServer::~StatusServer() { Stop(); }
 
@@ -130,7 +134,11 @@
         if (ec == asio::error::operation_aborted || !acceptor_.is_open()) {
           return;
         }
-        if (!ec && shared_->connections < options_.max_connections) {
+        if (ec) {
+          AcceptLater();
+          return;
+        }
+        if (shared_->connections < options_.max_connections) {
           std::make_shared<Connection>(std::move(socket), shared_,
                                        options_.idle_timeout)
               ->Read();
@@ -139,8 +147,19 @@
       });
 }
 
+void StatusServer::AcceptLater() {
+  retry_timer_.expires_after(kAcceptRetry);
+  retry_timer_.async_wait(
+      [this, shared = shared_](const boost::system::error_code& ec) {
+        if (!ec && !shared->stopped) {
+          Accept();
+        }
+      });
+}
+
 void StatusServer::Stop() {
   shared_->stopped = true;
+  retry_timer_.cancel();
   boost::system::error_code ec;
   acceptor_.close(ec);
 }
--- a/src/entry/status_server.h
+++ b/src/entry/status_server.h
@@ -5,6 +5,7 @@
 // Asio of Boost 1.74 needs <utility> before it.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -45,10 +46,12 @@
   struct Shared;
 
   void Accept();
+  void AcceptLater();
 
   Options options_;
   std::shared_ptr<Shared> shared_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer retry_timer_;
 };
 
 }  // namespace indigolead
