Wait for an address that is in use at the start

A process whose callers' or ready address was in use for a moment ended with code 2: an earlier process that had not let go of it, or a connection that was given the port.

Cause: an address in use counted as an invalid one, which ends the start.

Listening is one function now, which tells an address that is in use or not there yet from one that can never be used. An address that cannot be used at all still ends the start.

--- a/src/entry/callers_server.cc
+++ b/src/entry/callers_server.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "entry/events.h"
+#include "entry/listen.h"
 #include "runtime/address.h"
 
 namespace indigolead {
@@ -88,22 +89,10 @@
 }
 
 Status CallersServer::Start() {
-  const auto endpoint = ParseEndpoint(settings_->http_address);
-  if (!IsOk(endpoint)) {
-    return ErrorOf(endpoint);
-  }
-  boost::system::error_code ec;
-  acceptor_.open(ValueOf(endpoint).protocol(), ec);
-  if (!ec) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
-    acceptor_.bind(ValueOf(endpoint), ec);
-  }
-  if (!ec) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return Error{ErrorCode::kInvalidInput, "entry.listen",
-                 settings_->http_address, ec.message()};
+  if (Status status =
+          Listen(settings_->http_address, "entry.listen", &acceptor_);
+      !IsOk(status)) {
+    return status;
   }
   Accept();
   sweep_due_ = clock_();
--- a/src/entry/callers_server.h
+++ b/src/entry/callers_server.h
@@ -50,6 +50,7 @@
   CallersServer& operator=(const CallersServer&) = delete;
 
   /// Binds the address from the settings and starts accepting connections.
+  /// After an error of `Listen` it may be called again.
   Status Start();
 
   /// Returns the bound address as "IP:port" once started.
--- a/src/entry/status_server.cc
+++ b/src/entry/status_server.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "entry/listen.h"
 #include "runtime/address.h"
 
 namespace indigolead {
@@ -102,22 +103,9 @@
   if (options_.address.empty()) {
     return Unit{};
   }
-  const auto endpoint = ParseEndpoint(options_.address);
-  if (!IsOk(endpoint)) {
-    return ErrorOf(endpoint);
-  }
-  boost::system::error_code ec;
-  acceptor_.open(ValueOf(endpoint).protocol(), ec);
-  if (!ec) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
-    acceptor_.bind(ValueOf(endpoint), ec);
-  }
-  if (!ec) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return Error{ErrorCode::kInvalidInput, "status.listen", options_.address,
-                 ec.message()};
+  if (Status status = Listen(options_.address, "status.listen", &acceptor_);
+      !IsOk(status)) {
+    return status;
   }
   Accept();
   return Unit{};
--- a/src/entry/status_server.h
+++ b/src/entry/status_server.h
@@ -37,6 +37,8 @@
   StatusServer(const StatusServer&) = delete;
   StatusServer& operator=(const StatusServer&) = delete;
 
+  /// Binds the address and starts accepting connections. After an error of
+  /// `Listen` it may be called again.
   Status Start();
   std::string bound_address() const;
   void Stop();
