Start without settings that have a default

A single field that cannot be read ended the start with code 2, again after each restart: an empty or odd port-range, ip, bound or limit, no zone or region, a cloud.address that is no address, or a line that is no field. Callers found no entry.

Cause: a problem of any field counted as one of the whole file.

A process now needs its name, its two addresses and that of the store. The check of a settings file reports every problem as before.

--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -103,6 +103,32 @@
   }
 }
 
+// Guards against a start that fails for a field that has a default value.
+TEST_CASE("Settings are usable if only fields with a default are invalid") {
+  const auto parsed = ParseUsableSettings(
+      "settings.conf", kGood +
+                           "bounds.grace-s=many\nip=\nport-range=1\n"
+                           "cloud.duties=usage_report\n"
+                           "cloud.address=nowhere\nno field\n");
+  const auto* usable = std::get_if<UsableSettings>(&parsed);
+  REQUIRE(usable);
+  const PlatformSettings& settings = usable->settings;
+  CHECK(settings.callers_address == "10.1.0.38:8149");
+  CHECK(settings.stop_grace == PlatformSettings{}.stop_grace);
+  CHECK(settings.entries_address.empty());
+  CHECK(settings.usage_address.empty());
+  CHECK(usable->problems.size() == 4);
+
+  SECTION("not if one without which none can serve is") {
+    for (const char* line : {"node=", "listen.front=front:80",
+                             "listen.ready=", "platform.address=none"}) {
+      CAPTURE(line);
+      CHECK(std::holds_alternative<std::vector<ConfigProblem>>(
+          ParseUsableSettings("settings.conf", kGood + line + "\n")));
+    }
+  }
+}
+
 TEST_CASE("Problems in settings state their place and what is expected") {
   SECTION("all missing fields are reported together") {
     CHECK(ProblemsOf("").size() == 6);
--- a/tests/platform/start_faults_process_test.cc
+++ b/tests/platform/start_faults_process_test.cc
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
-#include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <deque>
 #include <filesystem>
@@ -63,10 +63,10 @@
 milliseconds ProcessorTime(pid_t pid) {
   std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
   std::string word;
-  long ticks = 0;
+  std::int64_t ticks = 0;
   // Fields 14 and 15 are the time in the process and in the kernel.
   for (int field = 1; field <= 15 && in >> word; ++field) {
-    ticks += field >= 14 ? std::stol(word) : 0;
+    ticks += field >= 14 ? std::stoll(word) : 0;
   }
   return milliseconds(1000 * ticks / sysconf(_SC_CLK_TCK));
 }
