--- a/src/entry/callers_server.h
+++ b/src/entry/callers_server.h
@@ -50,6 +50,7 @@
   CallersServer& operator=(const CallersServer&) = delete;
 
   /// Binds the address from the settings and starts accepting connections.
+  /// After an error of `Listen` it may be called again.
   Status Start();
 
   /// Returns the bound address as "IP:port" once started.
@@ -98,6 +99,7 @@
   bool stopped_ = false;
   bool accept_stalled_ = false;
   TimePoint last_refusal_event_;
+  TimePoint sweep_due_;
   std::unordered_map<Session*, std::shared_ptr<Session>> sessions_;
   std::unordered_map<RequestId, Session*> sessions_by_request_;
 };
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -43,14 +43,27 @@
   deadline_ = host_->clock() + limit;
 }
 
+void Session::ExtendDeadline(Duration by) {
+  if (deadline_ != TimePoint::max()) {
+    deadline_ += by;
+  }
+}
+
 void Session::CheckDeadline(TimePoint now) {
-  if (now >= deadline_ && state_ != State::kClosed) {
+  if (now < deadline_) {
+    return;
+  }
+  if (state_ == State::kIdle) {
+    CloseIfIdle();
+  } else {
     Close();
   }
 }
 
 void Session::CloseIfIdle() {
-  if (state_ == State::kIdle) {
+  // A request that has arrived is answered: its caller cannot know that the
+  // close was decided first.
+  if (state_ == State::kIdle && PeekAtInput() != Input::kBytes) {
     Close();
   }
 }
@@ -252,7 +265,9 @@
     forwarded_ = false;
     host_->finished(request_, /*disconnected=*/false);
   }
-  if (keep_alive_ && !host_->draining()) {
+  if (keep_alive_) {
+    // Also while draining: the head may have promised it before. The next
+    // answer, or the end of the drain's notice, closes the connection.
     SetDeadline(host_->settings->idle_timeout);
     ReadRequest();
     return;
--- a/src/entry/status_server.cc
+++ b/src/entry/status_server.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "entry/listen.h"
 #include "runtime/address.h"
 
 namespace indigolead {
@@ -16,6 +17,9 @@
 using asio::ip::tcp;
 
 constexpr std::uint32_t kMaxHeaderBytes = 8U << 10;
+/// Pause after a failed accept; without it, a full table of descriptors would
+/// make a busy loop.
+constexpr std::chrono::milliseconds kAcceptRetry{100};
 
 }  // namespace
 
@@ -90,7 +94,8 @@
 StatusServer::StatusServer(asio::io_context* io, Options options, Answer answer)
     : options_(std::move(options)),
       shared_(std::make_shared<Shared>(Shared{std::move(answer), 0, false})),
-      acceptor_(*io) {}
+      acceptor_(*io),
+      retry_timer_(*io) {}
 
 StatusServer::~StatusServer() { Stop(); }
 
@@ -98,22 +103,9 @@
   if (options_.address.empty()) {
     return Unit{};
   }
-  const auto endpoint = ParseEndpoint(options_.address);
-  if (!IsOk(endpoint)) {
-    return ErrorOf(endpoint);
-  }
-  boost::system::error_code ec;
-  acceptor_.open(ValueOf(endpoint).protocol(), ec);
-  if (!ec) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
-    acceptor_.bind(ValueOf(endpoint), ec);
-  }
-  if (!ec) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return Error{ErrorCode::kInvalidInput, "status.listen", options_.address,
-                 ec.message()};
+  if (Status status = Listen(options_.address, "status.listen", &acceptor_);
+      !IsOk(status)) {
+    return status;
   }
   Accept();
   return Unit{};
@@ -130,7 +122,11 @@
         if (ec == asio::error::operation_aborted || !acceptor_.is_open()) {
           return;
         }
-        if (!ec && shared_->connections < options_.max_connections) {
+        if (ec) {
+          AcceptLater();
+          return;
+        }
+        if (shared_->connections < options_.max_connections) {
           std::make_shared<Connection>(std::move(socket), shared_,
                                        options_.idle_timeout)
               ->Read();
@@ -139,8 +135,19 @@
       });
 }
 
+void StatusServer::AcceptLater() {
+  retry_timer_.expires_after(kAcceptRetry);
+  retry_timer_.async_wait(
+      [this, shared = shared_](const boost::system::error_code& ec) {
+        if (!ec && !shared->stopped) {
+          Accept();
+        }
+      });
+}
+
 void StatusServer::Stop() {
   shared_->stopped = true;
+  retry_timer_.cancel();
   boost::system::error_code ec;
   acceptor_.close(ec);
 }
--- a/src/entry/status_server.h
+++ b/src/entry/status_server.h
@@ -5,6 +5,7 @@
 // Asio of Boost 1.74 needs <utility> before it.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,6 +37,8 @@
   StatusServer(const StatusServer&) = delete;
   StatusServer& operator=(const StatusServer&) = delete;
 
+  /// Binds the address and starts accepting connections. After an error of
+  /// `Listen` it may be called again.
   Status Start();
   std::string bound_address() const;
   void Stop();
@@ -45,10 +48,12 @@
   struct Shared;
 
   void Accept();
+  void AcceptLater();
 
   Options options_;
   std::shared_ptr<Shared> shared_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer retry_timer_;
 };
 
 }  // namespace indigolead
