Write no request id twice on a connection to a target

A caller was told that its request had not run while it ran, or it ran twice: a full target refuses request R on a connection, R is sent again on the same one, and the late second copy of the refusal, which names R too, is taken for the answer to the second send.

A connection now remembers the ids written on it, and the pool skips it for these ids. So an id names one exchange of its connection. A connection is closed after 1,000 requests, which bounds the memory.

--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -9,8 +9,10 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <optional>
+#include <unordered_set>
 
 #include "runtime/address.h"
 
@@ -46,8 +48,16 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   SteadyClock::time_point usable_until = SteadyClock::time_point::max();
+  std::size_t requests = 0;  ///< Requests written on it.
+  /// Hashes of the ids written on it. If two ids share a hash, the second one
+  /// goes on another connection.
+  std::unordered_set<std::size_t> ids;
 };
 
+std::size_t HashOf(const std::string& id) {
+  return std::hash<std::string>()(id);
+}
+
 /// Returns the idle timeout in a `Keep-Alive` header, if present and valid.
 std::optional<std::chrono::seconds> KeepAliveTimeout(beast::string_view field) {
   constexpr beast::string_view kParameter = "timeout=";
@@ -118,12 +128,16 @@
         options_(std::move(options)),
         endpoint_(EndpointOf(options_.address)) {}
 
-  std::unique_ptr<Connection> Acquire() {
-    while (!idle_.empty()) {
-      auto connection = std::move(idle_.back());
-      idle_.pop_back();
-      if (SteadyClock::now() < connection->usable_until &&
-          IsReusable(connection.get())) {
+  /// Returns an idle connection on which `id` has not been written, or null. A
+  /// second copy of the response to `id` may still arrive on the others.
+  std::unique_ptr<Connection> Acquire(const std::string& id) {
+    for (auto it = idle_.end(); it != idle_.begin();) {
+      --it;
+      if (SteadyClock::now() >= (*it)->usable_until || !IsReusable(it->get())) {
+        it = idle_.erase(it);
+      } else if (id.empty() || !(*it)->ids.contains(HashOf(id))) {
+        auto connection = std::move(*it);
+        idle_.erase(it);
         return connection;
       }
     }
@@ -134,6 +148,9 @@
     if (connection->buffer.size() > 0) {
       return;  // Extra bytes after the response are not ours.
     }
+    if (connection->requests >= options_.max_requests_per_connection) {
+      return;
+    }
     if (idle_.size() >= options_.max_idle_connections) {
       idle_.pop_front();
     }
@@ -180,7 +197,7 @@
              "expected an address of the form IP:port");
       return;
     }
-    connection_ = pool_->Acquire();
+    connection_ = pool_->Acquire(echoed_.value);
     if (connection_) {
       Write();
       return;
@@ -268,6 +285,10 @@
       return;
     }
     written_ = true;
+    ++connection_->requests;
+    if (!echoed_.value.empty()) {
+      connection_->ids.insert(HashOf(echoed_.value));
+    }
     connection_->stream.expires_at(deadline_);
     http::async_write(connection_->stream, request_,
                       [self](const boost::system::error_code& ec, std::size_t) {
--- a/src/target/http_target_client.h
+++ b/src/target/http_target_client.h
@@ -22,6 +22,10 @@
 /// and it is discarded shortly before the idle time in the target's
 /// `Keep-Alive` header expires.
 ///
+/// A response belongs to the one exchange that is open on its connection, or to
+/// none. The value of `TargetRequest::echoed` tells which; no value is
+/// therefore written twice on a connection.
+///
 /// The response is read while the request is still being written, because a
 /// target may reject a long body before it has read it.
 class HttpTargetClient : public TargetClient {
@@ -30,6 +34,9 @@
     std::string address;  ///< "IP:port" of the target.
     Duration connect_timeout = std::chrono::seconds(1);
     std::size_t max_idle_connections = 64;
+    /// A connection is closed after this many requests. It bounds the memory
+    /// for the ids that were written on it.
+    std::size_t max_requests_per_connection = 1000;
     std::size_t read_buffer_bytes = 16U << 10;
     std::size_t max_head_bytes = 64U << 10;
     /// The connection fails if sent bytes stay unacknowledged for this long; a
