Take no answer without the request's id

Bytes of a target that belong to no request reached callers as a success or as "not run", since an answer without an id passed for any request.

A final answer without the echoed header now ends its call with an unknown outcome and closes the connection. Interim answers need no id. If the header occurs more than once and one value differs, the answer is another request's.

--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -341,6 +342,11 @@
       ReadHead();
       return;
     }
+    if (!skipping_answer_ && !HasOwnId()) {
+      Finish(ErrorCode::kUnknownEffect,
+             "the response has no " + echoed_.name + " header");
+      return;
+    }
     if (!skipping_answer_) {
       WatchEvents();
       hooks_.on_head(static_cast<int>(parser_->get().result_int()),
@@ -362,12 +368,21 @@
     }
   }
 
+  /// Returns true if the head names the request of this exchange, or if the
+  /// request has no id.
+  bool HasOwnId() const {
+    return echoed_.value.empty() ||
+           parser_->get().find(echoed_.name) != parser_->get().end();
+  }
+
   bool IsOfAnotherRequest() const {
-    if (echoed_.name.empty()) {
+    if (echoed_.value.empty()) {
       return false;
     }
-    const auto it = parser_->get().find(echoed_.name);
-    return it != parser_->get().end() && it->value() != echoed_.value;
+    const auto [begin, end] = parser_->get().equal_range(echoed_.name);
+    return std::any_of(begin, end, [this](const auto& it) {
+      return it.value() != echoed_.value;
+    });
   }
 
   std::vector<HttpHeader> ResponseHeaders() const {
--- a/src/target/target_client.h
+++ b/src/target/target_client.h
@@ -33,7 +33,9 @@
   Duration deadline = std::chrono::seconds(60);
   /// Header that the target repeats in its response; an empty name means none.
   /// A response with another value belongs to an earlier request on the
-  /// connection: it is dropped, and the next response is read instead.
+  /// connection: it is dropped, and the next response is read instead. A
+  /// response without the header belongs to no request: the call fails with
+  /// `kUnknownEffect`.
   HttpHeader echoed = {};
   bool is_new_work = false;  ///< Must not go to a draining target.
   /// Longest body of the response; the call fails with `kProtocol` beyond it.
