Pass on no success without the target's signature

Callers got 200 with a page or a report that the target never signed.

The dialect now says whether the head of an answer to a forwarded request is proved to be the target's own: the platform's targets sign every success. A success that is not proved ends the attempt before its head is passed on, as a broken answer does: the outcome is unknown, and only what may be repeated is sent again.

--- a/src/entry/direct_transport.cc
+++ b/src/entry/direct_transport.cc
@@ -351,6 +351,13 @@
   if (!run) {
     return;
   }
+  if (dialect_.is_proved && !dialect_.is_proved(status, headers)) {
+    run->call.reset();
+    OnEnd(id, Error{ErrorCode::kUnknownEffect, "target.answer", run->instance,
+                    "the success is not proved to be the target's"});
+    Flush();
+    return;
+  }
   const AnswerMeaning meaning = dialect_.meaning(status, headers);
   ReportLimit(run->instance, *run, status, headers);
   run->status = status;
--- a/src/entry/target_dialect.h
+++ b/src/entry/target_dialect.h
@@ -72,6 +72,11 @@
   std::function<AnswerMeaning(int status,
                               const std::vector<HttpHeader>& headers)>
       meaning;
+  /// Returns false if the head of an answer to a run call claims a success
+  /// without the proof that it is the target's own. It then says nothing about
+  /// the request.
+  std::function<bool(int status, const std::vector<HttpHeader>& headers)>
+      is_proved;
   /// Returns the limit in the head of an answer, in requests per second from
   /// all entries together; nullopt if it has none.
   std::function<Result<std::optional<double>>(
--- a/tests/platform/target_protocol_test.cc
+++ b/tests/platform/target_protocol_test.cc
@@ -97,6 +97,21 @@
   }
 }
 
+/// Guards against passing on as a success what the target has not signed.
+TEST_CASE("A success needs the target's signature") {
+  const TargetDialect dialect = MakePlatformDialect();
+  for (const int status : {200, 201, 204, 206, 299}) {
+    INFO(status);
+    CHECK_FALSE(dialect.is_proved(status, {}));
+    CHECK_FALSE(dialect.is_proved(status, {{"X-Response-Signature", ""}}));
+    CHECK(dialect.is_proved(status, {{"x-response-signature", "3e1b.07"}}));
+  }
+  for (const int status : {304, 400, 404, 421, 500, 503}) {
+    INFO(status);
+    CHECK(dialect.is_proved(status, {}));
+  }
+}
+
 TEST_CASE("A KV handle is read, or the error explains why there is none") {
   const TargetDialect dialect = MakePlatformDialect();
   const auto handle = dialect.read_handle(
