Give calls without a request id connections of their own

A caller got the report of a target as its answer: the entry's own report call, which has no id, took a late answer to another request for the report, and left the report to the request that was next on the connection.

A call whose answer cannot be told apart now neither takes a connection from the pool nor leaves one there.

--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -187,6 +187,8 @@
         hooks_(std::move(hooks)),
         deadline_(SteadyClock::now() + request.deadline),
         echoed_(request.echoed),
+        may_share_connection_(!request.echoed.value.empty() ||
+                              pool_->options().reuse_without_echo),
         max_body_bytes_(request.max_body_bytes),
         buffer_(pool_->options().read_buffer_bytes, '\0') {
     FillRequest(std::move(request));
@@ -198,7 +200,9 @@
              "expected an address of the form IP:port");
       return;
     }
-    connection_ = pool_->Acquire(echoed_.value);
+    if (may_share_connection_) {
+      connection_ = pool_->Acquire(echoed_.value);
+    }
     if (connection_) {
       Write();
       return;
@@ -484,11 +488,12 @@
       Finish(ErrorCode::kUnknownEffect, "body: " + *why);
       return;
     }
-    if (parser_->keep_alive() && write_done_ && !write_failed_) {
+    if (may_share_connection_ && parser_->keep_alive() && write_done_ &&
+        !write_failed_) {
       KeepConnection();
     } else {
       // The rest of a body that is still being written must not be taken for
-      // the start of the next request.
+      // the start of the next request, nor a late response for another one's.
       connection_->stream.close();
     }
     if (hooks_.on_end) {
@@ -551,6 +556,7 @@
   TargetClient::Hooks hooks_;
   SteadyClock::time_point deadline_;
   HttpHeader echoed_;
+  bool may_share_connection_;
   std::optional<std::uint64_t> max_body_bytes_;
   http::request<http::string_body> request_;
   std::unique_ptr<Connection> connection_;
--- a/src/target/http_target_client.h
+++ b/src/target/http_target_client.h
@@ -26,6 +26,9 @@
 /// none. The value of `TargetRequest::echoed` tells which; no value is
 /// therefore written twice on a connection.
 ///
+/// A request without an id is written on a connection of its own, unless the
+/// options say otherwise.
+///
 /// The response is read while the request is still being written, because a
 /// target may reject a long body before it has read it.
 class HttpTargetClient : public TargetClient {
@@ -37,6 +40,10 @@
     /// A connection is closed after this many requests. It bounds the memory
     /// for the ids that were written on it.
     std::size_t max_requests_per_connection = 1000;
+    /// Also reuses the connections of requests that have no `echoed` value.
+    /// Only for targets that never send a response that was not asked for: it
+    /// could not be told from the response to such a request.
+    bool reuse_without_echo = false;
     std::size_t read_buffer_bytes = 16U << 10;
     std::size_t max_head_bytes = 64U << 10;
     /// The connection fails if sent bytes stay unacknowledged for this long; a
--- a/src/target/target_client.h
+++ b/src/target/target_client.h
@@ -31,7 +31,8 @@
   std::vector<HttpHeader> headers;
   std::string body;
   Duration deadline = std::chrono::seconds(60);
-  /// Header that the target repeats in its response; an empty name means none.
+  /// Header that the target repeats in its response; an empty value means
+  /// none.
   /// A response with another value belongs to an earlier request on the
   /// connection: it is dropped, and the next response is read instead. A
   /// response without the header belongs to no request: the call fails with
--- a/tests/shell/http_target_client_test.cc
+++ b/tests/shell/http_target_client_test.cc
@@ -31,8 +31,10 @@
 
 class ClientFixture {
  public:
-  explicit ClientFixture(const std::string& address)
-      : client_(&io_, {.address = address}) {}
+  explicit ClientFixture(const std::string& address,
+                         bool reuse_without_echo = false)
+      : client_(&io_, {.address = address,
+                       .reuse_without_echo = reuse_without_echo}) {}
 
   std::unique_ptr<TargetClient::Call> Start(CallResult* seen,
                                             TargetRequest request) {
@@ -85,6 +87,8 @@
   bool may_write_ = true;
 };
 
+constexpr bool kReuseWithoutEcho = true;
+
 const char kCompleteAnswer[] =
     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmenu";
 const char kStreamHead[] =
@@ -93,7 +97,7 @@
 TEST_CASE("HttpTargetClient returns complete responses") {
   SECTION("with a Content-Length, over one keep-alive connection") {
     ScriptedServer server(Scripts{{{Kind::kSend, kCompleteAnswer}}});
-    ClientFixture f(server.address());
+    ClientFixture f(server.address(), kReuseWithoutEcho);
     for (int i = 0; i < 3; ++i) {
       const CallResult seen = f.Call();
       CHECK(seen.status == 200);
@@ -107,7 +111,7 @@
     ScriptedServer server(Scripts{{{Kind::kSend, kStreamHead},
                                    {Kind::kSend, "2\r\nab\r\n3\r\ncde\r\n"},
                                    {Kind::kSend, "1\r\nf\r\n0\r\n\r\n"}}});
-    ClientFixture f(server.address());
+    ClientFixture f(server.address(), kReuseWithoutEcho);
     CHECK(f.Call().body == "abcdef");
     CHECK(f.Call().body == "abcdef");
     CHECK(server.connections() == 1);
@@ -309,7 +313,7 @@
 
   SECTION("cancelled right before the first byte") {
     ScriptedServer server(Scripts{{{Kind::kSend, kCompleteAnswer}}});
-    ClientFixture f(server.address());
+    ClientFixture f(server.address(), kReuseWithoutEcho);
     f.may_write_ = false;
     CHECK(f.Call().error() == ErrorCode::kUnavailable);
     CHECK(server.requests().empty());
@@ -336,7 +340,7 @@
   ScriptedServer server(
       Scripts{{{Kind::kSend, kCompleteAnswer}, {Kind::kClose, ""}},
               {{Kind::kSend, kCompleteAnswer}}});
-  ClientFixture f(server.address());
+  ClientFixture f(server.address(), kReuseWithoutEcho);
   CHECK(f.Call().body == "menu");
   // The close has arrived by now; the second call detects it by checking the
   // connection.
@@ -493,7 +497,7 @@
   const std::string answer =
       "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok";
   ScriptedServer server(Scripts{{{Kind::kSend, answer}}});
-  ClientFixture fixture(server.address());
+  ClientFixture fixture(server.address(), kReuseWithoutEcho);
   fixture.Call();
   SECTION("it is reused immediately") {
     fixture.Call();
