Count and log the answers of targets that were not taken

Operators could not see that a target sends answers that belong to no request.

Bytes that are not taken for an answer are counted by reason: the request's id is missing, they answer another request, a success is not proved, or none was due. Event 1090 logs at most one line a second, with the target, the reason and the number of those not logged.

--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -58,6 +58,7 @@
       role_changes_(options_.role_change),
       limits_(options_.limit_share, random_),
       accounts_(metrics),
+      stray_answers_(metrics, log),
       answered_(metrics->AddCounter("indigolead_requests_answered_total",
                                     "Requests answered by a target.")),
       refused_(metrics->AddCounter("indigolead_requests_refused_total",
@@ -227,6 +228,10 @@
   hooks.on_leaving_announced = [this](const std::string& instance) {
     OnLeavingNotice(instance);
   };
+  hooks.on_stray_answer = [this](const std::string& instance,
+                                 StrayAnswer reason) {
+    stray_answers_.Add(instance, reason, clock_());
+  };
   hooks.flush = [this] { Flush(); };
   return hooks;
 }
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -29,6 +29,7 @@
 #include "entry/crash_detector.h"
 #include "entry/direct_transport.h"
 #include "entry/messages.h"
+#include "entry/stray_answers.h"
 #include "observe/event_log.h"
 #include "observe/metrics.h"
 
@@ -378,6 +379,7 @@
   std::vector<RequestAction> actions_;
   bool flushing_ = false;
   AccountCounters accounts_;
+  StrayAnswers stray_answers_;
   Counter& answered_;
   Counter& refused_;
   Counter& broken_;
--- a/src/entry/direct_transport.cc
+++ b/src/entry/direct_transport.cc
@@ -353,6 +353,7 @@
   }
   if (dialect_.is_proved && !dialect_.is_proved(status, headers)) {
     run->call.reset();
+    ReportStray(run->instance, StrayAnswer::kUnproved);
     OnEnd(id, Error{ErrorCode::kUnknownEffect, "target.answer", run->instance,
                     "the success is not proved to be the target's"});
     Flush();
--- a/src/entry/direct_transport.h
+++ b/src/entry/direct_transport.h
@@ -101,6 +101,9 @@
         on_cooldown_requested;
     /// The head of any answer of the target announces that it is leaving.
     std::function<void(const std::string& instance)> on_leaving_announced;
+    /// Bytes of a target were not taken for the answer to a call.
+    std::function<void(const std::string& instance, StrayAnswer reason)>
+        on_stray_answer;
     /// Called after each event passed to the flow.
     std::function<void()> flush;
   };
@@ -201,6 +204,7 @@
   void ReportCallEnd(const std::string& instance,
                      const std::optional<TargetRun>& called,
                      const Status& status);
+  void ReportStray(const std::string& instance, StrayAnswer reason);
   /// Reports the limit in the head of an answer of `instance`.
   void ReportLimit(const std::string& instance, const Run& run, int status,
                    const std::vector<HttpHeader>& headers);
--- a/src/entry/direct_transport_notices.cc
+++ b/src/entry/direct_transport_notices.cc
@@ -28,11 +28,21 @@
                                        const std::vector<HttpHeader>& headers) {
     ReportNotices(id, number, status, headers);
   };
+  watcher.on_stray_answer = [this, id](StrayAnswer reason) {
+    ReportStray(id, reason);
+  };
   target->client_number = number;
   target->client = std::make_unique<WatchedTargetClient>(
       MakeClient(target->record.address), std::move(watcher));
 }
 
+void DirectTransport::ReportStray(const std::string& instance,
+                                  StrayAnswer reason) {
+  if (hooks_.on_stray_answer) {
+    hooks_.on_stray_answer(instance, reason);
+  }
+}
+
 void DirectTransport::ReportNotices(const std::string& instance,
                                     std::uint64_t client_number, int status,
                                     const std::vector<HttpHeader>& headers) {
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -87,6 +87,11 @@
     "The end of a target's answer is doubtful: it had neither a length nor "
     "chunked framing and its connection closed, or it ended inside an event; "
     "the fields give its size and the position of the end among the events."};
+inline constexpr EventInfo kStrayAnswer{
+    1090, "stray-answer", EventSeverity::kWarning,
+    "Bytes of a target were not taken for an answer: the request's id or the "
+    "proof of a success was missing, they answered another request, or none "
+    "was due. One line a second; the fields give the number not logged."};
 inline constexpr EventInfo kTargetListChanged{
     1026, "target-changed", EventSeverity::kInfo,
     "The state that the entry assumes for a target has changed."};
--- a/src/entry/watched_target_client.cc
+++ b/src/entry/watched_target_client.cc
@@ -25,6 +25,16 @@
       next(status, std::move(headers));
     }
   };
+  hooks.on_stray_answer =
+      [watcher = watcher_,
+       next = std::move(hooks.on_stray_answer)](StrayAnswer reason) {
+        if (watcher->on_stray_answer) {
+          watcher->on_stray_answer(reason);
+        }
+        if (next) {
+          next(reason);
+        }
+      };
   hooks.on_end = [allowed, next = std::move(hooks.on_end)](Status status) {
     if (next) {
       next(IsOk(*allowed) ? std::move(status) : *allowed);
--- a/src/entry/watched_target_client.h
+++ b/src/entry/watched_target_client.h
@@ -19,6 +19,7 @@
     /// call and becomes its result.
     std::function<Status(bool is_new_work)> may_write;
     std::function<void(int status, const std::vector<HttpHeader>&)> on_head;
+    std::function<void(StrayAnswer)> on_stray_answer;
   };
 
   WatchedTargetClient(std::unique_ptr<TargetClient> client, Watcher watcher);
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -88,13 +88,21 @@
              sizeof(ms));
 }
 
-/// Returns true if an idle connection can still carry a request. It is readable
-/// if the target closed it or sent unsolicited bytes.
-bool IsReusable(Connection* connection) {
+enum class IdleState {
+  kSilent,  ///< Can carry a request.
+  kClosed,
+  kHasBytes,  ///< The target sent bytes that nobody asked for.
+};
+
+IdleState StateOf(Connection* connection) {
   char byte = 0;
   const auto n = recv(connection->stream.socket().native_handle(), &byte, 1,
                       MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (n > 0) {
+    return IdleState::kHasBytes;
+  }
+  const bool silent = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return silent ? IdleState::kSilent : IdleState::kClosed;
 }
 
 /// Returns true for hop-by-hop headers.
@@ -131,10 +139,18 @@
 
   /// Returns an idle connection on which `id` has not been written, or null. A
   /// second copy of the response to `id` may still arrive on the others.
-  std::unique_ptr<Connection> Acquire(const std::string& id) {
+  /// `on_stray_answer` is called for each connection dropped for its bytes.
+  std::unique_ptr<Connection> Acquire(
+      const std::string& id,
+      const std::function<void(StrayAnswer)>& on_stray_answer) {
     for (auto it = idle_.end(); it != idle_.begin();) {
       --it;
-      if (SteadyClock::now() >= (*it)->usable_until || !IsReusable(it->get())) {
+      const IdleState state = StateOf(it->get());
+      if (state == IdleState::kHasBytes && on_stray_answer) {
+        on_stray_answer(StrayAnswer::kUnexpectedBytes);
+      }
+      if (SteadyClock::now() >= (*it)->usable_until ||
+          state != IdleState::kSilent) {
         it = idle_.erase(it);
       } else if (id.empty() || !(*it)->ids.contains(HashOf(id))) {
         auto connection = std::move(*it);
@@ -201,7 +217,7 @@
       return;
     }
     if (may_share_connection_) {
-      connection_ = pool_->Acquire(echoed_.value);
+      connection_ = pool_->Acquire(echoed_.value, hooks_.on_stray_answer);
     }
     if (connection_) {
       Write();
@@ -346,7 +362,10 @@
       ReadHead();
       return;
     }
-    if (!skipping_answer_ && !HasOwnId()) {
+    if (skipping_answer_) {
+      ReportStray(StrayAnswer::kOfAnotherCall);
+    } else if (!HasOwnId()) {
+      ReportStray(StrayAnswer::kWithoutId);
       Finish(ErrorCode::kUnknownEffect,
              "the response has no " + echoed_.name + " header");
       return;
@@ -372,6 +391,12 @@
     }
   }
 
+  void ReportStray(StrayAnswer reason) {
+    if (hooks_.on_stray_answer) {
+      hooks_.on_stray_answer(reason);
+    }
+  }
+
   /// Returns true if the head names the request of this exchange, or if the
   /// request has no id.
   bool HasOwnId() const {
@@ -533,6 +558,9 @@
     if (const auto idle = KeepAliveTimeout(head[http::field::keep_alive])) {
       connection_->usable_until = SteadyClock::now() + *idle - kCloseMargin;
     }
+    if (connection_->buffer.size() > 0) {
+      ReportStray(StrayAnswer::kUnexpectedBytes);
+    }
     pool_->Release(std::move(connection_));
   }
 
--- a/src/target/target_client.h
+++ b/src/target/target_client.h
@@ -45,6 +45,14 @@
   friend bool operator==(const TargetRequest&, const TargetRequest&) = default;
 };
 
+/// Why bytes from a target were not taken for the answer to a call.
+enum class StrayAnswer {
+  kWithoutId,        ///< A response without the call's id.
+  kOfAnotherCall,    ///< A response with the id of another call.
+  kUnproved,         ///< A success without proof that it is the target's own.
+  kUnexpectedBytes,  ///< Bytes while no response was due.
+};
+
 /// HTTP client for a single target.
 ///
 /// Runs on the thread of its io_context; hooks are called on that thread. A
@@ -59,6 +67,9 @@
     std::function<bool()> on_before_write;
     std::function<void(int status, std::vector<HttpHeader>)> on_head;
     std::function<void(std::string_view data)> on_body;
+    /// Bytes from the target were not taken for the answer to this call, or
+    /// had arrived on an idle connection that the call then did not use.
+    std::function<void(StrayAnswer)> on_stray_answer;
     /// The body ended according to its framing. `on_end` follows, with an error
     /// if the response was truncated nevertheless.
     std::function<void(const AnswerBodyEnd&)> on_body_end;
--- a/tests/shell/http_target_client_test.cc
+++ b/tests/shell/http_target_client_test.cc
@@ -21,6 +21,7 @@
   bool before_write = false;
   int status = 0;
   std::string body;
+  std::vector<StrayAnswer> strays;
   std::optional<Status> end;
 
   std::optional<ErrorCode> error() const {
@@ -47,6 +48,9 @@
       seen->status = status;
     };
     hooks.on_body = [seen](std::string_view data) { seen->body += data; };
+    hooks.on_stray_answer = [seen](StrayAnswer reason) {
+      seen->strays.push_back(reason);
+    };
     hooks.on_end = [seen](const Status& status) { seen->end = status; };
     return client_.Start(std::move(request), std::move(hooks));
   }
@@ -426,6 +430,47 @@
   }
 }
 
+/// Guards against faulty answers that leave no trace.
+TEST_CASE("Each response that is not taken is reported with its reason") {
+  using Reasons = std::vector<StrayAnswer>;
+
+  SECTION("none for the call's own response") {
+    ScriptedServer server(Scripts{{{Kind::kSend, kOwnAnswer}}});
+    CHECK(ClientFixture(server.address()).Call(EchoedRequest()).strays.empty());
+  }
+  SECTION("a response to another request") {
+    ScriptedServer server(
+        Scripts{{{Kind::kSend, std::string(kOthersAnswer) + kOwnAnswer}}});
+    CHECK(ClientFixture(server.address()).Call(EchoedRequest()).strays ==
+          Reasons{StrayAnswer::kOfAnotherCall});
+  }
+  SECTION("a response without an id") {
+    ScriptedServer server(Scripts{{{Kind::kSend, kCompleteAnswer}}});
+    CHECK(ClientFixture(server.address()).Call(EchoedRequest()).strays ==
+          Reasons{StrayAnswer::kWithoutId});
+  }
+  SECTION("bytes after a complete response") {
+    ScriptedServer server(
+        Scripts{{{Kind::kSend, std::string(kOwnAnswer) + "more"}}});
+    CHECK(ClientFixture(server.address()).Call(EchoedRequest()).strays ==
+          Reasons{StrayAnswer::kUnexpectedBytes});
+  }
+  SECTION("bytes on an idle connection, to the call that finds them") {
+    ScriptedServer server(Scripts{{{Kind::kSend, kOthersAnswer},
+                                   {Kind::kPause, ""},
+                                   {Kind::kSend, "late"}},
+                                  {{Kind::kSend, kOwnAnswer}}});
+    ClientFixture f(server.address());
+    TargetRequest other = EchoedRequest();
+    other.echoed.value = "a";
+    CHECK(f.Call(other).strays.empty());
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const CallResult seen = f.Call(EchoedRequest());
+    CHECK(seen.body == "own");
+    CHECK(seen.strays == Reasons{StrayAnswer::kUnexpectedBytes});
+  }
+}
+
 TEST_CASE("An interim response needs no request id") {
   ScriptedServer server(
       Scripts{{{Kind::kSend, std::string("HTTP/1.1 103 Early Hints\r\n\r\n") +
