--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -3,14 +3,17 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <optional>
+#include <unordered_set>
 
 #include "runtime/address.h"
 
@@ -46,8 +49,16 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   SteadyClock::time_point usable_until = SteadyClock::time_point::max();
+  std::size_t requests = 0;  ///< Requests written on it.
+  /// Hashes of the ids written on it. If two ids share a hash, the second one
+  /// goes on another connection.
+  std::unordered_set<std::size_t> ids;
 };
 
+std::size_t HashOf(const std::string& id) {
+  return std::hash<std::string>()(id);
+}
+
 /// Returns the idle timeout in a `Keep-Alive` header, if present and valid.
 std::optional<std::chrono::seconds> KeepAliveTimeout(beast::string_view field) {
   constexpr beast::string_view kParameter = "timeout=";
@@ -77,13 +88,21 @@
              sizeof(ms));
 }
 
-/// Returns true if an idle connection can still carry a request. It is readable
-/// if the target closed it or sent unsolicited bytes.
-bool IsReusable(Connection* connection) {
+enum class IdleState {
+  kSilent,  ///< Can carry a request.
+  kClosed,
+  kHasBytes,  ///< The target sent bytes that nobody asked for.
+};
+
+IdleState StateOf(Connection* connection) {
   char byte = 0;
   const auto n = recv(connection->stream.socket().native_handle(), &byte, 1,
                       MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (n > 0) {
+    return IdleState::kHasBytes;
+  }
+  const bool silent = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return silent ? IdleState::kSilent : IdleState::kClosed;
 }
 
 /// Returns true for hop-by-hop headers.
@@ -118,12 +137,24 @@
         options_(std::move(options)),
         endpoint_(EndpointOf(options_.address)) {}
 
-  std::unique_ptr<Connection> Acquire() {
-    while (!idle_.empty()) {
-      auto connection = std::move(idle_.back());
-      idle_.pop_back();
-      if (SteadyClock::now() < connection->usable_until &&
-          IsReusable(connection.get())) {
+  /// Returns an idle connection on which `id` has not been written, or null. A
+  /// second copy of the response to `id` may still arrive on the others.
+  /// `on_stray_answer` is called for each connection dropped for its bytes.
+  std::unique_ptr<Connection> Acquire(
+      const std::string& id,
+      const std::function<void(StrayAnswer)>& on_stray_answer) {
+    for (auto it = idle_.end(); it != idle_.begin();) {
+      --it;
+      const IdleState state = StateOf(it->get());
+      if (state == IdleState::kHasBytes && on_stray_answer) {
+        on_stray_answer(StrayAnswer::kUnexpectedBytes);
+      }
+      if (SteadyClock::now() >= (*it)->usable_until ||
+          state != IdleState::kSilent) {
+        it = idle_.erase(it);
+      } else if (id.empty() || !(*it)->ids.contains(HashOf(id))) {
+        auto connection = std::move(*it);
+        idle_.erase(it);
         return connection;
       }
     }
@@ -134,6 +165,9 @@
     if (connection->buffer.size() > 0) {
       return;  // Extra bytes after the response are not ours.
     }
+    if (connection->requests >= options_.max_requests_per_connection) {
+      return;
+    }
     if (idle_.size() >= options_.max_idle_connections) {
       idle_.pop_front();
     }
@@ -169,6 +203,8 @@
         hooks_(std::move(hooks)),
         deadline_(SteadyClock::now() + request.deadline),
         echoed_(request.echoed),
+        may_share_connection_(!request.echoed.value.empty() ||
+                              pool_->options().reuse_without_echo),
         max_body_bytes_(request.max_body_bytes),
         buffer_(pool_->options().read_buffer_bytes, '\0') {
     FillRequest(std::move(request));
@@ -180,7 +216,9 @@
              "expected an address of the form IP:port");
       return;
     }
-    connection_ = pool_->Acquire();
+    if (may_share_connection_) {
+      connection_ = pool_->Acquire(echoed_.value, hooks_.on_stray_answer);
+    }
     if (connection_) {
       Write();
       return;
@@ -268,6 +306,10 @@
       return;
     }
     written_ = true;
+    ++connection_->requests;
+    if (!echoed_.value.empty()) {
+      connection_->ids.insert(HashOf(echoed_.value));
+    }
     connection_->stream.expires_at(deadline_);
     http::async_write(connection_->stream, request_,
                       [self](const boost::system::error_code& ec, std::size_t) {
@@ -320,6 +362,14 @@
       ReadHead();
       return;
     }
+    if (skipping_answer_) {
+      ReportStray(StrayAnswer::kOfAnotherCall);
+    } else if (!HasOwnId()) {
+      ReportStray(StrayAnswer::kWithoutId);
+      Finish(ErrorCode::kUnknownEffect,
+             "the response has no " + echoed_.name + " header");
+      return;
+    }
     if (!skipping_answer_) {
       WatchEvents();
       hooks_.on_head(static_cast<int>(parser_->get().result_int()),
@@ -341,12 +391,27 @@
     }
   }
 
+  void ReportStray(StrayAnswer reason) {
+    if (hooks_.on_stray_answer) {
+      hooks_.on_stray_answer(reason);
+    }
+  }
+
+  /// Returns true if the head names the request of this exchange, or if the
+  /// request has no id.
+  bool HasOwnId() const {
+    return echoed_.value.empty() ||
+           parser_->get().find(echoed_.name) != parser_->get().end();
+  }
+
   bool IsOfAnotherRequest() const {
-    if (echoed_.name.empty()) {
+    if (echoed_.value.empty()) {
       return false;
     }
-    const auto it = parser_->get().find(echoed_.name);
-    return it != parser_->get().end() && it->value() != echoed_.value;
+    const auto [begin, end] = parser_->get().equal_range(echoed_.name);
+    return std::any_of(begin, end, [this](const auto& it) {
+      return it.value() != echoed_.value;
+    });
   }
 
   std::vector<HttpHeader> ResponseHeaders() const {
@@ -448,11 +513,12 @@
       Finish(ErrorCode::kUnknownEffect, "body: " + *why);
       return;
     }
-    if (parser_->keep_alive() && write_done_ && !write_failed_) {
+    if (may_share_connection_ && parser_->keep_alive() && write_done_ &&
+        !write_failed_) {
       KeepConnection();
     } else {
       // The rest of a body that is still being written must not be taken for
-      // the start of the next request.
+      // the start of the next request, nor a late response for another one's.
       connection_->stream.close();
     }
     if (hooks_.on_end) {
@@ -492,6 +558,9 @@
     if (const auto idle = KeepAliveTimeout(head[http::field::keep_alive])) {
       connection_->usable_until = SteadyClock::now() + *idle - kCloseMargin;
     }
+    if (connection_->buffer.size() > 0) {
+      ReportStray(StrayAnswer::kUnexpectedBytes);
+    }
     pool_->Release(std::move(connection_));
   }
 
@@ -515,6 +584,7 @@
   TargetClient::Hooks hooks_;
   SteadyClock::time_point deadline_;
   HttpHeader echoed_;
+  bool may_share_connection_;
   std::optional<std::uint64_t> max_body_bytes_;
   http::request<http::string_body> request_;
   std::unique_ptr<Connection> connection_;
