Take no target that is not reached in time for one that crashed

A target that was cut off, or could not accept a connection within 600 ms, counted as crashed, and the requests under way there were blamed: after three such crashes a request, after five a prompt part, is held back everywhere.

Cause: any failure to connect was one error, and the probe of a target that broke a connection takes its refusal as a crash. A refused connection and one that is not established in time now differ by the error's step; only the former, or the answer of another run, ends a run, as the detector says.

The client's checks of shared connections are also played with request ids, as targets use them; they ran only without since ids are demanded.

--- a/src/entry/crash_detector.cc
+++ b/src/entry/crash_detector.cc
@@ -3,8 +3,23 @@
 #include <utility>
 
 #include "entry/events.h"
+#include "target/target_client.h"
 
 namespace indigolead {
+namespace {
+
+/// Returns true if the outcome of a probe shows that the probed run has ended.
+bool ShowsEnd(const Status& status) {
+  if (IsOk(status)) {
+    return false;
+  }
+  const Error& error = ErrorOf(status);
+  return error.code == ErrorCode::kConflict ||
+         (error.code == ErrorCode::kUnavailable &&
+          error.step != kUnreachedStep);
+}
+
+}  // namespace
 
 CrashDetector::CrashDetector(const Options& options, Hooks hooks, Clock clock,
                              EventLog log)
@@ -40,9 +55,7 @@
     return;
   }
   SuspectedCrash& suspected = it->second;
-  const bool ended =
-      !IsOk(status) && (ErrorOf(status).code == ErrorCode::kUnavailable ||
-                        ErrorOf(status).code == ErrorCode::kConflict);
+  const bool ended = ShowsEnd(status);
   const bool broke =
       !IsOk(status) && ErrorOf(status).code == ErrorCode::kUnknownEffect;
   if (broke && suspected.calls < options_.max_probes) {
--- a/src/entry/crash_detector.h
+++ b/src/entry/crash_detector.h
@@ -28,8 +28,8 @@
   struct Options {
     /// Connections that break within this time after a crash belong to it.
     Duration crash_window = std::chrono::seconds(1);
-    /// Maximum number of probes. A probe on a pooled connection may break like
-    /// the requests did.
+    /// Maximum number of probes. The connection of a probe may break like those
+    /// of the requests.
     int max_probes = 3;
   };
   struct Hooks {
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -282,7 +282,9 @@
       return;
     }
     if (ec) {
-      Finish(ErrorCode::kUnavailable, "connect: " + ec.message());
+      const bool refused = ec == boost::system::errc::connection_refused;
+      Finish(ErrorCode::kUnavailable, "connect: " + ec.message(),
+             refused ? kStep : kUnreachedStep);
       return;
     }
     boost::system::error_code ignored;
@@ -570,13 +572,13 @@
     Finish(code, std::string(part) + ": " + ec.message());
   }
 
-  void Finish(ErrorCode code, std::string detail) {
+  void Finish(ErrorCode code, std::string detail, const char* step = kStep) {
     if (connection_ && written_) {
       connection_->stream.close();
     }
     if (hooks_.on_end) {
       auto done = std::move(hooks_.on_end);
-      done(Error{code, kStep, pool_->options().address, std::move(detail)});
+      done(Error{code, step, pool_->options().address, std::move(detail)});
     }
   }
 
--- a/src/target/target_client.h
+++ b/src/target/target_client.h
@@ -16,6 +16,11 @@
 
 namespace indigolead {
 
+/// Step of the `kUnavailable` error of a call whose target could not be reached
+/// in time. Unlike a refused connection, it does not show that nothing listens
+/// at the target's address.
+inline constexpr char kUnreachedStep[] = "target.reach";
+
 /// One HTTP header.
 struct HttpHeader {
   std::string name;
--- a/tests/shell/crash_detector_test.cc
+++ b/tests/shell/crash_detector_test.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "target/target_client.h"
+
 namespace indigolead {
 namespace {
 
@@ -51,6 +53,11 @@
       CHECK(crashed.size() == 2);
     }
   }
+  // Guards against blaming requests for a target that a network fault cut off.
+  SECTION("is no crash if the target cannot be reached in time") {
+    calls[0](Error{ErrorCode::kUnavailable, kUnreachedStep, "i-1", ""});
+    CHECK(crashed.empty());
+  }
   SECTION("is a crash if another run of the target answers the probe") {
     calls[0](Failed(ErrorCode::kConflict));
     CHECK(crashed == std::vector<Fingerprint>{1, 2});
--- a/tests/shell/http_target_client_test.cc
+++ b/tests/shell/http_target_client_test.cc
@@ -98,6 +98,116 @@
 const char kStreamHead[] =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// Returns `answer` with the request id `id`.
+std::string WithId(std::string answer, const std::string& id) {
+  const std::string name = "\r\nX-Request-Id: ";
+  return answer.insert(answer.find("\r\n"), name + id);
+}
+
+/// Returns a request whose response repeats `id`.
+TargetRequest RequestWithId(const std::string& id) {
+  TargetRequest request = ClientFixture::MakeRequest();
+  request.echoed = {"X-Request-Id", id};
+  return request;
+}
+
+/// Scripts that send `answer` to the requests "a", "b" and "c".
+std::vector<std::vector<ScriptStep>> AnswersWithIds(const std::string& answer) {
+  return {{{Kind::kSend, WithId(answer, "a")}},
+          {{Kind::kSend, WithId(answer, "b")}},
+          {{Kind::kSend, WithId(answer, "c")}}};
+}
+
+TEST_CASE("Requests with ids of their own share a connection") {
+  SECTION("over which complete responses come") {
+    ScriptedServer server(AnswersWithIds(kCompleteAnswer));
+    ClientFixture f(server.address());
+    for (const char* const id : {"a", "b", "c"}) {
+      const CallResult seen = f.Call(RequestWithId(id));
+      CHECK(seen.status == 200);
+      CHECK(seen.body == "menu");
+      CHECK(seen.end == Status(Unit{}));
+    }
+    CHECK(server.connections() == 1);
+  }
+  SECTION("with chunked encoding") {
+    ScriptedServer server(AnswersWithIds(std::string(kStreamHead) +
+                                         "2\r\nab\r\n3\r\ncde\r\n"
+                                         "1\r\nf\r\n0\r\n\r\n"));
+    ClientFixture f(server.address());
+    CHECK(f.Call(RequestWithId("a")).body == "abcdef");
+    CHECK(f.Call(RequestWithId("b")).body == "abcdef");
+    CHECK(server.connections() == 1);
+  }
+  SECTION("of which one was cancelled right before the first byte") {
+    ScriptedServer server(AnswersWithIds(kCompleteAnswer));
+    ClientFixture f(server.address());
+    f.may_write_ = false;
+    CHECK(f.Call(RequestWithId("x")).error() == ErrorCode::kUnavailable);
+    CHECK(server.requests().empty());
+    f.may_write_ = true;
+    CHECK(f.Call(RequestWithId("a")).status == 200);
+    CHECK(server.connections() == 1);
+  }
+  SECTION("unless the target closed it while it was idle") {
+    ScriptedServer server(Scripts{
+        {{Kind::kSend, WithId(kCompleteAnswer, "a")}, {Kind::kClose, ""}},
+        {{Kind::kSend, WithId(kCompleteAnswer, "b")}}});
+    ClientFixture f(server.address());
+    CHECK(f.Call(RequestWithId("a")).body == "menu");
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    CHECK(f.Call(RequestWithId("b")).body == "menu");
+    CHECK(server.connections() == 2);
+  }
+  SECTION("until shortly before the target's stated idle time") {
+    ScriptedServer server(
+        AnswersWithIds("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\n"
+                       "Content-Length: 2\r\n\r\nok"));
+    ClientFixture f(server.address());
+    f.Call(RequestWithId("a"));
+    f.Call(RequestWithId("b"));
+    CHECK(server.connections() == 1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(750));
+    f.Call(RequestWithId("c"));
+    CHECK(server.connections() == 2);
+  }
+}
+
+// Connections beyond the backlog of a listening socket are dropped in silence,
+// as those to a host that is cut off.
+/// Guards against taking a target that is cut off for one that has ended.
+TEST_CASE("A target that is not reached in time was not seen to be gone") {
+  boost::asio::io_context io;
+  const boost::asio::ip::tcp::endpoint any(
+      boost::asio::ip::make_address("127.0.0.1"), 0);
+  boost::asio::ip::tcp::acceptor acceptor(io);
+  acceptor.open(any.protocol());
+  acceptor.bind(any);
+  const std::string address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+
+  SECTION("if its host is silent") {
+    acceptor.listen(0);
+    std::vector<boost::asio::ip::tcp::socket> filling;
+    for (int i = 0; i < 4; ++i) {
+      filling.emplace_back(io);
+      filling.back().async_connect(acceptor.local_endpoint(),
+                                   [](const boost::system::error_code&) {});
+    }
+    io.run_for(std::chrono::milliseconds(100));
+    ClientFixture f(address);
+    const CallResult seen = f.Call();
+    REQUIRE(seen.error() == ErrorCode::kUnavailable);
+    CHECK(ErrorOf(*seen.end).step == kUnreachedStep);
+  }
+  SECTION("other than one that refuses the connection") {
+    ClientFixture f(address);
+    const CallResult seen = f.Call();
+    REQUIRE(seen.error() == ErrorCode::kUnavailable);
+    CHECK(ErrorOf(*seen.end).step != kUnreachedStep);
+  }
+}
+
 TEST_CASE("HttpTargetClient returns complete responses") {
   SECTION("with a Content-Length, over one keep-alive connection") {
     ScriptedServer server(Scripts{{{Kind::kSend, kCompleteAnswer}}});
