--- a/tests/platform/registration_list_test.cc
+++ b/tests/platform/registration_list_test.cc
@@ -23,9 +23,16 @@
 // requests meanwhile, but keeps its open ones, since it may be healthy.
 TEST_CASE("A target with an invalid registration gets no new requests") {
   int logged = 0;
+  std::size_t logged_bytes = 0;
   MetricsRegistry metrics;
-  RegistrationList list([&](const EventInfo&, const EventFields&) { ++logged; },
-                        &metrics);
+  RegistrationList list(
+      [&](const EventInfo&, const EventFields& fields) {
+        ++logged;
+        for (const auto& [name, value] : fields) {
+          logged_bytes += value.size();
+        }
+      },
+      &metrics);
   const auto unreadable = [&] {
     return metrics.ToPrometheusText().find(
                "indigolead_registrations_unreadable 1") != std::string::npos;
@@ -67,6 +74,18 @@
     CHECK_FALSE(list.targets()[0].leaving);
     CHECK(unreadable());
   }
+  // Guards against a log that another writer can fill.
+  SECTION("one that was never valid is logged once, however often it changes") {
+    const std::string long_key = "servers/" + std::string(100'000, 'x');
+    for (std::uint64_t version = 6; version < 16; ++version) {
+      auto state = Listed(kGood, 5);
+      state["servers/x"] = {"servers/x", "[]", version};
+      state[long_key] = {long_key, kGood, version};
+      list.Update(state);
+    }
+    CHECK(logged == 2);
+    CHECK(logged_bytes < 2000);
+  }
   SECTION("one that lacks fields gives no target, and the others stay") {
     auto state = Listed(kGood, 5);
     state["servers/x"] = {
