--- a/tests/platform/caller_protocol_test.cc
+++ b/tests/platform/caller_protocol_test.cc
@@ -77,6 +77,16 @@
         callers.handle(Incoming({{"X-Deadline-Ms", "60000"}}), RequestId{}));
     CHECK(longer.deadline == kNow + seconds(8));
   }
+  // Guards against a request that ends at once since its deadline wraps.
+  SECTION("a deadline beyond the range of the clock is the route's timeout") {
+    for (const char* const stated :
+         {"9223372036854", "18446744073709", "9223372036854775807"}) {
+      CAPTURE(stated);
+      const auto longest = RequestOf(
+          callers.handle(Incoming({{"X-Deadline-Ms", stated}}), RequestId{}));
+      CHECK(longest.deadline == kNow + seconds(8));
+    }
+  }
   SECTION("a deadline that is not a number is ignored") {
     const auto odd = RequestOf(
         callers.handle(Incoming({{"X-Deadline-Ms", "soon"}}), RequestId{}));
