Do not wait for the end of a refusal's body

A request that a target refused was held until its deadline if the refusal's body stalled or did not end, and was then refused, though another target was free. The head of a refusal says all; its body was read only so that the connection can be used again. It now has 100 ms for that.

--- a/src/entry/direct_transport.cc
+++ b/src/entry/direct_transport.cc
@@ -303,6 +303,7 @@
                         {"next", run->instance},
                         {"detail", why}});
   run->refused.reset();
+  run->refusal_timer.reset();
   run->written = false;
   StartRun(id);
   return true;
@@ -365,6 +366,7 @@
   if (meaning != AnswerMeaning::kAnswer) {
     // Reported when the answer has been read, to keep the connection reusable.
     run->refused = meaning;
+    BoundRefusal(id, run);
     return;
   }
   run->handle.reset();
@@ -377,6 +379,20 @@
   Flush();
 }
 
+void DirectTransport::BoundRefusal(const AttemptId& id, Run* run) {
+  run->refusal_timer = std::make_unique<boost::asio::steady_timer>(*io_);
+  run->refusal_timer->expires_after(options_.max_refusal_wait);
+  run->refusal_timer->async_wait(
+      [this, id](const boost::system::error_code& ec) {
+        Run* refused = ec ? nullptr : Find(id);
+        if (refused && refused->refused) {
+          refused->call.reset();
+          OnEnd(id, Unit{});
+          Flush();
+        }
+      });
+}
+
 void DirectTransport::OnBody(const AttemptId& id, std::string_view data) {
   Run* run = Find(id);
   if (!run || run->refused) {
--- a/src/entry/direct_transport.h
+++ b/src/entry/direct_transport.h
@@ -4,6 +4,7 @@
 #include <utility>
 // Asio of Boost 1.74 needs <utility> before it.
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -51,6 +52,9 @@
     /// Maximum number of targets asked to decode one prefilled prompt. The
     /// third is for the case that the first could not be reached at all.
     std::uint32_t max_decode_targets = 3;
+    /// Time after its head within which a refusal must end. The rest of its
+    /// body tells nothing, and a target may never end it.
+    Duration max_refusal_wait = std::chrono::milliseconds(100);
     /// Deadline of the call that releases a KV handle.
     Duration release_deadline = std::chrono::seconds(2);
   };
@@ -162,6 +166,8 @@
     bool paused = false;
     /// Set if the head of the answer says that the request did not run.
     std::optional<AnswerMeaning> refused;
+    /// Ends the call if the refusal does not end by itself.
+    std::unique_ptr<boost::asio::steady_timer> refusal_timer;
     int status = 0;
     std::uint64_t next_sequence = 0;
     std::uint64_t body_bytes = 0;
@@ -190,6 +196,8 @@
   void OnHandle(const AttemptId& id, const std::string& prefill_instance,
                 const Result<TargetAnswer>& answer);
   void OnHead(const AttemptId& id, int status, std::vector<HttpHeader> headers);
+  /// Ends the call of a refused attempt after `max_refusal_wait`.
+  void BoundRefusal(const AttemptId& id, Run* run);
   void OnBody(const AttemptId& id, std::string_view data);
   void OnBodyEnd(const AttemptId& id, const AnswerBodyEnd& end);
   void OnEnd(const AttemptId& id, const Status& status);
--- a/tests/platform/direct_transport_test.cc
+++ b/tests/platform/direct_transport_test.cc
@@ -310,6 +310,28 @@
   CHECK(fixture.arrivals() == 2);
 }
 
+// The refusal's head proves that the request has not run.
+/// Guards against holding a refused request until its deadline because the
+/// refusal's body does not end.
+TEST_CASE("A refusal whose body does not end is not waited for") {
+  const std::string head =
+      "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r-1\r\n"
+      "X-Not-Executed: 1\r\nContent-Length: 20000000\r\n\r\n";
+  const auto [body, size] = GENERATE(table<std::string, std::size_t>(
+      {{"that stalls", 1}, {"that is long", 19'000'000}}));
+  INFO("a body " << body);
+  const Script refusal = {{Kind::kSend, head},
+                          {Kind::kSend, std::string(size, 'x')},
+                          {Kind::kSleep, ""}};
+  const auto repeatability =
+      GENERATE(Repeatability::kOnce, Repeatability::kIdempotent);
+  DispatchFixture fixture({{refusal, Send(kAnswer)}});
+  const auto began = std::chrono::steady_clock::now();
+  CHECK(fixture.Ask(repeatability) == Outcome::kAnswered);
+  CHECK(std::chrono::steady_clock::now() - began < milliseconds(1000));
+  CHECK(fixture.arrivals() == 2);
+}
+
 // A target restarts with the same id and address. Its pooled connections belong
 // to the previous run; a request sent on one would be lost and could not be
 // retried.
