--- a/src/entry/callers_server.cc
+++ b/src/entry/callers_server.cc
@@ -17,8 +17,8 @@
 using asio::ip::tcp;
 
 constexpr std::chrono::milliseconds kSweepInterval{100};
-/// A sweep that is later than this was held up: the process did not run, so it
-/// read nothing that callers sent.
+/// A sweep that is later than this was held up: the process stood still or was
+/// busy, so it may not have read what callers sent.
 constexpr std::chrono::milliseconds kHeldUpAfter{200};
 constexpr Duration kRefusalEventInterval = std::chrono::seconds(10);
 
@@ -61,6 +61,7 @@
         MakeCatalogueInterface([this] { return catalogue_; }, host_.clock);
   }
   host_.draining = [this] { return draining_; };
+  host_.closing_idle = [this] { return closing_idle_; };
   host_.local = [this](std::string_view path) { return AnswerLocal(path); };
   host_.submit = [this](std::shared_ptr<const CallerRequest> request,
                         Session* session) {
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -41,10 +41,13 @@
 
 void Session::SetDeadline(Duration limit) {
   deadline_ = host_->clock() + limit;
+  deadline_extended_ = false;
 }
 
 void Session::ExtendDeadline(Duration by) {
-  if (deadline_ != TimePoint::max()) {
+  // Once only, since every sweep of a busy process is late.
+  if (deadline_ != TimePoint::max() &&
+      !std::exchange(deadline_extended_, true)) {
     deadline_ += by;
   }
 }
@@ -268,6 +271,7 @@
   if (keep_alive_) {
     // Also while draining: the head may have promised it before. The next
     // answer, or the end of the drain's notice, closes the connection.
+    refuses_next_ = host_->closing_idle();
     SetDeadline(host_->settings->idle_timeout);
     ReadRequest();
     return;
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -31,6 +31,8 @@
   IdSource ids;
   CallerInterface interface;
   std::function<bool()> draining;
+  /// Returns true once a stop closes idle connections.
+  std::function<bool()> closing_idle;
   /// Answers a path that the entry serves itself, such as "/healthz".
   std::function<std::optional<WholeAnswer>(std::string_view path)> local;
   /// Submits a request; returns false if there is no room.
@@ -120,6 +122,9 @@
   const SessionHost* host_;
   State state_ = State::kIdle;
   TimePoint deadline_;
+  bool deadline_extended_ = false;
+  /// The next request is refused: it comes too late to be run before a stop.
+  bool refuses_next_ = false;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   bool head_checked_ = false;
--- a/src/entry/session_read.cc
+++ b/src/entry/session_read.cc
@@ -147,6 +147,9 @@
     Respond(answer->status, answer->headers, answer->body);
   } else if (const auto* refusal = std::get_if<Refusal>(&handling)) {
     RespondRefusal(*refusal);
+  } else if (refuses_next_) {
+    RespondRefusal({503, RunState::kNotRun, "entry_stopping",
+                    "This entry is stopping; another one takes the request."});
   } else {
     Forward(std::get<CallerRequest>(std::move(handling)));
   }
--- a/tests/shell/callers_server_test.cc
+++ b/tests/shell/callers_server_test.cc
@@ -1,7 +1,10 @@
 #include "entry/callers_server.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
+#include <thread>
 
 #include "tests/support/callers_fixture.h"
 #include "tests/support/raw_client.h"
@@ -360,6 +363,53 @@
   CHECK(drained);
 }
 
+/// Guards against a request that a stop cuts off: one that follows an answer
+/// which ended late in the stop.
+TEST_CASE("A request that comes too late before a stop is refused as not run") {
+  CallersFixture entry;
+  RawClient caller(entry.address());
+  caller.Write(Post("/menu/today", ""));
+  const auto request = entry.Request(0);
+  entry.Answer(AnswerHead{request->id, 200, {}});
+  entry.Answer(AnswerData{request->id, "long"});
+  caller.ReadUntil("long");
+  entry.Run([](CallersServer& server) { server.StartDrain(); });
+
+  entry.Answer(AnswerEnd{request->id});
+  caller.ReadUntil("0\r\n\r\n");
+  caller.Clear();
+  caller.Write(Post("/menu/next", ""));
+  const std::string& answer = caller.ReadToEnd();
+  CHECK_THAT(answer, StartsWith("HTTP/1.1 503"));
+  CHECK_THAT(answer, Contains("Indigolead-Run: not-run"));
+  CHECK_THAT(answer, Contains("Connection: close"));
+  CHECK(entry.request_count() == 1);
+}
+
+/// Guards against connections that pile up while the entry is overloaded.
+TEST_CASE("A head that never ends is closed in time by a busy entry") {
+  EntrySettings settings;
+  settings.header_timeout = std::chrono::milliseconds(300);
+  CallersFixture entry(settings);
+  RawClient client(entry.address());
+  client.Write("GET /menu HTTP/1.1\r\nHost: e");
+  std::atomic<bool> closed{false};
+  std::thread load([&] {
+    while (!closed) {
+      entry.Run([](CallersServer&) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      });
+    }
+  });
+  const auto began = std::chrono::steady_clock::now();
+  client.ReadToEnd();
+  const auto took = std::chrono::steady_clock::now() - began;
+  closed = true;
+  load.join();
+  CHECK(client.closed());
+  CHECK(took < std::chrono::milliseconds(2500));
+}
+
 TEST_CASE("The entry lists the models available to a key") {
   CallersFixture entry;
   RawClient client(entry.address());
