Let an entry of a large fleet confirm its list in time

Reads are now at most 350 ms apart, half of that wait; at 420 entries 1,200 a second at most, by arithmetic, while all entries have such questions.

--- a/src/entry/target_follower.cc
+++ b/src/entry/target_follower.cc
@@ -104,8 +104,8 @@
 void TargetFollower::ReadForQuestions() {
   const TimePoint now = clock_();
   const auto n = static_cast<Duration::rep>(entries_);
-  const Duration interval =
-      std::max<Duration>(kMinReadInterval, n * kFleetReadGap);
+  const Duration interval = std::clamp<Duration>(
+      n * kFleetReadGap, kMinReadInterval, kMaxReadInterval);
   if (questions_.empty() || now - read_ahead_at_ < interval) {
     return;
   }
--- a/src/entry/target_follower.h
+++ b/src/entry/target_follower.h
@@ -43,8 +43,12 @@
   static constexpr Duration kConfirmWithin = std::chrono::milliseconds(700);
   /// Shortest time between two reads of an entry for questions.
   static constexpr Duration kMinReadInterval = std::chrono::milliseconds(100);
-  /// Shortest mean time between such reads by any entries: 200 a second.
+  /// Shortest mean time between such reads by any entries of a fleet that is
+  /// not too large for it: 200 a second.
   static constexpr Duration kFleetReadGap = std::chrono::milliseconds(5);
+  /// Longest such time for one entry, so that a question in a large fleet gets
+  /// its read before it ends.
+  static constexpr Duration kMaxReadInterval = kConfirmWithin / 2;
   /// Questions that may wait, which bounds the memory.
   static constexpr std::size_t kMaxQuestions = 4096;
 
