Watch no connection for input while it is idle

The wait now ends with its request. An aborted wait starts again if the next request is in flight by then.

Found by review; its scratch program, on the code before: 0 of 5 such requests taken, 5 of 5 on connections without a request before. The test plays both.

--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -272,6 +272,7 @@
     // Also while draining: the head may have promised it before. The next
     // answer, or the end of the drain's notice, closes the connection.
     refuses_next_ = host_->closing_idle();
+    CancelWatch();
     SetDeadline(host_->settings->idle_timeout);
     ReadRequest();
     return;
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -99,6 +99,8 @@
   void Handle();
   void Forward(CallerRequest request);
   void WatchForDisconnect();
+  /// Ends the watch while no request is in flight.
+  void CancelWatch();
   void OnReadable();
   Input PeekAtInput();
 
--- a/src/entry/session_read.cc
+++ b/src/entry/session_read.cc
@@ -187,12 +187,21 @@
       boost::asio::ip::tcp::socket::wait_read,
       [self = shared_from_this()](const boost::system::error_code& ec) {
         self->watch_active_ = false;
-        if (!ec && self->state_ == State::kAnswering) {
-          self->OnReadable();
+        if (self->state_ == State::kAnswering && self->forwarded_) {
+          ec ? self->WatchForDisconnect() : self->OnReadable();
         }
       });
 }
 
+// Beside a wait for input, a read that has taken its bytes reports them only
+// after timers that are due, and the connection would look idle to them.
+void Session::CancelWatch() {
+  if (watch_active_) {
+    boost::system::error_code ec;
+    socket_.cancel(ec);
+  }
+}
+
 // Bytes of a pipelined request end the watch: they are read only after the
 // current request is answered, and a failed write then detects a disconnect.
 void Session::OnReadable() {
--- a/tests/shell/callers_server_test.cc
+++ b/tests/shell/callers_server_test.cc
@@ -386,6 +386,34 @@
   CHECK(entry.request_count() == 1);
 }
 
+// Each time the loop is held up while the request arrives, so the sweep is due
+// before the request has been read.
+/// Guards against closing a connection whose next request has arrived.
+TEST_CASE("A request that has arrived is answered though a stop has begun") {
+  CallersFixture entry;
+  RawClient caller(entry.address());
+  const bool served_before = GENERATE(false, true);
+  CAPTURE(served_before);
+  if (served_before) {
+    caller.Write(Post("/menu/today", ""));
+    entry.Answer(AnswerWhole{entry.Request(0)->id, {200, {}, "first"}});
+    caller.ReadUntil("first");
+  } else {
+    caller.Write("GET /readyz HTTP/1.1\r\nHost: e\r\n\r\n");
+    caller.ReadUntil("ready");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  caller.Clear();
+  entry.Run([&](CallersServer& server) {
+    server.StartDrain();
+    caller.Write(Post("/menu/next", ""));
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+  });
+  const auto request = entry.Request(served_before ? 1 : 0);
+  entry.Answer(AnswerWhole{request->id, {200, {}, "second"}});
+  CHECK_THAT(caller.ReadToEnd(), EndsWith("second"));
+}
+
 /// Guards against connections that pile up while the entry is overloaded.
 TEST_CASE("A head that never ends is closed in time by a busy entry") {
   EntrySettings settings;
