--- a/src/core/control/lease.cc
+++ b/src/core/control/lease.cc
@@ -17,7 +17,7 @@
 
 constexpr char kDecodeStep[] = "lease.decode";
 /// Longest duration of a lease. With a longer one in a record of another
-/// writer, nobody would take the lease.
+/// writer, no entry would take the lease.
 constexpr milliseconds kMaxDuration = std::chrono::hours(24);
 
 Error Malformed(std::string detail) {
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -234,7 +234,7 @@
   /// Looks for the origin elsewhere if no entry has a record of it.
   void OnFound(const std::shared_ptr<const CallerRequest>& request,
                const OriginResult& found);
-  /// Finds the origin of a stream that nobody has a record of: only one
+  /// Finds the origin of a stream without a record: only one
   /// software version can have begun it, as a list shows that was read after
   /// the request arrived.
   void ProveByList(const std::shared_ptr<const CallerRequest>& request,
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -91,7 +91,7 @@
 enum class IdleState {
   kSilent,  ///< Can carry a request.
   kClosed,
-  kHasBytes,  ///< The target sent bytes that nobody asked for.
+  kHasBytes,  ///< The target sent unsolicited bytes.
 };
 
 IdleState StateOf(Connection* connection) {
--- a/src/target/http_target_client.h
+++ b/src/target/http_target_client.h
@@ -42,7 +42,7 @@
     std::size_t max_requests_per_connection = 1000;
     /// Also reuses the connections of requests that have no `echoed` value.
     /// Only for targets that never send a response that was not asked for: it
-    /// could not be told from the response to such a request.
+    /// could not be distinguished from the response to such a request.
     bool reuse_without_echo = false;
     std::size_t read_buffer_bytes = 16U << 10;
     std::size_t max_head_bytes = 64U << 10;
--- a/tests/platform/kept_connections_process_test.cc
+++ b/tests/platform/kept_connections_process_test.cc
@@ -66,7 +66,7 @@
   CHECK(served == kCallers);
 }
 
-// Guards against an entry that told a caller before its stop that the
+// Guards against an entry that announced before its stop that the
 // connection is kept, and then closes it with the next request unanswered.
 TEST_CASE("A connection kept by an answer takes one more request at a stop") {
   PlatformScene scene;
--- a/tests/platform/start_faults_process_test.cc
+++ b/tests/platform/start_faults_process_test.cc
@@ -21,7 +21,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Socket of another process that listens at an address and answers nobody.
+/// Socket of another process that listens at an address and never answers.
 class OtherListener {
  public:
   explicit OtherListener(const std::string& address)
--- a/tests/platform/support/platform_scene.h
+++ b/tests/platform/support/platform_scene.h
@@ -48,7 +48,7 @@
     int engine_events = 4;        ///< Of each stream.
     /// Failure domains of the engines, by turns.
     std::vector<std::string> engine_domains = {"bilbao-a"};
-    /// The entries are told that the whole system starts for the first time.
+    /// The settings state that the whole system starts for the first time.
     bool first_start = false;
     /// The entry has a way to the store of its own, `own_store_relay`, and
     /// neither gets nor sends messages of other entries.
--- a/tests/shell/cut_head_test.cc
+++ b/tests/shell/cut_head_test.cc
@@ -53,7 +53,7 @@
   return request;
 }
 
-/// What the hooks of one call have told.
+/// Results recorded from the hooks of one call.
 struct Seen {
   int status = 0;
   std::optional<Status> end;
