Skip interim responses of the store

What was seen: no report from users; found while the places that read responses were checked. After an interim response (100, 103) the store's connection took that for the reply to the call, which failed. The reply proper stayed behind, and if it arrived late the next call on the connection got it as its own.

Cause: the connection read one response a call, and the parser ends an interim one at its head.

Fix: the head of a reply is read again while it is interim, 16 times at most, for calls and watches, as the client of targets did already. Operators' commands fail after an interim response on a connection of their own, and stay so.

--- a/src/store/store_connection.cc
+++ b/src/store/store_connection.cc
@@ -23,6 +23,7 @@
 
 constexpr std::uint32_t kMaxHeaderBytes = 16U << 10;
 constexpr std::size_t kReadBytes = 16U << 10;
+constexpr int kMaxInterimResponses = 16;
 /// Bytes that the parser may leave unused, such as a chunk header that does not
 /// end. Larger than any read of the library.
 constexpr std::size_t kMaxUnparsedBytes = 128U << 10;
@@ -71,19 +72,17 @@
     if (auto error = co_await Write(request)) {
       co_return *error;
     }
-    http::response_parser<http::string_body> parser;
-    parser.header_limit(kMaxHeaderBytes);
-    parser.body_limit(max_bytes_);
-    if (auto ec = co_await ReadHead(&parser)) {
+    std::optional<http::response_parser<http::string_body>> parser;
+    if (auto ec = co_await ReadHead(&parser, max_bytes_)) {
       co_return CloseWithError(request.step, ec);
     }
     beast::error_code ec;
-    co_await http::async_read(stream_, buf_, parser,
+    co_await http::async_read(stream_, buf_, *parser,
                               asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
       co_return CloseWithError(request.step, ec);
     }
-    const auto& message = parser.get();
+    const auto& message = parser->get();
     StoreReply reply;
     reply.status = static_cast<int>(message.result_int());
     reply.version = ParseNumber(message["X-Version"]);
@@ -106,13 +105,11 @@
     if (auto error = co_await Write(request)) {
       co_return *error;
     }
-    http::response_parser<http::buffer_body> parser;
-    parser.header_limit(kMaxHeaderBytes);
-    parser.body_limit(boost::none);
-    if (auto ec = co_await ReadHead(&parser)) {
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    if (auto ec = co_await ReadHead(&parser, boost::none)) {
       co_return CloseWithError(request.step, ec);
     }
-    const int status = static_cast<int>(parser.get().result_int());
+    const int status = static_cast<int>(parser->get().result_int());
     if (status != kOkStatus) {
       Close();
       co_return WatchRefusedError(request.step, status);
@@ -120,13 +117,14 @@
     on_open();
     beast::error_code ec;
     std::array<char, kReadBytes> part;
-    while (!parser.is_done()) {
-      auto& body = parser.get().body();
+    while (!parser->is_done()) {
+      auto& body = parser->get().body();
       body.data = part.data();
       body.size = part.size();
       stream_.expires_after(silence);
       co_await http::async_read_some(
-          stream_, buf_, parser, asio::redirect_error(asio::use_awaitable, ec));
+          stream_, buf_, *parser,
+          asio::redirect_error(asio::use_awaitable, ec));
       if (ec && ec != http::error::need_buffer) {
         co_return CloseWithError(request.step, ec);
       }
@@ -238,8 +236,25 @@
     co_return std::nullopt;
   }
 
+  /// Reads the head of the response and the interim responses before it. The
+  /// response proper would otherwise answer the next call.
+  template <typename Parser>
+  asio::awaitable<beast::error_code> ReadHead(
+      std::optional<Parser>* parser, boost::optional<std::uint64_t> max_bytes) {
+    for (int n = 0; n <= kMaxInterimResponses; ++n) {
+      parser->emplace();
+      (*parser)->header_limit(kMaxHeaderBytes);
+      (*parser)->body_limit(max_bytes);
+      const auto ec = co_await ReadNextHead(&**parser);
+      if (ec || !IsInterim((*parser)->get())) {
+        co_return ec;
+      }
+    }
+    co_return http::error::bad_status;
+  }
+
   template <typename Parser>
-  asio::awaitable<beast::error_code> ReadHead(Parser* parser) {
+  asio::awaitable<beast::error_code> ReadNextHead(Parser* parser) {
     auto ec = ParseResponseHead(parser, &buf_);
     while (ec == http::error::need_more) {
       const auto n = co_await stream_.async_read_some(
--- a/tests/shell/malformed_response_test.cc
+++ b/tests/shell/malformed_response_test.cc
@@ -139,6 +139,26 @@
   CHECK(ErrorOf(outcome.write).code == ErrorCode::kUnknownEffect);
 }
 
+/// Returns the values that two reads of one object get, or "error".
+std::vector<std::string> ReadTwice(const ScriptedServer& server) {
+  boost::asio::io_context io{1};
+  MetricsRegistry metrics;
+  HttpObjectStore::Options options;
+  options.address = server.address();
+  HttpObjectStore store(&io, options, BootTimeNow, &metrics);
+  std::vector<std::string> values;
+  for (std::size_t n = 1; n <= 2; ++n) {
+    store.Get("a", {CallPriority::kConfig, seconds(5)},
+              [&values](const auto& result) {
+                values.push_back(IsOk(result) && ValueOf(result)
+                                     ? ValueOf(result)->value
+                                     : "error");
+              });
+    RunUntil(&io, [&] { return values.size() == n; });
+  }
+  return values;
+}
+
 /// Returns what an operator's command reads from a process that answers with
 /// `response` and closes the connection.
 Result<std::string> GetFrom(const std::string& response) {
@@ -337,5 +357,33 @@
   CHECK(seen.body == "menu");
 }
 
+/// Guards against an interim reply that is taken for the reply to a call, whose
+/// own reply then answers the next call.
+TEST_CASE("An interim reply of the store is not its reply") {
+  const std::string reply =
+      "HTTP/1.1 200 OK\r\nX-Version: 4\r\nContent-Length: 4\r\n\r\n";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+
+  SECTION("if both arrive at once") {
+    const ScriptedServer server(
+        Scripts{{{Kind::kSend, interim}, {Kind::kSend, reply + "menu"}}});
+    CHECK(ReadTwice(server) == std::vector<std::string>{"menu", "menu"});
+  }
+  SECTION("if the reply comes later") {
+    const ScriptedServer server(Scripts{{{Kind::kSend, interim},
+                                         {Kind::kPause, ""},
+                                         {Kind::kSend, reply + "menu"}},
+                                        {{Kind::kSend, reply + "next"}}});
+    CHECK(ReadTwice(server) == std::vector<std::string>{"menu", "next"});
+  }
+  SECTION("and interim replies without end fail the call") {
+    std::string many;
+    for (int n = 0; n < 100; ++n) {
+      many += interim;
+    }
+    CheckNotTaken(CallStore(many + reply + "menu"));
+  }
+}
+
 }  // namespace
 }  // namespace indigolead
