Know the effect of a write only from a refusal of the store

What was seen: no report from users; found while the places that read responses were checked. A reply to a write with a status from 202 to 399 counted as a protocol error of the platform's store, which says that nothing was written. The caller could then repeat or give up a write that the store may have done.

--- a/tests/platform/store_reply_test.cc
+++ b/tests/platform/store_reply_test.cc
@@ -62,6 +62,13 @@
     CHECK(outcome.read == ErrorCode::kUnavailable);
     CHECK(outcome.write == ErrorCode::kUnknownEffect);
   }
+  SECTION("another success, or a redirection") {
+    const std::string status = GENERATE("202", "204", "302");
+    const Outcome outcome = CallStore(ReplyWith(status));
+    INFO(status);
+    CHECK(outcome.read == ErrorCode::kUnavailable);
+    CHECK(outcome.write == ErrorCode::kUnknownEffect);
+  }
   SECTION("while a refusal says that nothing was written") {
     CHECK(CallStore(ReplyWith("400")).write == ErrorCode::kProtocol);
     CHECK(CallStore(ReplyWith("503")).write == ErrorCode::kUnavailable);
