--- a/tests/shell/early_response_test.cc
+++ b/tests/shell/early_response_test.cc
@@ -40,8 +40,9 @@
 /// One call with a long body.
 class Upload {
  public:
-  Upload(const UploadTarget& target, std::function<void()> on_head = {},
-         const std::string& method = "POST")
+  explicit Upload(const UploadTarget& target,
+                  std::function<void()> on_head = {},
+                  const std::string& method = "POST")
       : client_(&io_, {.address = target.address()}) {
     TargetRequest request;
     request.method = method;
