Take no status from another process that is not one of HTTP

What callers saw: no report from users; found when the places that read answers were checked again. An entry passed on whatever status a side put into the head of an answer, and whatever status was stored with the answer to a keyed request. Beside a process of an earlier version, or with an answer that one had stored, a caller could still get 000.

Cause: the status was checked where HTTP is read, in the process that reads it; the messages between processes carry it as a bare number.

Fix: the one rule, IsFinalStatus, is also asked of the head of an attempt, which then ends as of unknown outcome (502, or another target for an idempotent request), and of stored answers, which count as no longer stored. The readers of HTTP use the same rule.

Header fields between processes were checked by reading: their names and values come from the parser, which accepts no invalid ones. A folded line that an earlier version has already joined cannot be told from a sound value.

--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 
+#include "core/base/http_status.h"
 #include "core/request/header_fields.h"
 #include "core/request/stopping_refusal.h"
 
@@ -380,6 +381,13 @@
   if (hooks_.on_first_frame) {
     hooks_.on_first_frame(id, now);
   }
+  if (!IsFinalStatus(status)) {
+    EndAttempt(*it, Ending::kAmbiguous, AttemptOutcome::kTargetFailed,
+               MakeSideRefusal("invalid_status",
+                               "The target's answer has an invalid status."),
+               now);
+    return;
+  }
   if (it->cursor) {
     OnResumedHead(*it, status, headers, now);
     return;
--- a/src/core/request/request_flow_ends.cc
+++ b/src/core/request/request_flow_ends.cc
@@ -212,9 +212,11 @@
 void RequestFlow::FinishAttempt(Request& it, Ending ending,
                                 AttemptOutcome outcome, const SideRefusal& why,
                                 bool retry, TimePoint now) {
-  // A cancel keeps an absent or silent side from running the request later. It
-  // has no effect on a side that has already ended the attempt.
-  const bool cancel = why.code == "side_absent" || why.code == "side_silent";
+  // A cancel keeps an absent or silent side from running the request later, and
+  // stops a run whose answer is not wanted. It has no effect on a side that has
+  // already ended the attempt.
+  const bool cancel = why.code == "side_absent" || why.code == "side_silent" ||
+                      why.code == "invalid_status";
   ReleaseAttempt(it, outcome, cancel, now);
   if (ending == Ending::kAmbiguous) {
     it.may_have_run = true;
--- a/src/runtime/response_head.cc
+++ b/src/runtime/response_head.cc
@@ -2,21 +2,19 @@
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
-#include <boost/beast/http/status.hpp>
 #include <iterator>
 
+#include "core/base/http_status.h"
+
 namespace indigolead {
 namespace {
 
 namespace http = boost::beast::http;
 
-constexpr unsigned kMinStatus = 100;
-constexpr unsigned kMaxStatus = 599;
 constexpr char kChunked[] = "chunked";
 
-bool IsValidStatus(unsigned status) {
-  return status >= kMinStatus && status <= kMaxStatus &&
-         status != static_cast<unsigned>(http::status::switching_protocols);
+int StatusOf(const http::response_header<>& head) {
+  return static_cast<int>(head.result_int());
 }
 
 /// Returns true if no transfer coding but "chunked" is applied.
@@ -35,7 +33,7 @@
 
 boost::system::error_code CheckResponseHead(
     const http::response_header<>& head) {
-  if (!IsValidStatus(head.result_int())) {
+  if (!IsInterim(head) && !IsFinalStatus(StatusOf(head))) {
     return http::error::bad_status;
   }
   if (!IsChunkedAtMost(head)) {
@@ -45,8 +43,7 @@
 }
 
 bool IsInterim(const http::response_header<>& head) {
-  return http::to_status_class(head.result_int()) ==
-         http::status_class::informational;
+  return IsInterimStatus(StatusOf(head));
 }
 
 }  // namespace indigolead
--- a/src/runtime/response_head.h
+++ b/src/runtime/response_head.h
@@ -17,16 +17,15 @@
 
 /// Checks what the parser of the library leaves to its user.
 ///
-/// @return `http::error::bad_status` if the status is not between 100 and 599
-///     (RFC 9110, section 15), or is 101, as no request asks for an upgrade;
-///     `http::error::bad_transfer_encoding` for any transfer coding but a
-///     single "chunked", as no request accepts another one (RFC 9112, section
-///     7.4).
+/// @return `http::error::bad_status` if the status is neither final nor
+///     interim; `http::error::bad_transfer_encoding` for any transfer coding
+///     but a single "chunked", as no request accepts another one (RFC 9112,
+///     section 7.4).
 boost::system::error_code CheckResponseHead(
     const boost::beast::http::response_header<>& head);
 
-/// Returns true if the status is interim (1xx): the response that the head
-/// belongs to has no body, and another one follows.
+/// Returns true if the status is interim: the response that the head belongs to
+/// has no body, and another one follows.
 bool IsInterim(const boost::beast::http::response_header<>& head);
 
 /// Parses the bytes of `buffer` up to the end of a response's head, and removes
--- a/src/wire/claim_codec.cc
+++ b/src/wire/claim_codec.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "core/base/http_status.h"
+
 namespace indigolead {
 namespace {
 
@@ -25,7 +27,11 @@
   }
 }
 
-ClaimAnswer ReadAnswer(const wire::StoredAnswer& message) {
+/// Returns nothing if the answer cannot be repeated.
+std::optional<ClaimAnswer> ReadAnswer(const wire::StoredAnswer& message) {
+  if (!IsFinalStatus(static_cast<int>(message.status()))) {
+    return std::nullopt;
+  }
   ClaimAnswer answer{message.status(), {}, message.body()};
   for (const wire::Header& it : message.headers()) {
     answer.headers.push_back({it.name(), it.value()});
@@ -161,7 +167,8 @@
                        {*verdict, {}, milliseconds(message.retry_after_ms())}};
   if (message.has_answer()) {
     decided.decision.answer = ReadAnswer(message.answer());
-  } else if (*verdict == ClaimVerdict::kFinished) {
+  }
+  if (*verdict == ClaimVerdict::kFinished && !decided.decision.answer) {
     decided.decision.verdict = ClaimVerdict::kAlreadyRun;
   }
   return decided;
