--- a/review/harness-2/net.cc
+++ b/review/harness-2/net.cc
@@ -31,10 +31,12 @@
   return parsed;
 }
 
-/// Returns a socket bound to a free port of `ip`, and its address.
-std::pair<int, std::string> BindFreePort(const std::string& ip) {
+/// Returns a socket bound to `ip` and its address; port 0 picks a free one.
+std::pair<int, std::string> Bind(const std::string& ip, int port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = ParseAddress(ip + ":0");
+  sockaddr_in address = ParseAddress(ip + ":" + std::to_string(port));
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   socklen_t length = sizeof(address);
   if (fd < 0 ||
       bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
@@ -263,9 +265,8 @@
 
 void Connection::Shutdown() { shutdown(fd_, SHUT_RDWR); }
 
-Server::Server(Handler handler, const std::string& ip)
-    : handler_(std::move(handler)) {
-  std::tie(fd_, address_) = BindFreePort(ip);
+Server::Server(Handler handler, int port) : handler_(std::move(handler)) {
+  std::tie(fd_, address_) = Bind("127.0.0.1", port);
   listen(fd_, SOMAXCONN);
   acceptor_ = std::thread([this] { Accept(); });
 }
@@ -306,7 +307,7 @@
 }
 
 std::string FreeAddress(const std::string& ip) {
-  const auto [fd, address] = BindFreePort(ip);
+  const auto [fd, address] = Bind(ip, 0);
   close(fd);
   return address;
 }
--- a/review/harness-2/net.h
+++ b/review/harness-2/net.h
@@ -83,12 +83,14 @@
   std::string buffer_;
 };
 
-/// Serves each connection in a thread of its own on a free loopback port.
+/// Serves each connection in a thread of its own on a loopback port. At its end
+/// it closes all connections.
 class Server {
  public:
   using Handler = std::function<void(Connection&)>;
 
-  explicit Server(Handler handler, const std::string& ip = "127.0.0.1");
+  /// Listens on 127.0.0.1; port 0 picks a free one.
+  explicit Server(Handler handler, int port = 0);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/review/harness-2/scene.cc
+++ b/review/harness-2/scene.cc
@@ -76,6 +76,17 @@
   return kinds_[kind].size();
 }
 
+void Store::SetDown(bool down) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  down_ = down;
+  changed_.notify_all();
+}
+
+bool Store::IsDown() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return down_;
+}
+
 Json Store::Render(const std::string& name, const Object& object) const {
   return {{"metadata",
            {{"name", name},
@@ -107,7 +118,7 @@
 void Store::Serve(Connection& connection) {
   Request request;
   while (connection.ReadRequest(&request)) {
-    const Reply reply = Handle(request);
+    const Reply reply = IsDown() ? Reply{503, nullptr} : Handle(request);
     const std::string body = reply.body.is_null() ? "" : reply.body.dump();
     if (!connection.Write(FormatResponse(
             reply.status, {{"Content-Type", "application/json"}}, body))) {
@@ -172,8 +183,11 @@
       Milliseconds(std::min(QueryNumber(target, "wait-ms"), kMaxWaitMs));
   std::unique_lock<std::mutex> lock(mutex_);
   changed_.wait_until(lock, until, [&] {
-    return stopped_ || !EventsSince(kind, from).empty();
+    return stopped_ || down_ || !EventsSince(kind, from).empty();
   });
+  if (down_) {
+    return {503, nullptr};
+  }
   return {200, {{"events", EventsSince(kind, from)}, {"at", revision_}}};
 }
 
--- a/review/harness-2/scene.h
+++ b/review/harness-2/scene.h
@@ -31,6 +31,9 @@
   void Remove(const std::string& kind, const std::string& name);
   /// Returns the number of objects of a kind.
   std::size_t Count(const std::string& kind);
+  /// Answers all calls with 503 and does nothing, or serves again.
+  void SetDown(bool down);
+  bool IsDown();
 
  private:
   struct Object {
@@ -67,6 +70,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   bool stopped_ = false;
+  bool down_ = false;
   std::uint64_t revision_ = 1;
   std::map<std::string, std::map<std::string, Object>> kinds_;
   std::vector<Event> events_;
