Take no request whose framing is unknown

What callers saw: a POST with the transfer coding "gzip" and the text of another request as its body was answered as a request without a body, and the text ran as a request of its own and was answered too. A client that passes on what others send can be made to send requests that way.

Cause: the parser of the library skips transfer codings that it does not know and ends the request with its head. It also joins folded lines, so that a framing field becomes a part of another field, accepts codings in HTTP/1.0, and adds trailer fields to the head. These checks existed for responses only; a check in Session::CheckHead could not run, since that returns early for a request that is complete with its head.

Fix: RequestParser reads requests for sessions and for status queries. A request that fails gets 400, and its connection ends: where the next request begins is not known.

Ruled out: a chunk without a size is refused, before as well.

--- a/src/cli/http_get.cc
+++ b/src/cli/http_get.cc
@@ -9,7 +9,7 @@
 #include <optional>
 
 #include "core/config/value_text.h"
-#include "runtime/response_head.h"
+#include "runtime/message_head.h"
 
 namespace indigolead::cli {
 namespace {
@@ -71,7 +71,7 @@
 
   void ReadHead(error_code ec) {
     if (!ec) {
-      ec = ParseResponseHead(&parser_, &buffer_);
+      ec = ParseHead(&parser_, &buffer_);
     }
     if (ec == http::error::need_more) {
       ReadMore();
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -5,8 +5,6 @@
 // Asio of Boost 1.74 needs <utility> before it.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -19,6 +17,7 @@
 #include "core/request/request_types.h"
 #include "entry/caller_interface.h"
 #include "entry/http_answer.h"
+#include "runtime/request_parser.h"
 
 namespace indigolead {
 
@@ -92,16 +91,13 @@
   void Close();
 
  private:
-  using Body = boost::beast::http::string_body;
-  using Parser = boost::beast::http::request_parser<Body>;
-
   enum class State { kIdle, kReading, kAnswering, kClosing, kClosed };
   /// Unread input of the caller.
   enum class Input { kNone, kBytes, kEnded };
 
   void ReadRequest();
   void ReadSome();
-  void OnRead(const boost::system::error_code& ec);
+  void OnRead(boost::system::error_code ec);
   void OnReadFailed(const boost::system::error_code& ec);
   bool CheckHead();
   void Handle();
@@ -138,7 +134,7 @@
   bool refuses_next_ = false;
   bool refuses_unread_ = false;  ///< The pending read was cancelled for it.
   boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  std::optional<RequestParser> parser_;
   bool head_checked_ = false;
 
   RequestId request_;
--- a/src/entry/session_read.cc
+++ b/src/entry/session_read.cc
@@ -1,6 +1,8 @@
 #include <sys/socket.h>
 
-#include <boost/beast/http/read.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 #include <utility>
 
 #include "core/request/header_fields.h"
@@ -9,64 +11,63 @@
 namespace indigolead {
 namespace {
 
+namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-std::string_view ToView(boost::beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
-std::vector<HeaderField> CopyHeaders(const http::fields& fields) {
-  std::vector<HeaderField> headers;
-  for (const auto& it : fields) {
-    headers.push_back({std::string(ToView(it.name_string())),
-                       std::string(ToView(it.value()))});
-  }
-  return headers;
-}
+/// Most bytes that one read takes from a connection.
+constexpr std::size_t kReadBytes = 64U << 10;
 
 }  // namespace
 
 void Session::ReadRequest() {
   state_ = State::kIdle;
-  parser_.emplace();
-  parser_->header_limit(
-      static_cast<std::uint32_t>(host_->settings->max_header_bytes));
-  parser_->body_limit(host_->settings->max_body_bytes);
-  parser_->eager(true);
+  parser_.emplace(RequestParser::Limits{host_->settings->max_header_bytes,
+                                        host_->settings->max_body_bytes});
   head_checked_ = false;
-  if (buffer_.size() > 0) {
-    SetDeadline(host_->settings->header_timeout);
-    state_ = State::kReading;
+  if (buffer_.size() == 0) {
+    ReadSome();
+    return;
   }
-  ReadSome();
+  SetDeadline(host_->settings->header_timeout);
+  state_ = State::kReading;
+  // Posted, since the previous request is still being finished.
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->OnRead({}); });
 }
 
 void Session::ReadSome() {
-  http::async_read_some(
-      socket_, buffer_, *parser_,
+  socket_.async_read_some(
+      buffer_.prepare(boost::beast::read_size(buffer_, kReadBytes)),
       [self = shared_from_this()](const boost::system::error_code& ec,
-                                  std::size_t) { self->OnRead(ec); });
+                                  std::size_t n) {
+        self->buffer_.commit(n);
+        self->OnRead(ec);
+      });
 }
 
-void Session::OnRead(const boost::system::error_code& ec) {
+void Session::OnRead(boost::system::error_code ec) {
   if (state_ == State::kClosed) {
     return;
   }
+  if (!ec) {
+    ec = parser_->Parse(&buffer_);
+  }
   if (refuses_unread_ && !parser_->is_done()) {
     RespondStopping();
     return;
   }
-  if (ec) {
+  if (ec && ec != http::error::need_more) {
     OnReadFailed(ec);
     return;
   }
+  if (!parser_->head()) {
+    ReadSome();
+    return;
+  }
   if (state_ == State::kIdle) {
-    // One deadline covers the whole head from its first byte on, so that
-    // sending it byte by byte does not extend the time.
     state_ = State::kReading;
-    SetDeadline(host_->settings->header_timeout);
   }
-  if (parser_->is_header_done() && !head_checked_) {
+  if (!head_checked_) {
     head_checked_ = true;
     SetDeadline(host_->settings->idle_timeout);
     if (!CheckHead()) {
@@ -108,22 +109,21 @@
 }
 
 bool Session::CheckHead() {
-  const auto& head = parser_->get();
-  const std::vector<HeaderField> headers = CopyHeaders(head);
+  const RequestHead& head = *parser_->head();
   request_ = RequestId{host_->ids()};
-  request_name_ = host_->interface.name_request(headers, request_);
-  version_ = head.version() >= 11 ? 11 : 10;
-  is_head_request_ = head.method() == http::verb::head;
-  keep_alive_ = head.keep_alive() && !host_->draining();
+  request_name_ = host_->interface.name_request(head.headers, request_);
+  version_ = head.version;
+  is_head_request_ = head.method == "HEAD";
+  keep_alive_ = head.keep_alive && !host_->draining();
   if (parser_->is_done()) {
     return true;
   }
-  if (const auto refusal = host_->interface.check_head(headers)) {
+  if (const auto refusal = host_->interface.check_head(head.headers)) {
     keep_alive_ = false;
     RespondRefusal(*refusal);
     return false;
   }
-  if (EqualsIgnoringCase(FindHeader(headers, "expect"), "100-continue")) {
+  if (EqualsIgnoringCase(FindHeader(head.headers, "expect"), "100-continue")) {
     pending_output_ += "HTTP/1.1 100 Continue\r\n\r\n";
     ScheduleWrite();
   }
@@ -131,11 +131,13 @@
 }
 
 void Session::Handle() {
-  auto message = parser_->release();
-  parser_.reset();
+  RequestHead head = parser_->TakeHead();
   IncomingRequest incoming;
-  incoming.method = std::string(ToView(message.method_string()));
-  incoming.target = std::string(ToView(message.target()));
+  incoming.method = std::move(head.method);
+  incoming.target = std::move(head.target);
+  incoming.headers = std::move(head.headers);
+  incoming.body = parser_->TakeBody();
+  parser_.reset();
   const std::string_view target = incoming.target;
   if (host_->interface.serves_own_paths) {
     if (auto answer = host_->local(target.substr(0, target.find('?')))) {
@@ -143,8 +145,6 @@
       return;
     }
   }
-  incoming.headers = CopyHeaders(message);
-  incoming.body = std::move(message.body());
   CallerHandling handling =
       host_->interface.handle(std::move(incoming), request_);
   if (const auto* answer = std::get_if<WholeAnswer>(&handling)) {
--- a/src/entry/status_server.cc
+++ b/src/entry/status_server.cc
@@ -8,6 +8,7 @@
 
 #include "entry/listen.h"
 #include "runtime/address.h"
+#include "runtime/request_parser.h"
 
 namespace indigolead {
 namespace {
@@ -46,29 +47,42 @@
   Connection& operator=(const Connection&) = delete;
 
   void Read() {
-    parser_.emplace();
-    parser_->header_limit(kMaxHeaderBytes);
-    parser_->body_limit(0);
+    parser_.emplace(RequestParser::Limits{kMaxHeaderBytes, 0});
     stream_.expires_after(idle_timeout_);
-    http::async_read(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](const boost::system::error_code& ec,
-                                    std::size_t) { self->OnRead(ec); });
+    buffer_.size() > 0 ? Parse() : ReadSome();
   }
 
  private:
-  void OnRead(const boost::system::error_code& ec) {
-    if (ec || shared_->stopped) {
-      return;
+  void ReadSome() {
+    stream_.async_read_some(
+        buffer_.prepare(boost::beast::read_size(buffer_, kMaxHeaderBytes)),
+        [self = shared_from_this()](const boost::system::error_code& ec,
+                                    std::size_t n) {
+          self->buffer_.commit(n);
+          if (!ec) {
+            self->Parse();
+          }
+        });
+  }
+
+  /// Closes the connection after an invalid request, by dropping the last
+  /// reference to it.
+  void Parse() {
+    const auto ec = parser_->Parse(&buffer_);
+    if (ec == http::error::need_more) {
+      ReadSome();
+    } else if (!ec && !shared_->stopped) {
+      Respond(parser_->TakeHead());
     }
-    const auto& request = parser_->get();
-    const std::string target(request.target().data(), request.target().size());
-    const std::string_view path = target;
+  }
+
+  void Respond(const RequestHead& request) {
+    const std::string_view path = request.target;
     WholeAnswer answer = shared_->answer(path.substr(0, path.find('?')));
     response_ = {};
     response_.result(static_cast<unsigned>(answer.status));
-    response_.version(request.version());
-    response_.keep_alive(request.keep_alive());
+    response_.version(request.version);
+    response_.keep_alive(request.keep_alive);
     for (const HeaderField& it : answer.headers) {
       response_.set(it.name, it.value);
     }
@@ -86,7 +100,7 @@
   boost::beast::tcp_stream stream_;
   /// Bounded, because a chunk header may not end.
   boost::beast::flat_buffer buffer_{std::size_t{2} * kMaxHeaderBytes};
-  std::optional<http::request_parser<http::empty_body>> parser_;
+  std::optional<RequestParser> parser_;
   http::response<http::string_body> response_;
   std::shared_ptr<Shared> shared_;
   Duration idle_timeout_;
--- a/src/store/store_connection.cc
+++ b/src/store/store_connection.cc
@@ -7,7 +7,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 
-#include "runtime/response_head.h"
+#include "runtime/message_head.h"
 
 // The compiler mistakes the coroutine frame allocator of Boost.Asio for a plain
 // operator new and reports a mismatch that does not exist.
@@ -255,14 +255,14 @@
 
   template <typename Parser>
   asio::awaitable<beast::error_code> ReadNextHead(Parser* parser) {
-    auto ec = ParseResponseHead(parser, &buf_);
+    auto ec = ParseHead(parser, &buf_);
     while (ec == http::error::need_more) {
       const auto n = co_await stream_.async_read_some(
           buf_.prepare(beast::read_size(buf_, kReadBytes)),
           asio::redirect_error(asio::use_awaitable, ec));
       buf_.commit(n);
       if (!ec) {
-        ec = ParseResponseHead(parser, &buf_);
+        ec = ParseHead(parser, &buf_);
       }
     }
     co_return ec;
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -16,7 +16,7 @@
 #include <unordered_set>
 
 #include "runtime/address.h"
-#include "runtime/response_head.h"
+#include "runtime/message_head.h"
 
 namespace indigolead {
 namespace {
@@ -350,7 +350,7 @@
   }
 
   void ReadHead() {
-    const auto ec = ParseResponseHead(&*parser_, &connection_->buffer);
+    const auto ec = ParseHead(&*parser_, &connection_->buffer);
     if (ec == http::error::need_more) {
       ReadMoreOfHead();
     } else if (ec) {
