Send a TRACE request with a body

What callers saw: one TRACE request with a body ended the entry, with all requests that it had passed on. Any caller could send it.

Cause: the HTTP library throws on such a request when it prepares the payload for the target. Nothing between there and main catches it.

Fix: the client of targets formats the head of its requests itself: the fields as they are, Host if there is none, and the length where there is a body or the method implies one, as the library did. Head and body still go to the system in one call.

--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -4,7 +4,10 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -16,6 +19,7 @@
 #include <unordered_set>
 
 #include "runtime/address.h"
+#include "runtime/header_text.h"
 #include "runtime/message_head.h"
 
 namespace indigolead {
@@ -133,6 +137,18 @@
   }
 }
 
+/// Returns true if the method implies a body, whose length is then stated even
+/// if it is 0 (RFC 9110, section 8.6).
+bool ImpliesBody(http::verb method) {
+  return method == http::verb::post || method == http::verb::put ||
+         method == http::verb::options;
+}
+
+/// Completion condition of a write that passes all bytes to the system at once.
+std::size_t WriteAll(const boost::system::error_code& ec, std::size_t /*n*/) {
+  return ec ? 0 : std::numeric_limits<std::size_t>::max();
+}
+
 std::optional<Tcp::endpoint> EndpointOf(const std::string& address) {
   const auto endpoint = ParseEndpoint(address);
   return IsOk(endpoint) ? std::optional(ValueOf(endpoint)) : std::nullopt;
@@ -257,22 +273,29 @@
   }
 
  private:
+  /// Formats the head without the library, which throws on a TRACE request with
+  /// a body.
   void FillRequest(TargetRequest request) {
-    request_.version(11);
-    request_.method_string(request.method);
-    request_.target(request.path);
+    const auto method = http::string_to_verb(request.method);
+    is_head_request_ = method == http::verb::head;
+    head_ = request.method + " " + request.path + " HTTP/1.1\r\n";
+    bool has_host = false;
     for (const auto& it : request.headers) {
       const auto field = http::string_to_field(it.name);
+      has_host = has_host || field == http::field::host;
       if (!IsHopByHop(field) && field != http::field::content_length &&
           field != http::field::expect) {
-        request_.insert(it.name, it.value);
+        AppendHeaderLine(it.name, it.value, &head_);
       }
     }
-    if (request_.find(http::field::host) == request_.end()) {
-      request_.set(http::field::host, pool_->options().address);
+    if (!has_host) {
+      AppendHeaderLine("Host", pool_->options().address, &head_);
+    }
+    body_ = std::move(request.body);
+    if (!body_.empty() || ImpliesBody(method)) {
+      AppendHeaderLine("Content-Length", std::to_string(body_.size()), &head_);
     }
-    request_.body() = std::move(request.body);
-    request_.prepare_payload();
+    head_ += "\r\n";
   }
 
   void Connect() {
@@ -325,7 +348,9 @@
       connection_->ids.insert(HashOf(echoed_.value));
     }
     connection_->stream.expires_at(deadline_);
-    http::async_write(connection_->stream, request_,
+    const std::array<asio::const_buffer, 2> message = {asio::buffer(head_),
+                                                       asio::buffer(body_)};
+    asio::async_write(connection_->stream, message, WriteAll,
                       [self](const boost::system::error_code& ec, std::size_t) {
                         // A target may respond and close before it has read the
                         // whole request, so the response is read even after a
@@ -344,9 +369,7 @@
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_->header_limit(
         static_cast<std::uint32_t>(pool_->options().max_head_bytes));
-    if (request_.method() == http::verb::head) {
-      parser_->skip(true);
-    }
+    parser_->skip(is_head_request_);
   }
 
   void ReadHead() {
@@ -414,7 +437,7 @@
     const auto& head = parser_->get();
     const auto type = head[http::field::content_type];
     const auto encoding = head[http::field::content_encoding];
-    if (request_.method() != http::verb::head &&
+    if (!is_head_request_ &&
         IsEventStream({type.data(), type.size()},
                       {encoding.data(), encoding.size()})) {
       events_.emplace();
@@ -627,7 +650,9 @@
   HttpHeader echoed_;
   bool may_share_connection_;
   std::optional<std::uint64_t> max_body_bytes_;
-  http::request<http::string_body> request_;
+  std::string head_;  ///< Of the request.
+  std::string body_;
+  bool is_head_request_ = false;
   std::unique_ptr<Connection> connection_;
   std::optional<Parser> parser_;
   std::string buffer_;
--- a/tests/shell/http_target_client_test.cc
+++ b/tests/shell/http_target_client_test.cc
@@ -281,6 +281,24 @@
 // A caller must know whether a broken call may have run. Each row breaks the
 // call at another byte. After the first byte is written the result is "may have
 // run", and the request is never written again.
+/// Guards against a process that ends as it sends a request that the library
+/// takes for a mistake of its user.
+TEST_CASE("A TRACE request with a body is sent to its target") {
+  ScriptedServer server(
+      Scripts{{{Kind::kSend, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+               {Kind::kClose, ""}}});
+  ClientFixture client(server.address());
+  TargetRequest request;
+  request.method = "TRACE";
+  request.path = "/menu";
+  request.body = "menu";
+  request.deadline = std::chrono::seconds(5);
+  CHECK(client.Call(std::move(request)).status == 200);
+  REQUIRE(server.requests().size() == 1);
+  CHECK(server.requests()[0].find("Content-Length: 4\r\n") !=
+        std::string::npos);
+}
+
 TEST_CASE("HttpTargetClient reports whether a broken call may have run") {
   struct Case {
     const char* fault;
