Carry header fields of any length

What callers saw: open connections ended without an answer, some after their request had run. The entry had ended because one caller sent a header field of 65,534 bytes or more, within the operator's max-header-bytes, or a trailer field of that length, which no limit of the head bounds.

Cause: the container of header fields of the HTTP library throws std::length_error for a name or value that does not fit 16 bits, and nothing between there and main catches it. The container is written to when a request is read, when it goes to its target and when the answer's head, which names the request, goes back; also when a response of a target, the store or a status address has a trailer field of that length. Besides, the limits are 64-bit numbers: 2^32 wrapped to 0, so that each request got 431, and 2^64 - 1 wrapped the size of the buffer, which ended the process.

Fix: MessageParser keeps the fields of requests and responses in a container of our own and drops trailer fields; heads to targets and callers are formatted without the library's container. The fields are carried, as a 431 within the operator's limit would refuse a proper request; a response's head may be longer by the id that it repeats. No guard was put round the handlers of connections: it would hide faults.

The limit of a kept connection's buffer follows the configuration. Before, a raised limit gave 431 on connections that were older.

--- a/src/cli/http_get.cc
+++ b/src/cli/http_get.cc
@@ -9,7 +9,7 @@
 #include <optional>
 
 #include "core/config/value_text.h"
-#include "runtime/message_head.h"
+#include "runtime/message_parser.h"
 
 namespace indigolead::cli {
 namespace {
@@ -24,6 +24,7 @@
 /// end. Larger than any read of the library.
 constexpr std::size_t kMaxUnparsedBytes = 128U << 10;
 constexpr std::size_t kReadBytes = 16U << 10;
+constexpr int kOkStatus = 200;
 
 /// A single GET request on its own connection.
 class GetCall {
@@ -51,12 +52,12 @@
     if (failure_) {
       return *failure_;
     }
-    if (parser_.get().result() != http::status::ok) {
+    if (parser_.status() != kOkStatus) {
       return Error{ErrorCode::kUnavailable, "http.get", address_,
-                   "answered " + std::to_string(parser_.get().result_int()) +
-                       ": " + parser_.get().body().substr(0, 200)};
+                   "answered " + std::to_string(parser_.status()) + ": " +
+                       parser_.body().substr(0, 200)};
     }
-    return std::move(parser_.get().body());
+    return std::move(parser_.body());
   }
 
  private:
@@ -71,7 +72,7 @@
 
   void ReadHead(error_code ec) {
     if (!ec) {
-      ec = ParseHead(&parser_, &buffer_);
+      ec = parser_.ParseHead(&buffer_);
     }
     if (ec == http::error::need_more) {
       ReadMore();
@@ -111,7 +112,7 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
   http::request<http::empty_body> request_;
-  http::response_parser<http::string_body> parser_;
+  ResponseParser<http::string_body> parser_;
   std::optional<Error> failure_;
 };
 
--- a/src/entry/http_answer.cc
+++ b/src/entry/http_answer.cc
@@ -2,13 +2,12 @@
 
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/status.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
 
 #include "core/request/header_fields.h"
+#include "runtime/header_text.h"
 
 namespace indigolead {
 namespace {
@@ -17,6 +16,8 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+constexpr unsigned kHttp10 = 10;
+
 template <typename Buffers>
 void AppendBuffers(const Buffers& buffers, std::string* out) {
   for (const asio::const_buffer it : beast::buffers_range_ref(buffers)) {
@@ -44,34 +45,36 @@
 void AppendHead(int status, const std::vector<HeaderField>& headers,
                 const std::string& request_id, const AnswerFraming& framing,
                 std::string* out) {
-  http::response<http::empty_body> response;
-  response.version(framing.version);
-  response.result(static_cast<unsigned>(status));
+  const auto reason =
+      http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+  *out += framing.version == kHttp10 ? "HTTP/1.0 " : "HTTP/1.1 ";
+  *out += std::to_string(status);
+  *out += ' ';
+  out->append(reason.data(), reason.size());
+  *out += "\r\n";
   const std::string_view connection = FindHeader(headers, "connection");
   for (const HeaderField& it : headers) {
     const bool drops_length = EqualsIgnoringCase(it.name, "content-length") &&
                               !framing.is_head_request;
     if (!drops_length && !IsHopByHop(it.name, connection) &&
         !EqualsIgnoringCase(it.name, "x-request-id")) {
-      response.insert(it.name, it.value);
+      AppendHeaderLine(it.name, it.value, out);
     }
   }
-  response.set("X-Request-Id", request_id);
-  response.keep_alive(framing.keep_alive);
+  AppendHeaderLine("X-Request-Id", request_id, out);
+  // The default depends on the version (RFC 9112, section 9.3).
+  if (framing.keep_alive && framing.version == kHttp10) {
+    AppendHeaderLine("Connection", "keep-alive", out);
+  } else if (!framing.keep_alive && framing.version != kHttp10) {
+    AppendHeaderLine("Connection", "close", out);
+  }
   if (framing.chunked) {
-    response.chunked(true);
+    AppendHeaderLine("Transfer-Encoding", "chunked", out);
   } else if (framing.content_length) {
-    response.content_length(*framing.content_length);
-  }
-  http::response_serializer<http::empty_body> serializer(response);
-  serializer.split(true);
-  beast::error_code ec;
-  while (!serializer.is_header_done() && !ec) {
-    serializer.next(ec, [&](beast::error_code&, const auto& buffers) {
-      AppendBuffers(buffers, out);
-      serializer.consume(beast::buffer_bytes(buffers));
-    });
+    AppendHeaderLine("Content-Length", std::to_string(*framing.content_length),
+                     out);
   }
+  *out += "\r\n";
 }
 
 void AppendChunk(std::string_view data, std::string* out) {
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -31,9 +31,7 @@
 }  // namespace
 
 Session::Session(asio::ip::tcp::socket socket, const SessionHost* host)
-    : socket_(std::move(socket)),
-      host_(host),
-      buffer_(host->settings->max_header_bytes + kRetainedCapacity) {}
+    : socket_(std::move(socket)), host_(host) {}
 
 void Session::Start() {
   SetDeadline(host_->settings->header_timeout);
--- a/src/entry/session_read.cc
+++ b/src/entry/session_read.cc
@@ -1,5 +1,6 @@
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
@@ -16,6 +17,8 @@
 
 /// Most bytes that one read takes from a connection.
 constexpr std::size_t kReadBytes = 64U << 10;
+/// Room in the buffer for the body's first bytes behind a head at its limit.
+constexpr std::size_t kRoomBehindHead = 4096;
 
 }  // namespace
 
@@ -23,6 +26,11 @@
   state_ = State::kIdle;
   parser_.emplace(RequestParser::Limits{host_->settings->max_header_bytes,
                                         host_->settings->max_body_bytes});
+  // The operator may change the limit while the connection is kept.
+  const std::size_t max_bytes =
+      std::size_t{ToHeaderLimit(host_->settings->max_header_bytes)} +
+      kRoomBehindHead;
+  buffer_.max_size(std::max(max_bytes, buffer_.size()));
   head_checked_ = false;
   if (buffer_.size() == 0) {
     ReadSome();
--- a/src/runtime/header_text.h
+++ b/src/runtime/header_text.h
@@ -6,7 +6,7 @@
 
 namespace indigolead {
 
-/// Appends the line of one header field.
+/// Appends the line of one header field, of any length.
 inline void AppendHeaderLine(std::string_view name, std::string_view value,
                              std::string* out) {
   out->append(name).append(": ").append(value).append("\r\n");
--- a/src/runtime/request_parser.cc
+++ b/src/runtime/request_parser.cc
@@ -2,8 +2,6 @@
 
 #include <boost/beast/http/error.hpp>
 
-#include "runtime/message_head.h"
-
 namespace indigolead {
 namespace {
 
@@ -12,14 +10,14 @@
 }  // namespace
 
 RequestParser::RequestParser(const Limits& limits) {
-  parser_.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+  parser_.header_limit(ToHeaderLimit(limits.header_bytes));
   parser_.body_limit(limits.body_bytes);
 }
 
 boost::system::error_code RequestParser::Parse(
     boost::beast::flat_buffer* buffer) {
   if (!head_) {
-    if (const auto ec = ParseHead(&parser_, buffer)) {
+    if (const auto ec = parser_.ParseHead(buffer)) {
       return ec;
     }
     ReadHead();
@@ -49,16 +47,13 @@
 }
 
 void RequestParser::ReadHead() {
-  const auto& message = parser_.get();
+  const auto& message = parser_.message();
   head_.emplace();
   head_->method = std::string(message.method_string());
   head_->target = std::string(message.target());
   head_->version = message.version();
   head_->keep_alive = parser_.keep_alive();
-  for (const auto& it : message) {
-    head_->headers.push_back(
-        {std::string(it.name_string()), std::string(it.value())});
-  }
+  head_->headers = std::move(parser_.headers());
 }
 
 }  // namespace indigolead
--- a/src/runtime/request_parser.h
+++ b/src/runtime/request_parser.h
@@ -2,7 +2,6 @@
 #define INDIGOLEAD_RUNTIME_REQUEST_PARSER_H_
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstdint>
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "core/request/request_types.h"
+#include "runtime/message_parser.h"
 
 namespace indigolead {
 
@@ -51,13 +51,13 @@
 
   /// Moves the head or the body out of a complete request.
   RequestHead TakeHead() { return std::move(*head_); }
-  std::string TakeBody() { return std::move(parser_.get().body()); }
+  std::string TakeBody() { return std::move(parser_.body()); }
 
  private:
   boost::system::error_code ParseBody(boost::beast::flat_buffer* buffer);
   void ReadHead();
 
-  boost::beast::http::request_parser<boost::beast::http::string_body> parser_;
+  MessageParser<true, boost::beast::http::string_body> parser_;
   std::optional<RequestHead> head_;
 };
 
--- a/src/store/store_connection.cc
+++ b/src/store/store_connection.cc
@@ -6,8 +6,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <utility>
 
-#include "runtime/message_head.h"
+#include "core/request/header_fields.h"
+#include "runtime/message_parser.h"
 
 // The compiler mistakes the coroutine frame allocator of Boost.Asio for a plain
 // operator new and reports a mismatch that does not exist.
@@ -46,7 +48,7 @@
   return tcp::endpoint(ip, port);
 }
 
-std::optional<std::uint64_t> ParseNumber(beast::string_view text) {
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
   std::uint64_t number = 0;
   const auto [end, error] =
       std::from_chars(text.data(), text.data() + text.size(), number);
@@ -72,7 +74,7 @@
     if (auto error = co_await Write(request)) {
       co_return *error;
     }
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<ResponseParser<http::string_body>> parser;
     if (auto ec = co_await ReadHead(&parser, max_bytes_)) {
       co_return CloseWithError(request.step, ec);
     }
@@ -82,12 +84,11 @@
     if (ec) {
       co_return CloseWithError(request.step, ec);
     }
-    const auto& message = parser->get();
     StoreReply reply;
-    reply.status = static_cast<int>(message.result_int());
-    reply.version = ParseNumber(message["X-Version"]);
-    reply.body = message.body();
-    if (!message.keep_alive()) {
+    reply.status = parser->status();
+    reply.version = ParseNumber(FindHeader(parser->headers(), "X-Version"));
+    reply.body = std::move(parser->body());
+    if (!parser->keep_alive()) {
       Close();
     }
     stream_.expires_never();
@@ -105,11 +106,11 @@
     if (auto error = co_await Write(request)) {
       co_return *error;
     }
-    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<ResponseParser<http::buffer_body>> parser;
     if (auto ec = co_await ReadHead(&parser, boost::none)) {
       co_return CloseWithError(request.step, ec);
     }
-    const int status = static_cast<int>(parser->get().result_int());
+    const int status = parser->status();
     if (status != kOkStatus) {
       Close();
       co_return WatchRefusedError(request.step, status);
@@ -118,7 +119,7 @@
     beast::error_code ec;
     std::array<char, kReadBytes> part;
     while (!parser->is_done()) {
-      auto& body = parser->get().body();
+      auto& body = parser->body();
       body.data = part.data();
       body.size = part.size();
       stream_.expires_after(silence);
@@ -246,7 +247,7 @@
       (*parser)->header_limit(kMaxHeaderBytes);
       (*parser)->body_limit(max_bytes);
       const auto ec = co_await ReadNextHead(&**parser);
-      if (ec || !IsInterim((*parser)->get())) {
+      if (ec || !IsInterim((*parser)->status())) {
         co_return ec;
       }
     }
@@ -255,14 +256,14 @@
 
   template <typename Parser>
   asio::awaitable<beast::error_code> ReadNextHead(Parser* parser) {
-    auto ec = ParseHead(parser, &buf_);
+    auto ec = parser->ParseHead(&buf_);
     while (ec == http::error::need_more) {
       const auto n = co_await stream_.async_read_some(
           buf_.prepare(beast::read_size(buf_, kReadBytes)),
           asio::redirect_error(asio::use_awaitable, ec));
       buf_.commit(n);
       if (!ec) {
-        ec = ParseHead(parser, &buf_);
+        ec = parser->ParseHead(&buf_);
       }
     }
     co_return ec;
--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -18,9 +18,10 @@
 #include <optional>
 #include <unordered_set>
 
+#include "core/request/header_fields.h"
 #include "runtime/address.h"
 #include "runtime/header_text.h"
-#include "runtime/message_head.h"
+#include "runtime/message_parser.h"
 
 namespace indigolead {
 namespace {
@@ -47,10 +48,7 @@
 
 /// A connection and the bytes read past the end of the last response.
 struct Connection {
-  /// `max_buffered_bytes` bounds bytes that the parser cannot use yet, such as
-  /// an incomplete chunk header.
-  Connection(asio::io_context* io, std::size_t max_buffered_bytes)
-      : stream(*io), buffer(max_buffered_bytes) {}
+  explicit Connection(asio::io_context* io) : stream(*io) {}
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
@@ -66,10 +64,10 @@
 }
 
 /// Returns the idle timeout in a `Keep-Alive` header, if present and valid.
-std::optional<std::chrono::seconds> KeepAliveTimeout(beast::string_view field) {
-  constexpr beast::string_view kParameter = "timeout=";
+std::optional<std::chrono::seconds> KeepAliveTimeout(std::string_view field) {
+  constexpr std::string_view kParameter = "timeout=";
   const auto at = field.find(kParameter);
-  if (at == beast::string_view::npos) {
+  if (at == std::string_view::npos) {
     return std::nullopt;
   }
   const auto digits = field.substr(at + kParameter.size());
@@ -218,7 +216,7 @@
 
 namespace {
 
-using Parser = http::response_parser<http::buffer_body>;
+using Parser = ResponseParser<http::buffer_body>;
 
 /// One request and its response. Kept alive by its pending operation; the
 /// owning `HttpCall` only tells it to stop.
@@ -273,8 +271,8 @@
   }
 
  private:
-  /// Formats the head without the library, which throws on a TRACE request with
-  /// a body.
+  /// Formats the head without the library, whose container of header fields
+  /// throws on long ones and which throws on a TRACE request with a body.
   void FillRequest(TargetRequest request) {
     const auto method = http::string_to_verb(request.method);
     is_head_request_ = method == http::verb::head;
@@ -299,9 +297,7 @@
   }
 
   void Connect() {
-    const std::size_t max_buffered_bytes =
-        pool_->options().max_head_bytes + pool_->options().read_buffer_bytes;
-    connection_ = std::make_unique<Connection>(pool_->io(), max_buffered_bytes);
+    connection_ = std::make_unique<Connection>(pool_->io());
     auto& stream = connection_->stream;
     stream.expires_at(std::min(
         deadline_, SteadyClock::now() + pool_->options().connect_timeout));
@@ -367,13 +363,19 @@
     parser_.emplace();
     // Boost 1.74 takes `boost::none` for a limit of zero.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-    parser_->header_limit(
-        static_cast<std::uint32_t>(pool_->options().max_head_bytes));
+    // The response repeats the id, however long its caller chose it.
+    const std::size_t max_head_bytes =
+        pool_->options().max_head_bytes + echoed_.value.size();
+    parser_->header_limit(ToHeaderLimit(max_head_bytes));
+    // Bounds bytes that the parser cannot use yet, such as an incomplete chunk
+    // header.
+    connection_->buffer.max_size(max_head_bytes +
+                                 pool_->options().read_buffer_bytes);
     parser_->skip(is_head_request_);
   }
 
   void ReadHead() {
-    const auto ec = ParseHead(&*parser_, &connection_->buffer);
+    const auto ec = parser_->ParseHead(&connection_->buffer);
     if (ec == http::error::need_more) {
       ReadMoreOfHead();
     } else if (ec) {
@@ -402,7 +404,7 @@
   }
 
   void OnHead() {
-    const bool interim = IsInterim(parser_->get());
+    const bool interim = IsInterim(parser_->status());
     skipping_answer_ = !interim && IsOfAnotherRequest();
     if ((interim || skipping_answer_) &&
         ++skipped_responses_ > kMaxSkippedResponses) {
@@ -425,8 +427,7 @@
     }
     if (!skipping_answer_) {
       WatchEvents();
-      hooks_.on_head(static_cast<int>(parser_->get().result_int()),
-                     ResponseHeaders());
+      hooks_.on_head(parser_->status(), ResponseHeaders());
     }
     if (!stopped_) {
       ReadBody();
@@ -434,12 +435,10 @@
   }
 
   void WatchEvents() {
-    const auto& head = parser_->get();
-    const auto type = head[http::field::content_type];
-    const auto encoding = head[http::field::content_encoding];
+    const auto& headers = parser_->headers();
     if (!is_head_request_ &&
-        IsEventStream({type.data(), type.size()},
-                      {encoding.data(), encoding.size()})) {
+        IsEventStream(FindHeader(headers, "Content-Type"),
+                      FindHeader(headers, "Content-Encoding"))) {
       events_.emplace();
     }
   }
@@ -454,25 +453,30 @@
   /// request has no id.
   bool HasOwnId() const {
     return echoed_.value.empty() ||
-           parser_->get().find(echoed_.name) != parser_->get().end();
+           AnyHeader([this](const HeaderField& it) { return IsEcho(it); });
   }
 
   bool IsOfAnotherRequest() const {
-    if (echoed_.value.empty()) {
-      return false;
-    }
-    const auto [begin, end] = parser_->get().equal_range(echoed_.name);
-    return std::any_of(begin, end, [this](const auto& it) {
-      return it.value() != echoed_.value;
+    return !echoed_.value.empty() && AnyHeader([this](const HeaderField& it) {
+      return IsEcho(it) && it.value != echoed_.value;
     });
   }
 
+  bool IsEcho(const HeaderField& it) const {
+    return EqualsIgnoringCase(it.name, echoed_.name);
+  }
+
+  template <typename Predicate>
+  bool AnyHeader(Predicate matches) const {
+    const auto& headers = parser_->headers();
+    return std::any_of(headers.begin(), headers.end(), matches);
+  }
+
   std::vector<HttpHeader> ResponseHeaders() const {
     std::vector<HttpHeader> headers;
-    for (const auto& it : parser_->get()) {
-      if (!IsHopByHop(it.name())) {
-        headers.push_back(
-            {it.name_string().to_string(), it.value().to_string()});
+    for (const HeaderField& it : parser_->headers()) {
+      if (!IsHopByHop(http::string_to_field(it.name))) {
+        headers.push_back({it.name, it.value});
       }
     }
     return headers;
@@ -487,8 +491,8 @@
       read_deferred_ = true;
       return;
     }
-    parser_->get().body().data = buffer_.data();
-    parser_->get().body().size = buffer_.size();
+    parser_->body().data = buffer_.data();
+    parser_->body().size = buffer_.size();
     http::async_read_some(
         connection_->stream, connection_->buffer, *parser_,
         [self = this->shared_from_this()](const boost::system::error_code& ec,
@@ -503,7 +507,7 @@
       ec = {};
     }
     DrainParsed(&ec);
-    const auto n = buffer_.size() - parser_->get().body().size;
+    const auto n = buffer_.size() - parser_->body().size;
     if (skipping_answer_) {
       skipped_bytes_ += n;
     } else if (n > 0) {
@@ -538,7 +542,7 @@
   /// chunk.
   void DrainParsed(boost::system::error_code* ec) {
     while (!*ec && !parser_->is_done() && connection_->buffer.size() > 0 &&
-           parser_->get().body().size > 0) {
+           parser_->body().size > 0) {
       boost::system::error_code parse_ec;
       const auto n = parser_->put(connection_->buffer.data(), parse_ec);
       connection_->buffer.consume(n);
@@ -593,7 +597,7 @@
 
   AnswerBodyEnd BodyEnd() const {
     AnswerBodyEnd end;
-    end.status = static_cast<int>(parser_->get().result_int());
+    end.status = parser_->status();
     end.body_bytes = body_bytes_;
     if (parser_->chunked()) {
       end.framing = BodyFraming::kChunks;
@@ -617,9 +621,9 @@
   }
 
   void KeepConnection() {
-    const auto& head = parser_->get();
     connection_->usable_until = SteadyClock::time_point::max();
-    if (const auto idle = KeepAliveTimeout(head[http::field::keep_alive])) {
+    if (const auto idle =
+            KeepAliveTimeout(FindHeader(parser_->headers(), "Keep-Alive"))) {
       connection_->usable_until = SteadyClock::now() + *idle - kCloseMargin;
     }
     if (connection_->buffer.size() > 0) {
--- a/tests/platform/caller_input_process_test.cc
+++ b/tests/platform/caller_input_process_test.cc
@@ -36,6 +36,33 @@
   CHECK(scene.Runs("inner") == 0);
 }
 
+/// Guards against an entry that ends, with all requests that it has passed on,
+/// because a field is longer than the library's container holds.
+TEST_CASE("A long header field within the operator's limit is carried") {
+  const std::string text(70000, 'n');
+  std::string id = "r-1";
+  std::string fields = "Content-Length: 0\r\n\r\n";
+  SECTION("in a value") { fields = "X-Note: " + text + "\r\n" + fields; }
+  SECTION("in a name") { fields = text + ": note\r\n" + fields; }
+  SECTION("in the request id") { id = text; }
+  SECTION("in the parts of the prompt") {
+    fields = "X-Prefix-Hash: " + text + "\r\n" + fields;
+  }
+  SECTION("in the id of the stream that goes on") {
+    fields = "Resumes: " + text + "\r\n" + fields;
+  }
+  SECTION("in a trailer") {
+    fields =
+        "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Note: " + text + "\r\n\r\n";
+  }
+  ScriptedServer target({Send(AnswerTo(id))});
+  OneTargetScene it(target.address(), {{"max-header-bytes", 131072}});
+  RawClient client(it.address());
+  client.Write(Head(id) + fields);
+  CHECK_THAT(client.ReadUntil("\r\n\r\nmenu"), StartsWith("HTTP/1.1 200"));
+  CHECK(it.scene().entry->running());
+}
+
 /// Guards against an entry that ends on a method that the library serializes
 /// under a condition.
 TEST_CASE("A TRACE request with a body does not end the entry") {
@@ -47,5 +74,22 @@
   CHECK(it.scene().entry->running());
 }
 
+/// Guards against limits that wrap to other ones in the parser.
+TEST_CASE("Very large limits of the operator are kept") {
+  const std::uint64_t limit =
+      GENERATE(std::uint64_t{1} << 32, (std::uint64_t{1} << 32) + 1,
+               std::uint64_t{0} - 1);
+  INFO("limit " << limit);
+  ScriptedServer target({Send(AnswerTo("r-1"))});
+  OneTargetScene it(target.address(),
+                    {{"max-header-bytes", limit}, {"max-body-bytes", limit}});
+  for (int n = 0; n < 3; ++n) {
+    RawClient client(it.address());
+    client.Write(Head("r-1") + "Content-Length: 4\r\n\r\nmenu");
+    CHECK_THAT(client.ReadUntil("\r\n\r\nmenu"), StartsWith("HTTP/1.1 200"));
+  }
+  CHECK(it.scene().entry->running());
+}
+
 }  // namespace
 }  // namespace indigolead::testing
