Drop a target's statement in the entry's header

What callers saw: a target's answer with `Indigolead-Run: not-run` reached its caller with that header, by which callers are told that a refused request has not run, though the target had run it. By reading; not seen by users.

Cause: the fields of a target's answer were passed on but for hop-by-hop fields and the request id. That header is the entry's to state.

Evidence: without the fix, "A target's statement of the run state is not passed on" failed 4 of 12 checks (whole answers and event streams, two spellings).

Fix: the request flow drops the field where it takes a head, from sides and directly called targets alike. Refusals of the entry do not pass there.

--- a/src/core/base/run_state.h
+++ b/src/core/base/run_state.h
@@ -5,8 +5,11 @@
 
 namespace indigolead {
 
-/// Whether a request is known to have run. Sent to callers as the value of the
-/// `Indigolead-Run` header.
+/// Header that tells callers the run state of a refused request. Its value is
+/// that of `RunStateName`.
+inline constexpr char kRunStateHeader[] = "Indigolead-Run";
+
+/// Whether a request is known to have run.
 enum class RunState {
   kNotRun,      ///< Provably never started on any target.
   kUnknown,     ///< May have started; it is not known whether it finished.
--- a/src/core/request/request_flow.cc
+++ b/src/core/request/request_flow.cc
@@ -395,6 +395,10 @@
   it->head_received = true;
   it->head_received_at = now;
   it->answer.status = status;
+  // A target cannot state the run state in the entry's name.
+  std::erase_if(headers, [](const HeaderField& field) {
+    return EqualsIgnoringCase(field.name, kRunStateHeader);
+  });
   it->answer.headers = std::move(headers);
   if (IsStreamed(it->answer.headers)) {
     if (it->request->may_resume && status == kOk &&
--- a/src/entry/http_answer.cc
+++ b/src/entry/http_answer.cc
@@ -102,7 +102,7 @@
 std::vector<HeaderField> RefusalHeaders(const Refusal& refusal) {
   std::vector<HeaderField> headers = {
       {"Content-Type", "application/json"},
-      {"Indigolead-Run", std::string(RunStateName(refusal.run))}};
+      {kRunStateHeader, std::string(RunStateName(refusal.run))}};
   if (refusal.retry_after > Duration{0}) {
     const auto seconds =
         std::chrono::ceil<std::chrono::seconds>(refusal.retry_after).count();
--- a/tests/core/request/answer_status_test.cc
+++ b/tests/core/request/answer_status_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "core/request/header_fields.h"
 #include "tests/support/flow_driver.h"
 
 namespace indigolead {
@@ -62,5 +63,29 @@
   CHECK(driver.seen(id).body == "menu");
 }
 
+/// Guards against telling a caller that a request has not run because its
+/// target, which has run it, says so in the entry's header.
+TEST_CASE("A target's statement of the run state is not passed on") {
+  const bool event_stream = GENERATE(false, true);
+  const std::string name = GENERATE("Indigolead-Run", "indigolead-run");
+  INFO(name << (event_stream ? ", event stream" : ""));
+  FlowDriver driver;
+  driver.Up("oviedo-1");
+  const RequestId id = driver.Ask(Repeatability::kOnce, event_stream);
+  const SendStart& start = driver.starts[0];
+  driver.flow().OnHead(
+      start.link, start.attempt, 0, 503,
+      {{"Content-Type", event_stream ? "text/event-stream" : "text/plain"},
+       {name, "not-run"},
+       {"X-Salon", "7"}},
+      driver.now());
+  driver.Collect();
+  driver.Chunk(start, 1, "menu");
+  driver.End(start, 2, "menu");
+  CHECK(driver.seen(id).status == 503);
+  CHECK(FindHeader(driver.seen(id).headers, "Indigolead-Run").empty());
+  CHECK(FindHeader(driver.seen(id).headers, "X-Salon") == "7");
+}
+
 }  // namespace
 }  // namespace indigolead
--- a/tests/support/flow_driver.cc
+++ b/tests/support/flow_driver.cc
@@ -37,32 +37,36 @@
   flow_.TakeActions(&actions);
   for (RequestAction& action : actions) {
     std::visit(
-        Overloaded{
-            [&](SendStart& it) { starts.push_back(std::move(it)); },
-            [&](SendCredit& it) { credits.push_back(it); },
-            [&](SendCancel& it) { cancels.push_back(it); },
-            [&](SendResume& it) { resumes.push_back(it); },
-            [&](AnswerHead& it) { seen_[it.request].status = it.status; },
-            [&](AnswerData& it) { seen_[it.request].body += it.data; },
-            [&](AnswerEnd& it) {
-              seen_[it.request].whole = true;
-              ++seen_[it.request].finals;
-            },
-            [&](AnswerWhole& it) {
-              ReceivedAnswer& seen = seen_[it.request];
-              seen.status = it.answer.status;
-              seen.body = it.answer.body;
-              seen.whole = true;
-              ++seen.finals;
-            },
-            [&](AnswerRefusal& it) {
-              seen_[it.request].refusal = it.refusal;
-              ++seen_[it.request].finals;
-            },
-            [&](AnswerAbort& it) {
-              seen_[it.request].refusal = it.refusal;
-              ++seen_[it.request].finals;
-            }},
+        Overloaded{[&](SendStart& it) { starts.push_back(std::move(it)); },
+                   [&](SendCredit& it) { credits.push_back(it); },
+                   [&](SendCancel& it) { cancels.push_back(it); },
+                   [&](SendResume& it) { resumes.push_back(it); },
+                   [&](AnswerHead& it) {
+                     ReceivedAnswer& seen = seen_[it.request];
+                     seen.status = it.status;
+                     seen.headers = it.headers;
+                   },
+                   [&](AnswerData& it) { seen_[it.request].body += it.data; },
+                   [&](AnswerEnd& it) {
+                     seen_[it.request].whole = true;
+                     ++seen_[it.request].finals;
+                   },
+                   [&](AnswerWhole& it) {
+                     ReceivedAnswer& seen = seen_[it.request];
+                     seen.status = it.answer.status;
+                     seen.headers = it.answer.headers;
+                     seen.body = it.answer.body;
+                     seen.whole = true;
+                     ++seen.finals;
+                   },
+                   [&](AnswerRefusal& it) {
+                     seen_[it.request].refusal = it.refusal;
+                     ++seen_[it.request].finals;
+                   },
+                   [&](AnswerAbort& it) {
+                     seen_[it.request].refusal = it.refusal;
+                     ++seen_[it.request].finals;
+                   }},
         action);
   }
 }
--- a/tests/support/flow_driver.h
+++ b/tests/support/flow_driver.h
@@ -14,6 +14,7 @@
 /// Parts of one answer that a caller has received so far.
 struct ReceivedAnswer {
   int status = 0;
+  std::vector<HeaderField> headers;
   std::string body;
   bool whole = false;
   std::optional<Refusal> refusal;  ///< Before or in the middle of the answer.
