Hold a request to the limits in force when it begins

What callers saw: after the operator raised max-header-bytes, the next request on a connection that was open already got 431 for a head within the new limit.

Fix: the parser is made, and the buffer bounded, when the first bytes have come.

--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -96,6 +96,7 @@
   enum class Input { kNone, kBytes, kEnded };
 
   void ReadRequest();
+  void StartParser();
   void ReadSome();
   void OnRead(boost::system::error_code ec);
   void OnReadFailed(const boost::system::error_code& ec);
@@ -134,7 +135,7 @@
   bool refuses_next_ = false;
   bool refuses_unread_ = false;  ///< The pending read was cancelled for it.
   boost::beast::flat_buffer buffer_;
-  std::optional<RequestParser> parser_;
+  std::optional<RequestParser> parser_;  ///< Unset before a first byte.
   bool head_checked_ = false;
 
   RequestId request_;
--- a/src/entry/session_read.cc
+++ b/src/entry/session_read.cc
@@ -24,13 +24,7 @@
 
 void Session::ReadRequest() {
   state_ = State::kIdle;
-  parser_.emplace(RequestParser::Limits{host_->settings->max_header_bytes,
-                                        host_->settings->max_body_bytes});
-  // The operator may change the limit while the connection is kept.
-  const std::size_t max_bytes =
-      std::size_t{ToHeaderLimit(host_->settings->max_header_bytes)} +
-      kRoomBehindHead;
-  buffer_.max_size(std::max(max_bytes, buffer_.size()));
+  parser_.reset();
   head_checked_ = false;
   if (buffer_.size() == 0) {
     ReadSome();
@@ -43,6 +37,17 @@
              [self = shared_from_this()] { self->OnRead({}); });
 }
 
+// Called with the first bytes of a request, since the operator may change the
+// limits while a connection is idle.
+void Session::StartParser() {
+  const EntrySettings& settings = *host_->settings;
+  parser_.emplace(RequestParser::Limits{settings.max_header_bytes,
+                                        settings.max_body_bytes});
+  const std::size_t max_bytes =
+      std::size_t{ToHeaderLimit(settings.max_header_bytes)} + kRoomBehindHead;
+  buffer_.max_size(std::max(max_bytes, buffer_.size()));
+}
+
 void Session::ReadSome() {
   socket_.async_read_some(
       buffer_.prepare(boost::beast::read_size(buffer_, kReadBytes)),
@@ -58,9 +63,12 @@
     return;
   }
   if (!ec) {
+    if (!parser_) {
+      StartParser();
+    }
     ec = parser_->Parse(&buffer_);
   }
-  if (refuses_unread_ && !parser_->is_done()) {
+  if (refuses_unread_ && parser_ && !parser_->is_done()) {
     RespondStopping();
     return;
   }
--- a/tests/platform/caller_input_process_test.cc
+++ b/tests/platform/caller_input_process_test.cc
@@ -2,7 +2,9 @@
 // with long header fields.
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
+#include <thread>
 
 #include "tests/platform/support/one_target_scene.h"
 #include "tests/platform/support/scripted_answers.h"
@@ -74,6 +76,25 @@
   CHECK(it.scene().entry->running());
 }
 
+/// Guards against a limit that holds only on connections opened after it.
+TEST_CASE("A raised limit of the head holds on open connections") {
+  PlatformScene scene;
+  RawClient client(scene.callers_address);
+  client.Write(Head("first") + "Content-Length: 0\r\n\r\n");
+  CHECK_THAT(client.ReadUntil("menu of"), StartsWith("HTTP/1.1 200"));
+  client.Clear();
+  nlohmann::json configuration = MakeConfiguration(4);
+  configuration["limits"]["max-header-bytes"] = 131072;
+  scene.store.Put("config", "main", configuration);
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  // Over the old limit, and refused before the head is complete.
+  client.Write(Head("second") + "X-Note: " + std::string(30000, 'n'));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  client.Write("\r\nContent-Length: 0\r\n\r\n");
+  CHECK_THAT(client.ReadUntil("\r\n\r\n"), !StartsWith("HTTP/1.1 431"));
+  CHECK(scene.entry->running());
+}
+
 /// Guards against limits that wrap to other ones in the parser.
 TEST_CASE("Very large limits of the operator are kept") {
   const std::uint64_t limit =
