--- a/src/runtime/message_parser.h
+++ b/src/runtime/message_parser.h
@@ -109,7 +109,7 @@
                      boost::beast::string_view value,
                      boost::system::error_code& /*ec*/) override {
     if (!this->is_header_done()) {
-      headers_.push_back({std::string(name_string), std::string(value)});
+      headers_.push_back({name_string.to_string(), value.to_string()});
     }
   }
 
--- a/src/runtime/request_parser.cc
+++ b/src/runtime/request_parser.cc
@@ -49,8 +49,8 @@
 void RequestParser::ReadHead() {
   const auto& message = parser_.message();
   head_.emplace();
-  head_->method = std::string(message.method_string());
-  head_->target = std::string(message.target());
+  head_->method = message.method_string().to_string();
+  head_->target = message.target().to_string();
   head_->version = message.version();
   head_->keep_alive = parser_.keep_alive();
   head_->headers = std::move(parser_.headers());
--- a/tests/platform/direct_transport_test.cc
+++ b/tests/platform/direct_transport_test.cc
@@ -316,8 +316,7 @@
   const std::string answer =
       "HTTP/1.1 " + status +
       "\r\nX-Request-Id: r-1\r\nX-Response-Signature: s\r\n" +
-      (marked ? "X-Not-Executed: 1\r\n" : "") +
-      "Content-Length: 4\r\n\r\noops";
+      (marked ? "X-Not-Executed: 1\r\n" : "") + "Content-Length: 4\r\n\r\noops";
 
   SECTION("of a request that may run once the outcome is unknown") {
     DispatchFixture fixture({{Send(answer), Send(kAnswer)}});
--- a/tests/shell/http_target_client_test.cc
+++ b/tests/shell/http_target_client_test.cc
@@ -293,7 +293,8 @@
   request.path = "/menu";
   request.body = "menu";
   request.deadline = std::chrono::seconds(5);
-  CHECK(client.Call(std::move(request)).status == 200);
+  const CallResult seen = client.Call(std::move(request));
+  CHECK(seen.status == 200);
   REQUIRE(server.requests().size() == 1);
   CHECK(server.requests()[0].find("Content-Length: 4\r\n") !=
         std::string::npos);
