Bound the length of a value in a log line

What callers saw: nothing yet. The buffer of log lines is bounded in lines, and some values are chosen by callers. With heads of 128 KiB, 4,096 buffered lines with a long request id take more memory than an entry has, and the process is ended for it.

Cause: the event log wrote values whole.

Evidence: before, "A line of the log is bounded however long its values are" failed 2 of its 3 checks.

Fix: 8 KiB of a value are written, with "..." behind a longer one. The longest value that the entry makes itself, the parts of a prompt, has under 5 KiB.

--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -13,12 +13,15 @@
 namespace indigolead {
 namespace {
 
-bool NeedsQuotes(const std::string& value) {
+/// Longest value in a line. Callers choose some values, such as request ids.
+constexpr std::size_t kMaxValueBytes = 8U << 10;
+
+bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
-         value.find_first_of(" \"\\=\t\r\n") != std::string::npos;
+         value.find_first_of(" \"\\=\t\r\n") != std::string_view::npos;
 }
 
-void AppendQuoted(const std::string& value, std::string* out) {
+void AppendQuoted(std::string_view value, std::string* out) {
   out->push_back('"');
   for (const char c : value) {
     if (c == '"' || c == '\\') {
@@ -83,13 +86,17 @@
 std::string FormatEvent(const EventInfo& event, const EventFields& fields) {
   std::string line = std::to_string(event.number);
   line.append(" ").append(event.name);
-  for (const auto& [name, value] : fields) {
+  for (const auto& [name, whole] : fields) {
+    const auto value = std::string_view(whole).substr(0, kMaxValueBytes);
     line.append(" ").append(name).append("=");
     if (NeedsQuotes(value)) {
       AppendQuoted(value, &line);
     } else {
       line.append(value);
     }
+    if (value.size() < whole.size()) {
+      line.append("...");
+    }
   }
   return line;
 }
--- a/tests/shell/event_log_test.cc
+++ b/tests/shell/event_log_test.cc
@@ -54,6 +54,18 @@
 
 // A script may read a command's result from standard output; a log line in it
 // would break the script.
+/// Guards against buffered lines that take the memory of a process because
+/// callers choose long values.
+TEST_CASE("A line of the log is bounded however long its values are") {
+  const std::size_t size = GENERATE(8192, 8193, 120000);
+  const std::string value = std::string(size, 'n');
+  const std::string line = FormatEvent(kSomething, {{"request", value}});
+  const std::string expected =
+      "7999 something request=" + std::string(8192, 'n') +
+      (size > 8192 ? "..." : "");
+  CHECK((line == expected));
+}
+
 TEST_CASE("The standard error log writes nothing to standard output") {
   const testing::ScratchFolder folder;
   const EventLog log = MakeStderrEventLog("test", EventSeverity::kInfo);
