--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -87,7 +87,7 @@
   std::string line = std::to_string(event.number);
   line.append(" ").append(event.name);
   for (const auto& [name, whole] : fields) {
-    const auto value = std::string_view(whole).substr(0, kMaxValueBytes);
+    const auto value = std::string_view{whole}.substr(0, kMaxValueBytes);
     line.append(" ").append(name).append("=");
     if (NeedsQuotes(value)) {
       AppendQuoted(value, &line);
