Allocate no body by its stated length alone

What callers saw: nothing yet; found on reading the change again. One request that states a body of many terabytes ended the entry, with all requests that it had passed on, if the operator's max-body-bytes allowed that number.

Cause: the library's string body allocates what Content-Length states as soon as the head is read, and throws if it cannot. Nothing between there and main catches it.

Replies of the store and of status addresses are read with it too.

--- a/src/cli/http_get.cc
+++ b/src/cli/http_get.cc
@@ -10,6 +10,7 @@
 
 #include "core/config/value_text.h"
 #include "runtime/message_parser.h"
+#include "runtime/text_body.h"
 
 namespace indigolead::cli {
 namespace {
@@ -112,7 +113,7 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
   http::request<http::empty_body> request_;
-  ResponseParser<http::string_body> parser_;
+  ResponseParser<TextBody> parser_;
   std::optional<Error> failure_;
 };
 
--- a/src/runtime/request_parser.h
+++ b/src/runtime/request_parser.h
@@ -2,7 +2,6 @@
 #define INDIGOLEAD_RUNTIME_REQUEST_PARSER_H_
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstdint>
 #include <optional>
@@ -11,6 +10,7 @@
 
 #include "core/request/request_types.h"
 #include "runtime/message_parser.h"
+#include "runtime/text_body.h"
 
 namespace indigolead {
 
@@ -57,7 +57,7 @@
   boost::system::error_code ParseBody(boost::beast::flat_buffer* buffer);
   void ReadHead();
 
-  MessageParser<true, boost::beast::http::string_body> parser_;
+  MessageParser<true, TextBody> parser_;
   std::optional<RequestHead> head_;
 };
 
--- a/src/store/store_connection.cc
+++ b/src/store/store_connection.cc
@@ -10,6 +10,7 @@
 
 #include "core/request/header_fields.h"
 #include "runtime/message_parser.h"
+#include "runtime/text_body.h"
 
 // The compiler mistakes the coroutine frame allocator of Boost.Asio for a plain
 // operator new and reports a mismatch that does not exist.
@@ -74,7 +75,7 @@
     if (auto error = co_await Write(request)) {
       co_return *error;
     }
-    std::optional<ResponseParser<http::string_body>> parser;
+    std::optional<ResponseParser<TextBody>> parser;
     if (auto ec = co_await ReadHead(&parser, max_bytes_)) {
       co_return CloseWithError(request.step, ec);
     }
--- a/tests/platform/caller_input_process_test.cc
+++ b/tests/platform/caller_input_process_test.cc
@@ -95,6 +95,19 @@
   CHECK(scene.entry->running());
 }
 
+/// Guards against an entry that ends because a caller states a long body.
+TEST_CASE("The stated length of a body does not end the entry") {
+  const std::uint64_t limit = std::uint64_t{0} - 1;
+  ScriptedServer target({Send(AnswerTo("r-1"))});
+  OneTargetScene it(target.address(), {{"max-body-bytes", limit}});
+  RawClient uploader(it.address());
+  uploader.Write(Head("long") + "Content-Length: 4611686018427387904\r\n\r\nx");
+  RawClient client(it.address());
+  client.Write(Head("r-1") + "Content-Length: 4\r\n\r\nmenu");
+  CHECK_THAT(client.ReadUntil("\r\n\r\nmenu"), StartsWith("HTTP/1.1 200"));
+  CHECK(it.scene().entry->running());
+}
+
 /// Guards against limits that wrap to other ones in the parser.
 TEST_CASE("Very large limits of the operator are kept") {
   const std::uint64_t limit =
--- a/tests/shell/request_parser_test.cc
+++ b/tests/shell/request_parser_test.cc
@@ -138,6 +138,24 @@
   CHECK(buffer.size() == std::string("GET / HTTP/1.1\r\n").size());
 }
 
+/// Guards against a process that ends because a sender states a length that no
+/// memory holds.
+TEST_CASE("Memory for a body is not allocated by its stated length") {
+  const std::uint64_t length =
+      GENERATE(std::uint64_t{1} << 33, std::uint64_t{1} << 46,
+               std::uint64_t{1} << 62, std::uint64_t{0} - 1);
+  INFO("length " << length);
+  RequestParser parser(
+      {.header_bytes = 4096, .body_bytes = std::uint64_t{0} - 1});
+  boost::beast::flat_buffer buffer;
+  Append("PUT /menu HTTP/1.1\r\nContent-Length: " + std::to_string(length) +
+             "\r\n\r\nmenu",
+         &buffer);
+  CHECK(parser.Parse(&buffer) == http::error::need_more);
+  REQUIRE(parser.head());
+  CHECK_FALSE(parser.is_done());
+}
+
 TEST_CASE("A request over a limit is an error") {
   RequestParser parser({.header_bytes = 100, .body_bytes = 10});
   boost::beast::flat_buffer buffer{200};
