Bound the idle timeout that a target states

What callers saw: slower answers from a target whose Keep-Alive header states a very long timeout, since each call made a connection of its own. Found by the search for numbers from outside that reach a cast; not seen by users.

Cause: seconds from the header are converted to the clock's unit, which wraps above 9,223,372,036 s, so that the connection counted as expired.

--- a/src/target/http_target_client.cc
+++ b/src/target/http_target_client.cc
@@ -63,6 +63,9 @@
   return std::hash<std::string>()(id);
 }
 
+/// Longer idle timeouts of targets count as this one.
+constexpr std::chrono::seconds kMaxKeepAlive = std::chrono::hours(24);
+
 /// Returns the idle timeout in a `Keep-Alive` header, if present and valid.
 std::optional<std::chrono::seconds> KeepAliveTimeout(std::string_view field) {
   constexpr std::string_view kParameter = "timeout=";
@@ -77,7 +80,7 @@
   if (error != std::errc() || end == digits.data() || n < 0) {
     return std::nullopt;
   }
-  return std::chrono::seconds(n);
+  return std::min(std::chrono::seconds(n), kMaxKeepAlive);
 }
 
 /// Limits how long sent bytes may stay unacknowledged.
--- a/tests/shell/http_target_client_test.cc
+++ b/tests/shell/http_target_client_test.cc
@@ -688,6 +688,20 @@
 // A client that writes everything before it reads would wait for the target
 // while the target waits for the client, and the caller would get no
 // answer until its deadline.
+/// Guards against a timeout that wraps to one that has passed.
+TEST_CASE("A connection with a very long idle timeout is reused") {
+  const std::string timeout =
+      GENERATE("86401", "9223372036", "9223372036854775807");
+  INFO("timeout " << timeout);
+  ScriptedServer server(Scripts{
+      {{Kind::kSend, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + timeout +
+                         "\r\nContent-Length: 2\r\n\r\nok"}}});
+  ClientFixture fixture(server.address(), kReuseWithoutEcho);
+  fixture.Call();
+  fixture.Call();
+  CHECK(server.connections() == 1);
+}
+
 TEST_CASE("A rejection is read while the body is still being written") {
   boost::asio::io_context io;
   boost::asio::ip::tcp::acceptor acceptor(
