Log whether a break of a connection was judged

A probe that breaks or times out, and a suspicion that lapses before its probe ends, were logged as target-survived or not at all, so the log of an entry could not tell a crash that is not recognized from a target that is alive. target-undecided names both. answer-end-doubtful and request-abandoned name the fingerprint, so that a request can be followed whose crash looks like the end of its answer, or comes after its caller has left.

No decision changes.

--- a/src/entry/crash_detector.cc
+++ b/src/entry/crash_detector.cc
@@ -62,11 +62,13 @@
     Call(run);
     return;
   }
-  log_(ended ? kTargetCrashed : kTargetSurvived,
-       {{"target", run.target},
-        {"run", std::to_string(run.run)},
-        {"running", std::to_string(suspected.running.size())},
-        {"call", IsOk(status) ? "answered" : ToString(ErrorOf(status))}});
+  if (ended) {
+    LogOutcome(kTargetCrashed, run, suspected, ToString(ErrorOf(status)));
+  } else if (IsOk(status)) {
+    LogOutcome(kTargetSurvived, run, suspected, "answered");
+  } else {
+    LogOutcome(kTargetUndecided, run, suspected, ToString(ErrorOf(status)));
+  }
   if (!ended) {
     suspected_crashes_.erase(it);
     return;
@@ -78,8 +80,23 @@
 
 void CrashDetector::Tick() {
   const TimePoint now = clock_();
-  std::erase_if(suspected_crashes_,
-                [now](const auto& it) { return now >= it.second.until; });
+  std::erase_if(suspected_crashes_, [&](const auto& it) {
+    const auto& [run, suspected] = it;
+    const bool expired = now >= suspected.until;
+    if (expired && !suspected.crashed) {
+      LogOutcome(kTargetUndecided, run, suspected, "unanswered");
+    }
+    return expired;
+  });
+}
+
+void CrashDetector::LogOutcome(const EventInfo& event, const TargetCrash& run,
+                               const SuspectedCrash& suspected,
+                               const std::string& call) const {
+  log_(event, {{"target", run.target},
+               {"run", std::to_string(run.run)},
+               {"running", std::to_string(suspected.running.size())},
+               {"call", call}});
 }
 
 }  // namespace indigolead
--- a/src/entry/crash_detector.h
+++ b/src/entry/crash_detector.h
@@ -60,6 +60,9 @@
 
   void Call(const TargetCrash& run);
   void OnCalled(const TargetCrash& run, const Status& status);
+  void LogOutcome(const EventInfo& event, const TargetCrash& run,
+                  const SuspectedCrash& suspected,
+                  const std::string& call) const;
 
   Options options_;
   Hooks hooks_;
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -268,6 +268,8 @@
     log_(kRequestAbandoned,
          {{"request", request.caller_id},
           {"route", request.route},
+          {"target", it->second.last_target},
+          {"fingerprint", FingerprintText(request.fingerprint)},
           {"after_ms", FormatMilliseconds(clock_() - request.received_at)}});
     CloseRequest(id);
   }
--- a/src/entry/direct_transport.cc
+++ b/src/entry/direct_transport.cc
@@ -419,6 +419,8 @@
   log_(kAnswerEndDoubtful,
        {{"request", run->request->caller_id},
         {"target", run->instance},
+        {"fingerprint", FingerprintText(run->request->fingerprint)},
+        {"parts", SharedPartsText(run->request->prompt_parts)},
         {"status", std::to_string(end.status)},
         {"framing", std::string(NameOf(end.framing))},
         {"bytes", std::to_string(end.body_bytes)},
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -89,7 +89,8 @@
     1065, "answer-end-doubtful", EventSeverity::kInfo,
     "The end of a target's answer is doubtful: it had neither a length nor "
     "chunked framing and its connection closed, or it ended inside an event; "
-    "the fields give its size and the position of the end among the events."};
+    "the fields give its request, its size and the position of the end among "
+    "the events."};
 inline constexpr EventInfo kAnswerWithheld{
     1091, "answer-withheld", EventSeverity::kWarning,
     "A target's answer was not passed on: its status promises that the request "
@@ -176,8 +177,11 @@
     "its address: it crashed while requests were running."};
 inline constexpr EventInfo kTargetSurvived{
     1062, "target-survived", EventSeverity::kInfo,
-    "A connection to a target broke without a crash: the target responds or "
-    "is silent."};
+    "A connection to a target broke without a crash: the target responds."};
+inline constexpr EventInfo kTargetUndecided{
+    1092, "target-undecided", EventSeverity::kInfo,
+    "A connection to a target broke, and nothing showed whether the target "
+    "crashed."};
 inline constexpr EventInfo kCrashesTold{
     1063, "crashes-told", EventSeverity::kInfo,
     "A write of this entry's crash report has ended; the fields give the "
