Show crashes that count against no request

One stream request crashes each engine that begins to answer it and comes four times a second at three entries, with 30 sound ones beside it. Engines are back after 2 s under new ids.

--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -253,9 +253,17 @@
     }
     beast::error_code ec;
     acceptor_.close(ec);
+    EndConnections(/*in_order=*/false);
+  }
+
+  void EndConnections(bool in_order) {
     for (const auto& weak : connections_) {
       if (auto connection = weak.lock()) {
-        connection->Abort();
+        if (in_order) {
+          connection->Close();
+        } else {
+          connection->Abort();
+        }
       }
     }
     connections_.clear();
@@ -331,6 +339,10 @@
 
 void HttpServer::SetDownOnServerThread(bool down) { impl_->SetDown(down); }
 
+void HttpServer::EndConnectionsOnServerThread(bool in_order) {
+  impl_->EndConnections(in_order);
+}
+
 struct Notifier::State {
   asio::io_context* io;
   std::set<asio::steady_timer*> waiting;
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -123,6 +123,11 @@
   /// connections immediately, including the current handler's.
   void SetDownOnServerThread(bool down);
 
+  /// Ends all connections, including the current handler's, with a reset or,
+  /// if `in_order`, with a regular close. New ones are accepted. Must be called
+  /// on the server's thread.
+  void EndConnectionsOnServerThread(bool in_order);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/tests/platform/crashing_request_process_test.cc
+++ b/tests/platform/crashing_request_process_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "tests/platform/support/platform_scene.h"
+#include "tests/platform/support/repeats.h"
 #include "tests/support/crash_rule.h"
 
 namespace indigolead::testing {
@@ -140,5 +141,70 @@
   CHECK_FALSE(refused.Header("Retry-After").empty());
 }
 
+struct CrashCase {
+  const char* description;
+  ModelWorker::CrashForm form;
+  bool body_by_close = false;           ///< Answers end with their connection.
+  milliseconds patience = seconds(10);  ///< Of the caller of the request.
+};
+
+using Address = ModelWorker::CrashForm::Address;
+
+std::vector<CrashCase> CrashCases() {
+  return {
+      {"the address resets connections", {.address = Address::kResets}},
+      {"the address is silent", {.address = Address::kSilent}},
+      {"streams are closed between events",
+       {.closes_in_order = true, .events_before = 2},
+       /*body_by_close=*/true},
+      {"streams without a length are reset between events",
+       {.events_before = 2, .after = milliseconds(0)},
+       /*body_by_close=*/true},
+      {"the caller has left",
+       {.events_before = 1, .after = milliseconds(200)},
+       /*body_by_close=*/false,
+       /*patience=*/milliseconds(100)},
+  };
+}
+
+/// Guards against crashes that count against no request because of what they
+/// do to the target's connections.
+TEST_CASE("A crash is counted whatever it does to connections", "[crash]") {
+  const CrashCase it = GENERATE(from_range(CrashCases()));
+  INFO(it.description);
+  PlatformScene::Options options;
+  options.engines = 12;
+  PlatformScene scene(options);
+  REQUIRE(WaitUntil([&] { return scene.EnginesInStage("prefill") >= 3; }));
+  scene.AddEntry("front-2");
+  scene.AddEntry("front-3");
+  REQUIRE(WaitUntil([&] { return scene.AllReady(); }, seconds(30)));
+  ModelWorker::CrashForm form = it.form;
+  form.down_for = seconds(2);
+  form.takes_new_id = true;
+  for (ModelWorker& worker : scene.workers) {
+    worker.SetCrashesOn("/audit/crash", form);
+    worker.SetBodyEnd({it.body_by_close, std::nullopt});
+  }
+  scene.Register();
+  SteadyCallers::Load sound_load{"POST", "/audit/1", 30};
+  SteadyCallers sound(&scene, sound_load);
+  SteadyCallers::Load bad_load{"POST", "/audit/crash", 4};
+  bad_load.patience = it.patience;
+  SteadyCallers bad(&scene, bad_load);
+  WaitWhileRegistering(&scene, seconds(8));
+  const int served = sound.served();
+  WaitWhileRegistering(&scene, seconds(2));
+  CHECK(sound.served() > served + 20);
+  bad.Stop();
+  sound.Stop();
+  const std::vector<Time> crashes = CrashesOf(&scene);
+  INFO(crashes.size() << " crashes");
+  CHECK(crashes.size() >= kCrashesToBlock);
+  CHECK(
+      CountForwardedAfterCrashes(crashes, ArrivalsOf(&scene, "/audit/crash")) <=
+      kMaxForwardedAfterCrashes);
+}
+
 }  // namespace
 }  // namespace indigolead::testing
--- a/tests/platform/support/model_worker.cc
+++ b/tests/platform/support/model_worker.cc
@@ -28,6 +28,12 @@
   server_.Start();
 }
 
+std::string ModelWorker::id() {
+  std::string id;
+  server_.Invoke([&] { id = options_.id; });
+  return id;
+}
+
 Json ModelWorker::Registration() {
   Json registration = {{"service", options_.service},
                        {"address", server_.address()},
@@ -167,6 +173,13 @@
   server_.Invoke([&] { crashes_on_ = std::move(path); });
 }
 
+void ModelWorker::SetCrashesOn(std::string path, const CrashForm& form) {
+  server_.Invoke([&] {
+    crashes_on_ = std::move(path);
+    crash_form_ = form;
+  });
+}
+
 std::vector<std::chrono::steady_clock::time_point> ModelWorker::crashes() {
   std::vector<std::chrono::steady_clock::time_point> crashes;
   server_.Invoke([&] { crashes = crashes_; });
@@ -177,7 +190,7 @@
                                    std::chrono::milliseconds down_for) {
   server_.Invoke([&] {
     crashes_on_part_ = std::move(part);
-    down_for_ = down_for;
+    crash_form_.down_for = down_for;
   });
 }
 
@@ -195,19 +208,49 @@
   if (!*crashed) {
     co_return;
   }
-  co_await exchange.Sleep(kCrashAfter);
-  if (!exchange.open()) {
+  const std::int64_t start_number = start_number_;
+  if (crash_form_.events_before > 0) {
+    co_await BeginStream(exchange);
+  }
+  co_await exchange.Sleep(crash_form_.after);
+  if (down_ || start_number_ != start_number) {
     co_return;  // Another request has crashed the worker meanwhile.
   }
   crashes_.push_back(std::chrono::steady_clock::now());
   running_ = 0;
   orders_ = 0;
-  GoDownFor(down_for_);
+  GoDownFor(crash_form_.down_for);
+}
+
+Task ModelWorker::BeginStream(HttpExchange& exchange) {
+  co_await StartBody(exchange, "text/event-stream",
+                     AnswerHeaders(IdOf(exchange)));
+  for (int n = 1; n <= crash_form_.events_before; ++n) {
+    co_await WriteBody(exchange, "id: " + std::to_string(n) + "\ndata: " +
+                                     TokenOf(options_.software_version) +
+                                     std::to_string(n) + "\n\n");
+  }
+}
+
+Task ModelWorker::HandleWhileDown(HttpExchange& exchange) {
+  if (crash_form_.address == CrashForm::Address::kSilent) {
+    while (down_ && exchange.open()) {
+      co_await exchange.Sleep(kStep);
+    }
+  }
+  exchange.Abort();
 }
 
 void ModelWorker::GoDownFor(std::chrono::milliseconds length) {
   down_ = true;
-  server_.SetDownOnServerThread(true);
+  server_.EndConnectionsOnServerThread(crash_form_.closes_in_order);
+  if (crash_form_.address == CrashForm::Address::kRefuses) {
+    server_.SetDownOnServerThread(true);
+  }
+  RestartAfter(length);
+}
+
+void ModelWorker::RestartAfter(std::chrono::milliseconds length) {
   restart_timer_->expires_after(length);
   restart_timer_->async_wait([this](const boost::system::error_code& ec) {
     if (!ec) {
@@ -221,8 +264,12 @@
     server_.SetDownOnServerThread(false);
     down_ = false;
     ++start_number_;
+    if (crash_form_.takes_new_id) {
+      const std::string base = options_.id.substr(0, options_.id.find('.'));
+      options_.id = base + "." + std::to_string(start_number_);
+    }
   } catch (const boost::system::system_error&) {
-    GoDownFor(kStep);  // The port is in use by another connection.
+    RestartAfter(kStep);  // The port is in use by another connection.
   }
 }
 
@@ -271,6 +318,10 @@
   const HttpRequest& request = exchange.request();
   UpdateStage();
   arrivals_.push_back(std::chrono::steady_clock::now());
+  if (down_) {
+    co_await HandleWhileDown(exchange);
+    co_return;
+  }
   arrivals_with_key_ += request.Header("Authorization").empty() ? 0 : 1;
   if (!IdOf(exchange).empty()) {
     accounts_[IdOf(exchange)].push_back(request.Header("X-Tenant"));
--- a/tests/platform/support/model_worker.h
+++ b/tests/platform/support/model_worker.h
@@ -63,11 +63,31 @@
     bool refusals_too = false;  ///< Refusals come twice as well.
     std::chrono::milliseconds report_time{0};  ///< Time to send a report.
   };
-  static constexpr std::chrono::milliseconds kLateness{300};
   /// Time from the start of a run that crashes the target to the crash.
   static constexpr std::chrono::milliseconds kCrashAfter{60};
   /// Time from the crash to the restart.
   static constexpr std::chrono::milliseconds kDownFor{700};
+  /// What a crash looks like from outside.
+  struct CrashForm {
+    /// What happens to connections made while the worker is down.
+    enum class Address {
+      kRefuses,
+      kResets,  ///< They are accepted, and reset with the first request.
+      kSilent,  ///< They are accepted, and no request is answered.
+    };
+    Address address = Address::kRefuses;
+    /// Open connections are closed, as the kernel does for a killed process,
+    /// and not reset.
+    bool closes_in_order = false;
+    /// Events of the stream that are sent before the crash.
+    int events_before = 0;
+    /// Time from the start of the run, or from these events, to the crash.
+    std::chrono::milliseconds after = kCrashAfter;
+    std::chrono::milliseconds down_for = kDownFor;
+    /// The worker comes back under another id, and keeps its address.
+    bool takes_new_id = false;
+  };
+  static constexpr std::chrono::milliseconds kLateness{300};
   /// Arrival of a caller's request, for a run or for prefill only.
   struct Arrival {
     std::string request_id;
@@ -81,6 +101,8 @@
   ModelWorker(const ModelWorker&) = delete;
   ModelWorker& operator=(const ModelWorker&) = delete;
 
+  /// Returns the id under which the worker registers.
+  std::string id();
   /// Returns the registration to put into the store.
   nlohmann::json Registration();
 
@@ -128,6 +150,8 @@
   /// run a request for `path`, and restart after `kDownFor`. An empty path
   /// disables this.
   void SetCrashesOn(std::string path);
+  /// The same with crashes of the given form.
+  void SetCrashesOn(std::string path, const CrashForm& form);
   /// The same for requests whose prompt has the part `part`, as callers write
   /// its id. An empty id disables this.
   void SetCrashesOnPart(std::string part, std::chrono::milliseconds down_for);
@@ -169,7 +193,12 @@
   bool Crashes(const standins::HttpRequest& request) const;
   /// Crashes if the request is one that triggers crashes.
   standins::Task CrashIfAsked(standins::HttpExchange& exchange, bool* crashed);
+  /// Sends the head and the events that precede the crash.
+  standins::Task BeginStream(standins::HttpExchange& exchange);
+  /// Handles a request that arrives while the worker is down.
+  standins::Task HandleWhileDown(standins::HttpExchange& exchange);
   void GoDownFor(std::chrono::milliseconds length);
+  void RestartAfter(std::chrono::milliseconds length);
   void Restart();
   standins::Task Misbehave(standins::HttpExchange& exchange, bool* answer);
   standins::Task Answer(standins::HttpExchange& exchange);
@@ -208,7 +237,7 @@
   std::map<const standins::HttpExchange*, std::string> late_copies_;
   std::string crashes_on_;
   std::string crashes_on_part_;
-  std::chrono::milliseconds down_for_ = kDownFor;
+  CrashForm crash_form_;
   std::vector<std::chrono::steady_clock::time_point> crashes_;
   std::unique_ptr<boost::asio::steady_timer> restart_timer_;
   std::int64_t start_number_ = 1;  ///< Differs for each start of the process.
--- a/tests/platform/support/platform_scene.cc
+++ b/tests/platform/support/platform_scene.cc
@@ -232,7 +232,10 @@
       continue;
     }
     const auto now = it.Registration();
-    const std::string id = ids_[&it];
+    const std::string id = it.id();
+    if (const std::string before = std::exchange(ids_[&it], id); before != id) {
+      store.Remove("servers", before);
+    }
     if (store.Get("servers", id) != now) {
       store.Put("servers", id, now);
     }
--- a/tests/platform/support/repeats.cc
+++ b/tests/platform/support/repeats.cc
@@ -50,8 +50,7 @@
                          load.make_parts ? load.make_parts(id) : "5c:80,91:20");
   }
   return HttpCall(address, load.method, load.path,
-                  load.make_parts ? id : "prices", headers,
-                  std::chrono::seconds(10))
+                  load.make_parts ? id : "prices", headers, load.patience)
       .status;
 }
 
--- a/tests/platform/support/repeats.h
+++ b/tests/platform/support/repeats.h
@@ -38,6 +38,8 @@
     /// Makes the prompt parts of the request `id`, in place of those of
     /// `has_prompt`. Each such request has a body of its own.
     std::function<std::string(const std::string& id)> make_parts = {};
+    /// Time after which a caller that has no answer disconnects.
+    std::chrono::milliseconds patience = std::chrono::seconds(10);
   };
   /// One request whose answer has ended.
   struct Outcome {
