Count crashes under one request for all forms of its host

A request that crashes its targets is known by a hash that held the Host header as written, while routes match it without its port and in any case. A caller that names the entry's port there, as most clients do, has a hash for each port, so that its crashes did not add up over the entries: each entry needed three of its own. Seen with callers that name the entry's address: three entries had three fingerprints for one request.

The hash takes the form that routes are matched by. Entries of both versions beside each other know such a request by different hashes until all have been replaced.

Whether the users' callers wrote a host in several forms is not in the record.

--- a/src/core/request/route_table.cc
+++ b/src/core/request/route_table.cc
@@ -8,9 +8,7 @@
 #include "core/base/random.h"
 
 namespace indigolead {
-namespace {
 
-/// Returns the host name without its port, in lower case.
 std::string HostKey(std::string_view host) {
   std::string key(host.substr(0, host.find(':')));
   std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) {
@@ -19,8 +17,6 @@
   return key;
 }
 
-}  // namespace
-
 RouteTable::RouteTable(RouteConfiguration configuration)
     : configuration_(std::move(configuration)) {
   for (std::size_t it = 0; it < configuration_.routes.size(); ++it) {
--- a/src/core/request/route_table.h
+++ b/src/core/request/route_table.h
@@ -15,6 +15,10 @@
 
 namespace indigolead {
 
+/// Returns the name in a Host header without its port, in lower case: all forms
+/// of one host have the same routes.
+std::string HostKey(std::string_view host);
+
 /// A service's share of a route's requests.
 struct WeightedService {
   std::string service;
--- a/tests/platform/caller_protocol_test.cc
+++ b/tests/platform/caller_protocol_test.cc
@@ -94,6 +94,25 @@
   }
 }
 
+/// Guards against retries that are not recognized as the same request, so that
+/// the crashes under them do not add up.
+TEST_CASE("Retries have one fingerprint however they write the host") {
+  const CallerInterface callers = Callers(Routes());
+  const auto fingerprint_of = [&](const IncomingRequest& incoming) {
+    return RequestOf(callers.handle(incoming, RequestId{})).fingerprint;
+  };
+  const std::uint64_t fingerprint = fingerprint_of(Incoming());
+  for (const char* const host : {"LIST.example", "list.example:8149"}) {
+    CAPTURE(host);
+    IncomingRequest retry = Incoming();
+    retry.headers = {{"host", host}, {"X-Request-Id", "another"}};
+    CHECK(fingerprint_of(retry) == fingerprint);
+  }
+  IncomingRequest other_body = Incoming();
+  other_body.body = "menus";
+  CHECK(fingerprint_of(other_body) != fingerprint);
+}
+
 // If system headers were forwarded from callers, a caller could continue from
 // another caller's KV cache or get ahead of all other requests.
 TEST_CASE("Headers reserved for the system are not accepted from callers") {
