Give sound requests in the crash test bodies of their own

All sound requests beside the crashing one had one body, so they were one request to the ledger: one that ran in every crash, was blocked now and then, and could not be answered while it was. Callers' requests differ. The bounds stay; the test stays known red.

--- a/tests/platform/crashing_request_process_test.cc
+++ b/tests/platform/crashing_request_process_test.cc
@@ -141,6 +141,11 @@
   CHECK_FALSE(refused.Header("Retry-After").empty());
 }
 
+/// Returns the prompt of a request that shares no part with others.
+std::string OwnPart(const std::string& id) {
+  return std::to_string(std::hash<std::string>()(id) % 1'000'000'007) + ":10";
+}
+
 struct CrashCase {
   const char* description;
   ModelWorker::CrashForm form;
@@ -188,6 +193,7 @@
   }
   scene.Register();
   SteadyCallers::Load sound_load{"POST", "/audit/1", 30};
+  sound_load.make_parts = OwnPart;
   SteadyCallers sound(&scene, sound_load);
   SteadyCallers::Load bad_load{"POST", "/audit/crash", 4};
   bad_load.patience = it.patience;
