Judge a break at a target by later evidence too

What callers saw: a request that crashes each engine that begins to answer it was passed on for as long as it came, each time with the answers of all others that ran there.

Cause: a break counted as a crash only if the probe right after it was refused or answered by another run. Where something else accepts connections at the address of a crashed process (a supervisor, a balancer, a full backlog), probes are reset or time out. Three resets were taken for survival, and a suspicion lapsed after a second, before a silent probe had ended. The entry learned soon after that the run had ended, as another target was listed at its address, but nothing led back to what broke.

Now what broke stays suspect for five seconds, and probes are repeated. These show a crash: a refused probe, one that another run answers, a list with another run, with another target at the address, or without a target that has not announced its leaving, and another entry's report. A probe that the same run answers shows survival, and an announced leaving ends all suspicion. A cut or lossy link still blames nobody: silence and resets alone are no evidence.

"A break whose first probes prove nothing is judged later", "A list shows that a target crashed whose connection broke" and "A request that waits for a crashed target counts in its crash" hold the parts.

--- a/src/core/membership/target_directory.cc
+++ b/src/core/membership/target_directory.cc
@@ -138,6 +138,11 @@
   return changes;
 }
 
+bool TargetDirectory::IsMissing(const std::string& id) const {
+  const auto it = targets_.find(id);
+  return it != targets_.end() && it->second.missing_since.has_value();
+}
+
 const TargetRecord* TargetDirectory::Find(const std::string& id) const {
   const auto it = targets_.find(id);
   return it == targets_.end() ? nullptr : &it->second.record;
--- a/src/core/membership/target_directory.h
+++ b/src/core/membership/target_directory.h
@@ -123,6 +123,8 @@
   bool MayHaveLeft(const std::string& id) const {
     return undecided_.count(id) > 0;
   }
+  /// Returns true if the target is known, but is not on the last list.
+  bool IsMissing(const std::string& id) const;
   /// Returns true if `missing` out of `of` targets is few enough for them to
   /// have left at the same time: at most a quarter.
   ///
--- a/src/entry/crash_detector.cc
+++ b/src/entry/crash_detector.cc
@@ -1,5 +1,6 @@
 #include "entry/crash_detector.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "entry/events.h"
@@ -28,75 +29,167 @@
       clock_(std::move(clock)),
       log_(std::move(log)) {}
 
-void CrashDetector::OnBroken(const TargetCrash& run,
-                             const RunningRequest& request) {
-  const auto [it, added] = suspected_crashes_.try_emplace(run);
-  SuspectedCrash& suspected = it->second;
+CrashDetector::SuspectedRun* CrashDetector::Add(const TargetCrash& run,
+                                                const RunningRequest& request) {
+  SuspectedRun& suspected = runs_[run];
   if (suspected.crashed) {
     hooks_.on_crash(run, {request});
-    return;
+    return nullptr;
   }
-  suspected.running.push_back(request);
-  if (added) {
-    suspected.until = clock_() + options_.crash_window;
+  if (suspected.suspects.size() >= options_.max_suspects) {
+    suspected.suspects.pop_front();
+  }
+  suspected.suspects.push_back({request, clock_()});
+  return &suspected;
+}
+
+void CrashDetector::OnBroken(const TargetCrash& run,
+                             const RunningRequest& request) {
+  const SuspectedRun* suspected = Add(run, request);
+  if (suspected && suspected->calls == 0) {
     Call(run);
   }
 }
 
+void CrashDetector::OnRunEnded(const TargetCrash& run,
+                               const std::vector<RunningRequest>& open,
+                               std::string_view evidence) {
+  for (const RunningRequest& it : open) {
+    Add(run, it);
+  }
+  if (!runs_[run].crashed) {
+    Confirm(run, evidence);
+  }
+}
+
+void CrashDetector::OnUnlisted(const TargetCrash& run) {
+  const auto it = runs_.find(run);
+  if (it != runs_.end() && !it->second.crashed) {
+    Confirm(run, "the registration is gone");
+  }
+}
+
+void CrashDetector::OnLeavingAnnounced(const TargetCrash& run) {
+  runs_.erase(run);
+}
+
 void CrashDetector::Call(const TargetCrash& run) {
-  ++suspected_crashes_.at(run).calls;
-  hooks_.call(run.target,
-              [this, run](const Status& status) { OnCalled(run, status); });
+  SuspectedRun& suspected = runs_.at(run);
+  const TimePoint now = clock_();
+  ++suspected.calls;
+  suspected.called_at = now;
+  suspected.next_call.reset();
+  hooks_.call(run.target, [this, run, now](const Status& status) {
+    OnCalled(run, now, status);
+  });
 }
 
-void CrashDetector::OnCalled(const TargetCrash& run, const Status& status) {
-  const auto it = suspected_crashes_.find(run);
-  if (it == suspected_crashes_.end()) {
+void CrashDetector::OnCalled(const TargetCrash& run, TimePoint started_at,
+                             const Status& status) {
+  const auto it = runs_.find(run);
+  if (it == runs_.end() || it->second.crashed) {
     return;
   }
-  SuspectedCrash& suspected = it->second;
-  const bool ended = ShowsEnd(status);
-  const bool broke =
-      !IsOk(status) && ErrorOf(status).code == ErrorCode::kUnknownEffect;
-  if (broke && suspected.calls < options_.max_probes) {
-    Call(run);
+  SuspectedRun& suspected = it->second;
+  if (suspected.called_at == started_at) {
+    suspected.called_at.reset();
+  }
+  if (IsOk(status)) {
+    OnSurvived(run, started_at);
     return;
   }
-  if (ended) {
-    LogOutcome(kTargetCrashed, run, suspected, ToString(ErrorOf(status)));
-  } else if (IsOk(status)) {
-    LogOutcome(kTargetSurvived, run, suspected, "answered");
+  const Error& error = ErrorOf(status);
+  if (ShowsEnd(status)) {
+    Confirm(run, ToString(error));
+  } else if (error.code == ErrorCode::kUnknownEffect &&
+             suspected.calls < options_.max_probes) {
+    Call(run);
+  } else if (!suspected.called_at) {
+    suspected.next_call = clock_() + options_.probe_interval;
+  }
+}
+
+void CrashDetector::OnSurvived(const TargetCrash& run, TimePoint started_at) {
+  SuspectedRun& suspected = runs_.at(run);
+  const std::size_t survived = std::erase_if(
+      suspected.suspects,
+      [started_at](const Suspect& it) { return it.at <= started_at; });
+  LogOutcome(kTargetSurvived, run, survived, "answered");
+  suspected.calls = 0;
+  suspected.next_call.reset();
+  if (suspected.suspects.empty()) {
+    runs_.erase(run);
   } else {
-    LogOutcome(kTargetUndecided, run, suspected, ToString(ErrorOf(status)));
+    Call(run);
   }
-  if (!ended) {
-    suspected_crashes_.erase(it);
-    return;
+}
+
+void CrashDetector::Confirm(const TargetCrash& run, std::string_view evidence) {
+  SuspectedRun& suspected = runs_.at(run);
+  std::vector<RunningRequest> running;
+  for (Suspect& it : suspected.suspects) {
+    running.push_back(std::move(it.request));
   }
+  suspected = {};
   suspected.crashed = true;
   suspected.until = clock_() + options_.crash_window;
-  hooks_.on_crash(run, std::exchange(suspected.running, {}));
+  if (!running.empty()) {
+    LogOutcome(kTargetCrashed, run, running.size(), evidence);
+    hooks_.on_crash(run, running);
+  }
 }
 
 void CrashDetector::Tick() {
   const TimePoint now = clock_();
-  std::erase_if(suspected_crashes_, [&](const auto& it) {
-    const auto& [run, suspected] = it;
-    const bool expired = now >= suspected.until;
-    if (expired && !suspected.crashed) {
-      LogOutcome(kTargetUndecided, run, suspected, "unanswered");
+  std::vector<TargetCrash> due;
+  for (auto it = runs_.begin(); it != runs_.end();) {
+    auto& [run, suspected] = *it;
+    if (!suspected.crashed) {
+      Expire(run, &suspected, now);
     }
-    return expired;
-  });
+    if (suspected.crashed ? now >= suspected.until
+                          : suspected.suspects.empty()) {
+      it = runs_.erase(it);
+      continue;
+    }
+    if (IsProbeDue(suspected, now)) {
+      due.push_back(run);
+    }
+    ++it;
+  }
+  for (const TargetCrash& it : due) {
+    Call(it);
+  }
+}
+
+void CrashDetector::Expire(const TargetCrash& run, SuspectedRun* suspected,
+                           TimePoint now) {
+  const std::size_t undecided =
+      std::erase_if(suspected->suspects, [&](const Suspect& it) {
+        return now - it.at >= options_.evidence_window;
+      });
+  if (undecided > 0) {
+    LogOutcome(kTargetUndecided, run, undecided, "no evidence");
+  }
+}
+
+bool CrashDetector::IsProbeDue(const SuspectedRun& suspected,
+                               TimePoint now) const {
+  if (suspected.crashed) {
+    return false;
+  }
+  const bool unanswered = suspected.called_at &&
+                          now - *suspected.called_at >= options_.probe_interval;
+  return unanswered || (suspected.next_call && now >= *suspected.next_call);
 }
 
 void CrashDetector::LogOutcome(const EventInfo& event, const TargetCrash& run,
-                               const SuspectedCrash& suspected,
-                               const std::string& call) const {
+                               std::size_t running,
+                               std::string_view call) const {
   log_(event, {{"target", run.target},
                {"run", std::to_string(run.run)},
-               {"running", std::to_string(suspected.running.size())},
-               {"call", call}});
+               {"running", std::to_string(running)},
+               {"call", std::string(call)}});
 }
 
 }  // namespace indigolead
--- a/src/entry/crash_detector.h
+++ b/src/entry/crash_detector.h
@@ -1,9 +1,13 @@
 #ifndef INDIGOLEAD_ENTRY_CRASH_DETECTOR_H_
 #define INDIGOLEAD_ENTRY_CRASH_DETECTOR_H_
 
+#include <cstddef>
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/base/result.h"
@@ -14,23 +18,32 @@
 
 namespace indigolead {
 
-/// Distinguishes the crash of a target from the loss of a single connection.
+/// Finds crashes of targets and the requests of this entry that were running.
 ///
-/// Both look the same to a request. After a crash nothing listens at the
-/// target's address, or another run of it already does, so the detector probes
-/// the target: only a refused connection and the answer of another run are
-/// taken as a crash. Any other outcome means that the target is alive, or
-/// proves nothing.
+/// To a request, a crash looks like the loss of its connection. Requests that
+/// ended in such a way are suspects, and are kept until there is evidence:
+/// - A refused probe, a probe answered by another run, or a replaced
+///   registration shows that the target crashed.
+/// - A probe answered by the same run shows that it survived.
+/// A probe that breaks or gets no answer proves nothing and is repeated, since
+/// something else may accept connections at the address of a crashed target.
 ///
 /// Runs on one thread.
 class CrashDetector {
  public:
   struct Options {
-    /// Connections that break within this time after a crash belong to it.
+    /// Requests that end within this time after a crash belong to it.
     Duration crash_window = std::chrono::seconds(1);
-    /// Maximum number of probes. The connection of a probe may break like those
-    /// of the requests.
+    /// How long a suspect is kept without evidence: longer than the platform
+    /// lists a silent target.
+    Duration evidence_window = std::chrono::seconds(5);
+    /// Number of probes in a row that may break before the next one waits. The
+    /// connection of a probe may break like those of the requests.
     int max_probes = 3;
+    /// Time between further probes.
+    Duration probe_interval = std::chrono::milliseconds(500);
+    /// Bound on the suspects of one run; the oldest are dropped.
+    std::size_t max_suspects = 512;
   };
   struct Hooks {
     /// Probes the target without running a request. Must not call `done` before
@@ -47,28 +60,50 @@
 
   /// The connection of a request broke after it had been written.
   void OnBroken(const TargetCrash& run, const RunningRequest& request);
-  /// Removes expired entries. Call several times a second.
+  /// The run has ended without announcing it, as `evidence` shows. `open` are
+  /// the requests that it has not answered.
+  void OnRunEnded(const TargetCrash& run,
+                  const std::vector<RunningRequest>& open,
+                  std::string_view evidence);
+  /// The target is no longer listed, but has not announced that it leaves: it
+  /// may still serve, unless a connection to it broke.
+  void OnUnlisted(const TargetCrash& run);
+  /// The target has announced that it leaves, so its end will be no crash.
+  void OnLeavingAnnounced(const TargetCrash& run);
+  /// Sends due probes and removes expired entries. Call several times a second.
   void Tick();
 
  private:
-  struct SuspectedCrash {
-    std::vector<RunningRequest> running;
-    int calls = 0;
+  struct Suspect {
+    RunningRequest request;
+    TimePoint at;
+  };
+  struct SuspectedRun {
+    std::deque<Suspect> suspects;  ///< Oldest first.
+    int calls = 0;                 ///< Probes since the last one answered.
+    std::optional<TimePoint> called_at;  ///< Start of the open probe.
+    std::optional<TimePoint> next_call;
     bool crashed = false;
-    TimePoint until;  ///< Time of removal.
+    TimePoint until{};  ///< End of the crash window.
   };
 
+  SuspectedRun* Add(const TargetCrash& run, const RunningRequest& request);
   void Call(const TargetCrash& run);
-  void OnCalled(const TargetCrash& run, const Status& status);
+  void OnCalled(const TargetCrash& run, TimePoint started_at,
+                const Status& status);
+  /// Clears the suspects that ended before the answered probe was sent.
+  void OnSurvived(const TargetCrash& run, TimePoint started_at);
+  void Confirm(const TargetCrash& run, std::string_view evidence);
+  void Expire(const TargetCrash& run, SuspectedRun* suspected, TimePoint now);
+  bool IsProbeDue(const SuspectedRun& suspected, TimePoint now) const;
   void LogOutcome(const EventInfo& event, const TargetCrash& run,
-                  const SuspectedCrash& suspected,
-                  const std::string& call) const;
+                  std::size_t running, std::string_view call) const;
 
   Options options_;
   Hooks hooks_;
   Clock clock_;
   EventLog log_;
-  std::map<TargetCrash, SuspectedCrash> suspected_crashes_;
+  std::map<TargetCrash, SuspectedRun> runs_;
 };
 
 }  // namespace indigolead
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -354,6 +354,7 @@
           {"failure_domain", it.target.failure_domain},
           {"role", std::to_string(static_cast<int>(it.target.role))},
           {"software", it.target.software_version}});
+    NoteEndedRuns(it);
     transport_.OnTarget(it);
     UpdateAddress(it);
     NoteLeaving(it);
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -164,6 +164,9 @@
   /// This or another entry has seen the target crash. Returns false if the
   /// listed run of the target is another one.
   bool OnTargetDown(const TargetCrash& crash);
+  /// Another entry has seen the target crash. Requests of this entry that were
+  /// running in it are reported with `on_crash`.
+  void OnCrashReported(const TargetCrash& crash);
   /// See `TargetDirectory::AbsenceDue`.
   std::optional<TimePoint> AbsenceDue() const {
     return directory_.AbsenceDue();
@@ -286,6 +289,15 @@
   void OnRequestBroke(const std::string& instance,
                       const std::optional<TargetRun>& run,
                       const CallerRequest& request);
+  /// Returns true if the end of the target would be a crash: it is known and
+  /// not leaving. A leaving target cuts off unfinished requests.
+  bool MayCrash(const std::string& instance) const;
+  void OnRunEnded(const std::string& instance,
+                  const std::optional<TargetRun>& run,
+                  std::string_view evidence);
+  /// Finds the runs that a change of the list shows to have ended. Must be
+  /// called before the change is applied.
+  void NoteEndedRuns(const TargetChange& change);
   RouteResult RouteToEngine(const CallerRequest& request,
                             const std::vector<Candidate>& candidates,
                             TimePoint now);
--- a/src/entry/direct_dispatcher_crashes.cc
+++ b/src/entry/direct_dispatcher_crashes.cc
@@ -4,6 +4,14 @@
 #include "entry/event_fields.h"
 
 namespace indigolead {
+namespace {
+
+TargetCrash CrashOf(const std::string& instance,
+                    const std::optional<TargetRun>& run) {
+  return {instance, run ? run->started_ms : 0};
+}
+
+}  // namespace
 
 CrashDetector::Hooks DirectDispatcher::CrashHooks() {
   CrashDetector::Hooks hooks;
@@ -31,15 +39,69 @@
   return true;
 }
 
+void DirectDispatcher::OnCrashReported(const TargetCrash& crash) {
+  const TargetRecord* target = transport_.FindTarget(crash.target);
+  if (target && CrashOf(crash.target, target->run) == crash &&
+      MayCrash(crash.target)) {
+    crashes_.OnRunEnded(crash, {}, "another entry reports it");
+  }
+}
+
+bool DirectDispatcher::MayCrash(const std::string& instance) const {
+  const SideTable::Side* side = flow_.sides().Find(instance);
+  return side && SideTable::AcceptsAttempts(*side);
+}
+
 void DirectDispatcher::OnRequestBroke(const std::string& instance,
                                       const std::optional<TargetRun>& run,
                                       const CallerRequest& request) {
-  const SideTable::Side* side = flow_.sides().Find(instance);
-  if (!side || !SideTable::AcceptsAttempts(*side)) {
-    return;  // A leaving target cuts off unfinished requests.
+  if (MayCrash(instance)) {
+    crashes_.OnBroken(CrashOf(instance, run), RunningRequestOf(request));
+  }
+}
+
+void DirectDispatcher::OnRunEnded(const std::string& instance,
+                                  const std::optional<TargetRun>& run,
+                                  std::string_view evidence) {
+  std::vector<RunningRequest> open;
+  if (MayCrash(instance)) {
+    for (const auto& it : transport_.OpenRequestsAt(instance, run)) {
+      open.push_back(RunningRequestOf(*it));
+    }
+  }
+  crashes_.OnRunEnded(CrashOf(instance, run), open, evidence);
+}
+
+void DirectDispatcher::NoteEndedRuns(const TargetChange& change) {
+  const std::string& id = change.target.id;
+  switch (change.kind) {
+    case TargetChange::Kind::kRestarted:
+      if (const TargetRecord* before = transport_.FindTarget(id)) {
+        OnRunEnded(id, before->run, "another run is listed");
+      }
+      break;
+    case TargetChange::Kind::kAdded:
+      // An address is used again only after its previous target has ended.
+      for (const std::string& it :
+           addresses_.TargetsAt(change.target.address)) {
+        const TargetRecord* before = transport_.FindTarget(it);
+        if (it != id && before) {
+          OnRunEnded(it, before->run, "another target has its address");
+        }
+      }
+      break;
+    case TargetChange::Kind::kLeaving: {
+      const TargetCrash run = CrashOf(id, change.target.run);
+      if (directory_.IsMissing(id) && !change.target.leaving) {
+        crashes_.OnUnlisted(run);
+      } else {
+        crashes_.OnLeavingAnnounced(run);
+      }
+      break;
+    }
+    default:
+      break;
   }
-  crashes_.OnBroken({instance, run ? run->started_ms : 0},
-                    RunningRequestOf(request));
 }
 
 std::optional<Refusal> DirectDispatcher::RefuseBlocked(
--- a/src/entry/direct_transport.cc
+++ b/src/entry/direct_transport.cc
@@ -589,6 +589,18 @@
   }
 }
 
+std::vector<std::shared_ptr<const CallerRequest>>
+DirectTransport::OpenRequestsAt(const std::string& instance,
+                                const std::optional<TargetRun>& run) const {
+  std::vector<std::shared_ptr<const CallerRequest>> requests;
+  for (const auto& [id, it] : runs_) {
+    if (it.written && it.instance == instance && it.called == run) {
+      requests.push_back(it.request);
+    }
+  }
+  return requests;
+}
+
 void DirectTransport::Act(const SendCredit& action) {
   Run* run = Find(action.attempt);
   if (!run) {
--- a/src/entry/direct_transport.h
+++ b/src/entry/direct_transport.h
@@ -141,6 +141,10 @@
   std::size_t running() const { return runs_.size(); }
   /// Returns false if no byte of the call that runs the attempt was written.
   bool MayHaveStarted(const AttemptId& attempt) const;
+  /// Returns the requests that were written to this run of a target and have
+  /// not ended.
+  std::vector<std::shared_ptr<const CallerRequest>> OpenRequestsAt(
+      const std::string& instance, const std::optional<TargetRun>& run) const;
 
  private:
   struct Target {
--- a/tests/platform/direct_transport_test.cc
+++ b/tests/platform/direct_transport_test.cc
@@ -72,6 +72,26 @@
     targets_[n].run = TargetRun{++starts_};
     dispatcher_.OnTargets(targets_);
   }
+  /// Removes target `n` (from 0) from the list.
+  void Unlist(std::size_t n) {
+    targets_.erase(targets_.begin() + static_cast<std::ptrdiff_t>(n));
+    dispatcher_.OnStoreFollowed();  // Otherwise a list proves no absence.
+    dispatcher_.OnTargets(targets_);
+  }
+  /// Registers target `n` (from 0) as leaving.
+  void Leave(std::size_t n) {
+    targets_[n].leaving = true;
+    dispatcher_.OnTargets(targets_);
+  }
+  /// Replaces target `n` (from 0) by another one at its address.
+  void Replace(std::size_t n) {
+    targets_[n].id += "-next";
+    dispatcher_.OnTargets(targets_);
+  }
+  /// Another entry reports the crash of target `n` (from 0).
+  void ReportCrash(std::size_t n) {
+    dispatcher_.OnCrashReported({targets_[n].id, targets_[n].run->started_ms});
+  }
   int connections_to(std::size_t n) const { return servers_[n].connections(); }
 
   Outcome Ask(Repeatability repeatability, const std::string& id = "r-1",
@@ -114,6 +134,8 @@
 
   /// Returns how often a target was marked as avoided.
   int avoided() const { return avoided_; }
+  /// Returns the number of requests that were running in crashes.
+  std::size_t crashed() const { return crashed_; }
   /// Returns the number of requests counted as answered.
   int answered() const { return answered_; }
 
@@ -168,6 +190,10 @@
   DirectDispatcher::Hooks Hooks() {
     DirectDispatcher::Hooks hooks;
     hooks.on_answered = [this](const RunningRequest&) { ++answered_; };
+    hooks.on_crash = [this](const TargetCrash&,
+                            const std::vector<RunningRequest>& running) {
+      crashed_ += running.size();
+    };
     hooks.to_callers = [this](const ToCallers& message) {
       if (const auto* whole = std::get_if<AnswerWhole>(&message)) {
         outcome_ = whole->answer.status == 200 ? Outcome::kAnswered
@@ -190,6 +216,7 @@
   std::int64_t starts_ = 0;
   int avoided_ = 0;
   int answered_ = 0;
+  std::size_t crashed_ = 0;
   std::optional<Outcome> outcome_;
   DirectDispatcher dispatcher_;
 };
@@ -488,6 +515,56 @@
   CHECK(fixture.arrivals_at(3) == 0);
 }
 
+/// Guards against crashes that no probe shows, and against blaming requests for
+/// a planned stop.
+TEST_CASE("A list shows that a target crashed whose connection broke") {
+  DispatchFixture fixture({{Reset()}});
+  CHECK(fixture.Ask(Repeatability::kOnce) == Outcome::kUnknown);
+  CHECK(fixture.crashed() == 0);
+  SECTION("if it has restarted") {
+    fixture.Restart(0);
+    CHECK(fixture.crashed() == 1);
+  }
+  SECTION("if another target has its address") {
+    fixture.Replace(0);
+    CHECK(fixture.crashed() == 1);
+  }
+  SECTION("if it is gone without notice") {
+    fixture.Unlist(0);
+    CHECK(fixture.crashed() == 1);
+  }
+  SECTION("or another entry's report") {
+    fixture.ReportCrash(0);
+    CHECK(fixture.crashed() == 1);
+  }
+  SECTION("not if it has announced that it leaves") {
+    fixture.Leave(0);
+    fixture.Replace(0);
+    CHECK(fixture.crashed() == 0);
+  }
+}
+
+/// Guards against crashes that leave connections open and are found by the list
+/// alone.
+TEST_CASE("A request that waits for a crashed target counts in its crash") {
+  const Script silent = {{Kind::kSleep, ""}};
+  DispatchFixture fixture({{silent}});
+  fixture.Begin(Repeatability::kOnce);
+  fixture.RunFor(milliseconds(50));
+  SECTION("if it has restarted") {
+    fixture.Restart(0);
+    CHECK(fixture.crashed() == 1);
+  }
+  SECTION("if another target has its address") {
+    fixture.Replace(0);
+    CHECK(fixture.crashed() == 1);
+  }
+  SECTION("not if it may have left") {
+    fixture.Unlist(0);
+    CHECK(fixture.crashed() == 0);
+  }
+}
+
 TEST_CASE("If all targets refuse, the caller gets an accurate refusal") {
   DispatchFixture fixture(Send(kNotExecuted), Send(kNotExecuted));
   CHECK(fixture.Ask(Repeatability::kOnce) == Outcome::kNotRun);
--- a/tests/shell/crash_detector_test.cc
+++ b/tests/shell/crash_detector_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -98,5 +99,104 @@
   }
 }
 
+/// A detector with a clock, and what it reports.
+struct DetectorFixture {
+  DetectorFixture() {
+    hooks.call = [this](const std::string&,
+                        std::function<void(const Status&)> done) {
+      probes.push_back(std::move(done));
+    };
+    hooks.on_crash = [this](const TargetCrash&,
+                            const std::vector<RunningRequest>& running) {
+      for (const RunningRequest& it : running) {
+        crashed.push_back(it.fingerprint);
+      }
+    };
+    detector.emplace(
+        CrashDetector::Options{}, hooks, [this] { return now; },
+        MakeNullEventLog());
+  }
+
+  void Wait(milliseconds length) {
+    now += length;
+    detector->Tick();
+  }
+
+  using Fingerprints = std::vector<Fingerprint>;
+
+  const TargetCrash run{"i-1", 5};
+  TimePoint now{seconds(1000)};
+  std::vector<std::function<void(const Status&)>> probes;
+  Fingerprints crashed;
+  CrashDetector::Hooks hooks;
+  std::optional<CrashDetector> detector;
+};
+
+/// Guards against crashes behind an address that accepts connections while the
+/// target is down.
+TEST_CASE("A break whose first probes prove nothing is judged later") {
+  DetectorFixture it;
+  it.detector->OnBroken(it.run, {1, {}});
+  SECTION("by a further probe that another run answers") {
+    for (std::size_t n = 0; n < 3; ++n) {
+      it.probes[n](Failed(ErrorCode::kUnknownEffect));
+    }
+    CHECK(it.probes.size() == 3);
+    it.Wait(milliseconds(500));
+    REQUIRE(it.probes.size() == 4);
+    it.probes[3](Failed(ErrorCode::kConflict));
+    CHECK(it.crashed == DetectorFixture::Fingerprints{1});
+  }
+  SECTION("by a further probe if the first is not answered") {
+    it.Wait(milliseconds(500));
+    REQUIRE(it.probes.size() == 2);
+    it.probes[1](Failed(ErrorCode::kUnavailable));
+    CHECK(it.crashed == DetectorFixture::Fingerprints{1});
+    it.probes[0](Unit{});
+    CHECK(it.crashed.size() == 1);
+  }
+  SECTION("by a further probe that the same run answers") {
+    it.probes[0](Failed(ErrorCode::kTimeout));
+    it.Wait(milliseconds(500));
+    REQUIRE(it.probes.size() == 2);
+    it.probes[1](Unit{});
+    it.detector->OnRunEnded(it.run, {}, "test");
+    CHECK(it.crashed.empty());
+  }
+  SECTION("by a list with another run, with what is open there") {
+    it.detector->OnRunEnded(it.run, {{2, {}}}, "test");
+    CHECK(it.crashed == DetectorFixture::Fingerprints{1, 2});
+    SECTION("and what breaks shortly after belongs to it") {
+      it.detector->OnBroken(it.run, {3, {}});
+      CHECK(it.crashed.size() == 3);
+    }
+  }
+  SECTION("by a list without the target") {
+    it.detector->OnUnlisted(it.run);
+    CHECK(it.crashed == DetectorFixture::Fingerprints{1});
+  }
+  SECTION("not if the target announces that it leaves") {
+    it.detector->OnLeavingAnnounced(it.run);
+    it.detector->OnUnlisted(it.run);
+    it.detector->OnRunEnded(it.run, {}, "test");
+    CHECK(it.crashed.empty());
+  }
+  SECTION("not after the evidence window") {
+    it.Wait(seconds(5));
+    it.detector->OnRunEnded(it.run, {}, "test");
+    CHECK(it.crashed.empty());
+  }
+}
+
+TEST_CASE("The suspects of one run are bounded") {
+  DetectorFixture it;
+  for (Fingerprint n = 1; n <= 600; ++n) {
+    it.detector->OnBroken(it.run, {n, {}});
+  }
+  it.detector->OnRunEnded(it.run, {}, "test");
+  CHECK(it.crashed.size() == CrashDetector::Options{}.max_suspects);
+  CHECK(it.crashed.back() == 600);
+}
+
 }  // namespace
 }  // namespace indigolead
