Count crashes under requests that were given up

What callers saw: a request whose caller leaves early was passed on for as long as it came, although engines crashed under it.

Cause: an attempt whose caller left, or whose time was over, was closed and forgotten. Some engines work on, and crash a moment later. The crash was found through other requests, or by the list, but the one to blame was not among those that ran.

Now a written attempt that is given up is a suspect for five seconds. It causes no probe, and one that is answered does not clear it, since the engine may still be working on it; a crash of that run in this time counts against it.

"An abandoned request counts in a crash shortly after" and "A request that was given up counts in a crash shortly after" hold the parts.

--- a/src/entry/crash_detector.cc
+++ b/src/entry/crash_detector.cc
@@ -61,6 +61,11 @@
   }
 }
 
+void CrashDetector::OnAbandoned(const TargetCrash& run,
+                                const RunningRequest& request) {
+  Add(run, request, Ending::kAbandoned);
+}
+
 void CrashDetector::OnRunEnded(const TargetCrash& run,
                                const std::vector<RunningRequest>& open,
                                std::string_view evidence) {
@@ -133,7 +138,8 @@
   SuspectedRun& suspected = runs_.at(run);
   std::vector<Suspect> survived;
   std::erase_if(suspected.suspects, [&](const Suspect& it) {
-    const bool erased = it.at <= started_at;
+    // The target may still be working on an abandoned request.
+    const bool erased = it.ending != Ending::kAbandoned && it.at <= started_at;
     if (erased) {
       survived.push_back(it);
     }
@@ -144,7 +150,7 @@
   suspected.next_call.reset();
   if (suspected.suspects.empty()) {
     runs_.erase(run);
-  } else {
+  } else if (NeedsProbe(suspected)) {
     suspected.next_call = clock_() + options_.doubt_probe_delay;
   }
   for (const Suspect& it : survived) {
@@ -196,7 +202,7 @@
   while (!suspected->suspects.empty() &&
          now - suspected->suspects.front().at >= options_.evidence_window) {
     const Suspect& oldest = suspected->suspects.front();
-    ++undecided;
+    undecided += oldest.ending == Ending::kAbandoned ? 0 : 1;
     Release(oldest);
     suspected->suspects.pop_front();
   }
@@ -205,9 +211,15 @@
   }
 }
 
+bool CrashDetector::NeedsProbe(const SuspectedRun& suspected) {
+  return std::any_of(
+      suspected.suspects.begin(), suspected.suspects.end(),
+      [](const Suspect& it) { return it.ending != Ending::kAbandoned; });
+}
+
 bool CrashDetector::IsProbeDue(const SuspectedRun& suspected,
                                TimePoint now) const {
-  if (suspected.crashed) {
+  if (suspected.crashed || !NeedsProbe(suspected)) {
     return false;
   }
   const bool unanswered = suspected.called_at &&
--- a/src/entry/crash_detector.h
+++ b/src/entry/crash_detector.h
@@ -20,9 +20,9 @@
 
 /// Finds crashes of targets and the requests of this entry that were running.
 ///
-/// To a request, a crash may look like the loss of its connection or like the
-/// end of its answer. Requests that ended in such a way are suspects, and are
-/// kept until there is evidence:
+/// To a request, a crash may look like the loss of its connection, like the end
+/// of its answer, or like nothing at all if its caller has left. Requests that
+/// ended in such a way are suspects, and are kept until there is evidence:
 /// - A refused probe, a probe answered by another run, or a replaced
 ///   registration shows that the target crashed.
 /// - A probe answered by the same run shows that it survived.
@@ -67,6 +67,8 @@
   void OnBroken(const TargetCrash& run, const RunningRequest& request);
   /// An answer ended in a way that does not prove that it is complete.
   void OnDoubtfulEnd(const TargetCrash& run, const RunningRequest& request);
+  /// This entry stopped waiting for an answer; the target may still be working.
+  void OnAbandoned(const TargetCrash& run, const RunningRequest& request);
   /// The run has ended without announcing it, as `evidence` shows. `open` are
   /// the requests that it has not answered.
   void OnRunEnded(const TargetCrash& run,
@@ -81,7 +83,7 @@
   void Tick();
 
  private:
-  enum class Ending { kBroken, kDoubtful };
+  enum class Ending { kBroken, kDoubtful, kAbandoned };
   struct Suspect {
     RunningRequest request;
     Ending ending;
@@ -106,6 +108,7 @@
   void Confirm(const TargetCrash& run, std::string_view evidence);
   void Expire(const TargetCrash& run, SuspectedRun* suspected, TimePoint now);
   bool IsProbeDue(const SuspectedRun& suspected, TimePoint now) const;
+  static bool NeedsProbe(const SuspectedRun& suspected);
   /// Stops suspecting a request without evidence of a crash.
   void Release(const Suspect& suspect);
   void LogOutcome(const EventInfo& event, const TargetCrash& run,
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -221,6 +221,11 @@
                                   const CallerRequest& request) {
     OnRequestBroke(instance, run, request);
   };
+  hooks.on_request_abandoned = [this](const std::string& instance,
+                                      const std::optional<TargetRun>& run,
+                                      const CallerRequest& request) {
+    OnRequestAbandoned(instance, run, request);
+  };
   hooks.on_extra_call = [this](const std::string& instance) {
     limits_.OnSent(LimitKeyOf(instance), clock_());
   };
--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -290,6 +290,9 @@
   void OnRequestBroke(const std::string& instance,
                       const std::optional<TargetRun>& run,
                       const CallerRequest& request);
+  void OnRequestAbandoned(const std::string& instance,
+                          const std::optional<TargetRun>& run,
+                          const CallerRequest& request);
   void OnDoubtfulEnd(const std::string& instance,
                      const std::optional<TargetRun>& run,
                      const CallerRequest& request);
--- a/src/entry/direct_dispatcher_crashes.cc
+++ b/src/entry/direct_dispatcher_crashes.cc
@@ -65,6 +65,14 @@
   }
 }
 
+void DirectDispatcher::OnRequestAbandoned(const std::string& instance,
+                                          const std::optional<TargetRun>& run,
+                                          const CallerRequest& request) {
+  if (MayCrash(instance)) {
+    crashes_.OnAbandoned(CrashOf(instance, run), RunningRequestOf(request));
+  }
+}
+
 void DirectDispatcher::OnDoubtfulEnd(const std::string& instance,
                                      const std::optional<TargetRun>& run,
                                      const CallerRequest& request) {
--- a/src/entry/direct_transport.cc
+++ b/src/entry/direct_transport.cc
@@ -459,6 +459,9 @@
                       : AttemptOutcome::kTargetFailed;
     end.detail = error.detail;
     ReportBrokenRequest(run->instance, *run, error);
+    if (error.code == ErrorCode::kTimeout) {
+      ReportAbandonedRequest(*run);
+    }
     log_(kTargetBroke,
          {{"request", run->request->caller_id},
           {"target", run->instance},
@@ -589,6 +592,12 @@
   }
 }
 
+void DirectTransport::ReportAbandonedRequest(const Run& run) {
+  if (hooks_.on_request_abandoned) {
+    hooks_.on_request_abandoned(run.instance, run.called, *run.request);
+  }
+}
+
 std::vector<std::shared_ptr<const CallerRequest>>
 DirectTransport::OpenRequestsAt(const std::string& instance,
                                 const std::optional<TargetRun>& run) const {
@@ -616,8 +625,14 @@
 void DirectTransport::Act(const SendCancel& action) {
   // Destroying the call closes its connection, which stops the target.
   const auto node = runs_.extract(action.ref.attempt);
-  if (!node.empty() && node.mapped().handle && !node.mapped().written) {
-    ReleaseHandle(*node.mapped().handle);
+  if (node.empty()) {
+    return;
+  }
+  const Run& run = node.mapped();
+  if (run.written) {
+    ReportAbandonedRequest(run);
+  } else if (run.handle) {
+    ReleaseHandle(*run.handle);
   }
 }
 
--- a/src/entry/direct_transport.h
+++ b/src/entry/direct_transport.h
@@ -93,6 +93,11 @@
                        const std::optional<TargetRun>& run,
                        const CallerRequest&)>
         on_request_broke;
+    /// A written request was given up: its caller left, or its time was over.
+    std::function<void(const std::string& instance,
+                       const std::optional<TargetRun>& run,
+                       const CallerRequest&)>
+        on_request_abandoned;
     /// A call outside the routed attempts is about to go to a target.
     std::function<void(const std::string& instance)> on_extra_call;
     /// The head of a target's answer arrived, with a rate limit or without.
@@ -233,6 +238,7 @@
                       std::function<void(const Result<TargetAnswer>&)> done);
   void ReportBrokenRequest(const std::string& instance, const Run& run,
                            const Error& error);
+  void ReportAbandonedRequest(const Run& run);
   Run* Find(const AttemptId& id);
   void Flush();
 
--- a/tests/platform/direct_transport_test.cc
+++ b/tests/platform/direct_transport_test.cc
@@ -121,6 +121,7 @@
     outcome_.reset();
     auto request = std::make_shared<CallerRequest>();
     request->id = RequestId{RandomId()};
+    last_request_ = request->id;
     request->caller_id = id;
     request->deployment = "app";
     request->method = "POST";
@@ -134,6 +135,9 @@
     dispatcher_.OnRequest(request);
   }
 
+  /// The caller of the last request leaves.
+  void Disconnect() { dispatcher_.OnCallerDisconnected(last_request_); }
+
   /// Returns how often a target was marked as avoided.
   int avoided() const { return avoided_; }
   /// Returns the number of requests that were running in crashes.
@@ -217,6 +221,7 @@
   std::deque<ScriptedServer> servers_;
   std::vector<TargetRecord> targets_;
   std::int64_t starts_ = 0;
+  RequestId last_request_;
   int avoided_ = 0;
   int answered_ = 0;
   std::size_t crashed_ = 0;
@@ -588,6 +593,25 @@
   }
 }
 
+/// Guards against crashes that count against no request because their entry no
+/// longer waits for an answer.
+TEST_CASE("A request that was given up counts in a crash shortly after") {
+  const Script silent = {{Kind::kSleep, ""}};
+  DispatchFixture fixture({{silent}});
+  SECTION("if its caller has left") {
+    fixture.Begin(Repeatability::kOnce);
+    fixture.RunFor(milliseconds(50));
+    fixture.Disconnect();
+    CHECK(fixture.running() == 0);
+  }
+  SECTION("if its deadline has passed") {
+    CHECK(fixture.Ask(Repeatability::kOnce) == Outcome::kUnknown);
+  }
+  CHECK(fixture.crashed() == 0);
+  fixture.Restart(0);
+  CHECK(fixture.crashed() == 1);
+}
+
 TEST_CASE("If all targets refuse, the caller gets an accurate refusal") {
   DispatchFixture fixture(Send(kNotExecuted), Send(kNotExecuted));
   CHECK(fixture.Ask(Repeatability::kOnce) == Outcome::kNotRun);
--- a/tests/shell/crash_detector_test.cc
+++ b/tests/shell/crash_detector_test.cc
@@ -227,6 +227,33 @@
   }
 }
 
+/// Guards against crashes under a request whose caller has left.
+TEST_CASE("An abandoned request counts in a crash shortly after") {
+  DetectorFixture it;
+  it.detector->OnAbandoned(it.run, {1, {}});
+  it.Wait(milliseconds(500));
+  CHECK(it.probes.empty());
+  SECTION("that breaks another request") {
+    it.detector->OnBroken(it.run, {2, {}});
+    REQUIRE(it.probes.size() == 1);
+    it.probes[0](Failed(ErrorCode::kUnavailable));
+    CHECK(it.crashed == DetectorFixture::Fingerprints{1, 2});
+  }
+  SECTION("that follows a break without a crash") {
+    it.detector->OnBroken(it.run, {2, {}});
+    it.probes[0](Unit{});
+    it.detector->OnBroken(it.run, {3, {}});
+    REQUIRE(it.probes.size() == 2);
+    it.probes[1](Failed(ErrorCode::kUnavailable));
+    CHECK(it.crashed == DetectorFixture::Fingerprints{1, 3});
+  }
+  SECTION("not in a later one") {
+    it.Wait(seconds(5));
+    it.detector->OnRunEnded(it.run, {}, "test");
+    CHECK(it.crashed.empty());
+  }
+}
+
 TEST_CASE("The suspects of one run are bounded") {
   DetectorFixture it;
   for (Fingerprint n = 1; n <= 600; ++n) {
