Do not take a gateway's error for a sign of life

A probe of a target that is answered 502, 503 or 504 without naming a run may have been answered by a balancer in front of a process that has ended. It counted as survival, so a crash behind such a gateway counted against no request.

Found by reading; users have not reported it. "A liveness probe tells one run of a target from the next": a section failed before. Its check that a 503 shows no crash becomes a stricter one: not a crash, and not a sign of life.

--- a/src/entry/target_dialect.h
+++ b/src/entry/target_dialect.h
@@ -68,7 +68,8 @@
   /// target answers at once.
   std::function<TargetRequest(const TargetRecord& target)> liveness_probe;
   /// Returns an error with `kConflict` if the answer to a liveness probe proves
-  /// that the run of the target in `target` has ended.
+  /// that the run of the target in `target` has ended, and with another code if
+  /// it does not show that the target is alive either.
   std::function<Status(const TargetRecord& target, const TargetAnswer& answer)>
       read_liveness;
   /// Classifies the head of an answer.
--- a/tests/platform/target_protocol_test.cc
+++ b/tests/platform/target_protocol_test.cc
@@ -210,10 +210,15 @@
   SECTION("an answer that does not state the run proves nothing") {
     CHECK(IsOk(read({200, R"({"seq":2})"})));
     CHECK(IsOk(read({200, "no JSON"})));
-    CHECK(IsOk(read({503, ""})));
     target.run.reset();
     CHECK(IsOk(read({200, R"({"seq":0,"born":1001})"})));
   }
+  SECTION("an error of a gateway shows neither the target nor its end") {
+    const int status = GENERATE(502, 503, 504);
+    REQUIRE_FALSE(IsOk(read({status, ""})));
+    CHECK(ErrorOf(read({status, ""})).code == ErrorCode::kProtocol);
+    CHECK(IsOk(read({status, R"({"seq":2,"born":1000})"})));
+  }
 }
 
 TEST_CASE("A target's limit is a number of requests per second") {
