Let no failure that ends with its connection clear a request

A 500 with neither a length nor chunks was handed to the crash detector like any doubtful end, and counted as an answer once the target had survived it: it cleared its request of all crashes, at every entry. "A failure that ends with its connection is no answer" failed before.

--- a/src/core/request/answer_end.h
+++ b/src/core/request/answer_end.h
@@ -10,6 +10,9 @@
 
 namespace indigolead {
 
+/// Lowest HTTP status that reports a failure.
+inline constexpr int kMinFailureStatus = 400;
+
 /// What delimits the body of an answer (RFC 9112, section 6.3).
 enum class BodyFraming {
   kLength,  ///< Content-Length, or a status or method without a body.
--- a/src/entry/direct_dispatcher.cc
+++ b/src/entry/direct_dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/request/answer_end.h"
 #include "entry/event_fields.h"
 #include "entry/events.h"
 
@@ -209,7 +210,7 @@
         answers_ended_by_close_.Add(end.framing == BodyFraming::kClose ? 1 : 0);
         streams_ended_inside_event_.Add(
             end.position == StreamPosition::kInsideEvent ? 1 : 0);
-        if (!FindTruncation(end)) {
+        if (!FindTruncation(end) && end.status < kMinFailureStatus) {
           OnDoubtfulEnd(instance, run, request);
         }
       };
--- a/src/entry/direct_dispatcher_log.cc
+++ b/src/entry/direct_dispatcher_log.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/request/answer_end.h"
 #include "entry/direct_dispatcher.h"
 #include "entry/event_fields.h"
 #include "entry/events.h"
@@ -10,9 +11,6 @@
 namespace indigolead {
 namespace {
 
-/// Lowest HTTP status that reports a failure.
-constexpr int kMinFailureStatus = 400;
-
 double Seconds(Duration length) {
   return std::chrono::duration<double>(length).count();
 }
--- a/tests/platform/direct_transport_test.cc
+++ b/tests/platform/direct_transport_test.cc
@@ -467,6 +467,19 @@
   CHECK(fixture.answered() == (whole ? 2 : 0));
 }
 
+/// Guards against a failure that clears a request of crashes.
+TEST_CASE("A failure that ends with its connection is no answer") {
+  const Script script = {
+      {Kind::kSend,
+       "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: r-1\r\n"
+       "X-Response-Signature: s\r\n\r\noops"},
+      {Kind::kClose, ""}};
+  DispatchFixture fixture({{script}});
+  CHECK(fixture.Ask(Repeatability::kOnce) == Outcome::kFailure);
+  fixture.RunFor(DispatchFixture::kEvidenceWindow);
+  CHECK(fixture.answered() == 0);
+}
+
 /// Guards against a crash between two events that clears the request which
 /// caused it.
 TEST_CASE("A stream that a crash ends between events is no answer") {
