Take another entry's report of a crash after the target is unlisted

The report was dropped once the target was off the list, though requests of this entry that ended before may still be suspects. The run in the report names the suspects, and a target that has announced its leaving has none. "A request that was given up counts in a crash shortly after" failed before in the sections in which the target is off the list.

--- a/src/entry/direct_dispatcher.h
+++ b/src/entry/direct_dispatcher.h
@@ -164,7 +164,7 @@
   /// This or another entry has seen the target crash. Returns false if the
   /// listed run of the target is another one.
   bool OnTargetDown(const TargetCrash& crash);
-  /// Another entry has seen the target crash. Requests of this entry that were
+  /// Another entry has seen the target crash. Suspects of this entry that were
   /// running in it are reported with `on_crash`.
   void OnCrashReported(const TargetCrash& crash);
   /// See `TargetDirectory::AbsenceDue`.
--- a/src/entry/direct_dispatcher_crashes.cc
+++ b/src/entry/direct_dispatcher_crashes.cc
@@ -45,11 +45,7 @@
 }
 
 void DirectDispatcher::OnCrashReported(const TargetCrash& crash) {
-  const TargetRecord* target = transport_.FindTarget(crash.target);
-  if (target && CrashOf(crash.target, target->run) == crash &&
-      MayCrash(crash.target)) {
-    crashes_.OnRunEnded(crash, {}, "another entry reports it");
-  }
+  crashes_.OnRunEnded(crash, {}, "another entry reports it");
 }
 
 bool DirectDispatcher::MayCrash(const std::string& instance) const {
